--- /dev/null
+++ b/packages/coordination/events.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "protocol/messages.h"
+#include "state/config.h"
+#include "transport/live_list.h"
+#include "transport/peer_link.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+// Messages between the tasks of one daemon (see transport/bus.h).
+namespace briarhead {
+
+/// One daemon as the membership task sees it.
+struct member
+{
+    std::string name;
+    std::string failureDomain;
+    peer_address address;
+    std::uint16_t callerPort = 0;
+    std::uint64_t incarnation = 0; ///< 0: not heard yet
+    peer_state state = peer_state::Alive;
+    std::uint64_t configVersion = 0; ///< highest heard from it
+};
+
+/// Membership -> all: the daemons of this region as seen now, self included.
+struct members_changed
+{
+    std::vector<member> members;
+};
+
+/// Membership -> all: the platform's list changed (backend servers; leaving is final for an incarnation).
+struct live_list_changed
+{
+    live_view view;
+};
+
+/// Config task -> all: a higher version is in force here.
+struct config_changed
+{
+    config_ptr current;
+};
+
+/// Membership -> config task: a peer holds this version.
+struct version_heard
+{
+    std::string peer;
+    std::uint64_t version = 0;
+};
+
+/// Config task -> membership: tell a few peers now.
+struct version_news
+{
+    std::uint64_t version = 0;
+};
+
+/// Peer link -> the task it concerns: a frame from a peer. `from` may be this instance itself.
+template <class message>
+struct received
+{
+    std::string from;
+    std::uint64_t incarnation = 0;
+    message body;
+};
+
+/// Any task -> peer link: send to a daemon by name (this instance's own name delivers locally).
+struct send_to
+{
+    std::string to;
+    peer_message body;
+};
+
+/// Peer link -> all: the link broke, or a send was impossible.
+struct link_broken
+{
+    std::string peer;
+};
+
+/// Ownership task -> owner task: this daemon owns the server from now on, with this fencing number.
+struct server_gained
+{
+    live_instance server;
+    std::uint64_t fencing = 0;
+    bool checksFencing = false;
+    millis mayEvictAt; ///< on an engine that doesn't check fencing: when the old tenure has ended for sure
+    std::vector<adapter_ref>
+        pinned; ///< still serving the old owner's streams, until mayEvictAt at the latest
+};
+
+/// Ownership task -> owner task: no orders or new requests to it any more.
+struct server_lost
+{
+    std::string server;
+};
+
+/// Ownership task -> owner task: the lease stands until `until` (own clock); past it only what
+/// `mayOrder` of coordination/ownership.h allows.
+struct lease_confirmed
+{
+    millis until;
+};
+
+/// Owner task -> ownership task: the engine refused our number; another owner holds `fencing`.
+struct fencing_refused
+{
+    std::string server;
+    std::uint64_t fencing = 0;
+};
+
+/// Main -> all: graceful shutdown began.
+struct drain_began
+{
+};
+
+}
--- /dev/null
+++ b/packages/coordination/load_order.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "state/clock.h"
+#include "state/config.h"
+#include "state/outcome.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace briarhead {
+
+/// What waits for one load.
+struct load_need
+{
+    adapter_ref adapter;
+    std::uint32_t waiting = 0;
+    priority best = priority::Normal; ///< best among the waiting
+    millis soonestDeadline; ///< point in time; of the waiting
+    millis oldestArrival;
+    double penalty = 0; ///< summed penalties of the targets the waiting would miss
+    double rate = 0; ///< arrivals a second, for prefetch
+};
+
+/// The urgency of a load: higher goes first. Waiting requests before prefetch, then priority, slack
+/// until the deadline after `loadMs`, penalty and count.
+double loadUrgency(const load_need &need, millis now, double loadMs);
+
+/// The load to start next, or nothing.
+std::optional<std::size_t> nextLoad(std::span<const load_need> needs, millis now, double loadMs);
+
+/// The store budget as its broker keeps it: most urgent first, at most `concurrency` at a time and
+/// `perSecond` starts a second. A grant not released is taken back after grantTimeoutMs, so a dead
+/// owner costs rate and never stops loads.
+struct load_budget
+{
+    struct asked
+    {
+        std::string owner;
+        std::uint64_t ticket = 0;
+        double urgency = 0;
+        millis at; ///< last asked; forgotten after askTimeoutMs
+    };
+    struct granted
+    {
+        std::string owner;
+        std::uint64_t ticket = 0;
+        millis at;
+    };
+    std::vector<asked> waiting;
+    std::vector<granted> running;
+    double tokens = 1; ///< starts available, filled at perSecond, at most burst
+    millis filled;
+};
+
+constexpr std::int64_t grantTimeoutMs = 10'000;
+constexpr std::int64_t askTimeoutMs = 3'000;
+
+void askBudget(load_budget &budget, const load_budget::asked &ask);
+void releaseBudget(load_budget &budget, const std::string &owner, std::uint64_t ticket);
+/// The grants to give now; they are moved to `running`.
+std::vector<load_budget::granted> grantBudget(
+    load_budget &budget, double perSecond, std::uint32_t concurrency, millis now);
+
+/// What an owner may do while it has no answer from a broker: its share of the rate by live owners.
+/// True when a load may start `sinceLast` after its last unbrokered one.
+bool mayLoadUnbrokered(double perSecond, std::uint32_t liveOwners, millis sinceLast);
+
+/// Back-off after `failures` failed loads in a row, with jitter from `random01`, in milliseconds.
+std::int64_t loadBackoffMs(std::uint32_t failures, double random01);
+
+}
--- /dev/null
+++ b/packages/coordination/ownership.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "state/clock.h"
+#include "state/error.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace briarhead {
+
+/// The record of a backend server in the key-value service: who owns it. Kept as JSON under
+/// "briarhead/owner/SERVER". The epoch only rises; it is the high part of the fencing number.
+struct owner_record
+{
+    std::string owner; ///< empty: released
+    std::uint64_t incarnation = 0; ///< of the owner's process
+    std::uint64_t epoch = 0;
+    std::int64_t drainMs = 0; ///< released: the old owner's streams end within this time of the release
+    std::vector<std::string> pinned; ///< released: adapters those streams run on, "adapter:version"
+};
+
+std::string toJson(const owner_record &record);
+std::optional<owner_record> parseOwnerRecord(std::string_view json, error &why);
+
+/// The session of a daemon under its lease: "briarhead/session/INSTANCE".
+struct session_record
+{
+    std::uint64_t incarnation = 0;
+    std::int64_t leaseTtlMs = 0;
+};
+
+std::string toJson(const session_record &record);
+std::optional<session_record> parseSessionRecord(std::string_view json, error &why);
+
+/// A fencing number: 40 bits of epoch, 24 bits that order claims made without the key-value service and
+/// keep them unique (8 bits round, 16 bits of the claimant's hash).
+constexpr std::uint64_t fencingOf(std::uint64_t epoch)
+{
+    return epoch << 24;
+}
+constexpr std::uint64_t epochOf(std::uint64_t fencing)
+{
+    return fencing >> 24;
+}
+/// The number for a claim on an engine without the service: above `seen`, same epoch, unique to `instance`.
+std::optional<std::uint64_t> outageFencing(std::uint64_t seen, std::string_view instance);
+
+/// Time between lease renewals and the lease's length for a fleet of this size: the whole fleet's
+/// renewals stay under renewalsPerSecond.
+constexpr double renewalsPerSecond = 100;
+millis renewInterval(millis leaseTtl, std::size_t members);
+millis leaseLength(millis leaseTtl, std::size_t members);
+
+/// What a daemon sees of one server when it decides about ownership.
+struct ownership_view
+{
+    std::string self;
+    std::string proposed; ///< first by rendezvous hash over live daemons that aren't leaving
+    std::string holder; ///< owner by the record as last read, empty: none
+    bool holderMine = false; ///< this very process
+    bool holderDead = false; ///< by membership: dead, or seen under a newer incarnation
+    bool holderSessionGone = false; ///< the service says its lease is gone
+    bool serviceUp = true;
+    bool checksFencing = false;
+    bool selfLeaving = false;
+    std::uint32_t owned = 0; ///< servers this daemon owns
+    std::uint32_t fairShare = 0; ///< servers over live daemons, rounded up
+};
+
+/// The step to take.
+enum class ownership_step : std::uint8_t
+{
+    Keep, ///< nothing to do
+    TakeOver, ///< compare-and-swap the record to self, epoch + 1
+    ClaimOnEngine, ///< the service is out: claim with outageFencing on an engine that checks it
+    Release, ///< hand over in order: stop admitting, write the record with what still runs
+    Wait, ///< an orphan, but it can't safely be taken yet
+};
+
+std::string_view nameOf(ownership_step value);
+
+ownership_step decideOwnership(const ownership_view &view);
+
+/// Classes of orders an owner gives.
+enum class order_kind : std::uint8_t
+{
+    Run,
+    LoadFree, ///< load into a free slot
+    Evict, ///< unload
+    Role,
+};
+
+/// What an owner may do at `now` given its lease's end. On engines that check fencing the engine is the
+/// arbiter and all orders may go on; on the others only orders that can't hurt a successor: runs and loads
+/// into free slots until the lease has been over for `lapsedGraceMs`, no evictions after its end.
+bool mayOrder(order_kind kind, bool checksFencing, millis leaseUntil, millis now);
+
+/// How long after its lease's end an owner may still run requests on an engine that doesn't check fencing.
+constexpr std::int64_t lapsedGraceMs = 1'800'000;
+
+/// When a new owner may first evict on an engine that doesn't check fencing, having seen the old session
+/// gone at `takenAt`: after everything the old tenure admitted must have ended.
+millis firstEviction(millis takenAt, millis maxDeadline, bool oldReleasedInOrder, millis releasedDrain);
+
+}
--- /dev/null
+++ b/packages/coordination/retry.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "state/clock.h"
+#include "state/error.h"
+#include "state/outcome.h"
+
+#include <cstdint>
+
+namespace briarhead {
+
+/// Retries and hedges may be at most this share of successes, so that a retry storm dies out.
+constexpr double retryShare = 0.1;
+constexpr double retryBurst = 10;
+
+/// A retry budget: each success earns retryShare, each retry costs one.
+struct retry_budget
+{
+    double tokens = retryBurst;
+};
+
+void countSuccess(retry_budget &budget);
+bool takeRetry(retry_budget &budget);
+
+/// What to do after an attempt ended.
+enum class retry_decision : std::uint8_t
+{
+    Stop, ///< tell the caller
+    Elsewhere, ///< another server
+    SameOwner, ///< the owner named in the answer
+};
+
+/// One ended attempt.
+struct attempt_end
+{
+    outcome result = outcome::Unknown;
+    error_kind why = error_kind::None;
+    bool idempotent = true;
+    bool bytesToCaller = false; ///< part of the answer already went out
+    std::uint32_t attempts = 1;
+    millis deadlineLeft;
+};
+
+constexpr std::uint32_t maxAttempts = 3;
+
+/// A request whose outcome is unknown is sent again only if it is idempotent and no byte of an answer
+/// went out; one that certainly did not run may be sent again whatever its kind. A redirect to the
+/// owner costs no budget.
+retry_decision decideRetry(const attempt_end &end, retry_budget &budget);
+
+/// A circuit breaker per server: opens after breakerFailures in a row, lets one probe through after a
+/// pause that doubles up to breakerMaxMs.
+struct breaker
+{
+    std::uint32_t failures = 0;
+    std::uint32_t opened = 0; ///< times in a row
+    millis openUntil;
+    bool probing = false;
+};
+
+constexpr std::uint32_t breakerFailures = 3;
+constexpr std::int64_t breakerFirstMs = 500;
+constexpr std::int64_t breakerMaxMs = 8'000;
+
+bool breakerAllows(breaker &state, millis now);
+void breakerSuccess(breaker &state);
+void breakerFailure(breaker &state, millis now);
+
+}
