--- a/packages/transport/engine_client.h
+++ b/packages/transport/engine_client.h
@@ -41,6 +41,26 @@
     std::vector<std::pair<adapter_ref, std::uint32_t>> runningByAdapter;
 };
 
+/// One change of an engine's prefix cache.
+struct engine_cache_event
+{
+    std::uint64_t sequence = 0;
+    adapter_ref adapter;
+    std::uint64_t prefix = 0; ///< hash of the prompt's head
+    bool stored = false; ///< false: removed
+};
+
+/// Cache events (GET /v1/events?since=SEQUENCE). They come late, and a gap in the sequence is one that
+/// was lost: what they tell is a hint.
+struct engine_cache_events
+{
+    std::uint64_t next = 0; ///< to ask from the next time
+    std::vector<engine_cache_event> events;
+};
+
+/// Reads "adapter:version"; nothing if the text isn't of that form.
+std::optional<adapter_ref> parseAdapterRef(std::string_view text);
+
 /// One request as handed to an engine.
 struct engine_run
 {
@@ -50,6 +70,7 @@
     std::uint64_t fencing = 0;
     priority rank = priority::Normal;
     millis deadline; ///< left
+    bool idempotent = true; ///< false: marked for the engine's own record by X-Non-Idempotent
 };
 
 /// How a run ended. Done only when the engine's whole stream arrived, [DONE] included.
@@ -93,6 +114,9 @@
     /// GET /v1/report.
     void report(
         millis timeout, std::function<void(const std::optional<engine_report> &, const error &)> done);
+    /// GET /v1/events?since=SEQUENCE.
+    void cacheEvents(std::uint64_t since, millis timeout,
+        std::function<void(const std::optional<engine_cache_events> &, const error &)> done);
 
     /// Runs a request. onStart gives the adapter and version the engine says it runs on (header
     /// X-Adapter) before any byte; onBytes gives SSE text as it comes; onEnd comes exactly once.
