--- /dev/null
+++ b/packages/transport/http_client.cpp
@@ -0,0 +1,583 @@
+#include "transport/http_client.h"
+
+#include <curl/curl.h>
+#include <ev.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace briarhead {
+
+namespace {
+
+constexpr long maxIdleConnections = 1024;
+constexpr std::size_t maxIdleHandles = 256;
+constexpr long keepAliveIdleSeconds = 10;
+constexpr long keepAliveIntervalSeconds = 5;
+constexpr int firstFinalStatus = 200;
+
+struct easy_deleter
+{
+    void operator()(CURL *easy) const
+    {
+        curl_easy_cleanup(easy);
+    }
+};
+using easy_ptr = std::unique_ptr<CURL, easy_deleter>;
+
+struct list_deleter
+{
+    void operator()(curl_slist *list) const
+    {
+        curl_slist_free_all(list);
+    }
+};
+using list_ptr = std::unique_ptr<curl_slist, list_deleter>;
+
+bool hasControlBytes(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), [](unsigned char c) {
+        return (c < 0x20 && c != '\t') || c == 0x7f;
+    });
+}
+
+char lowerCase(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](char c) {
+        return lowerCase(c);
+    });
+    return lower;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t\r\n";
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+/// The status of a line like "HTTP/1.1 200 OK", or nothing if it is no status line.
+std::optional<int> statusOf(std::string_view line)
+{
+    if (!line.starts_with("HTTP/")) {
+        return std::nullopt;
+    }
+    const auto blank = line.find(' ');
+    if (blank == std::string_view::npos) {
+        return std::nullopt;
+    }
+    int status = 0;
+    const auto parsed = std::from_chars(line.data() + blank + 1, line.data() + line.size(), status);
+    return parsed.ec == std::errc() ? std::optional(status) : std::nullopt;
+}
+
+void addHeader(std::map<std::string, std::string> &headers, std::string_view line)
+{
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return;
+    }
+    const std::string_view value = trimmed(line.substr(colon + 1));
+    const auto [found, isNew] = headers.try_emplace(lowerCase(trimmed(line.substr(0, colon))), value);
+    if (!isNew) {
+        found->second.append(", ").append(value);
+    }
+}
+
+error_kind kindOf(CURLcode code)
+{
+    switch (code) {
+    case CURLE_OK:
+        return error_kind::None;
+    case CURLE_OPERATION_TIMEDOUT:
+        return error_kind::Timeout;
+    case CURLE_URL_MALFORMAT:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+        return error_kind::BadRequest;
+    case CURLE_OUT_OF_MEMORY:
+    case CURLE_FAILED_INIT:
+        return error_kind::Internal;
+    default:
+        return error_kind::ConnectionLost;
+    }
+}
+
+/// What is wrong with a call before it is made. A line break in a header, the method or the URL would
+/// let whoever chose that text smuggle a second request onto the connection.
+std::optional<error> faultOf(const http_call &call)
+{
+    if (hasControlBytes(call.method) || call.method.empty()) {
+        return error{error_kind::BadRequest, call.url, "the method is empty or has control characters"};
+    }
+    if (hasControlBytes(call.url)) {
+        return error{error_kind::BadRequest, "url", "it has control characters"};
+    }
+    if (std::any_of(call.headers.begin(), call.headers.end(), hasControlBytes)) {
+        return error{error_kind::BadRequest, call.url, "a header has control characters"};
+    }
+    return std::nullopt;
+}
+
+}
+
+struct http_client::impl
+{
+    /// One call, from start() until its onDone returned.
+    struct transfer
+    {
+        impl *owner = nullptr;
+        call_id id = 0;
+        http_call call;
+        on_done onDone;
+        on_data onData;
+        easy_ptr easy;
+        list_ptr headers;
+        http_result result;
+        std::string fresh; ///< body bytes not yet given to onData
+        std::array<char, CURL_ERROR_SIZE> errorText{};
+        bool queued = false; ///< stands in `ready`
+        bool finished = false;
+        bool cancelled = false;
+    };
+    using transfer_ptr = std::shared_ptr<transfer>;
+
+    /// libev's side of one socket of libcurl.
+    struct socket_watch
+    {
+        impl *owner = nullptr;
+        ev_io io{};
+    };
+
+    loop &eventLoop;
+    struct ev_loop *base;
+    CURLM *multi = nullptr;
+    ev_timer timer{};
+    std::unordered_map<curl_socket_t, std::unique_ptr<socket_watch>> sockets;
+    std::unordered_map<call_id, transfer_ptr> calls;
+    std::deque<call_id> ready; ///< calls with bytes or an end to tell of, in order
+    std::vector<easy_ptr> idleHandles;
+    std::function<void(int, bool)> socketCall;
+    call_id lastId = 0;
+    bool keep = true;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    explicit impl(loop &useLoop);
+    ~impl();
+    impl(const impl &) = delete;
+    impl &operator=(const impl &) = delete;
+
+    void configure(transfer &one);
+    void configureBody(transfer &one);
+    void configureHeaders(transfer &one);
+    void enqueue(transfer &one);
+    void failLater(transfer &one, error why);
+    void act(curl_socket_t fd, int events);
+    void collect();
+    void finish(transfer &one, CURLcode code);
+    void dispatch();
+    void release(easy_ptr easy);
+
+    static int onSocketState(CURL *easy, curl_socket_t fd, int what, void *self, void *);
+    static int onTimeout(CURLM *multi, long timeoutMs, void *self);
+    static curl_socket_t openSocket(void *self, curlsocktype purpose, curl_sockaddr *address);
+    static int closeSocket(void *self, curl_socket_t fd);
+    static int onBeforeRequest(void *self, char *, char *, int, int);
+    static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *self);
+    static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self);
+};
+
+http_client::impl::impl(loop &useLoop)
+    : eventLoop(useLoop)
+    , base(useLoop.raw())
+{
+    static const CURLcode globalState = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(globalState);
+    multi = curl_multi_init();
+    curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, onSocketState);
+    curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, onTimeout);
+    curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, maxIdleConnections);
+    ev_timer_init(
+        &timer,
+        [](struct ev_loop *, ev_timer *self, int) {
+            static_cast<impl *>(self->data)->act(CURL_SOCKET_TIMEOUT, 0);
+        },
+        0.0, 0.0);
+    timer.data = this;
+}
+
+http_client::impl::~impl()
+{
+    *alive = false;
+    for (const auto &[id, one] : calls) {
+        if (one->easy && !one->finished) {
+            curl_multi_remove_handle(multi, one->easy.get());
+        }
+    }
+    calls.clear();
+    idleHandles.clear();
+    curl_multi_cleanup(multi);
+    for (const auto &[fd, watch] : sockets) {
+        ev_io_stop(base, &watch->io);
+    }
+    ev_timer_stop(base, &timer);
+}
+
+int http_client::impl::onSocketState(CURL *, curl_socket_t fd, int what, void *self, void *)
+{
+    auto *owner = static_cast<impl *>(self);
+    if (what == CURL_POLL_REMOVE) {
+        const auto found = owner->sockets.find(fd);
+        if (found != owner->sockets.end()) {
+            ev_io_stop(owner->base, &found->second->io);
+            owner->sockets.erase(found);
+        }
+        return 0;
+    }
+    auto &watch = owner->sockets[fd];
+    if (!watch) {
+        watch = std::make_unique<socket_watch>();
+        watch->owner = owner;
+        ev_init(&watch->io, [](struct ev_loop *, ev_io *io, int events) {
+            const int mask = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0)
+                | ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+            static_cast<socket_watch *>(io->data)->owner->act(io->fd, mask);
+        });
+        watch->io.data = watch.get();
+    }
+    ev_io_stop(owner->base, &watch->io);
+    const int events =
+        ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) | ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
+    ev_io_set(&watch->io, fd, events);
+    ev_io_start(owner->base, &watch->io);
+    return 0;
+}
+
+int http_client::impl::onTimeout(CURLM *, long timeoutMs, void *self)
+{
+    auto *owner = static_cast<impl *>(self);
+    ev_timer_stop(owner->base, &owner->timer);
+    if (timeoutMs >= 0) {
+        ev_now_update(owner->base);
+        ev_timer_set(&owner->timer, static_cast<double>(timeoutMs) / 1000.0, 0.0);
+        ev_timer_start(owner->base, &owner->timer);
+    }
+    return 0;
+}
+
+curl_socket_t http_client::impl::openSocket(void *self, curlsocktype, curl_sockaddr *address)
+{
+    const auto *one = static_cast<transfer *>(self);
+    const int fd =
+        ::socket(address->family, address->socktype | SOCK_CLOEXEC | SOCK_NONBLOCK, address->protocol);
+    if (fd < 0) {
+        return CURL_SOCKET_BAD;
+    }
+    if (one->call.userTimeout.count > 0) {
+        const auto timeoutMs = static_cast<unsigned int>(one->call.userTimeout.count);
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMs, sizeof(timeoutMs));
+    }
+    if (one->owner->socketCall) {
+        one->owner->socketCall(fd, true);
+    }
+    return fd;
+}
+
+int http_client::impl::closeSocket(void *self, curl_socket_t fd)
+{
+    auto *owner = static_cast<impl *>(self);
+    // A closed descriptor's number is given out again at once; whoever keeps it must forget it first.
+    onSocketState(nullptr, fd, CURL_POLL_REMOVE, owner, nullptr);
+    if (owner->socketCall) {
+        owner->socketCall(fd, false);
+    }
+    return ::close(fd);
+}
+
+int http_client::impl::onBeforeRequest(void *self, char *, char *, int, int)
+{
+    // libcurl calls this after connecting and directly before the first byte of the request, also on a
+    // kept connection. Without this call no byte has left, which is what `sent` promises; with it, one
+    // may have, and that stays so when libcurl repeats the request on another connection.
+    static_cast<transfer *>(self)->result.sent = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+std::size_t http_client::impl::onHeader(char *data, std::size_t size, std::size_t count, void *self)
+{
+    auto &result = static_cast<transfer *>(self)->result;
+    const std::string_view line(data, size * count);
+    if (const auto status = statusOf(line)) {
+        // Interim answers (1xx) and their headers are not the answer.
+        result.status = *status >= firstFinalStatus ? *status : 0;
+        result.headers.clear();
+    } else {
+        addHeader(result.headers, line);
+    }
+    return size * count;
+}
+
+std::size_t http_client::impl::onBody(char *data, std::size_t size, std::size_t count, void *self)
+{
+    auto &one = *static_cast<transfer *>(self);
+    if (one.onData) {
+        // Callers may start and cancel calls from onData, which libcurl forbids in here; the bytes are
+        // handed on as soon as libcurl has returned.
+        one.fresh.append(data, size * count);
+        one.owner->enqueue(one);
+    } else {
+        one.result.body.append(data, size * count);
+    }
+    return size * count;
+}
+
+void http_client::impl::configure(transfer &one)
+{
+    CURL *easy = one.easy.get();
+    curl_easy_setopt(easy, CURLOPT_URL, one.call.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    // An empty proxy also switches off the environment's.
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    // A watch may be silent for long; without probes it would not notice that its peer vanished.
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, keepAliveIdleSeconds);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    curl_easy_setopt(
+        easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<std::int64_t>(one.call.timeout.count, 0)));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+        static_cast<long>(std::max<std::int64_t>(one.call.connectTimeout.count, 0)));
+    // libcurl silently repeats a request when a kept connection turns out to be dead. A request that
+    // may run only once therefore asks for a connection of its own, where libcurl never repeats.
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, one.call.freshConnection ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, one.call.freshConnection || !keep ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, one.errorText.data());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &one);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, openSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &one);
+    // Connections outlive the call that opened them, so closing is told to the client.
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, closeSocket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onBeforeRequest);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &one);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, onHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &one);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &one);
+    configureBody(one);
+    configureHeaders(one);
+}
+
+void http_client::impl::configureBody(transfer &one)
+{
+    CURL *easy = one.easy.get();
+    const std::string &method = one.call.method;
+    const bool hasBody = !one.call.body.empty() || method == "POST" || method == "PUT" || method == "PATCH";
+    if (hasBody) {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(one.call.body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, one.call.body.c_str());
+    } else if (method == "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    } else {
+        curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method.c_str());
+}
+
+void http_client::impl::configureHeaders(transfer &one)
+{
+    // "Name:" without a value removes what libcurl would add: the wait for "100 Continue", which costs a
+    // round trip, and the content type of a form.
+    curl_slist *list = curl_slist_append(nullptr, "Expect:");
+    bool hasType = false;
+    for (const std::string &line : one.call.headers) {
+        hasType = hasType || lowerCase(line).starts_with("content-type:");
+        list = curl_slist_append(list, line.c_str());
+    }
+    if (!hasType) {
+        list = curl_slist_append(list, "Content-Type:");
+    }
+    one.headers.reset(list);
+    curl_easy_setopt(one.easy.get(), CURLOPT_HTTPHEADER, list);
+}
+
+void http_client::impl::enqueue(transfer &one)
+{
+    if (!one.queued) {
+        one.queued = true;
+        ready.push_back(one.id);
+    }
+}
+
+void http_client::impl::failLater(transfer &one, error why)
+{
+    one.result.why = std::move(why);
+    one.finished = true;
+    enqueue(one);
+    eventLoop.post([this, stillAlive = std::weak_ptr<bool>(alive)] {
+        if (!stillAlive.expired()) {
+            dispatch();
+        }
+    });
+}
+
+void http_client::impl::act(curl_socket_t fd, int events)
+{
+    int running = 0;
+    curl_multi_socket_action(multi, fd, events, &running);
+    collect();
+    dispatch();
+}
+
+void http_client::impl::collect()
+{
+    int left = 0;
+    while (const CURLMsg *message = curl_multi_info_read(multi, &left)) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        const CURLcode code = message->data.result;
+        CURL *easy = message->easy_handle;
+        transfer *one = nullptr;
+        curl_easy_getinfo(easy, CURLINFO_PRIVATE, &one);
+        curl_multi_remove_handle(multi, easy);
+        finish(*one, code);
+    }
+}
+
+void http_client::impl::finish(transfer &one, CURLcode code)
+{
+    one.result.complete = code == CURLE_OK;
+    one.result.why.kind = kindOf(code);
+    if (code != CURLE_OK) {
+        one.result.why.where = one.call.url;
+        one.result.why.detail = one.errorText[0] != '\0' ? one.errorText.data() : curl_easy_strerror(code);
+    }
+    one.finished = true;
+    release(std::move(one.easy));
+    enqueue(one);
+}
+
+void http_client::impl::dispatch()
+{
+    // A callback may destroy the client; nothing of it is touched after that.
+    const auto stillAlive = alive;
+    while (!ready.empty()) {
+        const call_id id = ready.front();
+        ready.pop_front();
+        const auto found = calls.find(id);
+        if (found == calls.end()) {
+            continue;
+        }
+        // Held here because cancel() from the call's own callback drops it from the table.
+        const transfer_ptr one = found->second;
+        one->queued = false;
+        if (!one->fresh.empty()) {
+            const std::string bytes = std::exchange(one->fresh, {});
+            one->onData(one->result, bytes);
+        }
+        if (!*stillAlive) {
+            return;
+        }
+        if (!one->finished || one->cancelled) {
+            continue;
+        }
+        calls.erase(id);
+        one->onDone(one->result);
+        if (!*stillAlive) {
+            return;
+        }
+    }
+}
+
+void http_client::impl::release(easy_ptr easy)
+{
+    if (idleHandles.size() < maxIdleHandles) {
+        curl_easy_reset(easy.get());
+        idleHandles.push_back(std::move(easy));
+    }
+}
+
+http_client::http_client(loop &eventLoop)
+    : m_impl(std::make_unique<impl>(eventLoop))
+{
+}
+
+http_client::~http_client() = default;
+
+http_client::call_id http_client::start(const http_call &call, on_done onDone, on_data onData)
+{
+    auto one = std::make_shared<impl::transfer>();
+    one->owner = m_impl.get();
+    one->id = ++m_impl->lastId;
+    one->call = call;
+    one->onDone = std::move(onDone);
+    one->onData = std::move(onData);
+    m_impl->calls.emplace(one->id, one);
+    if (auto fault = faultOf(call)) {
+        m_impl->failLater(*one, std::move(*fault));
+        return one->id;
+    }
+    if (m_impl->idleHandles.empty()) {
+        one->easy.reset(curl_easy_init());
+    } else {
+        one->easy = std::move(m_impl->idleHandles.back());
+        m_impl->idleHandles.pop_back();
+    }
+    m_impl->configure(*one);
+    // This only sets libcurl's timer to now; the transfer begins on the loop.
+    if (curl_multi_add_handle(m_impl->multi, one->easy.get()) != CURLM_OK) {
+        m_impl->failLater(*one, {error_kind::Internal, call.url, "libcurl did not take the call"});
+    }
+    return one->id;
+}
+
+void http_client::cancel(call_id id)
+{
+    const auto found = m_impl->calls.find(id);
+    if (found == m_impl->calls.end()) {
+        return;
+    }
+    const auto one = found->second;
+    m_impl->calls.erase(found);
+    one->cancelled = true;
+    if (one->easy && !one->finished) {
+        curl_multi_remove_handle(m_impl->multi, one->easy.get());
+        m_impl->release(std::move(one->easy));
+    }
+}
+
+void http_client::onSocket(std::function<void(int fd, bool open)> call)
+{
+    m_impl->socketCall = std::move(call);
+}
+
+void http_client::keepAlive(bool keep)
+{
+    m_impl->keep = keep;
+}
+
+}
