Implement the pure decisions

Cause: the decision headers stood without their sources. Ruled out: sorting all servers per request (rendezvousTop keeps only the first few); taking a daemon's old tenure back with a new session (another may be swapping the record). Headers grow by rendezvousTop, breakerOpen, releaseLimit, firstRun, orderLifeMs and five fields whose defaults keep their meaning.

--- a/packages/coordination/admission.h
+++ b/packages/coordination/admission.h
@@ -17,6 +17,7 @@
     std::uint32_t inFlight = 0;
     std::uint32_t batchLimit = 1;
     std::uint32_t waitingAhead = 0; ///< of the same or better priority
+    std::uint32_t waiting = 0; ///< of all priorities; waitingAhead counts when it is more
     std::uint32_t waitingLimit = 0; ///< queue places, 0: none
     double meanServiceMs = 0; ///< of a request in the batch
     bool resident = false;
@@ -47,9 +48,13 @@
     double tokens = 0;
     millis filled;
     bool fresh = true;
+    double meanHeldMs = 0; ///< time a request stays in flight
 };
 
-/// Takes one request's worth or says how long until one is free.
+/// Takes one request's worth (a token, and a place in flight until releaseLimit) and returns nothing, or
+/// says how long until one is free.
 std::optional<millis> overLimit(caller_limit &limit, const rule_config &rule, millis now);
+/// A request that overLimit let through has ended after `held`.
+void releaseLimit(caller_limit &limit, millis held);
 
 }
--- /dev/null
+++ b/packages/coordination/eviction.cpp
@@ -0,0 +1,69 @@
+#include "coordination/eviction.h"
+
+#include <algorithm>
+
+namespace briarhead {
+
+namespace {
+
+/// How hot the newcomer is. A queue counts besides the slow average, which a sudden shift of popularity
+/// moves too late; a single waiting request is no sign of heat.
+double heatOf(double newcomerRate, std::uint32_t newcomerWaiting)
+{
+    if (newcomerWaiting <= 1) {
+        return newcomerRate;
+    }
+    return std::max(newcomerRate, (newcomerWaiting - 1) * 1000.0 / minResidenceMs);
+}
+
+/// Whether the newcomer is worth the slot. Guards against thrash: two adapters that share the last slot
+/// would unload each other on every request, seen as loads a minute near the store's limit while nearly
+/// all requests stall. A young slot yields only to something much hotter, and a prefetch (nobody waits)
+/// never displaces what is about as hot.
+bool yieldsTo(const slot_view &slot, double heat, bool someoneWaits, millis now)
+{
+    const bool young = now - slot.loadedAt < millis{minResidenceMs};
+    if (someoneWaits && !young) {
+        return true;
+    }
+    return heat > thrashFactor * slot.rate;
+}
+
+bool colder(const slot_view &a, const slot_view &b)
+{
+    return a.rate != b.rate ? a.rate < b.rate : a.lastUsed < b.lastUsed;
+}
+
+}
+
+bool evictable(const slot_view &slot)
+{
+    // Guards against unloading an adapter under a request, which the caller would see as a broken or wrong
+    // answer. Counts are first-hand: one task admits to and evicts from a server, so none can be missed.
+    return slot.inFlight == 0 && slot.promised == 0 && !slot.pinned && !slot.loading;
+}
+
+std::optional<std::size_t> chooseEviction(std::span<const slot_view> slots, double newcomerRate,
+    std::uint32_t newcomerWaiting, millis now, bool leastRecentlyUsed)
+{
+    const double heat = heatOf(newcomerRate, newcomerWaiting);
+    std::optional<std::size_t> victim;
+    for (std::size_t i = 0; i < slots.size(); ++i) {
+        if (!evictable(slots[i])) {
+            continue;
+        }
+        if (leastRecentlyUsed) {
+            if (!victim || slots[i].lastUsed < slots[*victim].lastUsed) {
+                victim = i;
+            }
+            continue;
+        }
+        if (yieldsTo(slots[i], heat, newcomerWaiting > 0, now)
+            && (!victim || colder(slots[i], slots[*victim]))) {
+            victim = i;
+        }
+    }
+    return victim;
+}
+
+}
--- /dev/null
+++ b/packages/coordination/load_order.cpp
@@ -0,0 +1,190 @@
+#include "coordination/load_order.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace briarhead {
+
+namespace {
+
+/// Urgency is a sum of terms of different size, so that it can be compared between owners as one number:
+/// waiting before prefetch, then priority; within a priority slack, penalty and count weigh in.
+constexpr double waitingUrgency = 10'000;
+constexpr double priorityUrgency = 1'000;
+constexpr double slackUrgency = 500;
+constexpr double penaltyUrgency = 300;
+constexpr double countUrgency = 100;
+constexpr double prefetchUrgency = 1'000;
+
+/// Slack at which half of the slack's urgency is left.
+constexpr double slackHalfMs = 2'000;
+/// Summed penalty and count at which half of their urgency is reached.
+constexpr double penaltyHalf = 10;
+constexpr double countHalf = 8;
+
+/// Starts that may be saved up: one, so that an idle store doesn't begin with a burst of slow loads.
+constexpr double loadBurst = 1;
+
+constexpr std::int64_t backoffFirstMs = 500;
+constexpr std::int64_t backoffMaxMs = 30'000;
+
+double saturating(double value, double half)
+{
+    return value <= 0 ? 0 : value / (value + half);
+}
+
+/// Less slack is more urgent; none at all is not, since the soonest waiting request is lost either way and
+/// the load should not take the store from one that still helps.
+double slackTerm(const load_need &need, millis now, double loadMs)
+{
+    const double slackMs = static_cast<double>((need.soonestDeadline - now).count) - loadMs;
+    return slackMs < 0 ? 0 : slackUrgency * (1 - saturating(slackMs, slackHalfMs));
+}
+
+bool sameTicket(const load_budget::asked &ask, const std::string &owner, std::uint64_t ticket)
+{
+    return ask.ticket == ticket && ask.owner == owner;
+}
+
+bool sameTicket(const load_budget::granted &grant, const std::string &owner, std::uint64_t ticket)
+{
+    return grant.ticket == ticket && grant.owner == owner;
+}
+
+template <class entries>
+auto findTicket(entries &list, const std::string &owner, std::uint64_t ticket)
+{
+    return std::find_if(list.begin(), list.end(), [&](const auto &entry) {
+        return sameTicket(entry, owner, ticket);
+    });
+}
+
+void fillTokens(load_budget &budget, double perSecond, millis now)
+{
+    if (now > budget.filled) {
+        const double seconds = static_cast<double>((now - budget.filled).count) / 1000.0;
+        budget.tokens = std::min(budget.tokens + seconds * perSecond, loadBurst);
+        budget.filled = now;
+    }
+}
+
+/// Guards against a dead owner that holds the store's budget for good, seen as loads that stop everywhere:
+/// what its owner no longer confirms by asking again is taken back.
+void forgetSilent(load_budget &budget, millis now)
+{
+    std::erase_if(budget.waiting, [now](const load_budget::asked &ask) {
+        return now - ask.at > millis{askTimeoutMs};
+    });
+    std::erase_if(budget.running, [now](const load_budget::granted &grant) {
+        return now - grant.at > millis{grantTimeoutMs};
+    });
+}
+
+/// Grants whose owner asks on, since the answer may have been lost. They cost nothing, being counted already.
+std::vector<load_budget::granted> repeatedGrants(load_budget &budget)
+{
+    std::vector<load_budget::granted> again;
+    for (auto &grant : budget.running) {
+        if (grant.askedAgain) {
+            grant.askedAgain = false;
+            again.push_back(grant);
+        }
+    }
+    return again;
+}
+
+}
+
+double loadUrgency(const load_need &need, millis now, double loadMs)
+{
+    if (need.waiting == 0) {
+        return prefetchUrgency * saturating(need.rate, 1);
+    }
+    const double ranksAbove = static_cast<double>(priority::Low) - static_cast<double>(need.best);
+    return waitingUrgency + ranksAbove * priorityUrgency + slackTerm(need, now, loadMs)
+        + penaltyUrgency * saturating(need.penalty, penaltyHalf)
+        + countUrgency * saturating(need.waiting, countHalf);
+}
+
+std::optional<std::size_t> nextLoad(std::span<const load_need> needs, millis now, double loadMs)
+{
+    std::optional<std::size_t> next;
+    double nextUrgency = 0;
+    for (std::size_t i = 0; i < needs.size(); ++i) {
+        const double urgency = loadUrgency(needs[i], now, loadMs);
+        const bool wanted = needs[i].waiting > 0 || needs[i].rate > 0;
+        const bool older =
+            next && urgency == nextUrgency && needs[i].oldestArrival < needs[*next].oldestArrival;
+        if (wanted && (!next || urgency > nextUrgency || older)) {
+            next = i;
+            nextUrgency = urgency;
+        }
+    }
+    return next;
+}
+
+void askBudget(load_budget &budget, const load_budget::asked &ask)
+{
+    const auto running = findTicket(budget.running, ask.owner, ask.ticket);
+    if (running != budget.running.end()) {
+        running->at = ask.at;
+        running->askedAgain = true;
+        return;
+    }
+    const auto waiting = findTicket(budget.waiting, ask.owner, ask.ticket);
+    if (waiting != budget.waiting.end()) {
+        *waiting = ask;
+    } else {
+        budget.waiting.push_back(ask);
+    }
+}
+
+void releaseBudget(load_budget &budget, const std::string &owner, std::uint64_t ticket)
+{
+    const auto matches = [&](const auto &entry) {
+        return sameTicket(entry, owner, ticket);
+    };
+    std::erase_if(budget.running, matches);
+    std::erase_if(budget.waiting, matches);
+}
+
+std::vector<load_budget::granted> grantBudget(
+    load_budget &budget, double perSecond, std::uint32_t concurrency, millis now)
+{
+    fillTokens(budget, perSecond, now);
+    forgetSilent(budget, now);
+    auto grants = repeatedGrants(budget);
+    while (budget.tokens >= 1 && budget.running.size() < concurrency && !budget.waiting.empty()) {
+        const auto next =
+            std::max_element(budget.waiting.begin(), budget.waiting.end(), [](const auto &a, const auto &b) {
+                return a.urgency < b.urgency;
+            });
+        const load_budget::granted grant{next->owner, next->ticket, now};
+        budget.waiting.erase(next);
+        budget.running.push_back(grant);
+        budget.tokens -= 1;
+        grants.push_back(grant);
+    }
+    return grants;
+}
+
+bool mayLoadUnbrokered(double perSecond, std::uint32_t liveOwners, millis sinceLast)
+{
+    if (perSecond <= 0) {
+        return false;
+    }
+    return static_cast<double>(sinceLast.count) >= 1000.0 * std::max(liveOwners, 1U) / perSecond;
+}
+
+std::int64_t loadBackoffMs(std::uint32_t failures, double random01)
+{
+    if (failures == 0) {
+        return 0;
+    }
+    const double longest =
+        std::min(backoffFirstMs * std::exp2(failures - 1.0), static_cast<double>(backoffMaxMs));
+    // Half of it is random, so that the owners which failed together don't come back together.
+    return static_cast<std::int64_t>(longest * (0.5 + 0.5 * std::clamp(random01, 0.0, 1.0)));
+}
+
+}
--- a/packages/coordination/load_order.h
+++ b/packages/coordination/load_order.h
@@ -49,7 +49,8 @@
     {
         std::string owner;
         std::uint64_t ticket = 0;
-        millis at;
+        millis at; ///< granted, or last asked for again
+        bool askedAgain = false; ///< the owner may not have got it: granted once more, at no cost
     };
     std::vector<asked> waiting;
     std::vector<granted> running;
@@ -60,6 +61,8 @@
 constexpr std::int64_t grantTimeoutMs = 10'000;
 constexpr std::int64_t askTimeoutMs = 3'000;
 
+/// Notes an ask. One for a ticket that was granted already confirms it: an owner that asks on while it
+/// loads keeps its grant past grantTimeoutMs and may get the same grant again, which it then ignores.
 void askBudget(load_budget &budget, const load_budget::asked &ask);
 void releaseBudget(load_budget &budget, const std::string &owner, std::uint64_t ticket);
 /// The grants to give now; they are moved to `running`.
--- a/packages/coordination/ownership.h
+++ b/packages/coordination/ownership.h
@@ -66,6 +66,7 @@
     bool serviceUp = true;
     bool checksFencing = false;
     bool selfLeaving = false;
+    bool selfLeased = true; ///< this daemon's own session lease stands; without it nothing is taken over
     std::uint32_t owned = 0; ///< servers this daemon owns
     std::uint32_t fairShare = 0; ///< servers over live daemons, rounded up
 };
@@ -101,6 +102,17 @@
 /// How long after its lease's end an owner may still run requests on an engine that doesn't check fencing.
 constexpr std::int64_t lapsedGraceMs = 1'800'000;
 
+/// How long an order or run may take from its send to its effect on the engine at the latest. The order
+/// path's TCP_USER_TIMEOUT and the engine's order queue have to stay within it.
+constexpr std::int64_t orderLifeMs = 5'000;
+
+/// A release in order says that the old owner had an answer to each of its unloads and sends no order after
+/// it.
+///
+/// When a new owner that took over at `takenAt` may first run requests: on an engine that doesn't check
+/// fencing, after the old owner's last unload can no longer arrive.
+millis firstRun(millis takenAt, bool checksFencing, bool oldReleasedInOrder);
+
 /// When a new owner may first evict on an engine that doesn't check fencing, having seen the old session
 /// gone at `takenAt`: after everything the old tenure admitted must have ended.
 millis firstEviction(millis takenAt, millis maxDeadline, bool oldReleasedInOrder, millis releasedDrain);
--- a/packages/coordination/rendezvous.h
+++ b/packages/coordination/rendezvous.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -18,4 +19,59 @@
 /// The first of rendezvousOrder, or an empty text where there is no node.
 std::string rendezvousFirst(std::string_view key, const std::vector<std::string> &nodes);
 
+namespace detail {
+
+/// The key's part of a score, so that it is hashed once for all nodes.
+std::uint64_t keySeed(std::string_view key);
+std::uint64_t nodeScore(std::uint64_t seed, std::string_view node);
+
+struct ranked_node
+{
+    std::uint64_t score = 0;
+    std::string_view name;
+    std::size_t index = 0;
+};
+
+bool ranksBefore(const ranked_node &a, const ranked_node &b);
+
+}
+
+/// The indices of the first `count` nodes, in rendezvous order, out of those that `fit(index)` accepts.
+/// Names are read in place by `nameAt(index)` and only `count` are kept, so that a request can afford
+/// it over thousands of servers.
+template <class name_at, class fit_at>
+std::vector<std::size_t> rendezvousTop(
+    std::string_view key, std::size_t size, std::size_t count, const name_at &nameAt, const fit_at &fit)
+{
+    if (count == 0) {
+        return {};
+    }
+    const std::uint64_t seed = detail::keySeed(key);
+    std::vector<detail::ranked_node> top; // a heap whose front is the last of the kept ones
+    top.reserve(std::min(count, size));
+    for (std::size_t i = 0; i < size; ++i) {
+        if (!fit(i)) {
+            continue;
+        }
+        const std::string_view name = nameAt(i);
+        const detail::ranked_node node{detail::nodeScore(seed, name), name, i};
+        if (top.size() == count) {
+            if (!detail::ranksBefore(node, top.front())) {
+                continue;
+            }
+            std::pop_heap(top.begin(), top.end(), detail::ranksBefore);
+            top.pop_back();
+        }
+        top.push_back(node);
+        std::push_heap(top.begin(), top.end(), detail::ranksBefore);
+    }
+    std::sort_heap(top.begin(), top.end(), detail::ranksBefore);
+    std::vector<std::size_t> indices;
+    indices.reserve(top.size());
+    for (const auto &node : top) {
+        indices.push_back(node.index);
+    }
+    return indices;
+}
+
 }
--- /dev/null
+++ b/packages/coordination/retry.cpp
@@ -0,0 +1,120 @@
+#include "coordination/retry.h"
+
+#include <algorithm>
+
+namespace briarhead {
+
+namespace {
+
+/// Whether another server may do better at a request that certainly did not run.
+bool helpsElsewhere(error_kind why)
+{
+    switch (why) {
+    case error_kind::Overloaded:
+    case error_kind::DeadlineTooShort:
+    case error_kind::NotReady:
+    case error_kind::NoServer:
+    case error_kind::LoadFailed:
+    case error_kind::StaleFencing:
+    case error_kind::Timeout:
+    case error_kind::ConnectionLost:
+        return true;
+    default:
+        return false;
+    }
+}
+
+millis pauseOf(std::uint32_t opened)
+{
+    std::int64_t pauseMs = breakerFirstMs;
+    for (std::uint32_t i = 1; i < opened && pauseMs < breakerMaxMs; ++i) {
+        pauseMs *= 2;
+    }
+    return {std::min(pauseMs, breakerMaxMs)};
+}
+
+void openBreaker(breaker &state, millis now)
+{
+    ++state.opened;
+    state.openUntil = now + pauseOf(state.opened);
+    state.probing = false;
+}
+
+}
+
+void countSuccess(retry_budget &budget)
+{
+    budget.tokens = std::min(budget.tokens + retryShare, retryBurst);
+}
+
+bool takeRetry(retry_budget &budget)
+{
+    if (budget.tokens < 1) {
+        return false;
+    }
+    budget.tokens -= 1;
+    return true;
+}
+
+retry_decision decideRetry(const attempt_end &end, retry_budget &budget)
+{
+    if (end.result == outcome::Done || end.bytesToCaller || end.attempts >= maxAttempts
+        || end.deadlineLeft <= millis{0}) {
+        return retry_decision::Stop;
+    }
+    // Guards against running a non-idempotent request twice, which a user sees as the same order placed
+    // twice: once any byte may have reached an engine, only idempotent work may be sent again.
+    if (end.result == outcome::Unknown && !end.idempotent) {
+        return retry_decision::Stop;
+    }
+    if (end.result == outcome::NotRun) {
+        if (end.why == error_kind::NotOwner) {
+            return retry_decision::SameOwner;
+        }
+        if (!helpsElsewhere(end.why)) {
+            return retry_decision::Stop;
+        }
+    }
+    return takeRetry(budget) ? retry_decision::Elsewhere : retry_decision::Stop;
+}
+
+bool breakerOpen(const breaker &state, millis now)
+{
+    return state.opened > 0 && now < state.openUntil;
+}
+
+bool breakerAllows(breaker &state, millis now)
+{
+    if (state.opened == 0) {
+        return true;
+    }
+    if (breakerOpen(state, now)) {
+        return false;
+    }
+    // Guards against a breaker that stays open for good because its probe's end is never reported (the
+    // caller went away): the pause starts again here, so another probe follows whatever becomes of this one.
+    state.probing = true;
+    state.openUntil = now + pauseOf(state.opened);
+    return true;
+}
+
+void breakerSuccess(breaker &state)
+{
+    state = breaker{};
+}
+
+void breakerFailure(breaker &state, millis now)
+{
+    if (state.opened > 0) {
+        // Requests sent before it opened may still fail; only a probe's failure lengthens the pause.
+        if (state.probing) {
+            openBreaker(state, now);
+        }
+        return;
+    }
+    if (++state.failures >= breakerFailures) {
+        openBreaker(state, now);
+    }
+}
+
+}
--- a/packages/coordination/retry.h
+++ b/packages/coordination/retry.h
@@ -61,6 +61,9 @@
 constexpr std::int64_t breakerFirstMs = 500;
 constexpr std::int64_t breakerMaxMs = 8'000;
 
+/// Whether the breaker keeps requests away at `now`; takes no probe, for views that routing reads.
+bool breakerOpen(const breaker &state, millis now);
+/// Whether a request may be sent now; called once per send, since it may hand out the one probe.
 bool breakerAllows(breaker &state, millis now);
 void breakerSuccess(breaker &state);
 void breakerFailure(breaker &state, millis now);
--- a/packages/coordination/routing.h
+++ b/packages/coordination/routing.h
@@ -23,6 +23,7 @@
     bool leaving = false; ///< from any source: takes no new work
     bool open = false; ///< circuit breaker open or owner unreachable
     std::uint32_t sentHere = 0; ///< requests this entry has in flight there, first-hand
+    std::uint32_t sentSinceHint = 0; ///< of sentHere, those sent after the last hint came
     std::uint32_t hintedInFlight = 0; ///< running at the last hint
     std::uint32_t hintedWaiting = 0;
     std::uint32_t batchLimit = 1;
--- /dev/null
+++ b/packages/protocol/messages.cpp
@@ -0,0 +1,44 @@
+#include "protocol/messages.h"
+
+#include <array>
+
+namespace briarhead {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> keyStateNames{
+    "fresh", "started", "finished", "cant_know", "not_home"};
+static_assert(keyStateNames.size() == static_cast<std::size_t>(key_state::NotHome) + 1);
+
+constexpr std::array<std::string_view, 4> peerStateNames{"alive", "suspect", "leaving", "dead"};
+static_assert(peerStateNames.size() == static_cast<std::size_t>(peer_state::Dead) + 1);
+
+constexpr std::array<std::string_view, 4> probeKindNames{"ping", "ping_request", "ack", "notice"};
+static_assert(probeKindNames.size() == static_cast<std::size_t>(probe_kind::Notice) + 1);
+
+/// Values come off the wire, so they may lie beyond the table.
+template <class kind, std::size_t size>
+std::string_view lookUp(const std::array<std::string_view, size> &names, kind value)
+{
+    const auto index = static_cast<std::size_t>(value);
+    return index < size ? names[index] : "invalid";
+}
+
+}
+
+std::string_view nameOf(key_state value)
+{
+    return lookUp(keyStateNames, value);
+}
+
+std::string_view nameOf(peer_state value)
+{
+    return lookUp(peerStateNames, value);
+}
+
+std::string_view nameOf(probe_kind value)
+{
+    return lookUp(probeKindNames, value);
+}
+
+}
