Talk to the key-value service and stand in for it in tests

Cause: ownership, configuration and session leases need the platform's key-value service, and tests need one whose answers get lost. Change: kv_client speaks the etcd v3 gateway's range, txn, lease and watch calls. A write is Unavailable only if no byte left or the answer proves a refusal; 5xx and 408 stay Ambiguous, since etcd answers them for writes that were proposed. Txns go on fresh connections: libcurl repeats a request on a kept one that closed, and the copy would meet its own first write as a conflict. kv_standin serves the same subset in memory (its store is split into standin_store), with faults set from C++ or by HTTP. Ruled out: progress notifications to tell a dead watch from a quiet one: TCP probes of http_client find a vanished peer, and callers poll. The subset was not tried against a real etcd.

--- a/packages/transport/kv_client.h
+++ b/packages/transport/kv_client.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace briarhead {
@@ -59,6 +60,17 @@
     std::uint64_t failed = 0;
 };
 
+namespace detail {
+
+/// Standard base64 with padding, as the gateway writes keys and values.
+std::string toBase64(std::string_view bytes);
+std::optional<std::string> fromBase64(std::string_view text);
+
+/// The end of the range of all keys that begin with `prefix`, as etcd counts it ("\0": no end).
+std::string prefixEnd(std::string prefix);
+
+}
+
 /// The platform's key-value service, by the etcd v3 HTTP/JSON gateway's subset: range, txn, lease
 /// grant / keepalive / revoke, watch. A call is made once; retries are the caller's decision.
 class kv_client
@@ -88,6 +100,9 @@
     void revokeLease(std::int64_t lease, std::function<void(kv_status)> done);
 
     /// Watches a key from a revision; `changed` is called for each change, `ended` once when it breaks.
+    /// A `fromRevision` of 0 starts at the present; a removed key is delivered with modRevision 0.
+    /// Dropping the handle ends the watch silently. A watch that the service doesn't confirm within the
+    /// client's timeout ends; afterwards silence says nothing, so the caller also reads now and then.
     std::shared_ptr<void> watch(const std::string &key, std::int64_t fromRevision,
         std::function<void(const kv_entry &)> changed, std::function<void()> ended);
 
