--- a/packages/state/settings.h
+++ b/packages/state/settings.h
@@ -10,8 +10,8 @@
 
 namespace briarhead {
 
-/// The settings of one daemon, from its JSON file. Every key is described in settings.schema.json,
-/// which is checked at start; docs/OPERATIONS.md lists unit, default and range.
+/// The settings of one daemon, from its JSON file. Every key is described in state/settings_schema.h,
+/// which is checked at start, with its unit, default and range.
 struct settings
 {
     std::string instance; ///< this instance's name in the live list
