Count requests, latencies and burn in the daemon

Cause: nothing counted what callers get, and the burn report had no source. Ruled out: five-minute buckets over 30 days per target: 207 KB each by size of the bucket; rings of 10 s, 5 min and 1 h take 33 KB and serve the same windows. Adapters as labels: tens of thousands of series. Labels are bounded, and names that are not configured share one label. Memory: worked out from sizes, not measured.

--- /dev/null
+++ b/packages/daemon/burn_track.cpp
@@ -0,0 +1,170 @@
+#include "daemon/burn_track.h"
+
+#include <algorithm>
+
+namespace briarhead {
+
+namespace {
+
+constexpr millis callerBucket{600'000};
+constexpr std::size_t callerBuckets = 144; // a day
+
+std::int64_t bucketNumber(const burn_ring &ring, millis at)
+{
+    return at.count / ring.length.count;
+}
+
+burn_bucket &bucketAt(burn_ring &ring, std::int64_t number)
+{
+    return ring.buckets[static_cast<std::size_t>(number) % ring.buckets.size()];
+}
+
+const burn_bucket &bucketAt(const burn_ring &ring, std::int64_t number)
+{
+    return ring.buckets[static_cast<std::size_t>(number) % ring.buckets.size()];
+}
+
+/// Empties the buckets that are reused for the time since the last one.
+void advance(burn_ring &ring, std::int64_t number)
+{
+    const auto size = static_cast<std::int64_t>(ring.buckets.size());
+    for (auto each = std::max(ring.newest + 1, number - size + 1); each <= number; ++each) {
+        bucketAt(ring, each) = {};
+    }
+    ring.newest = std::max(ring.newest, number);
+}
+
+/// The finest ring that reaches back over the whole span.
+const burn_ring &ringFor(const burn_track &track, millis span)
+{
+    if (span <= lengthOf(burn_span::Hour)) {
+        return track.hour;
+    }
+    return span <= lengthOf(burn_span::Day) ? track.day : track.month;
+}
+
+/// Makes room by forgetting callers that a day has passed without.
+void dropIdleCallers(burn_track &track, millis now)
+{
+    std::erase_if(track.byCaller, [now](const auto &entry) {
+        const burn_ring &ring = entry.second;
+        return ring.newest + static_cast<std::int64_t>(ring.buckets.size()) <= bucketNumber(ring, now);
+    });
+}
+
+burn_ring &callerRing(burn_track &track, const std::string &caller, millis now)
+{
+    if (const auto found = track.byCaller.find(caller); found != track.byCaller.end()) {
+        return found->second;
+    }
+    if (track.byCaller.size() >= maxBurnCallers) {
+        dropIdleCallers(track, now);
+    }
+    const bool known = !caller.empty() && track.byCaller.size() < maxBurnCallers;
+    const std::string name = known ? caller : std::string(otherCallers);
+    return track.byCaller.try_emplace(name, callerBucket, callerBuckets).first->second;
+}
+
+template <std::size_t size>
+void fillPoints(std::array<burn_point, size> &points, const burn_ring &ring, millis step, millis now)
+{
+    for (std::size_t i = 0; i < size; ++i) {
+        const auto stepsAgo = static_cast<std::int64_t>(size - i);
+        const burn_counts counts =
+            countsBetween(ring, {stepsAgo * step.count}, {(stepsAgo - 1) * step.count}, now);
+        points[i] = {counts.total, missedOf(counts)};
+    }
+}
+
+void fillFromTrack(target_burn &report, const burn_track &track, millis now)
+{
+    for (std::size_t i = 0; i < burnSpans; ++i) {
+        const millis span = lengthOf(static_cast<burn_span>(i));
+        report.windows[i].counts = countsWithin(ringFor(track, span), span, now);
+        report.windows[i].covered = std::min(span, now - track.since);
+    }
+    fillPoints(report.hour, track.hour, hourStep, now);
+    fillPoints(report.day, track.day, dayStep, now);
+    for (const auto &[name, ring] : track.byCaller) {
+        report.byCaller[name] = {countsWithin(ring, lengthOf(burn_span::Hour), now),
+            countsWithin(ring, lengthOf(burn_span::Day), now)};
+    }
+    report.firstTokenTimes = track.firstTokenTimes;
+    report.wholeTimes = track.wholeTimes;
+    report.stallTimes = track.stallTimes;
+}
+
+}
+
+void add(burn_ring &ring, const judgement &verdict, millis now)
+{
+    advance(ring, bucketNumber(ring, now));
+    burn_bucket &bucket = bucketAt(ring, ring.newest);
+    ++bucket.total;
+    if (verdict.missed) {
+        ++bucket.byCause[static_cast<std::size_t>(verdict.cause)];
+    }
+}
+
+burn_counts countsBetween(const burn_ring &ring, millis from, millis to, millis now)
+{
+    const std::int64_t current = bucketNumber(ring, now);
+    const auto size = static_cast<std::int64_t>(ring.buckets.size());
+    const std::int64_t first =
+        std::max({current - from.count / ring.length.count + 1, ring.newest - size + 1, std::int64_t{0}});
+    const std::int64_t last = std::min(current - to.count / ring.length.count, ring.newest);
+    burn_counts sum;
+    for (std::int64_t number = first; number <= last; ++number) {
+        const burn_bucket &bucket = bucketAt(ring, number);
+        sum.total += bucket.total;
+        for (std::size_t i = 0; i < burnCauses; ++i) {
+            sum.byCause[i] += bucket.byCause[i];
+        }
+    }
+    return sum;
+}
+
+burn_counts countsWithin(const burn_ring &ring, millis span, millis now)
+{
+    return countsBetween(ring, span, millis{0}, now);
+}
+
+void add(burn_track &track, const request_record &request, const judgement &verdict, millis now)
+{
+    add(track.hour, verdict, now);
+    add(track.day, verdict, now);
+    add(track.month, verdict, now);
+    add(callerRing(track, request.caller, now), verdict, now);
+    ++track.all.total;
+    if (verdict.missed) {
+        ++track.all.byCause[static_cast<std::size_t>(verdict.cause)];
+    }
+    if (request.tokens > 0) {
+        record(track.firstTokenTimes, static_cast<double>(request.firstToken.count));
+    }
+    if (request.result == outcome::Done) {
+        record(track.wholeTimes, static_cast<double>(request.whole.count));
+    }
+    if (!request.service) {
+        record(track.stallTimes, static_cast<double>(request.stall.count));
+    }
+}
+
+target_burn describe(
+    const std::string &name, const target_config &target, const burn_track *track, millis now)
+{
+    target_burn report;
+    report.name = name;
+    report.callers = target.callers;
+    report.adapters = target.adapters;
+    report.firstToken = target.firstToken;
+    report.whole = target.whole;
+    report.share = target.share;
+    report.penalty = target.penalty;
+    if (track != nullptr) {
+        fillFromTrack(report, *track, now);
+    }
+    return report;
+}
+
+}
--- /dev/null
+++ b/packages/daemon/judgement.cpp
@@ -0,0 +1,127 @@
+#include "daemon/judgement.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace briarhead {
+
+namespace {
+
+constexpr std::string_view groupPrefix = "group:";
+
+bool isCaller(std::string_view pattern, const config &at, const std::string &caller)
+{
+    if (pattern == "*" || pattern == caller) {
+        return true;
+    }
+    if (!pattern.starts_with(groupPrefix)) {
+        return false;
+    }
+    const auto found = at.callers.find(caller);
+    if (found == at.callers.end()) {
+        return false;
+    }
+    const auto &groups = found->second.groups;
+    return std::find(groups.begin(), groups.end(), pattern.substr(groupPrefix.size())) != groups.end();
+}
+
+bool isAdapter(std::string_view pattern, std::string_view adapter)
+{
+    if (pattern.ends_with('*')) {
+        return adapter.starts_with(pattern.substr(0, pattern.size() - 1));
+    }
+    return pattern == adapter;
+}
+
+/// Failures that the caller brought about. KeyUnknown and KeyInProgress answer a repetition of a request
+/// that counts on its own.
+bool isCallersFault(error_kind why)
+{
+    switch (why) {
+    case error_kind::BadRequest:
+    case error_kind::Unauthorised:
+    case error_kind::Forbidden:
+    case error_kind::UnknownAdapter:
+    case error_kind::UnknownService:
+    case error_kind::TooLarge:
+    case error_kind::KeyInProgress:
+    case error_kind::KeyUnknown:
+        return true;
+    default:
+        return false;
+    }
+}
+
+burn_cause waitCause(const request_record &request)
+{
+    return request.stall >= request.queued ? burn_cause::LoadStall : burn_cause::Queueing;
+}
+
+/// A request that ran out of time while it mostly waited was not failed by its server.
+burn_cause timeoutCause(const request_record &request)
+{
+    const millis waited = request.stall + request.queued;
+    return waited + waited >= request.whole && waited > millis{0} ? waitCause(request)
+                                                                  : burn_cause::FailedServer;
+}
+
+burn_cause failureCause(const request_record &request)
+{
+    switch (request.why) {
+    case error_kind::Overloaded:
+    case error_kind::DeadlineTooShort:
+    case error_kind::NotReady:
+        return burn_cause::Refusal;
+    case error_kind::LoadFailed:
+        return burn_cause::LoadStall;
+    case error_kind::NoServer:
+    case error_kind::ConnectionLost:
+        return burn_cause::FailedServer;
+    case error_kind::Timeout:
+        return timeoutCause(request);
+    default:
+        return burn_cause::Other;
+    }
+}
+
+/// By how much the request was late, 0 if it was in time. Plain services have no first token.
+millis lateness(const target_config &target, const request_record &request)
+{
+    millis late;
+    if (target.firstToken > millis{0} && !request.service) {
+        late = std::max(late, request.firstToken - target.firstToken);
+    }
+    if (target.whole > millis{0}) {
+        late = std::max(late, request.whole - target.whole);
+    }
+    return late;
+}
+
+}
+
+bool concerns(const target_config &target, const config &at, const request_record &request)
+{
+    if (!isCaller(target.callers, at, request.caller)) {
+        return false;
+    }
+    return target.adapters.empty() || (!request.service && isAdapter(target.adapters, request.adapter));
+}
+
+std::optional<judgement> judge(const target_config &target, const request_record &request)
+{
+    if (request.result != outcome::Done) {
+        if (isCallersFault(request.why)) {
+            return std::nullopt;
+        }
+        return judgement{true, failureCause(request)};
+    }
+    const millis late = lateness(target, request);
+    if (late <= millis{0}) {
+        return judgement{};
+    }
+    // Waiting is the cause if the request would have been in time without it.
+    const bool waited = request.stall + request.queued >= late;
+    return judgement{true, waited ? waitCause(request) : burn_cause::Other};
+}
+
+}
