--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -106,6 +106,7 @@
     addRoutes();
     coldStart();
     if (m_options.reportLag.count > 0) {
+        sampleReport();
         m_reportTimer = eventLoop.timer(reportInterval, reportInterval, [this] {
             sampleReport();
         });
--- a/tests/standins/live_list_standin.cpp
+++ b/tests/standins/live_list_standin.cpp
@@ -49,7 +49,7 @@
 void live_list_standin::showDue(millis now)
 {
     while (!m_pending.empty() && m_pending.front().visibleAt <= now) {
-        const pending_line due = std::move(m_pending.front());
+        const pending_line due = m_pending.front();
         m_pending.pop_front();
         line &shown = m_lines[due.instance.at("name").get<std::string>()];
         shown.gone = due.gone;
