--- a/packages/coordination/events.h
+++ b/packages/coordination/events.h
@@ -85,6 +85,7 @@
     live_instance server;
     std::uint64_t fencing = 0;
     bool checksFencing = false;
+    millis mayRunAt; ///< when the old owner's last unload can no longer arrive
     millis mayEvictAt; ///< on an engine that doesn't check fencing: when the old tenure has ended for sure
     std::vector<adapter_ref>
         pinned; ///< still serving the old owner's streams, until mayEvictAt at the latest
@@ -110,6 +111,40 @@
     std::uint64_t fencing = 0;
 };
 
+/// Ownership task -> owner task: the old owner's process is known to be gone, so evictions on an engine that
+/// does not check fencing may begin at `mayEvictAt` already.
+struct tenure_ended
+{
+    std::string server;
+    millis mayEvictAt;
+};
+
+/// Ownership task -> owner task: stop admitting to this server and say what still runs.
+struct release_server
+{
+    std::string server;
+};
+
+/// Owner task -> ownership task: the answer to release_server; streams in progress go on to their end.
+struct server_released
+{
+    std::string server;
+    millis drain; ///< all of them end within this time
+    std::vector<adapter_ref> running;
+};
+
+/// Ownership task -> owner task: who holds a server that is not ours, to redirect entries.
+struct owner_known
+{
+    std::string server;
+    std::string owner;
+};
+
+/// Owner task -> main: nothing runs or waits here any more, after drain_began.
+struct owner_drained
+{
+};
+
 /// Main -> all: graceful shutdown began.
 struct drain_began
 {
--- /dev/null
+++ b/packages/coordination/key_task.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "coordination/events.h"
+#include "coordination/key_journal.h"
+#include "transport/bus.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace briarhead {
+
+/// The task that answers for idempotency keys whose home this daemon is (first by rendezvous hash over the
+/// live daemons).
+class key_task
+{
+public:
+    key_task(bus &messages, loop &eventLoop, std::string self);
+
+private:
+    /// One list of possible homes and since when it was in force here.
+    struct home_list
+    {
+        millis since;
+        std::vector<std::string> homes;
+    };
+
+    millis homeSince(const std::string &key) const;
+
+    bus &m_bus;
+    std::string m_self;
+    key_journal m_journal;
+    std::deque<home_list> m_lists; ///< newest last; older ones as far back as the retention time
+    millis m_retention;
+    std::shared_ptr<void> m_timer;
+};
+
+/// The daemons that may be home of a key: alive or suspect, not leaving.
+std::vector<std::string> homesOf(const std::vector<member> &members);
+
+}
--- a/packages/coordination/ownership.cpp
+++ b/packages/coordination/ownership.cpp
@@ -234,4 +234,11 @@
     return takenAt + millis{tenureMs + tenureMs * clockDriftPerThousand / 1000};
 }
 
+millis releaseDrain(millis now, millis streamsEnd, millis mayEvictAt)
+{
+    // Guards against a chain: a paused owner, its successor, and a third that takes the successor's release
+    // for the end of all earlier work and unloads what the first, awake again within its grace, runs on.
+    return std::max(std::max(streamsEnd, mayEvictAt), now) - now;
+}
+
 }
--- a/packages/coordination/ownership.h
+++ b/packages/coordination/ownership.h
@@ -114,7 +114,13 @@
 millis firstRun(millis takenAt, bool checksFencing, bool oldReleasedInOrder);
 
 /// When a new owner may first evict on an engine that doesn't check fencing, having seen the old session
-/// gone at `takenAt`: after everything the old tenure admitted must have ended.
+/// gone at `takenAt`: after everything the old tenure admitted must have ended. `maxDeadline` is the longest
+/// that any configuration in force during that tenure allowed. An owner that retakes its own record (its
+/// session had lapsed, nobody came between) keeps the time it had.
 millis firstEviction(millis takenAt, millis maxDeadline, bool oldReleasedInOrder, millis releasedDrain);
 
+/// The drain to write into a record that is released: it also covers what is left of this owner's own wait
+/// for a tenure before it.
+millis releaseDrain(millis now, millis streamsEnd, millis mayEvictAt);
+
 }
--- /dev/null
+++ b/packages/coordination/ownership_task.cpp
@@ -0,0 +1,636 @@
+#include "coordination/ownership_task.h"
+
+#include "coordination/rendezvous.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace briarhead {
+
+namespace {
+
+constexpr std::int64_t tickMs = 200;
+/// A record of a server held by a live peer is read again this seldom; owner_news says when sooner.
+constexpr std::int64_t quietRereadMs = 30'000;
+/// While an orphan waits for its old owner's lease to end.
+constexpr std::int64_t orphanRereadMs = 1'000;
+constexpr std::int64_t engineRereadMs = 3'000;
+constexpr millis orderTimeout{2'000};
+/// Two failed calls in a row mean an outage; one may be a lost packet.
+constexpr int failuresForOutage = 2;
+
+std::string recordKey(const std::string &server)
+{
+    return "briarhead/owner/" + server;
+}
+
+std::string sessionKey(const std::string &instance)
+{
+    return "briarhead/session/" + instance;
+}
+
+std::string urlOf(const live_instance &where)
+{
+    return "http://" + where.address + ":" + std::to_string(where.port);
+}
+
+bool reached(kv_status status)
+{
+    return status == kv_status::Ok || status == kv_status::Conflict;
+}
+
+}
+
+ownership_task::ownership_task(
+    bus &messages, loop &eventLoop, kv_client &kv, http_client &orders, fence &guard, options given)
+    : m_bus(messages)
+    , m_loop(eventLoop)
+    , m_kv(kv)
+    , m_orders(orders)
+    , m_fence(guard)
+    , m_options(std::move(given))
+    , m_ttl(m_options.leaseTtl)
+    , m_random(std::random_device{}())
+{
+    m_bus.on<members_changed>([this](const members_changed &news) {
+        onMembers(news);
+    });
+    m_bus.on<live_list_changed>([this](const live_list_changed &news) {
+        onLiveList(news);
+    });
+    m_bus.on<config_changed>([this](const config_changed &news) {
+        m_config = news.current;
+    });
+    m_bus.on<server_released>([this](const server_released &answer) {
+        onReleased(answer);
+    });
+    m_bus.on<fencing_refused>([this](const fencing_refused &news) {
+        tracked *server = find(news.server);
+        if (server != nullptr && server->active) {
+            server->lostTo = std::max(server->lostTo, news.fencing);
+            spdlog::warn(
+                "ownership: {} refused our fencing number, {} stands there.", news.server, news.fencing);
+            lose(*server);
+        }
+    });
+    m_bus.on<received<owner_news>>([this](const received<owner_news> &news) {
+        tracked *server = find(news.body.server);
+        if (server != nullptr && !server->busy) {
+            readRecord(*server);
+        }
+    });
+    m_bus.on<drain_began>([this](const drain_began &) {
+        m_leaving = true;
+    });
+    m_timer = m_loop.timer({tickMs}, {tickMs}, [this] {
+        tick();
+    });
+}
+
+bool ownership_task::mine(const owner_record &record) const
+{
+    return record.owner == m_options.self && record.incarnation == m_options.incarnation;
+}
+
+ownership_task::tracked *ownership_task::find(const std::string &name)
+{
+    const auto found = m_servers.find(name);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+const member *ownership_task::memberNamed(const std::string &name) const
+{
+    const auto found = m_members.find(name);
+    return found == m_members.end() ? nullptr : &found->second;
+}
+
+void ownership_task::onMembers(const members_changed &news)
+{
+    m_members.clear();
+    m_candidates.clear();
+    for (const member &one : news.members) {
+        m_members[one.name] = one;
+        if (one.state == peer_state::Alive || one.state == peer_state::Suspect) {
+            m_candidates.push_back(one.name);
+        }
+    }
+    propose();
+}
+
+void ownership_task::onLiveList(const live_list_changed &news)
+{
+    for (const auto &[name, instance] : news.view.instances) {
+        if (instance.kind == instance_kind::Engine) {
+            m_servers[name].where = instance;
+        }
+    }
+    for (auto entry = m_servers.begin(); entry != m_servers.end();) {
+        if (news.view.instances.count(entry->first) != 0 || entry->second.busy) {
+            ++entry;
+            continue;
+        }
+        if (entry->second.active) {
+            lose(entry->second);
+        }
+        entry = m_servers.erase(entry);
+    }
+    propose();
+}
+
+void ownership_task::propose()
+{
+    for (auto &[name, server] : m_servers) {
+        server.proposed = rendezvousFirst("server/" + name, m_candidates);
+    }
+}
+
+void ownership_task::serviceAnswered(bool up)
+{
+    m_serviceFailures = up ? 0 : m_serviceFailures + 1;
+    const bool now = m_serviceFailures < failuresForOutage;
+    if (now != m_serviceUp) {
+        spdlog::warn("ownership: The key-value service is {}.", now ? "back" : "out");
+        m_serviceUp = now;
+    }
+}
+
+void ownership_task::tick()
+{
+    renew();
+    m_owned =
+        static_cast<std::uint32_t>(std::count_if(m_servers.begin(), m_servers.end(), [](const auto &entry) {
+            return entry.second.active;
+        }));
+    // Releases one server a tick at most, so that a fleet that starts up moves servers in small steps.
+    for (auto &entry : m_servers) {
+        if (!entry.second.busy) {
+            look(entry.second);
+        }
+    }
+}
+
+// ---- the session lease
+
+void ownership_task::renew()
+{
+    const millis now = bootNow();
+    if (m_sessionBusy || now < m_renewAt) {
+        return;
+    }
+    m_ttl = leaseLength(m_options.leaseTtl, m_members.size());
+    m_renewAt = now + renewInterval(m_options.leaseTtl, m_members.size());
+    if (m_lease == 0) {
+        openSession();
+        return;
+    }
+    m_sessionBusy = true;
+    m_kv.keepAlive(m_lease, [this, now](kv_status status) {
+        m_sessionBusy = false;
+        serviceAnswered(reached(status));
+        if (status == kv_status::Ok) {
+            leaseConfirmed(now);
+        } else if (status == kv_status::Conflict) {
+            leaseLost();
+        }
+    });
+}
+
+void ownership_task::openSession()
+{
+    const millis sentAt = bootNow();
+    m_sessionBusy = true;
+    m_kv.grantLease(m_ttl, [this, sentAt](kv_status status, std::int64_t id) {
+        serviceAnswered(reached(status));
+        if (status != kv_status::Ok || id == 0) {
+            m_sessionBusy = false;
+            m_renewAt = bootNow() + millis{500};
+            return;
+        }
+        const std::string value = toJson(session_record{m_options.incarnation, m_ttl.count});
+        m_kv.compareAndSwap(sessionKey(m_options.self), m_sessionRevision, value, id,
+            [this, sentAt, id](const kv_write &written) {
+                m_sessionBusy = false;
+                serviceAnswered(reached(written.status));
+                if (written.status == kv_status::Ok) {
+                    m_sessionRevision = written.revision;
+                    m_lease = id;
+                    spdlog::info("ownership: Session open, lease of {} ms.", m_ttl.count);
+                    leaseConfirmed(sentAt);
+                    return;
+                }
+                // An older process of this instance, or our own write whose answer was lost:
+                // either way the value standing there is replaced by ours.
+                m_sessionRevision = written.current.modRevision;
+                m_renewAt = bootNow() + millis{200};
+            });
+    });
+}
+
+void ownership_task::leaseLost()
+{
+    spdlog::warn("ownership: The lease is gone. Opening a new session.");
+    m_lease = 0;
+    m_renewAt = bootNow();
+    // Guards against: a peer saw our session gone and takes a server over while we open a new session and go
+    // on. Reading the record back would leave a window between its read and its swap; raising the epoch by
+    // compare-and-swap does not, since only one of the two swaps can succeed.
+    for (auto &[name, server] : m_servers) {
+        if (server.active) {
+            server.retake = true;
+        }
+    }
+}
+
+void ownership_task::leaseConfirmed(millis sentAt)
+{
+    // Counted from before the renewal left: the service can't have counted from any earlier.
+    m_leaseUntil = sentAt + m_ttl;
+    const bool clean = std::none_of(m_servers.begin(), m_servers.end(), [](const auto &entry) {
+        const tracked &server = entry.second;
+        return server.active && server.retake && !(server.engine && server.engine->checksFencing);
+    });
+    if (clean) {
+        m_fence.rearm(m_leaseUntil);
+        m_bus.post(lease_confirmed{m_leaseUntil});
+    }
+}
+
+// ---- one server
+
+ownership_view ownership_task::viewOf(const tracked &server) const
+{
+    ownership_view view;
+    view.self = m_options.self;
+    view.proposed = server.proposed;
+    view.holder = server.record.owner;
+    view.holderMine = server.active || mine(server.record);
+    if (!view.holderMine && !view.holder.empty()) {
+        const member *holder = memberNamed(view.holder);
+        view.holderDead = holder == nullptr || holder->state == peer_state::Dead
+            || (holder->incarnation != 0 && holder->incarnation != server.record.incarnation);
+        view.holderSessionGone = server.holderSessionGone;
+    }
+    view.serviceUp = m_serviceUp;
+    view.checksFencing = server.engine && server.engine->checksFencing;
+    view.selfLeaving = m_leaving;
+    view.selfLeased = m_lease != 0;
+    view.owned = m_owned;
+    const auto daemons = std::max<std::size_t>(1, m_candidates.size());
+    view.fairShare = static_cast<std::uint32_t>((m_servers.size() + daemons - 1) / daemons);
+    return view;
+}
+
+void ownership_task::look(tracked &server)
+{
+    const millis now = bootNow();
+    const bool concerned = server.active || server.proposed == m_options.self || mine(server.record);
+    if (!concerned || m_members.empty()) {
+        return;
+    }
+    if (!server.engine || (!server.active && now - server.engineReadAt > millis{engineRereadMs})) {
+        readEngine(server);
+        if (!server.engine) {
+            return;
+        }
+    }
+    if (server.active && server.previousOpen) {
+        watchOldTenure(server);
+    }
+    if (server.retake || server.outageClaim) {
+        if (m_serviceUp && m_lease != 0) {
+            takeOver(server);
+        }
+        return;
+    }
+    const ownership_view view = viewOf(server);
+    if (!server.active) {
+        const bool orphan = view.holder.empty() || view.holderDead || server.lostTo != 0;
+        const std::int64_t pause = orphan ? orphanRereadMs : quietRereadMs;
+        if (server.revision < 0 || now - server.readAt > millis{pause}) {
+            if (m_serviceUp) {
+                readRecord(server);
+                return;
+            }
+        }
+        if (view.holderDead && !server.holderSessionGone && m_serviceUp
+            && now - server.sessionReadAt > millis{orphanRereadMs}) {
+            readSession(server);
+            return;
+        }
+    }
+    // Ours by the record but not yet on the engine (a lost answer, or the engine did not answer the claim).
+    if (!server.active && mine(server.record) && server.revision > 0) {
+        if (server.lostTo != 0) {
+            takeOver(server);
+        } else {
+            putFence(server, fencingOf(server.record.epoch));
+        }
+        return;
+    }
+    switch (decideOwnership(view)) {
+    case ownership_step::TakeOver:
+        if (server.revision >= 0) {
+            takeOver(server);
+        }
+        break;
+    case ownership_step::ClaimOnEngine:
+        claimOnEngine(server);
+        break;
+    case ownership_step::Release:
+        if (server.active && !server.releasing) {
+            m_owned -= m_owned > 0 ? 1 : 0;
+            release(server);
+        }
+        break;
+    case ownership_step::Keep:
+    case ownership_step::Wait:
+        break;
+    }
+}
+
+void ownership_task::readRecord(tracked &server)
+{
+    server.busy = true;
+    m_kv.get(recordKey(server.where.name), [this, name = server.where.name](const kv_read &answer) {
+        tracked *found = find(name);
+        if (found == nullptr) {
+            return;
+        }
+        found->busy = false;
+        serviceAnswered(reached(answer.status));
+        if (answer.status != kv_status::Ok) {
+            return;
+        }
+        found->readAt = bootNow() + millis{static_cast<std::int64_t>(m_random() % 500)};
+        const owner_record before = found->record;
+        found->record = {};
+        found->revision = 0;
+        if (!answer.entries.empty()) {
+            error why;
+            const auto record = parseOwnerRecord(answer.entries.front().value, why);
+            if (!record) {
+                spdlog::error("ownership: {}", message(why));
+            }
+            found->record = record.value_or(owner_record{});
+            found->revision = answer.entries.front().modRevision;
+        }
+        if (found->record.owner != before.owner || found->record.incarnation != before.incarnation) {
+            found->holderSessionGone = false;
+            m_bus.post(owner_known{name, found->record.owner});
+        }
+    });
+}
+
+void ownership_task::readSession(tracked &server)
+{
+    server.busy = true;
+    server.sessionReadAt = bootNow();
+    m_kv.get(sessionKey(server.record.owner), [this, name = server.where.name](const kv_read &answer) {
+        tracked *found = find(name);
+        if (found == nullptr) {
+            return;
+        }
+        found->busy = false;
+        serviceAnswered(reached(answer.status));
+        if (answer.status != kv_status::Ok) {
+            return;
+        }
+        error why;
+        const auto session = answer.entries.empty() ? std::optional<session_record>{}
+                                                    : parseSessionRecord(answer.entries.front().value, why);
+        found->holderSessionGone = !session || session->incarnation != found->record.incarnation;
+    });
+}
+
+void ownership_task::readEngine(tracked &server)
+{
+    server.busy = true;
+    server.engineReadAt = bootNow();
+    auto engine = std::make_shared<engine_client>(m_orders, urlOf(server.where));
+    engine->state(orderTimeout,
+        [this, engine, name = server.where.name](const std::optional<engine_state> &state, const error &) {
+            tracked *found = find(name);
+            if (found == nullptr) {
+                return;
+            }
+            found->busy = false;
+            if (state) {
+                found->engine = state;
+            }
+        });
+}
+
+void ownership_task::takeOver(tracked &server)
+{
+    owner_record next;
+    next.owner = m_options.self;
+    next.incarnation = m_options.incarnation;
+    next.epoch = std::max({server.record.epoch, epochOf(server.lostTo), epochOf(server.fencing)}) + 1;
+    server.busy = true;
+    m_kv.compareAndSwap(recordKey(server.where.name), std::max<std::int64_t>(0, server.revision),
+        toJson(next), 0, [this, next, name = server.where.name](const kv_write &written) {
+            tracked *found = find(name);
+            if (found == nullptr) {
+                return;
+            }
+            found->busy = false;
+            serviceAnswered(reached(written.status));
+            if (written.status != kv_status::Ok) {
+                // Conflict: somebody else moved first. Ambiguous: the swap may stand. Reading again tells,
+                // and a record that names this very process is then taken up as ours.
+                if (found->active && written.status == kv_status::Conflict) {
+                    error why;
+                    const auto current = parseOwnerRecord(written.current.value, why);
+                    if (!current || !mine(*current)) {
+                        lose(*found);
+                    } else {
+                        found->record = *current;
+                        found->revision = written.current.modRevision;
+                        return;
+                    }
+                }
+                found->revision = -1;
+                return;
+            }
+            if (!mine(found->record) && !found->active) {
+                found->previous = found->record;
+            }
+            found->record = next;
+            found->revision = written.revision;
+            found->lostTo = 0;
+            spdlog::info("ownership: {} is ours, epoch {}.", name, next.epoch);
+            putFence(*found, fencingOf(next.epoch));
+        });
+}
+
+void ownership_task::claimOnEngine(tracked &server)
+{
+    const auto number = outageFencing(std::max(server.engine->fencing, server.lostTo), m_options.self);
+    if (!number) {
+        return;
+    }
+    spdlog::warn("ownership: The service is out. Claiming the orphan {} on its engine.", server.where.name);
+    server.previous = server.record;
+    server.outageClaim = true;
+    putFence(server, *number);
+}
+
+void ownership_task::putFence(tracked &server, std::uint64_t fencing)
+{
+    if (!server.engine->checksFencing) {
+        gained(server, fencing);
+        return;
+    }
+    server.busy = true;
+    auto engine = std::make_shared<engine_client>(m_orders, urlOf(server.where));
+    engine->claim(fencing, m_options.self, orderTimeout,
+        [this, engine, fencing, name = server.where.name](const engine_order_end &end) {
+            tracked *found = find(name);
+            if (found == nullptr) {
+                return;
+            }
+            found->busy = false;
+            if (end.ok) {
+                gained(*found, fencing);
+                return;
+            }
+            if (end.why.kind == error_kind::StaleFencing) {
+                found->lostTo = std::max(found->lostTo, end.fencing);
+                found->outageClaim = false;
+                lose(*found);
+            }
+            found->engineReadAt = {};
+            found->engine.reset();
+        });
+}
+
+void ownership_task::gained(tracked &server, std::uint64_t fencing)
+{
+    const millis now = bootNow();
+    const millis longest = m_config ? m_config->policy.maxDeadline : policy_config{}.maxDeadline;
+    const bool again = server.active;
+    const bool first = server.previous.epoch == 0 && server.engine->fencing == 0;
+    const bool inOrder = server.previous.owner.empty();
+    server_gained news;
+    news.server = server.where;
+    news.fencing = fencing;
+    news.checksFencing = server.engine->checksFencing;
+    if (!again) {
+        server.previousOpen = !first && !inOrder;
+        server.mayEvictAt = first ? now : firstEviction(now, longest, inOrder, {server.previous.drainMs});
+        if (!inOrder && news.checksFencing) {
+            // The engine refuses the old owner from here on; what it admitted ends within its deadline.
+            server.mayEvictAt = now + longest;
+        }
+        for (const std::string &text : server.previous.pinned) {
+            const auto colon = text.rfind(':');
+            if (colon != std::string::npos) {
+                news.pinned.push_back({text.substr(0, colon),
+                    static_cast<std::uint32_t>(std::strtoul(text.c_str() + colon + 1, nullptr, 10))});
+            }
+        }
+        if (server.previousOpen) {
+            news.pinned = server.engine->resident;
+        }
+    }
+    if (!again) {
+        server.mayRunAt = firstRun(now, news.checksFencing, first || inOrder);
+    }
+    news.mayRunAt = server.mayRunAt;
+    news.mayEvictAt = server.mayEvictAt;
+    server.active = true;
+    server.retake = false;
+    server.releasing = false;
+    server.fencing = fencing;
+    server.outageClaim = server.outageClaim && epochOf(fencing) != server.record.epoch;
+    if (fencing == fencingOf(server.record.epoch) && mine(server.record)) {
+        server.outageClaim = false;
+    }
+    m_bus.post(news);
+    if (m_leaseUntil > now) {
+        leaseConfirmed(m_leaseUntil - m_ttl);
+    }
+}
+
+void ownership_task::watchOldTenure(tracked &server)
+{
+    if (server.engine->checksFencing) {
+        server.previousOpen = false;
+        return;
+    }
+    const member *old = memberNamed(server.previous.owner);
+    const bool gone =
+        old == nullptr || (old->incarnation != 0 && old->incarnation != server.previous.incarnation);
+    if (!gone) {
+        return;
+    }
+    // The platform replaced or removed the instance, or it runs a newer process: the old process can neither
+    // run nor wake up, so only what it had handed to the engine may still run.
+    server.previousOpen = false;
+    const millis longest = m_config ? m_config->policy.maxDeadline : policy_config{}.maxDeadline;
+    server.mayEvictAt = std::min(server.mayEvictAt, bootNow() + longest);
+    m_bus.post(tenure_ended{server.where.name, server.mayEvictAt});
+}
+
+void ownership_task::lose(tracked &server)
+{
+    if (server.active) {
+        spdlog::warn("ownership: {} is no longer ours.", server.where.name);
+        m_bus.post(server_lost{server.where.name});
+    }
+    server.active = false;
+    server.retake = false;
+    server.releasing = false;
+    server.outageClaim = false;
+    server.revision = -1;
+}
+
+// ---- handing over in order
+
+void ownership_task::release(tracked &server)
+{
+    spdlog::info("ownership: Releasing {} to {}.", server.where.name, server.proposed);
+    server.releasing = true;
+    m_bus.post(release_server{server.where.name});
+}
+
+void ownership_task::onReleased(const server_released &answer)
+{
+    tracked *server = find(answer.server);
+    if (server == nullptr || !server->releasing) {
+        return;
+    }
+    owner_record next;
+    next.epoch = server->record.epoch;
+    next.drainMs = answer.drain.count;
+    for (const adapter_ref &ref : answer.running) {
+        next.pinned.push_back(toString(ref));
+    }
+    server->busy = true;
+    m_kv.compareAndSwap(recordKey(answer.server), std::max<std::int64_t>(0, server->revision), toJson(next),
+        0, [this, next, name = answer.server](const kv_write &written) {
+            tracked *found = find(name);
+            if (found == nullptr) {
+                return;
+            }
+            found->busy = false;
+            serviceAnswered(reached(written.status));
+            if (written.status != kv_status::Ok) {
+                // Released or not: nothing new is admitted until the record was read again;
+                // if it still names this process, the server is taken up anew.
+                lose(*found);
+                return;
+            }
+            found->active = false;
+            found->releasing = false;
+            found->record = next;
+            found->revision = written.revision;
+            found->readAt = bootNow();
+            m_bus.post(server_lost{name});
+            m_bus.post(owner_known{name, found->proposed});
+            m_bus.post(send_to{found->proposed, owner_news{name}});
+        });
+}
+
+}
--- /dev/null
+++ b/packages/daemon/daemon.cpp
@@ -0,0 +1,236 @@
+#include "daemon/daemon.h"
+
+#include "coordination/budget_task.h"
+#include "coordination/config_task.h"
+#include "coordination/key_task.h"
+#include "coordination/membership_task.h"
+#include "coordination/owner_task.h"
+#include "coordination/ownership_task.h"
+#include "daemon/admin_task.h"
+#include "daemon/entry_task.h"
+#include "daemon/metrics.h"
+#include "daemon/peer_router.h"
+#include "daemon/process_stats.h"
+#include "transport/fence.h"
+#include "transport/kv_client.h"
+#include "transport/peer_link.h"
+
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+
+namespace briarhead {
+
+namespace {
+
+/// New callers are still taken in for this long after readiness went false, until the balancer has noticed.
+constexpr millis balancerGrace{2'000};
+constexpr std::int64_t drainCheckMs = 50;
+
+class whole_daemon : public daemon
+{
+public:
+    explicit whole_daemon(const settings &given)
+        : m_settings(given)
+        , m_incarnation(static_cast<std::uint64_t>(wallNow().count))
+        , m_bus(m_loop)
+        , m_runs(m_loop)
+        , m_guarded(m_loop)
+        , m_platform(m_loop)
+        , m_kv(m_loop, given.kvUrls, given.kvTimeout)
+        , m_liveList(m_loop, m_platform, given.liveListUrl, given.region)
+        , m_router(m_bus, given.instance, m_incarnation)
+    {
+    }
+
+    bool open(error &why)
+    {
+        auto handlers = m_router.handlers([this](const peer_address &from, const peer_datagram &datagram) {
+            if (m_membership) {
+                m_membership->onDatagram(from, datagram);
+            }
+        });
+        m_link = peer_link::open(m_loop, m_settings.instance, m_incarnation,
+            {m_settings.peerAddress, m_settings.peerPort}, m_settings.peerKey, handlers, why);
+        if (!m_link) {
+            return false;
+        }
+        m_router.attach(*m_link);
+        // The sockets of orders that must not leave after the lease's end.
+        m_guarded.onSocket([this](int fd, bool opened) {
+            if (opened) {
+                m_fence.addSocket(fd);
+            } else {
+                m_fence.removeSocket(fd);
+            }
+        });
+        startTasks();
+        m_server = http_server::listen(
+            m_loop, m_settings.callerAddress, m_settings.callerPort, m_settings.bodyLimitBytes,
+            [this](http_request request, std::shared_ptr<http_reply> reply) {
+                if (admin_task::concerns(request.path)) {
+                    m_admin->onRequest(request, reply);
+                } else {
+                    m_entry->onRequest(std::move(request), std::move(reply));
+                }
+            },
+            why);
+        if (!m_server) {
+            return false;
+        }
+        m_signals = {m_loop.onSignal(SIGTERM,
+                         [this] {
+                             shutDown();
+                         }),
+            m_loop.onSignal(SIGINT, [this] {
+                shutDown();
+            })};
+        m_bus.on<owner_drained>([this](const owner_drained &) {
+            m_ownerDrained = true;
+        });
+        m_bus.on<received<drain_order>>([this](const received<drain_order> &news) {
+            if (news.body.server.empty() && news.body.drain) {
+                shutDown();
+            }
+        });
+        spdlog::info("daemon: {} takes callers on {}:{}, peers on port {}.", m_settings.instance,
+            m_settings.callerAddress, m_server->port(), m_link->port());
+        return true;
+    }
+
+    int run() override
+    {
+        m_loop.run();
+        return m_exitCode;
+    }
+
+private:
+    void startTasks()
+    {
+        member self;
+        self.name = m_settings.instance;
+        self.failureDomain = m_settings.failureDomain;
+        self.address = {m_settings.peerAddress, m_link->port()};
+        self.callerPort = m_settings.callerPort;
+        self.incarnation = m_incarnation;
+        m_keys = std::make_unique<key_task>(m_bus, m_loop, m_settings.instance);
+        m_budget = std::make_unique<budget_task>(m_bus, m_loop);
+        m_owner = std::make_unique<owner_task>(
+            m_bus, m_loop, m_runs, m_guarded, owner_task::options{m_settings.instance, m_settings.routing});
+        m_ownership = std::make_unique<ownership_task>(m_bus, m_loop, m_kv, m_runs, m_fence,
+            ownership_task::options{m_settings.instance, m_incarnation, m_settings.leaseTtl});
+        entry_task::options entry;
+        entry.self = m_settings.instance;
+        entry.incarnation = m_incarnation;
+        entry.failureDomain = m_settings.failureDomain;
+        entry.routing = routingKindOf(m_settings.routing).value_or(routing_kind::Briarhead);
+        m_entry = std::make_unique<entry_task>(m_bus, m_loop, m_runs, m_metrics, entry);
+        config_task::options configuration;
+        configuration.self = m_settings.instance;
+        configuration.failureDomain = m_settings.failureDomain;
+        m_configuration = std::make_unique<config_task>(m_bus, m_loop, m_kv, configuration);
+        admin_task::options admin;
+        admin.self = m_settings.instance;
+        admin.operatorKeyHashes = m_settings.operatorKeyHashes;
+        admin.ready = [this] {
+            return !m_shuttingDown && m_entry->ready();
+        };
+        admin.metricsText = [this] {
+            return metricsText();
+        };
+        m_admin = std::make_unique<admin_task>(m_bus, m_loop, *m_configuration, m_metrics, admin);
+        membership initial;
+        initial.self = self;
+        initial.tuning.probeInterval = m_settings.probeInterval;
+        m_membership = std::make_unique<membership_task>(
+            m_bus, m_loop, *m_link, m_liveList, initial, m_settings.liveListInterval);
+    }
+
+    std::string metricsText()
+    {
+        exportPeerCounters(m_metrics, m_link->counters());
+        exportKvCounters(m_metrics, m_kv.counters());
+        exportProcess(m_metrics);
+        setGauge(m_metrics, "open_requests", static_cast<double>(m_entry->open()));
+        return prometheusText(m_metrics);
+    }
+
+    /// The first signal shuts down in order: readiness goes false, owned servers are handed over, streams go
+    /// on to their end. A second one, or the time limit, is the only thing that cuts requests in progress.
+    void shutDown()
+    {
+        if (m_shuttingDown) {
+            cut("a second signal");
+            return;
+        }
+        spdlog::info("daemon: Shutting down. Requests in progress go on to their end.");
+        m_shuttingDown = true;
+        m_bus.post(drain_began{});
+        m_grace = m_loop.timer(balancerGrace, {}, [this] {
+            m_server->stopListening();
+            m_graceOver = true;
+        });
+        m_limit = m_loop.timer(m_settings.drainTimeout, {}, [this] {
+            cut("the time limit");
+        });
+        m_check = m_loop.timer({drainCheckMs}, {drainCheckMs}, [this] {
+            if (m_graceOver && m_ownerDrained && m_entry->open() == 0 && m_server->busy() == 0) {
+                spdlog::info("daemon: Nothing is in progress. Bye.");
+                m_loop.stop();
+            }
+        });
+    }
+
+    void cut(const char *reason)
+    {
+        if (m_entry->open() != 0 || !m_ownerDrained) {
+            spdlog::error("daemon: Cut short by {} with {} requests open.", reason, m_entry->open());
+            m_exitCode = 1;
+        }
+        m_loop.stop();
+    }
+
+    settings m_settings;
+    std::uint64_t m_incarnation;
+    loop m_loop;
+    bus m_bus;
+    fence m_fence;
+    http_client m_runs;
+    http_client m_guarded;
+    http_client m_platform;
+    kv_client m_kv;
+    live_list m_liveList;
+    metrics m_metrics;
+    peer_router m_router;
+    std::unique_ptr<peer_link> m_link;
+    std::unique_ptr<key_task> m_keys;
+    std::unique_ptr<budget_task> m_budget;
+    std::unique_ptr<owner_task> m_owner;
+    std::unique_ptr<ownership_task> m_ownership;
+    std::unique_ptr<entry_task> m_entry;
+    std::unique_ptr<config_task> m_configuration;
+    std::unique_ptr<admin_task> m_admin;
+    std::unique_ptr<membership_task> m_membership;
+    std::unique_ptr<http_server> m_server;
+    std::vector<std::shared_ptr<void>> m_signals;
+    std::shared_ptr<void> m_grace;
+    std::shared_ptr<void> m_limit;
+    std::shared_ptr<void> m_check;
+    bool m_shuttingDown = false;
+    bool m_graceOver = false;
+    bool m_ownerDrained = false;
+    int m_exitCode = 0;
+};
+
+}
+
+std::unique_ptr<daemon> daemon::start(const settings &given, error &why)
+{
+    auto whole = std::make_unique<whole_daemon>(given);
+    if (!whole->open(why)) {
+        return {};
+    }
+    return whole;
+}
+
+}
--- a/packages/protocol/messages.h
+++ b/packages/protocol/messages.h
@@ -276,10 +276,22 @@
     }
 };
 
+/// Old owner -> the daemon proposed for a server: the record was released, read it again.
+struct owner_news
+{
+    std::string server;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(server);
+    }
+};
+
 /// Everything that goes over a TCP link between two daemons.
 using peer_message = std::variant<run_request, run_started, run_bytes, run_end, run_cancel, key_begin,
     key_verdict, key_finish, config_ask, config_answer, load_ask, load_grant, load_release, status_ask,
-    status_answer, drain_order>;
+    status_answer, drain_order, owner_news>;
 
 /// How a peer is seen. Order matters: with equal incarnations the higher state wins.
 enum class peer_state : std::uint8_t
@@ -298,11 +310,29 @@
     std::string name;
     std::uint64_t incarnation = 0;
     peer_state state = peer_state::Alive;
+    std::uint32_t refutation = 0; ///< how often the peer has refuted its suspicion; orders facts
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(name, incarnation, state, refutation);
+    }
+};
+
+/// Where a new daemon is reached, told by the daemons themselves until the platform's list shows it.
+struct peer_introduction
+{
+    std::string name;
+    std::uint64_t incarnation = 0;
+    std::string failureDomain;
+    std::string ip;
+    std::uint16_t port = 0;
+    std::uint16_t callerPort = 0;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(name, incarnation, state);
+        archive(name, incarnation, failureDomain, ip, port, callerPort);
     }
 };
 
@@ -312,6 +342,7 @@
     PingRequest, ///< please ping `target` for me
     Ack,
     Notice, ///< carries only facts and the configuration version
+    Join, ///< a ping of a new process that also asks which peers are not alive
 };
 
 /// The one datagram between daemons (SWIM-like): bounded size whatever the fleet's size.
@@ -324,14 +355,17 @@
     std::string target; ///< PingRequest and its relayed Ack: whom it is about
     std::uint64_t configVersion = 0;
     std::vector<peer_fact> facts; ///< at most maxFactsPerDatagram
+    std::uint32_t refutation = 0; ///< of the sender
+    std::vector<peer_introduction> introductions; ///< at most maxIntroductionsPerDatagram
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(kind, from, incarnation, sequence, target, configVersion, facts);
+        archive(kind, from, incarnation, sequence, target, configVersion, facts, refutation, introductions);
     }
 };
 
 constexpr std::size_t maxFactsPerDatagram = 6;
+constexpr std::size_t maxIntroductionsPerDatagram = 1;
 
 }
--- a/packages/transport/engine_client.cpp
+++ b/packages/transport/engine_client.cpp
@@ -440,13 +440,18 @@
     return m_http.start(call, onDone, onData);
 }
 
-void engine_client::cancel(http_client::call_id call, const request_id &id)
+void engine_client::cancel(http_client::call_id call, const request_id &id, on_order done)
 {
     m_http.cancel(call);
     // The closed stream tells most engines already; the order reaches those that only notice at the next
     // write, and those where the request still waits in the queue.
     const json body{{"request_id", toString(id)}};
-    m_http.start(postTo(m_url + "/v1/cancel", body.dump(), cancelTimeout), [](const http_result &) {});
+    const http_call order = postTo(m_url + "/v1/cancel", body.dump(), cancelTimeout);
+    m_http.start(order, [url = order.url, done = std::move(done)](const http_result &result) {
+        if (done) {
+            done(orderEndOf(result, url));
+        }
+    });
 }
 
 }
--- a/packages/transport/engine_client.h
+++ b/packages/transport/engine_client.h
@@ -123,8 +123,9 @@
     http_client::call_id run(const engine_run &request, std::function<void(std::string_view adapter)> onStart,
         std::function<void(std::string_view bytes)> onBytes,
         std::function<void(const engine_run_end &)> onEnd);
-    /// Breaks a run off: ends the stream and sends POST /v1/cancel {"request_id"}.
-    void cancel(http_client::call_id call, const request_id &id);
+    /// Breaks a run off: ends the stream and sends POST /v1/cancel {"request_id"}. `done`, where given, says
+    /// whether the engine confirmed that the request no longer runs there.
+    void cancel(http_client::call_id call, const request_id &id, on_order done = {});
 
 private:
     void order(const std::string &path, const std::string &body, std::uint64_t fencing, millis timeout,
