--- /dev/null
+++ b/packages/protocol/codec.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "protocol/messages.h"
+#include "state/error.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace briarhead {
+
+/// More elements than any message needs; a longer list is a corrupt one.
+constexpr std::size_t maxListElements = 65'536;
+
+/// The bytes of a message, by cereal over an archive of our own that writes integers with as few bytes
+/// as they need, so that a datagram with its facts stays small.
+std::string encode(const peer_message &message);
+std::string encode(const peer_datagram &datagram);
+
+/// The message, or nothing with `why` of kind BadFrame. Never throws, and never takes more memory than
+/// a small multiple of the input, whatever lengths the input claims. Bytes left over are an error.
+std::optional<peer_message> decodeMessage(std::string_view bytes, error &why);
+std::optional<peer_datagram> decodeDatagram(std::string_view bytes, error &why);
+
+}
--- a/packages/transport/peer_link.h
+++ b/packages/transport/peer_link.h
@@ -52,6 +52,9 @@
         std::function<void(const peer_address &from, const peer_datagram &datagram)> onDatagram;
         /// A link broke; messages queued on it may or may not have arrived.
         std::function<void(const std::string &name)> onBroken;
+        /// Optional: a queued message that the peer can't have got, called for each right before
+        /// onBroken. What is not named here may have arrived.
+        std::function<void(const std::string &name, const peer_message &message)> onUnsent;
     };
 
     /// `why` tells what failed. Port 0 takes a free one.
@@ -67,6 +70,7 @@
     virtual bool send(const std::string &name, const peer_address &to, const peer_message &message) = 0;
     /// Bytes queued on the link to a peer.
     virtual std::size_t pending(const std::string &name) const = 0;
+    /// Ends the links to a peer, found dead by other means; onBroken follows where there was one.
     virtual void close(const std::string &name) = 0;
     virtual const peer_counters &counters() const = 0;
 };
--- /dev/null
+++ b/tests/unit/codec_test.cpp
@@ -0,0 +1,152 @@
+#include "protocol/codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace briarhead {
+namespace {
+
+peer_datagram fullDatagram()
+{
+    peer_datagram datagram;
+    datagram.kind = probe_kind::Ack;
+    datagram.from = "entry-0001";
+    datagram.incarnation = 1'790'000'000'000;
+    datagram.sequence = 70'000;
+    datagram.target = "entry-0002";
+    datagram.configVersion = 123'456;
+    for (std::size_t i = 0; i < maxFactsPerDatagram; ++i) {
+        datagram.facts.push_back(
+            {"entry-100" + std::to_string(i), 1'790'000'000'000, peer_state::Suspect, 1});
+    }
+    datagram.introductions.push_back(
+        {"entry-0003", 1'790'000'000'001, "vz-centar", "10.20.30.40", 8081, 8080});
+    return datagram;
+}
+
+run_end fullRunEnd()
+{
+    return {{"entry-1", 7, 9}, outcome::Unknown, error_kind::LoadFailed, "detail", -5, "entry-2",
+        {"gpu-1", 3, 2, 8, 1}, {"gpu-1", "gpu-2"}};
+}
+
+TEST(codec, keepsEveryFieldOfAMessage)
+{
+    error why;
+    const run_end sent = fullRunEnd();
+    const auto decoded = decodeMessage(encode(peer_message(sent)), why);
+    ASSERT_TRUE(decoded) << message(why);
+    const auto &got = std::get<run_end>(*decoded);
+    EXPECT_EQ(got.id, sent.id);
+    EXPECT_EQ(got.result, sent.result);
+    EXPECT_EQ(got.why, sent.why);
+    EXPECT_EQ(got.retryAfterMs, sent.retryAfterMs);
+    EXPECT_EQ(got.hint.batchLimit, sent.hint.batchLimit);
+    EXPECT_EQ(got.replicas, sent.replicas);
+}
+
+TEST(codec, keepsADatagramSmall)
+{
+    error why;
+    const std::string bytes = encode(fullDatagram());
+    EXPECT_LE(bytes.size(), 300U);
+    const auto decoded = decodeDatagram(bytes, why);
+    ASSERT_TRUE(decoded) << message(why);
+    EXPECT_EQ(encode(*decoded), bytes);
+    EXPECT_EQ(decoded->introductions.front().failureDomain, "vz-centar");
+}
+
+RC_GTEST_PROP(codec, keepsAnyRequest, (const std::string &body, std::int64_t deadline, std::uint64_t prefix))
+{
+    run_request request;
+    request.body = body;
+    request.deadlineMs = deadline;
+    request.prefix = prefix;
+    error why;
+    const auto decoded = decodeMessage(encode(peer_message(request)), why);
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(std::get<run_request>(*decoded).body == body);
+    RC_ASSERT(std::get<run_request>(*decoded).deadlineMs == deadline);
+    RC_ASSERT(std::get<run_request>(*decoded).prefix == prefix);
+}
+
+// A daemon crashes, or answers a request that nobody sent, after a datagram was cut short or changed on
+// its way: whatever bytes come, they are either a whole message or refused with a reason.
+TEST(codec, refusesEveryTruncationAndAnythingLeftOver)
+{
+    const std::string datagram = encode(fullDatagram());
+    const std::string frame = encode(peer_message(fullRunEnd()));
+    for (std::size_t size = 0; size < datagram.size(); ++size) {
+        error why;
+        EXPECT_FALSE(decodeDatagram(datagram.substr(0, size), why));
+        EXPECT_EQ(why.kind, error_kind::BadFrame);
+    }
+    for (std::size_t size = 0; size < frame.size(); ++size) {
+        error why;
+        EXPECT_FALSE(decodeMessage(frame.substr(0, size), why));
+    }
+    error why;
+    EXPECT_FALSE(decodeDatagram(datagram + '\0', why));
+    EXPECT_FALSE(decodeMessage(frame + '\0', why));
+}
+
+RC_GTEST_PROP(codec, survivesRandomBytes, (const std::vector<char> &bytes))
+{
+    const std::string_view input(bytes.data(), bytes.size());
+    error why;
+    if (const auto decoded = decodeMessage(input, why)) {
+        RC_ASSERT(decodeMessage(encode(*decoded), why).has_value());
+    }
+    if (const auto decoded = decodeDatagram(input, why)) {
+        RC_ASSERT(decodeDatagram(encode(*decoded), why).has_value());
+    }
+}
+
+RC_GTEST_PROP(codec, survivesChangedBytes, ())
+{
+    std::string bytes = encode(peer_message(fullRunEnd()));
+    const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    bytes[at] = *rc::gen::arbitrary<char>();
+    error why;
+    (void)decodeMessage(bytes, why);
+    std::string datagram = encode(fullDatagram());
+    datagram[at % datagram.size()] = *rc::gen::arbitrary<char>();
+    (void)decodeDatagram(datagram, why);
+}
+
+// A daemon is killed for taking all memory: a corrupt length claims exabytes, and the decoder makes room
+// before it looks for the bytes. The claim must be refused by the bytes that are really there.
+TEST(codec, refusesLengthsThatTheInputCannotHold)
+{
+    const std::string huge("\xff\xff\xff\xff\xff\xff\xff\xff\x7f", 9);
+    const std::string runBytes = encode(peer_message(run_bytes{}));
+    const std::string answer = encode(peer_message(config_answer{}));
+    error why;
+    EXPECT_FALSE(decodeMessage(runBytes.substr(0, runBytes.size() - 1) + huge, why));
+    EXPECT_FALSE(decodeMessage(answer.substr(0, answer.size() - 1) + huge, why));
+    // A list of empty texts takes one byte each here, and far more in memory.
+    const std::string many("\x81\x80\x04", 3);
+    EXPECT_FALSE(decodeMessage(answer.substr(0, answer.size() - 1) + many + std::string(200'000, '\0'), why));
+}
+
+// A peer of another release sends an error kind that this one doesn't know; taken in, it would index the
+// table of error texts past its end.
+TEST(codec, refusesUnknownEnumerators)
+{
+    run_end sent = fullRunEnd();
+    sent.why = static_cast<error_kind>(200);
+    error why;
+    EXPECT_FALSE(decodeMessage(encode(peer_message(sent)), why));
+    peer_datagram datagram = fullDatagram();
+    datagram.facts.front().state = static_cast<peer_state>(9);
+    EXPECT_FALSE(decodeDatagram(encode(datagram), why));
+    datagram = fullDatagram();
+    datagram.from.clear();
+    EXPECT_FALSE(decodeDatagram(encode(datagram), why));
+    datagram = fullDatagram();
+    datagram.facts.resize(maxFactsPerDatagram + 1, datagram.facts.front());
+    EXPECT_FALSE(decodeDatagram(encode(datagram), why));
+}
+
+}
+}
