Show the burn report as a table and as a page for managers

Ruled out: a plot library or a script from elsewhere: the page has to open from a mail, offline. Change: burnTable() and burnPage(): levels, windows, penalties, causes, worst callers, latencies; inline SVG. Names are escaped: the test found "<0.1%" written raw into the page.

--- a/packages/state/latency.h
+++ b/packages/state/latency.h
@@ -41,7 +41,8 @@
 void merge(latency_histogram &into, const latency_histogram &from);
 std::uint64_t countOf(const latency_histogram &of);
 
-/// The upper edge of the bin that holds the quantile, in milliseconds; 0 without samples.
+/// The upper edge of the bin that holds the quantile, in milliseconds; 0 without samples, and the end of the
+/// axis for a quantile past it.
 double quantileMs(const latency_histogram &of, double quantile);
 
 /// Samples at or under 2^doublings ms.
--- a/tests/unit/burn_test.cpp
+++ b/tests/unit/burn_test.cpp
@@ -1,3 +1,5 @@
+#include "ctl/burn_page.h"
+#include "ctl/burn_report.h"
 #include "daemon/burn_track.h"
 #include "daemon/judgement.h"
 #include "state/burn.h"
@@ -193,6 +195,60 @@
     EXPECT_EQ(total, maxReportCallers * (2 * maxReportCallers - 1));
 }
 
+bool holds(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+// An operator reads a small figure after a rolling replacement and takes the service to be well. The new
+// instances have forgotten the misses of the old ones, so the report has to say what it can't know.
+TEST(BurnReport, SaysWhatTheInstancesForgotOrDidNotAnswer)
+{
+    burn_track track{start};
+    add(track, done(900, 1'000, 800), {true, burn_cause::LoadStall}, start);
+    burn_report report = reportOf(track, start + millis{12 * hour.count});
+    const std::string restarted = burnTable(report);
+    EXPECT_TRUE(holds(restarted, "The instances remember 50.0% of the last day")) << restarted;
+    report.known = 2;
+    EXPECT_TRUE(holds(burnTable(report), "1 of 2 instances did not answer"));
+    EXPECT_TRUE(holds(burnPage(report, millis{0}), "1 of 2 instances did not answer"));
+    const std::string whole = burnTable(reportOf(track, start + millis{48 * hour.count}));
+    EXPECT_FALSE(holds(whole, "remember "));
+}
+
+TEST(BurnReport, PutsTheMostUrgentTargetFirst)
+{
+    burn_track track{start};
+    for (int i = 0; i < 20; ++i) {
+        add(track, done(900, 1'000), {true, burn_cause::Refusal}, start);
+    }
+    burn_report report = reportOf(track, start + minute);
+    report.targets.insert(report.targets.begin(), describe("idle", summaries, nullptr, start));
+    EXPECT_EQ(detail::byUrgency(report).front()->name, "summaries");
+    const std::string text = burnTable(report);
+    EXPECT_LT(text.find("summaries [fast]"), text.find("idle [fine]"));
+    EXPECT_TRUE(holds(text, "causes in a day: refusal 20 (100.0%)")) << text;
+    EXPECT_TRUE(holds(text, "penalty: 400.00 in the last day; 576,000.00 a day")) << text;
+}
+
+// A name from a patch holds markup; a manager opens the page, and the browser runs it or breaks the layout.
+TEST(BurnPage, EscapesNamesAndLoadsNothing)
+{
+    burn_track track{start};
+    request_record request = done(900, 1'000);
+    request.caller = "<script>x</script>";
+    add(track, request, {true, burn_cause::Other}, start);
+    burn_report report = reportOf(track, start + minute);
+    report.targets.front().name = "<img src=\"x\">";
+    report.targets.front().callers = "<b>";
+    const std::string page = burnPage(report, millis{0});
+    EXPECT_TRUE(holds(page, "&lt;script&gt;"));
+    EXPECT_TRUE(holds(page, "1970-01-01 00:00 UTC"));
+    for (const std::string forbidden : {"<script", "<img", "<b><", "src=\"", "href=", "url(", "http"}) {
+        EXPECT_FALSE(holds(page, forbidden)) << forbidden;
+    }
+}
+
 RC_GTEST_PROP(Latency, QuantileIsAtMostOneBinTooHigh, ())
 {
     auto samples = *rc::gen::nonEmpty(
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -74,6 +74,8 @@
     EXPECT_LE(all.gauges.size(), maxGauges);
 }
 
+// A removed target shows up again in the report and never leaves. A long request admitted under the older
+// configuration ends after the patch that removed the target, and its configuration still names it.
 TEST(Metrics, FollowsTheConfigurationAndNeverAnOlderOne)
 {
     metrics all;
