Tell the engine a deadline a little before the client's own

Cause: an engine that refuses a run whose deadline passed in its queue said so after the client had given up, so a request that surely never ran was told as unknown. Change: X-Deadline-Ms is an eighth of the time left, 500 ms at most, before the call's own end. The engine stand-in looks for expired runs in its whole queue on each step, not only at its head. The live list stand-in no longer moves an instance onto itself.

--- a/packages/transport/engine_client.cpp
+++ b/packages/transport/engine_client.cpp
@@ -18,6 +18,8 @@
 constexpr int httpOk = 200;
 constexpr millis cancelTimeout{1'000};
 constexpr std::int64_t msPerSecond = 1'000;
+constexpr std::int64_t maxAnswerMarginMs = 500;
+constexpr std::int64_t answerMarginShare = 8;
 /// An error's body is read for its code only; what an engine sends beyond this is dropped.
 constexpr std::size_t maxErrorBodyBytes = 64 * 1024;
 
@@ -245,6 +247,14 @@
     return call;
 }
 
+/// The deadline told to the engine, a little before the one its caller waits for. Else an engine that
+/// refuses a run whose time passed in its queue says so just after the call was given up, and a request
+/// that surely never ran would have to be told as unknown.
+millis engineDeadline(millis deadline)
+{
+    return {deadline.count - std::min(maxAnswerMarginMs, deadline.count / answerMarginShare)};
+}
+
 http_call getFrom(const std::string &url, millis timeout)
 {
     http_call call;
@@ -414,7 +424,7 @@
     call.headers.push_back("X-Request-Id: " + toString(request.id));
     call.headers.push_back(fencingHeader(request.fencing));
     call.headers.push_back("X-Priority: " + std::to_string(static_cast<int>(request.rank)));
-    call.headers.push_back("X-Deadline-Ms: " + std::to_string(call.timeout.count));
+    call.headers.push_back("X-Deadline-Ms: " + std::to_string(engineDeadline(call.timeout).count));
     if (!request.idempotent) {
         call.headers.emplace_back("X-Non-Idempotent: 1");
     }
--- a/tests/standins/engine_batch.cpp
+++ b/tests/standins/engine_batch.cpp
@@ -133,18 +133,26 @@
 
 void engine_batch::admit()
 {
-    const millis now = bootNow();
+    dropExpired();
     while (!m_queue.empty() && m_running.size() < m_options.limit) {
         const standin_run_ptr run = m_queue.begin()->second;
         m_queue.erase(m_queue.begin());
-        if (run->deadlineAt < now) {
-            finishWith(run, "expired");
-        } else {
-            start(run);
-        }
+        start(run);
     }
 }
 
+void engine_batch::dropExpired()
+{
+    const millis now = bootNow();
+    std::erase_if(m_queue, [&](const auto &entry) {
+        const bool expired = entry.second->deadlineAt < now;
+        if (expired) {
+            finishWith(entry.second, "expired");
+        }
+        return expired;
+    });
+}
+
 void engine_batch::start(const standin_run_ptr &run)
 {
     run->started = bootNow();
--- a/tests/standins/engine_batch.h
+++ b/tests/standins/engine_batch.h
@@ -76,6 +76,7 @@
 
 private:
     void admit();
+    void dropExpired();
     void start(const standin_run_ptr &run);
     bool advance(const standin_run_ptr &run);
     void emitToken(standin_run &run);
--- a/tests/standins/live_list_standin.cpp
+++ b/tests/standins/live_list_standin.cpp
@@ -55,7 +55,9 @@
         shown.gone = due.gone;
         shown.revision = ++m_revision;
         // A line that went keeps its last instance, whose region says who is told.
-        shown.instance = due.gone ? std::move(shown.instance) : due.instance;
+        if (!due.gone) {
+            shown.instance = due.instance;
+        }
     }
 }
 
--- a/tests/unit/engine_test.cpp
+++ b/tests/unit/engine_test.cpp
@@ -291,6 +291,29 @@
     EXPECT_EQ(end.why.kind, error_kind::Timeout);
 }
 
+TEST_F(engine_test, TheEngineIsToldAnEarlierDeadline)
+{
+    // A request waits in the engine's queue until its time is over and is refused there. If that refusal
+    // came when the client had already given up, the caller of a request that never ran would read "unknown".
+    std::string told;
+    error why;
+    const auto server = http_server::listen(
+        m_loop, "127.0.0.1", 0, bodyLimitBytes,
+        [&](const http_request &got, const std::shared_ptr<http_reply> &reply) {
+            told = got.headers.at("x-deadline-ms");
+            reply->respond(500, {}, "");
+        },
+        why);
+    ASSERT_NE(server, nullptr) << message(why);
+    m_client = std::make_unique<engine_client>(m_http, "http://127.0.0.1:" + std::to_string(server->port()));
+    for (const auto &[deadline, expected] : {std::pair{millis{30'000}, "29500"}, {millis{800}, "700"}}) {
+        engine_run run = request(syllabus, 1);
+        run.deadline = deadline;
+        EXPECT_EQ(endOf(run).result, outcome::Unknown);
+        EXPECT_EQ(told, expected);
+    }
+}
+
 TEST_F(engine_test, ARunIsNeverResentSilently)
 {
     // The engine takes a run on a kept connection and closes it before the first byte of an answer. libcurl
--- a/tests/unit/standins_test.cpp
+++ b/tests/unit/standins_test.cpp
@@ -114,6 +114,24 @@
     EXPECT_EQ(engine.summary()["tokens"], 16);
 }
 
+TEST_F(standins_test, ARunWhoseDeadlinePassesInTheQueueIsRefused)
+{
+    engine_options options = quick();
+    options.batch.limit = 1;
+    engine_standin engine(m_loop, options);
+    listen(engine);
+    load(engine, "a:1");
+    const auto filler = send(engine, "/v1/completions", R"({"model":"a:1","max_tokens":100000})");
+    ASSERT_TRUE(runUntil(m_loop, [&] {
+        return engine.summary()["running"].size() == 1;
+    }));
+    const http_result refused =
+        get(engine, "/v1/completions", R"({"model":"a:1"})", {"X-Deadline-Ms: 20", "X-Request-Id: r2"});
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(json::parse(refused.body)["error"]["code"], "busy");
+    EXPECT_EQ(engine.recorded("withdrawn").at(0)["request_id"], "r2");
+}
+
 TEST_F(standins_test, AnUnloadWhileServingIsObeyedAndRecorded)
 {
     engine_standin engine(m_loop, quick());
