Close a chain in the release of a server, and let queues pass before loads

Cause: property tests of a timed run with three daemons on an engine that doesn't check fencing: a server released while its owner still waited for the tenure before it let a third daemon run or evict too early. Near ties in routing were told by cost, where a part of a batch above the target counts four times, so neighbours' fills never tied. Ruled out: a longer wait after every release in order; handing over would take half an hour. Change: an owner that isn't settled (its firstRun has not passed) releases nothing; with the releaseDrain that is in already, a release covers the wait that is left. A leaving owner whose session lapsed may release too: the swap decides. Overflow to a server that has yet to load the adapter begins at a fill of 1.25. Ties go by fill. The least-loaded baseline draws among equals. Headers: ownership_view::settled.

--- a/packages/coordination/ownership.cpp
+++ b/packages/coordination/ownership.cpp
@@ -89,16 +89,15 @@
     if (!view.serviceUp) {
         return ownership_step::Keep;
     }
-    if (view.selfLeaving) {
-        return ownership_step::Release;
-    }
-    if (view.holderSessionGone) {
+    if (view.holderSessionGone && !view.selfLeaving) {
         // Guards against two owners after a lapse: a new session doesn't bring the old tenure back, since
         // another daemon may have seen the old one gone and be writing its own name. Only the swap decides.
         return view.selfLeased ? ownership_step::TakeOver : ownership_step::Wait;
     }
+    // Not settled: a release would tell the next owner that no unload is on its way, and one of the owner
+    // before may be.
     const bool spare = view.proposed != view.self && !view.proposed.empty() && view.owned > view.fairShare;
-    return spare ? ownership_step::Release : ownership_step::Keep;
+    return (view.selfLeaving || spare) && view.settled ? ownership_step::Release : ownership_step::Keep;
 }
 
 /// Whether nobody can give orders by the record's present tenure, as far as that must be excluded.
--- a/packages/coordination/ownership.h
+++ b/packages/coordination/ownership.h
@@ -69,6 +69,7 @@
     bool selfLeased = true; ///< this daemon's own session lease stands; without it nothing is taken over
     std::uint32_t owned = 0; ///< servers this daemon owns
     std::uint32_t fairShare = 0; ///< servers over live daemons, rounded up
+    bool settled = true; ///< holder is mine: its firstRun has passed
 };
 
 /// The step to take.
--- a/packages/coordination/routing.cpp
+++ b/packages/coordination/routing.cpp
@@ -19,15 +19,18 @@
 /// The prefix's server is taken unless it is fuller than the other one by more than this part of a batch:
 /// a cached prompt head saves less than a full batch costs.
 constexpr double prefixMargin = 0.15;
-/// Costs closer than this count as equal, and the failure domain decides.
+/// Fills closer than this count as equal, and the failure domain decides.
 constexpr double nearTie = 0.05;
 /// Up to which fill a server is preferred for being fuller, at a stall weight of 0. Below 1, so that the
 /// requests which other entries send in the same moment still find room.
 constexpr double packTarget = 0.85;
 /// How much worse a part of a batch above the target is than one below it.
 constexpr double overTargetCost = 4;
-/// From this fill on, a request joins a queue, and the next server in rendezvous order may load the adapter.
+/// At this fill a batch has no place left.
 constexpr double fullFill = 1;
+/// From this fill on, a request may go to a server that has yet to load the adapter. Above fullFill, since a
+/// short queue passes sooner than a load does.
+constexpr double overflowFill = 1.25;
 
 struct router
 {
@@ -92,7 +95,7 @@
     return replicas;
 }
 
-/// The replicas, or the adapter's first server; with one more that has room when all of them are full.
+/// The replicas, or the adapter's first server; with one more that has room when all of them overflow.
 indices candidates(const router &at)
 {
     indices chosen = fitReplicas(at);
@@ -101,15 +104,17 @@
             return fit(at, i);
         });
     }
-    const auto full = [&at](std::size_t i) {
-        return expectedFill(at.servers[i]) >= fullFill;
+    const auto fill = [&at](std::size_t i) {
+        return expectedFill(at.servers[i]);
     };
-    if (!chosen.empty() && std::all_of(chosen.begin(), chosen.end(), full)) {
-        // The chosen ones are full, so a server that isn't can't be one of them.
-        const auto overflow = firstByAdapter(at, 1, [&](std::size_t i) {
-            return fit(at, i) && !full(i);
+    if (std::all_of(chosen.begin(), chosen.end(), [&](std::size_t i) {
+            return fill(i) >= overflowFill;
+        })) {
+        // None of the chosen ones has room, so a server that has can't be one of them.
+        const auto next = firstByAdapter(at, 1, [&](std::size_t i) {
+            return fit(at, i) && fill(i) < fullFill;
         });
-        chosen.insert(chosen.end(), overflow.begin(), overflow.end());
+        chosen.insert(chosen.end(), next.begin(), next.end());
     }
     return chosen;
 }
@@ -124,10 +129,10 @@
 
 std::size_t betterByLoad(const router &at, std::size_t a, std::size_t b)
 {
-    const double costA = costOf(expectedFill(at.servers[a]), at.stallWeight);
-    const double costB = costOf(expectedFill(at.servers[b]), at.stallWeight);
-    if (std::abs(costA - costB) >= nearTie) {
-        return costA < costB ? a : b;
+    const double fillA = expectedFill(at.servers[a]);
+    const double fillB = expectedFill(at.servers[b]);
+    if (std::abs(fillA - fillB) >= nearTie) {
+        return costOf(fillA, at.stallWeight) < costOf(fillB, at.stallWeight) ? a : b;
     }
     const bool nearA = at.servers[a].failureDomain == at.query.failureDomain;
     const bool nearB = at.servers[b].failureDomain == at.query.failureDomain;
@@ -172,25 +177,43 @@
     return betterByLoad(at, a, b);
 }
 
+std::optional<std::size_t> leastLoaded(const router &at)
+{
+    indices all = fitServers(at);
+    // Shuffled first, so that entries with the same view don't all take the first of equals.
+    std::shuffle(all.begin(), all.end(), at.random);
+    const auto best = std::min_element(all.begin(), all.end(), [&at](std::size_t a, std::size_t b) {
+        return expectedFill(at.servers[a]) < expectedFill(at.servers[b]);
+    });
+    return best == all.end() ? std::nullopt : std::optional(*best);
+}
+
+std::optional<std::size_t> anyOf(const router &at)
+{
+    const indices all = fitServers(at);
+    return all.empty() ? std::nullopt : std::optional(all[randomBelow(at.random, all.size())]);
+}
+
+std::optional<std::size_t> firstOf(const indices &order)
+{
+    return order.empty() ? std::nullopt : std::optional(order.front());
+}
+
 std::optional<std::size_t> choose(const router &at, routing_kind kind)
 {
-    if (kind == routing_kind::Random) {
-        const indices all = fitServers(at);
-        return all.empty() ? std::nullopt : std::optional(all[randomBelow(at.random, all.size())]);
-    }
-    if (kind == routing_kind::LeastLoaded) {
-        const indices all = fitServers(at);
-        const auto best = std::min_element(all.begin(), all.end(), [&at](std::size_t a, std::size_t b) {
-            return expectedFill(at.servers[a]) < expectedFill(at.servers[b]);
-        });
-        return best == all.end() ? std::nullopt : std::optional(*best);
+    switch (kind) {
+    case routing_kind::Random:
+        return anyOf(at);
+    case routing_kind::LeastLoaded:
+        return leastLoaded(at);
+    case routing_kind::RendezvousLru:
+        return firstOf(firstByAdapter(at, 1, [&at](std::size_t i) {
+            return fit(at, i);
+        }));
+    case routing_kind::Briarhead:
+        break;
     }
-    const bool baseline = kind == routing_kind::RendezvousLru;
-    const indices among = baseline ? firstByAdapter(at, 1,
-                              [&at](std::size_t i) {
-                                  return fit(at, i);
-                              })
-                                   : candidates(at);
+    const indices among = candidates(at);
     return among.empty() ? std::nullopt : std::optional(chooseOfTwo(at, among));
 }
 
