--- a/packages/coordination/owner_task.cpp
+++ b/packages/coordination/owner_task.cpp
@@ -191,13 +191,14 @@
 void owner_task::onLiveList(const live_view &view)
 {
     m_sites.clear();
-    m_siteModels.clear();
+    ++m_sitesRevision;
     for (const auto &[name, instance] : view.instances) {
         if (instance.kind != instance_kind::Engine) {
             continue;
         }
-        m_sites.push_back({name, instance.failureDomain, instance.leaving});
-        m_siteModels[name] = instance.service;
+        if (!instance.leaving) {
+            m_sites[instance.service].push_back({name, instance.failureDomain, false});
+        }
         if (owned *server = find(name); server != nullptr && instance.leaving && !server->leaving) {
             spdlog::info("owner: {} is leaving. No new work goes there.", name);
             server->leaving = true;
@@ -369,6 +370,7 @@
                 return;
             }
             job &running = found->second;
+            const millis queued = running.startedAt - running.arrived - running.stall;
             // Guards against: an engine that answers from a neighbour's adapter or an older version. It shows
             // as another name in the engine's own header; no byte of that answer has gone out yet.
             if (adapter != toString(running.request.adapter)) {
@@ -378,7 +380,8 @@
                     {outcome::Unknown, {error_kind::Internal, running.request.server, "wrong adapter"}, {}});
                 return;
             }
-            m_bus.post(send_to{running.from, run_started{id, std::string(adapter), running.stall.count}});
+            m_bus.post(send_to{
+                running.from, run_started{id, std::string(adapter), running.stall.count, queued.count}});
         },
         [this, id](std::string_view bytes) {
             const auto found = m_jobs.find(id);
@@ -531,16 +534,21 @@
 
 std::vector<std::string> owner_task::replicasOf(owned &server, const adapter_ref &which, slot &where)
 {
-    std::vector<replica_site> sites;
-    std::vector<std::string> names;
-    for (const replica_site &site : m_sites) {
-        if (m_siteModels[site.server] == server.where.service && !site.leaving) {
-            sites.push_back(site);
-            names.push_back(site.server);
-        }
+    const std::vector<replica_site> &sites = m_sites[server.where.service];
+    // Only the adapter's first server by rendezvous hash speaks for it, so entries hear one voice. Who that
+    // is changes with the list of servers alone; hashing thousands of them for each answer would cost too
+    // much.
+    if (where.sitesRevision != m_sitesRevision) {
+        const auto nameAt = [&sites](std::size_t i) -> std::string_view {
+            return sites[i].server;
+        };
+        const auto top = rendezvousTop(which.adapter, sites.size(), 1, nameAt, [](std::size_t) {
+            return true;
+        });
+        where.primary = !top.empty() && sites[top.front()].server == server.where.name;
+        where.sitesRevision = m_sitesRevision;
     }
-    // Only the adapter's first server by rendezvous hash speaks for it, so entries hear one voice.
-    if (rendezvousFirst(which.adapter, names) != server.where.name) {
+    if (!where.primary) {
         return {};
     }
     replica_policy policy;
--- a/packages/coordination/owner_task.h
+++ b/packages/coordination/owner_task.h
@@ -66,6 +66,8 @@
         millis notBefore; ///< back-off after a failed load
         arrival_rate arrivals;
         std::uint32_t replicas = 1; ///< as last told to entries
+        std::uint64_t sitesRevision = 0; ///< for which `primary` was found
+        bool primary = false; ///< this server is the adapter's first by rendezvous hash
         std::deque<request_id> waiting;
     };
 
@@ -167,8 +169,8 @@
     std::map<request_id, job> m_lingering; ///< ended here without proof that the engine has ended them
     std::set<std::string> m_drained; ///< by operators
     std::map<std::string, std::string> m_holders; ///< of servers that are not ours
-    std::vector<replica_site> m_sites;
-    std::map<std::string, std::string> m_siteModels;
+    std::map<std::string, std::vector<replica_site>> m_sites; ///< by base model, without leaving ones
+    std::uint64_t m_sitesRevision = 1;
     std::vector<std::string> m_brokers;
     std::uint32_t m_members = 1;
     config_ptr m_config;
--- a/packages/coordination/ownership_task.cpp
+++ b/packages/coordination/ownership_task.cpp
@@ -108,14 +108,19 @@
 void ownership_task::onMembers(const members_changed &news)
 {
     m_members.clear();
-    m_candidates.clear();
+    std::vector<std::string> candidates;
     for (const member &one : news.members) {
         m_members[one.name] = one;
         if (one.state == peer_state::Alive || one.state == peer_state::Suspect) {
-            m_candidates.push_back(one.name);
+            candidates.push_back(one.name);
         }
     }
-    propose();
+    // Most news is about a peer's configuration version. Hashing all servers over all daemons again for that
+    // would take the whole share of a core that control may have at full size.
+    if (candidates != m_candidates) {
+        m_candidates = std::move(candidates);
+        propose();
+    }
 }
 
 void ownership_task::onLiveList(const live_list_changed &news)
--- a/packages/daemon/admin_task.cpp
+++ b/packages/daemon/admin_task.cpp
@@ -150,7 +150,9 @@
             for (const auto &[peer, text] : got) {
                 texts.push_back(text);
             }
-            reply->respond(200, {{"Content-Type", "application/json"}}, mergeBurn(texts, wanted));
+            texts.resize(wanted); // a silent instance counts as one that did not answer
+            reply->respond(200, {{"Content-Type", "application/json"}},
+                mergeBurn(texts, static_cast<std::uint32_t>(wanted)));
             return;
         }
         json list = json::array();
--- a/packages/daemon/entry_admit.cpp
+++ b/packages/daemon/entry_admit.cpp
@@ -40,7 +40,9 @@
 bool hasVersion(const adapter_config &adapter, std::int64_t version)
 {
     const auto &all = adapter.versions;
-    return std::any_of(all.begin(), all.end(), [version](std::uint32_t one) { return one == version; });
+    return std::any_of(all.begin(), all.end(), [version](std::uint32_t one) {
+        return one == version;
+    });
 }
 
 std::string bearerOf(const http_request &request)
@@ -195,7 +197,8 @@
     const std::string name = model.substr(0, colon);
     const adapter_config *adapter = findAdapter(*one->config, name);
     // "name" runs on the active version, "name:2" on that one if it is configured.
-    const std::int64_t asked = colon == std::string::npos ? 0 : numberOf(model.substr(colon + 1)).value_or(-1);
+    const std::int64_t asked =
+        colon == std::string::npos ? 0 : numberOf(model.substr(colon + 1)).value_or(-1);
     if (adapter == nullptr || (asked != 0 && !hasVersion(*adapter, asked))) {
         refuse(*one->reply, error_kind::UnknownAdapter, "model", "'" + model + "' is not configured");
         return;
--- a/packages/daemon/entry_task.cpp
+++ b/packages/daemon/entry_task.cpp
@@ -253,6 +253,7 @@
     pending &one = *found->second;
     one.running = true;
     one.stall = {news.stallMs};
+    one.queued = {news.queuedMs};
     // Guards against: an answer from another adapter or version. The owner has checked the engine's word;
     // this checks the owner's, against what the request was bound to at admission, before the first byte goes
     // out.
@@ -439,6 +440,7 @@
     entry.firstToken = one.firstByte == millis{} ? millis{} : one.firstByte - one.arrived;
     entry.whole = now - one.arrived;
     entry.stall = one.stall;
+    entry.queued = one.queued;
     entry.tokens = one.tokens;
     observe(m_metrics, entry, *one.config, now);
 }
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -64,6 +64,7 @@
         millis deadline;
         millis firstByte;
         millis stall;
+        millis queued;
         bool stream = false;
         bool chat = false;
         bool idempotent = true;
--- a/packages/protocol/messages.h
+++ b/packages/protocol/messages.h
@@ -45,11 +45,12 @@
     request_id id;
     std::string adapter;
     std::int64_t stallMs = 0; ///< time the request waited for the adapter to be loaded
+    std::int64_t queuedMs = 0; ///< time it waited otherwise, before the engine took it
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, adapter, stallMs);
+        archive(id, adapter, stallMs, queuedMs);
     }
 };
 
