--- a/packages/coordination/owner_loads.cpp
+++ b/packages/coordination/owner_loads.cpp
@@ -57,7 +57,8 @@
 
 void owner_task::wantLoads(owned &server)
 {
-    if (!server.held || !server.known || server.releasing || server.ordering || server.role != "serving") {
+    if (!server.held || !server.known || server.releasing || server.ordering || server.unclaimed
+        || server.role != "serving") {
         return;
     }
     const millis now = bootNow();
--- a/packages/coordination/owner_task.cpp
+++ b/packages/coordination/owner_task.cpp
@@ -128,6 +128,7 @@
     server.leaving = server.leaving || news.server.leaving;
     server.releasing = false;
     server.fencing = news.fencing;
+    server.unclaimed = false;
     server.checksFencing = news.checksFencing;
     server.mayRunAt = news.mayRunAt;
     server.mayEvictAt = news.mayEvictAt;
@@ -250,7 +251,7 @@
         return;
     }
     const millis now = bootNow();
-    if (!server->known || server->role != "serving" || now < server->mayRunAt) {
+    if (!server->known || server->role != "serving" || server->unclaimed || now < server->mayRunAt) {
         refuse(from, request, error_kind::NoServer, "the server is starting",
             std::max(millis{pollMs}, server->mayRunAt - now));
         return;
@@ -333,7 +334,8 @@
 
 void owner_task::pump(owned &server)
 {
-    while (server.held && server.known && server.waiting > 0 && server.inFlight < server.batchLimit) {
+    while (server.held && server.known && !server.unclaimed && server.waiting > 0
+        && server.inFlight < server.batchLimit) {
         job *one = nextJob(server);
         if (one == nullptr) {
             break;
@@ -360,6 +362,7 @@
     run.id = one.request.id;
     run.fencing = server.fencing;
     run.rank = one.request.rank;
+    run.idempotent = one.request.idempotent;
     run.deadline = one.deadline - now;
     const request_id id = one.request.id;
     one.call = server.runs->run(
@@ -667,6 +670,11 @@
     const bool restarted = server.known && state.incarnation != server.incarnation;
     if (restarted) {
         spdlog::warn("owner: {} restarted. Its adapters are gone.", server.where.name);
+        // Guards against: the engine forgot its fencing number with everything else, so it would take an
+        // order of an older owner again. It shows as an adapter unloaded under a new stream. Nothing is run
+        // or loaded there until our number stands on it anew.
+        server.unclaimed = server.checksFencing;
+        m_bus.post(engine_restarted{server.where.name});
         server.baseOrdered = false;
         // Nothing of before the restart runs there any more.
         std::vector<request_id> ended;
--- a/packages/coordination/owner_task.h
+++ b/packages/coordination/owner_task.h
@@ -83,6 +83,7 @@
         bool checksFencing = false;
         millis mayRunAt;
         millis mayEvictAt;
+        bool unclaimed = false; ///< the engine restarted and our number is not there yet
         bool pinsKnown = true; ///< a report with our own number has been seen
         std::unique_ptr<engine_client> runs;
         std::unique_ptr<engine_client> guarded;
--- a/packages/coordination/ownership_task.cpp
+++ b/packages/coordination/ownership_task.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace briarhead {
 
@@ -74,6 +75,12 @@
             lose(*server);
         }
     });
+    m_bus.on<engine_restarted>([this](const engine_restarted &news) {
+        tracked *server = find(news.server);
+        if (server != nullptr && server->active) {
+            server->refence = true;
+        }
+    });
     m_bus.on<received<owner_news>>([this](const received<owner_news> &news) {
         tracked *server = find(news.body.server);
         if (server != nullptr && !server->busy) {
@@ -183,12 +190,27 @@
     if (m_sessionBusy || now < m_renewAt) {
         return;
     }
-    m_ttl = leaseLength(m_options.leaseTtl, m_members.size());
+    if (m_leaving && m_owned == 0) {
+        // All is handed over. Giving the lease back lets a new process of this instance begin at once.
+        if (m_lease != 0) {
+            m_kv.revokeLease(std::exchange(m_lease, 0), [](kv_status) {});
+            m_fence.disarm();
+        }
+        return;
+    }
+    const millis wanted = leaseLength(m_options.leaseTtl, m_members.size());
     m_renewAt = now + renewInterval(m_options.leaseTtl, m_members.size());
     if (m_lease == 0) {
         openSession();
         return;
     }
+    // A lease keeps the length it was granted with. The fleet has grown or shrunk: move to a new one in time.
+    if (wanted.count > m_ttl.count * 2 || wanted.count * 2 < m_ttl.count) {
+        openSession();
+        return;
+    }
+    // A longer interval than the granted length bears would let the lease lapse between two renewals.
+    m_renewAt = std::min(m_renewAt, now + millis{m_ttl.count / 3});
     m_sessionBusy = true;
     m_kv.keepAlive(m_lease, [this, now](kv_status status) {
         m_sessionBusy = false;
@@ -204,34 +226,54 @@
 void ownership_task::openSession()
 {
     const millis sentAt = bootNow();
+    const millis ttl = leaseLength(m_options.leaseTtl, m_members.size());
     m_sessionBusy = true;
-    m_kv.grantLease(m_ttl, [this, sentAt](kv_status status, std::int64_t id) {
+    m_kv.grantLease(ttl, [this, sentAt, ttl](kv_status status, std::int64_t id) {
         serviceAnswered(reached(status));
         if (status != kv_status::Ok || id == 0) {
             m_sessionBusy = false;
             m_renewAt = bootNow() + millis{500};
             return;
         }
-        const std::string value = toJson(session_record{m_options.incarnation, m_ttl.count});
-        m_kv.compareAndSwap(sessionKey(m_options.self), m_sessionRevision, value, id,
-            [this, sentAt, id](const kv_write &written) {
-                m_sessionBusy = false;
-                serviceAnswered(reached(written.status));
-                if (written.status == kv_status::Ok) {
-                    m_sessionRevision = written.revision;
-                    m_lease = id;
-                    spdlog::info("ownership: Session open, lease of {} ms.", m_ttl.count);
-                    leaseConfirmed(sentAt);
-                    return;
-                }
-                // An older process of this instance, or our own write whose answer was lost:
-                // either way the value standing there is replaced by ours.
-                m_sessionRevision = written.current.modRevision;
-                m_renewAt = bootNow() + millis{200};
-            });
+        writeSession(id, ttl, sentAt);
     });
 }
 
+void ownership_task::writeSession(std::int64_t lease, millis ttl, millis sentAt)
+{
+    const std::string value = toJson(session_record{m_options.incarnation, ttl.count});
+    const auto written = [this, lease, ttl, sentAt](const kv_write &answer) {
+        m_sessionBusy = false;
+        serviceAnswered(reached(answer.status));
+        if (answer.status == kv_status::Ok) {
+            m_sessionRevision = answer.revision;
+            m_lease = lease;
+            m_ttl = ttl;
+            spdlog::info("ownership: Session open, lease of {} ms.", ttl.count);
+            leaseConfirmed(sentAt);
+            return;
+        }
+        m_kv.revokeLease(lease, [](kv_status) {});
+        m_renewAt = bootNow() + millis{500};
+        if (answer.status != kv_status::Conflict) {
+            return;
+        }
+        error why;
+        const auto standing = parseSessionRecord(answer.current.value, why);
+        if (!standing || standing->incarnation == m_options.incarnation) {
+            // Our own write whose answer was lost, or no key at all.
+            m_sessionRevision = answer.current.modRevision;
+            return;
+        }
+        // Guards against: an older process of this instance's name is paused with its lease still running,
+        // and its key is overwritten. Peers would take that for the end of its session and evict what it
+        // serves. Its lease has to run out first; it is waited for here.
+        spdlog::info("ownership: Waiting for the session of an older process to end.");
+        m_sessionRevision = 0;
+    };
+    m_kv.compareAndSwap(sessionKey(m_options.self), m_sessionRevision, value, lease, written);
+}
+
 void ownership_task::leaseLost()
 {
     spdlog::warn("ownership: The lease is gone. Opening a new session.");
@@ -263,6 +305,13 @@
 
 // ---- one server
 
+/// The longest that a request of an older tenure may still run. Not the limit now in force: the old owner may
+/// have admitted under a configuration that allowed more.
+millis ownership_task::longestDeadline() const
+{
+    return {longestDeadlineMs};
+}
+
 ownership_view ownership_task::viewOf(const tracked &server) const
 {
     ownership_view view;
@@ -280,6 +329,7 @@
     view.checksFencing = server.engine && server.engine->checksFencing;
     view.selfLeaving = m_leaving;
     view.selfLeased = m_lease != 0;
+    view.settled = bootNow() >= server.mayRunAt;
     view.owned = m_owned;
     const auto daemons = std::max<std::size_t>(1, m_candidates.size());
     view.fairShare = static_cast<std::uint32_t>((m_servers.size() + daemons - 1) / daemons);
@@ -302,6 +352,11 @@
     if (server.active && server.previousOpen) {
         watchOldTenure(server);
     }
+    if (server.refence && server.active) {
+        server.refence = false;
+        putFence(server, server.fencing);
+        return;
+    }
     if (server.retake || server.outageClaim) {
         if (m_serviceUp && m_lease != 0) {
             takeOver(server);
@@ -513,7 +568,6 @@
 void ownership_task::gained(tracked &server, std::uint64_t fencing)
 {
     const millis now = bootNow();
-    const millis longest = m_config ? m_config->policy.maxDeadline : policy_config{}.maxDeadline;
     const bool again = server.active;
     const bool first = server.previous.epoch == 0 && server.engine->fencing == 0;
     const bool inOrder = server.previous.owner.empty();
@@ -523,10 +577,11 @@
     news.checksFencing = server.engine->checksFencing;
     if (!again) {
         server.previousOpen = !first && !inOrder;
-        server.mayEvictAt = first ? now : firstEviction(now, longest, inOrder, {server.previous.drainMs});
+        server.mayEvictAt =
+            first ? now : firstEviction(now, longestDeadline(), inOrder, {server.previous.drainMs});
         if (!inOrder && news.checksFencing) {
             // The engine refuses the old owner from here on; what it admitted ends within its deadline.
-            server.mayEvictAt = now + longest;
+            server.mayEvictAt = now + longestDeadline();
         }
         for (const std::string &text : server.previous.pinned) {
             const auto colon = text.rfind(':');
@@ -573,8 +628,7 @@
     // The platform replaced or removed the instance, or it runs a newer process: the old process can neither
     // run nor wake up, so only what it had handed to the engine may still run.
     server.previousOpen = false;
-    const millis longest = m_config ? m_config->policy.maxDeadline : policy_config{}.maxDeadline;
-    server.mayEvictAt = std::min(server.mayEvictAt, bootNow() + longest);
+    server.mayEvictAt = std::min(server.mayEvictAt, bootNow() + longestDeadline());
     m_bus.post(tenure_ended{server.where.name, server.mayEvictAt});
 }
 
--- a/packages/coordination/ownership_task.h
+++ b/packages/coordination/ownership_task.h
@@ -50,6 +50,7 @@
         bool busy = false; ///< a call that ends in a change of this entry is under way
         bool active = false; ///< the owner task has it
         bool retake = false; ///< ours, but the epoch must rise before orders go on
+        bool refence = false; ///< the engine restarted: our number has to be put there again
         bool releasing = false;
         std::uint64_t fencing = 0; ///< the number we hold while active
         bool outageClaim = false; ///< held by the engine's word only
@@ -75,6 +76,8 @@
     void look(tracked &server);
     void readRecord(tracked &server);
     void readSession(tracked &server);
+    void writeSession(std::int64_t lease, millis ttl, millis sentAt);
+    millis longestDeadline() const;
     void readEngine(tracked &server);
     void takeOver(tracked &server);
     void claimOnEngine(tracked &server);
@@ -103,7 +106,7 @@
     std::int64_t m_sessionRevision = 0;
     millis m_leaseUntil;
     millis m_renewAt;
-    millis m_ttl;
+    millis m_ttl; ///< of the lease as granted
     bool m_sessionBusy = false;
     bool m_hadLease = false;
     bool m_serviceUp = true;
--- a/packages/state/config_json.cpp
+++ b/packages/state/config_json.cpp
@@ -420,7 +420,7 @@
     fields.integer("store_concurrency", into.storeConcurrency, 1U, maxPolicyCount);
     fields.integer("max_replicas", into.maxReplicas, 1U, maxPolicyCount);
     fields.span("default_deadline_ms", into.defaultDeadline, 1, maxDeadlineLimitMs);
-    fields.span("max_deadline_ms", into.maxDeadline, 1, maxDeadlineLimitMs);
+    fields.span("max_deadline_ms", into.maxDeadline, 1, longestDeadlineMs);
     fields.span("idempotency_retention_ms", into.idempotencyRetention, 1, maxTimeMs);
     if (fields.good() && into.defaultDeadline > into.maxDeadline) {
         fields.fail("default_deadline_ms", "is longer than max_deadline_ms");
