--- a/packages/state/config.h
+++ b/packages/state/config.h
@@ -23,6 +23,8 @@
 
 /// Limits on the configuration, checked on every patch.
 constexpr std::size_t maxNameBytes = 128;
+/// No configuration may allow a longer deadline; a new owner of a server waits for requests of the one before it.
+constexpr std::int64_t longestDeadlineMs = 600'000;
 constexpr std::size_t maxNoteBytes = 1'024;
 constexpr std::size_t maxAdapters = 200'000;
 constexpr std::size_t maxVersionsPerAdapter = 16;
@@ -222,6 +224,8 @@
 
 /// Reads a patch and checks its frame; the entries are checked by applyPatch.
 std::optional<config_patch> parsePatch(std::string_view json, error &why);
+/// Reads a patch that was accepted before, whatever its size; applyPatch still checks its entries.
+std::optional<config_patch> parseStoredPatch(std::string_view json, error &why);
 /// The patch as JSON, as it stands in the head and in the history.
 std::string toJson(const config_patch &patch);
 /// The configuration after the patch, at version base + 1; checks names, sizes, values and references.
--- a/packages/state/config_patch.cpp
+++ b/packages/state/config_patch.cpp
@@ -342,6 +342,12 @@
     return patch && parseBody(*patch, why) ? patch : std::nullopt;
 }
 
+std::optional<config_patch> parseStoredPatch(std::string_view text, error &why)
+{
+    const auto from = parseText(text, why);
+    return from.is_discarded() ? std::nullopt : detail::readPatch(from, why);
+}
+
 std::string toJson(const config_patch &patch)
 {
     const json frame{{"base", patch.base}, {"id", patch.id}, {"by", patch.by}, {"note", patch.note},
