--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -466,9 +466,9 @@
         printf("daemon %d: decides to unload\n", d)
     }
 #if ENGINE_LOAD_REPLACES
-    /* A load of another adapter, into a slot that was free when the daemon last looked. */
+    /* A stale owner loads another adapter, into a slot that was free when it last looked. */
     :: atomic {
-        idle(d) && maySend(d) && orderWire[d].kind == NONE -> daemon[d].pending = LOAD
+        idle(d) && maySend(d) && lapsed(d) && !serving(d) && orderWire[d].kind == NONE -> daemon[d].pending = LOAD
     }
 #endif
     :: atomic {
