Report an unknown case name of the model check plainly

Cause: model/check.sh with a word that no case has printed shell errors before its own message: xargs runs once on empty input. Ruled out: a wrong exit status; it was 1 before and is 1 now. Change: xargs -r. Measured: model/check.sh nosuch: one FAILED line, status 1. A scratch copy with the grace taken out of EVICT_WAIT: FAILED, status 1. Conclusion: kept.

--- a/model/check.sh
+++ b/model/check.sh
@@ -133,7 +133,7 @@
 cd "$workDir" || exit 1
 
 cases | grep "^[^|]*${1:-}[^|]*|" >selected
-tr '\n' '\0' <selected | xargs -0 -n 1 -P "${JOBS:-3}" "$modelDir/check.sh" --case
+tr '\n' '\0' <selected | xargs -0 -r -n 1 -P "${JOBS:-3}" "$modelDir/check.sh" --case
 
 failed=0
 while read -r name _; do
