--- a/packages/coordination/owner_task.cpp
+++ b/packages/coordination/owner_task.cpp
@@ -623,7 +623,9 @@
         const job late = one;
         dequeue(server, late);
         m_jobs.erase(id);
-        run_end answer{id, outcome::NotRun, error_kind::DeadlineTooShort, "still waiting"};
+        const bool forLoad = !server.adapters[late.request.adapter].resident;
+        run_end answer{id, outcome::NotRun, error_kind::DeadlineTooShort,
+            forLoad ? "still waiting for the adapter's load" : "still waiting for a place in the batch"};
         answer.retryAfterMs = static_cast<std::int64_t>(std::max(server.loadMs, server.serviceMs));
         answer.hint = hintOf(server);
         answerEnd(late, answer);
