--- a/tests/failure/fleet.h
+++ b/tests/failure/fleet.h
@@ -44,6 +44,11 @@
     json settings = json::object(); ///< laid over each daemon's settings
     bool startDaemons = true;
     bool seed = true; ///< submit the first configuration
+    std::size_t adapters = 50; ///< in the first configuration
+    int startBoundMs = 30'000; ///< for all daemons to be ready and all engines to be owned
+    /// Daemons' ports count up from here; 0 takes any free ones. Those lie among the ports that outgoing
+    /// connections take, so in a large fleet one may be gone before its daemon binds it.
+    std::uint16_t firstPort = 0;
 };
 
 /// Stand-ins and daemons as real processes on loopback, ended with the object.
@@ -65,6 +70,9 @@
 
     std::string url(std::size_t daemon) const;
     std::string name(std::size_t daemon) const;
+    pid_t pid(std::size_t daemon) const; ///< 0: not running
+    /// What a daemon has logged so far.
+    std::string log(std::size_t daemon) const;
     std::string engineUrl(const std::string &engine) const;
     std::vector<std::string> engines() const;
     const json &ports() const;
@@ -100,6 +108,8 @@
         std::string settingsPath;
     };
 
+    void startAll();
+    void endAll();
     void startStandins();
 
     fleet_options m_options;
