--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -25,7 +25,7 @@
 work() { # entry index
   expect "$1" popisnica/syllabus-summary 1 "syllabus summary" \
     "Summarise: Uvod u bazu podataka. Week 1 relational model, week 2 normal forms, week 3 transactions."
-  expect "$1" sorakaze/galley-load-plan 3 "galley load plan" \
+  expect "$1" sorakaze/galley-load-plan "$plan_version" "galley load plan" \
     "Flight NH 256 FUK-HND: 214 pax, 6 halal, 3 nut allergy, 2 child meals. Plan trolleys for doors 1L and 2R."
   expect "$1" sorakaze/special-meals 1 "special meals" "Manifest row 14C: CHML, row 22A: MOML, row 30F: VGML."
 }
@@ -35,6 +35,7 @@
     -H 'Authorization: Bearer demo' -H "Idempotency-Key: $2" -H 'Idempotency-Attempt: 1' -d '{"flight":"NH256"}'
 }
 
+plan_version=3
 echo "Starting stand-ins and three daemons."
 start_fleet
 echo "Configuration version 1 is accepted:"
@@ -54,8 +55,9 @@
   [ "$("$ctl" instances --json | jq '[.instances[] | select(.config_version == 2)] | length')" = 3 ] && break
   sleep 0.1
 done
+plan_version=2
 for i in 0 1 2; do
-  expect "$i" sorakaze/galley-load-plan 2 "galley load plan" "Flight NH 258 FUK-HND: 198 pax, 4 halal."
+  expect "$i" sorakaze/galley-load-plan "$plan_version" "galley load plan" "Flight NH 258 FUK-HND: 198 pax, 4 halal."
 done
 echo "A patch against version 1 is stale now:"
 echo '{"base": 1, "id": "demo-stale", "by": "demo", "set": {"policy": {"stall_weight": 0.9}}}' |
