--- a/packages/coordination/ownership.cpp
+++ b/packages/coordination/ownership.cpp
@@ -118,6 +118,16 @@
     return index < stepNames.size() ? stepNames[index] : stepNames.back();
 }
 
+std::string ownerRecordKey(std::string_view server)
+{
+    return "briarhead/owner/" + std::string(server);
+}
+
+std::string ownerSessionKey(std::string_view instance)
+{
+    return "briarhead/session/" + std::string(instance);
+}
+
 std::string toJson(const owner_record &record)
 {
     const json text{{"owner", record.owner}, {"incarnation", record.incarnation}, {"epoch", record.epoch},
--- a/packages/coordination/ownership.h
+++ b/packages/coordination/ownership.h
@@ -22,6 +22,8 @@
     std::vector<std::string> pinned; ///< released: adapters those streams run on, "adapter:version"
 };
 
+/// "briarhead/owner/SERVER".
+std::string ownerRecordKey(std::string_view server);
 std::string toJson(const owner_record &record);
 std::optional<owner_record> parseOwnerRecord(std::string_view json, error &why);
 
@@ -32,6 +34,8 @@
     std::int64_t leaseTtlMs = 0;
 };
 
+/// "briarhead/session/INSTANCE".
+std::string ownerSessionKey(std::string_view instance);
 std::string toJson(const session_record &record);
 std::optional<session_record> parseSessionRecord(std::string_view json, error &why);
 
--- a/packages/coordination/ownership_task.cpp
+++ b/packages/coordination/ownership_task.cpp
@@ -18,29 +18,12 @@
 constexpr std::int64_t orphanRereadMs = 1'000;
 constexpr std::int64_t engineRereadMs = 3'000;
 constexpr millis orderTimeout{2'000};
-/// Two failed calls in a row mean an outage; one may be a lost packet.
-constexpr int failuresForOutage = 2;
-
-std::string recordKey(const std::string &server)
-{
-    return "briarhead/owner/" + server;
-}
-
-std::string sessionKey(const std::string &instance)
-{
-    return "briarhead/session/" + instance;
-}
 
 std::string urlOf(const live_instance &where)
 {
     return "http://" + where.address + ":" + std::to_string(where.port);
 }
 
-bool reached(kv_status status)
-{
-    return status == kv_status::Ok || status == kv_status::Conflict;
-}
-
 }
 
 ownership_task::ownership_task(
@@ -106,6 +89,16 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
+/// The entry that a call was made for, no longer busy with it; nullptr if the server has left the list since.
+ownership_task::tracked *ownership_task::answered(const std::string &name)
+{
+    tracked *server = find(name);
+    if (server != nullptr) {
+        server->busy = false;
+    }
+    return server;
+}
+
 const member *ownership_task::memberNamed(const std::string &name) const
 {
     const auto found = m_members.find(name);
@@ -157,16 +150,6 @@
     }
 }
 
-void ownership_task::serviceAnswered(bool up)
-{
-    m_serviceFailures = up ? 0 : m_serviceFailures + 1;
-    const bool now = m_serviceFailures < failuresForOutage;
-    if (now != m_serviceUp) {
-        spdlog::warn("ownership: The key-value service is {}.", now ? "back" : "out");
-        m_serviceUp = now;
-    }
-}
-
 void ownership_task::tick()
 {
     renew();
@@ -182,127 +165,6 @@
     }
 }
 
-// ---- the session lease
-
-void ownership_task::renew()
-{
-    const millis now = bootNow();
-    if (m_sessionBusy || now < m_renewAt) {
-        return;
-    }
-    if (m_leaving && m_owned == 0) {
-        // All is handed over. Giving the lease back lets a new process of this instance begin at once.
-        if (m_lease != 0) {
-            m_kv.revokeLease(std::exchange(m_lease, 0), [](kv_status) {});
-            m_fence.disarm();
-        }
-        return;
-    }
-    const millis wanted = leaseLength(m_options.leaseTtl, m_members.size());
-    m_renewAt = now + renewInterval(m_options.leaseTtl, m_members.size());
-    if (m_lease == 0) {
-        openSession();
-        return;
-    }
-    // A lease keeps the length it was granted with. The fleet has grown or shrunk: move to a new one in time.
-    if (wanted.count > m_ttl.count * 2 || wanted.count * 2 < m_ttl.count) {
-        openSession();
-        return;
-    }
-    // A longer interval than the granted length bears would let the lease lapse between two renewals.
-    m_renewAt = std::min(m_renewAt, now + millis{m_ttl.count / 3});
-    m_sessionBusy = true;
-    m_kv.keepAlive(m_lease, [this, now](kv_status status) {
-        m_sessionBusy = false;
-        serviceAnswered(reached(status));
-        if (status == kv_status::Ok) {
-            leaseConfirmed(now);
-        } else if (status == kv_status::Conflict) {
-            leaseLost();
-        }
-    });
-}
-
-void ownership_task::openSession()
-{
-    const millis sentAt = bootNow();
-    const millis ttl = leaseLength(m_options.leaseTtl, m_members.size());
-    m_sessionBusy = true;
-    m_kv.grantLease(ttl, [this, sentAt, ttl](kv_status status, std::int64_t id) {
-        serviceAnswered(reached(status));
-        if (status != kv_status::Ok || id == 0) {
-            m_sessionBusy = false;
-            m_renewAt = bootNow() + millis{500};
-            return;
-        }
-        writeSession(id, ttl, sentAt);
-    });
-}
-
-void ownership_task::writeSession(std::int64_t lease, millis ttl, millis sentAt)
-{
-    const std::string value = toJson(session_record{m_options.incarnation, ttl.count});
-    const auto written = [this, lease, ttl, sentAt](const kv_write &answer) {
-        m_sessionBusy = false;
-        serviceAnswered(reached(answer.status));
-        if (answer.status == kv_status::Ok) {
-            m_sessionRevision = answer.revision;
-            m_lease = lease;
-            m_ttl = ttl;
-            spdlog::info("ownership: Session open, lease of {} ms.", ttl.count);
-            leaseConfirmed(sentAt);
-            return;
-        }
-        m_kv.revokeLease(lease, [](kv_status) {});
-        m_renewAt = bootNow() + millis{500};
-        if (answer.status != kv_status::Conflict) {
-            return;
-        }
-        error why;
-        const auto standing = parseSessionRecord(answer.current.value, why);
-        if (!standing || standing->incarnation == m_options.incarnation) {
-            // Our own write whose answer was lost, or no key at all.
-            m_sessionRevision = answer.current.modRevision;
-            return;
-        }
-        // Guards against: an older process of this instance's name is paused with its lease still running,
-        // and its key is overwritten. Peers would take that for the end of its session and evict what it
-        // serves. Its lease has to run out first; it is waited for here.
-        spdlog::info("ownership: Waiting for the session of an older process to end.");
-        m_sessionRevision = 0;
-    };
-    m_kv.compareAndSwap(sessionKey(m_options.self), m_sessionRevision, value, lease, written);
-}
-
-void ownership_task::leaseLost()
-{
-    spdlog::warn("ownership: The lease is gone. Opening a new session.");
-    m_lease = 0;
-    m_renewAt = bootNow();
-    // Guards against: a peer saw our session gone and takes a server over while we open a new session and go
-    // on. Reading the record back would leave a window between its read and its swap; raising the epoch by
-    // compare-and-swap does not, since only one of the two swaps can succeed.
-    for (auto &[name, server] : m_servers) {
-        if (server.active) {
-            server.retake = true;
-        }
-    }
-}
-
-void ownership_task::leaseConfirmed(millis sentAt)
-{
-    // Counted from before the renewal left: the service can't have counted from any earlier.
-    m_leaseUntil = sentAt + m_ttl;
-    const bool clean = std::none_of(m_servers.begin(), m_servers.end(), [](const auto &entry) {
-        const tracked &server = entry.second;
-        return server.active && server.retake && !(server.engine && server.engine->checksFencing);
-    });
-    if (clean) {
-        m_fence.rearm(m_leaseUntil);
-        m_bus.post(lease_confirmed{m_leaseUntil});
-    }
-}
-
 // ---- one server
 
 /// The longest that a request of an older tenure may still run. Not the limit now in force: the old owner may
@@ -412,13 +274,12 @@
 void ownership_task::readRecord(tracked &server)
 {
     server.busy = true;
-    m_kv.get(recordKey(server.where.name), [this, name = server.where.name](const kv_read &answer) {
-        tracked *found = find(name);
+    m_kv.get(ownerRecordKey(server.where.name), [this, name = server.where.name](const kv_read &answer) {
+        tracked *found = answered(name);
         if (found == nullptr) {
             return;
         }
-        found->busy = false;
-        serviceAnswered(reached(answer.status));
+        serviceAnswered(answer.status);
         if (answer.status != kv_status::Ok) {
             return;
         }
@@ -446,13 +307,12 @@
 {
     server.busy = true;
     server.sessionReadAt = bootNow();
-    m_kv.get(sessionKey(server.record.owner), [this, name = server.where.name](const kv_read &answer) {
-        tracked *found = find(name);
+    m_kv.get(ownerSessionKey(server.record.owner), [this, name = server.where.name](const kv_read &answer) {
+        tracked *found = answered(name);
         if (found == nullptr) {
             return;
         }
-        found->busy = false;
-        serviceAnswered(reached(answer.status));
+        serviceAnswered(answer.status);
         if (answer.status != kv_status::Ok) {
             return;
         }
@@ -470,11 +330,10 @@
     auto engine = std::make_shared<engine_client>(m_orders, urlOf(server.where));
     engine->state(orderTimeout,
         [this, engine, name = server.where.name](const std::optional<engine_state> &state, const error &) {
-            tracked *found = find(name);
+            tracked *found = answered(name);
             if (found == nullptr) {
                 return;
             }
-            found->busy = false;
             if (state) {
                 found->engine = state;
             }
@@ -488,14 +347,13 @@
     next.incarnation = m_options.incarnation;
     next.epoch = std::max({server.record.epoch, epochOf(server.lostTo), epochOf(server.fencing)}) + 1;
     server.busy = true;
-    m_kv.compareAndSwap(recordKey(server.where.name), std::max<std::int64_t>(0, server.revision),
+    m_kv.compareAndSwap(ownerRecordKey(server.where.name), std::max<std::int64_t>(0, server.revision),
         toJson(next), 0, [this, next, name = server.where.name](const kv_write &written) {
-            tracked *found = find(name);
+            tracked *found = answered(name);
             if (found == nullptr) {
                 return;
             }
-            found->busy = false;
-            serviceAnswered(reached(written.status));
+            serviceAnswered(written.status);
             if (written.status != kv_status::Ok) {
                 // Conflict: somebody else moved first. Ambiguous: the swap may stand. Reading again tells,
                 // and a record that names this very process is then taken up as ours.
@@ -546,11 +404,10 @@
     auto engine = std::make_shared<engine_client>(m_orders, urlOf(server.where));
     engine->claim(fencing, m_options.self, orderTimeout,
         [this, engine, fencing, name = server.where.name](const engine_order_end &end) {
-            tracked *found = find(name);
+            tracked *found = answered(name);
             if (found == nullptr) {
                 return;
             }
-            found->busy = false;
             if (end.ok) {
                 gained(*found, fencing);
                 return;
@@ -667,14 +524,13 @@
         next.pinned.push_back(toString(ref));
     }
     server->busy = true;
-    m_kv.compareAndSwap(recordKey(answer.server), std::max<std::int64_t>(0, server->revision), toJson(next),
-        0, [this, next, name = answer.server](const kv_write &written) {
-            tracked *found = find(name);
+    m_kv.compareAndSwap(ownerRecordKey(answer.server), std::max<std::int64_t>(0, server->revision),
+        toJson(next), 0, [this, next, name = answer.server](const kv_write &written) {
+            tracked *found = answered(name);
             if (found == nullptr) {
                 return;
             }
-            found->busy = false;
-            serviceAnswered(reached(written.status));
+            serviceAnswered(written.status);
             if (written.status != kv_status::Ok) {
                 // Released or not: nothing new is admitted until the record was read again;
                 // if it still names this process, the server is taken up anew.
--- a/packages/coordination/ownership_task.h
+++ b/packages/coordination/ownership_task.h
@@ -71,7 +71,7 @@
     void openSession();
     void leaseConfirmed(millis sentAt);
     void leaseLost();
-    void serviceAnswered(bool up);
+    void serviceAnswered(kv_status status);
 
     void look(tracked &server);
     void readRecord(tracked &server);
@@ -91,6 +91,7 @@
     ownership_view viewOf(const tracked &server) const;
     const member *memberNamed(const std::string &name) const;
     tracked *find(const std::string &name);
+    tracked *answered(const std::string &name);
 
     bus &m_bus;
     loop &m_loop;
