--- a/packages/coordination/config_store.cpp
+++ b/packages/coordination/config_store.cpp
@@ -171,15 +171,29 @@
 void config_store::readHead(
     std::function<void(const std::optional<stored_head> &found, const error &why)> done)
 {
-    m_kv.get(headKey, [done = std::move(done)](const kv_read &read) {
+    // Each daemon polls the head. Read whole each time, a head of many patches would take more than all of
+    // the bytes that control may use, so the service is asked only for a change.
+    const std::int64_t known = m_lastRead ? m_lastRead->revision : 0;
+    m_kv.getChanged(headKey, known + 1, [this, done = std::move(done)](const kv_read &read) {
         if (read.status != kv_status::Ok) {
             done(std::nullopt, serviceDown(headKey, read.status));
             return;
         }
+        if (read.entries.empty() && m_lastRead && read.revision >= m_lastRead->storeRevision) {
+            m_lastRead->storeRevision = read.revision;
+            done(m_lastRead, {});
+            return;
+        }
+        if (read.entries.empty() && m_lastRead) {
+            // The store's own count has gone back: it was restored from a backup, and what we know of it is
+            // void.
+            m_lastRead.reset();
+            readHead(done);
+            return;
+        }
         error why;
-        const auto head =
-            headOf(read.entries.empty() ? kv_entry{} : read.entries.front(), read.revision, why);
-        done(head, why);
+        m_lastRead = headOf(read.entries.empty() ? kv_entry{} : read.entries.front(), read.revision, why);
+        done(m_lastRead, why);
     });
 }
 
@@ -288,7 +302,13 @@
 void config_store::swapHead(
     std::int64_t revision, const config_head &head, std::function<void(const kv_write &)> done)
 {
-    m_kv.compareAndSwap(headKey, revision, toJson(head), 0, std::move(done));
+    m_kv.compareAndSwap(
+        headKey, revision, toJson(head), 0, [this, done = std::move(done)](const kv_write &write) {
+            if (write.status != kv_status::Ok) {
+                m_lastRead.reset(); // what stands there is read anew, also if the key is gone
+            }
+            done(write);
+        });
 }
 
 /// Writes a key that always gets the same value, so that a lost answer is settled by writing again: a
--- a/packages/coordination/config_store.h
+++ b/packages/coordination/config_store.h
@@ -85,6 +85,7 @@
     static void foldFailed(const std::shared_ptr<fold_work> &work);
 
     kv_client &m_kv;
+    std::optional<stored_head> m_lastRead; ///< the head as last read whole
 };
 
 /// The patches one after the other on a configuration; nullptr with `why` where one doesn't fit.
--- a/packages/coordination/ownership.cpp
+++ b/packages/coordination/ownership.cpp
@@ -183,10 +183,14 @@
     return fencingOf(epochOf(seen)) | (round << hashBits) | hash;
 }
 
+millis pacedPause(std::size_t members)
+{
+    return {static_cast<std::int64_t>(static_cast<double>(members) * 1000.0 / renewalsPerSecond)};
+}
+
 millis renewInterval(millis leaseTtl, std::size_t members)
 {
-    const auto spread = static_cast<std::int64_t>(static_cast<double>(members) * 1000.0 / renewalsPerSecond);
-    return {std::max(leaseTtl.count / renewalsPerLease, spread)};
+    return {std::max(leaseTtl.count / renewalsPerLease, pacedPause(members).count)};
 }
 
 millis leaseLength(millis leaseTtl, std::size_t members)
--- a/packages/coordination/ownership.h
+++ b/packages/coordination/ownership.h
@@ -55,6 +55,9 @@
 /// Time between lease renewals and the lease's length for a fleet of this size: the whole fleet's
 /// renewals stay under renewalsPerSecond.
 constexpr double renewalsPerSecond = 100;
+/// The pause that keeps a fleet's calls of one kind, one a daemon, under renewalsPerSecond: used between
+/// claims and before sessions are opened, which all daemons want at once when the service comes back.
+millis pacedPause(std::size_t members);
 millis renewInterval(millis leaseTtl, std::size_t members);
 millis leaseLength(millis leaseTtl, std::size_t members);
 
--- a/packages/coordination/ownership_session.cpp
+++ b/packages/coordination/ownership_session.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr std::int64_t sessionRetryMs = 500;
 /// Two failed calls in a row mean an outage; one may be a lost packet.
 constexpr int failuresForOutage = 2;
 
@@ -74,7 +75,7 @@
         serviceAnswered(status);
         if (status != kv_status::Ok || id == 0) {
             m_sessionBusy = false;
-            m_renewAt = bootNow() + millis{500};
+            m_renewAt = bootNow() + retryPause();
             return;
         }
         writeSession(id, ttl, sentAt);
@@ -96,7 +97,7 @@
             return;
         }
         m_kv.revokeLease(lease, [](kv_status) {});
-        m_renewAt = bootNow() + millis{500};
+        m_renewAt = bootNow() + retryPause();
         if (answer.status != kv_status::Conflict) {
             return;
         }
@@ -116,11 +117,20 @@
     m_kv.compareAndSwap(ownerSessionKey(m_options.self), m_sessionRevision, value, lease, written);
 }
 
+/// Guards against: the service comes back from an outage, and all daemons open sessions and claim their
+/// servers in the same second. It shows as a second outage. The pause grows with the fleet and is spread by
+/// chance.
+millis ownership_task::retryPause()
+{
+    const auto spread = static_cast<std::uint64_t>(pacedPause(m_members.size()).count) + 1;
+    return {sessionRetryMs + static_cast<std::int64_t>(m_random() % spread)};
+}
+
 void ownership_task::leaseLost()
 {
     spdlog::warn("ownership: The lease is gone. Opening a new session.");
     m_lease = 0;
-    m_renewAt = bootNow();
+    m_renewAt = bootNow() + millis{retryPause().count - sessionRetryMs};
     // Guards against: a peer saw our session gone and takes a server over while we open a new session and go
     // on. Reading the record back would leave a window between its read and its swap; raising the epoch by
     // compare-and-swap does not, since only one of the two swaps can succeed.
--- a/packages/coordination/ownership_task.cpp
+++ b/packages/coordination/ownership_task.cpp
@@ -342,6 +342,10 @@
 
 void ownership_task::takeOver(tracked &server)
 {
+    if (bootNow() < m_claimAt) {
+        return;
+    }
+    m_claimAt = bootNow() + pacedPause(m_members.size());
     owner_record next;
     next.owner = m_options.self;
     next.incarnation = m_options.incarnation;
--- a/packages/coordination/ownership_task.h
+++ b/packages/coordination/ownership_task.h
@@ -71,6 +71,7 @@
     void openSession();
     void leaseConfirmed(millis sentAt);
     void leaseLost();
+    millis retryPause();
     void serviceAnswered(kv_status status);
 
     void look(tracked &server);
@@ -108,6 +109,7 @@
     millis m_leaseUntil;
     millis m_renewAt;
     millis m_ttl; ///< of the lease as granted
+    millis m_claimAt; ///< not before: claims of a whole fleet are spread over time
     bool m_sessionBusy = false;
     bool m_hadLease = false;
     bool m_serviceUp = true;
--- a/packages/ctl/command.cpp
+++ b/packages/ctl/command.cpp
@@ -191,7 +191,7 @@
     const auto page = ask(of, "POST", dryRun ? "/admin/patch?dry_run=1" : "/admin/patch", body.dump(), code);
     if (!page) {
         if (code == exit_code::Unknown) {
-            std::cerr << "  patch id: " << body["id"].get<std::string>() << '\n';
+            std::cerr << "  patch id: " << cell(body, "id") << '\n';
         }
         return code;
     }
--- a/packages/daemon/entry_task.cpp
+++ b/packages/daemon/entry_task.cpp
@@ -17,6 +17,8 @@
 /// can't be heard.
 constexpr std::int64_t deadlineSlackMs = 250;
 constexpr std::int64_t replicaHintMs = 10'000;
+/// A caller's limit that was not used for this long has filled up again, whatever its rate.
+constexpr std::int64_t limitIdleMs = 60'000;
 /// Pause before asking again while a server changes hands.
 constexpr std::int64_t redirectPauseMs = 50;
 constexpr std::uint32_t maxRedirects = 40;
@@ -479,9 +481,25 @@
     }
 }
 
+/// Drops what is kept by adapter or by caller and no longer of use, so that memory follows use and not the
+/// number of adapters ever asked for.
+void entry_task::forget(millis now)
+{
+    m_forgetAt = now + millis{replicaHintMs};
+    std::erase_if(m_replicas, [now](const auto &entry) {
+        return now - entry.second.at >= millis{replicaHintMs};
+    });
+    std::erase_if(m_limits, [now](const auto &entry) {
+        return entry.second.inFlight == 0 && now - entry.second.filled >= millis{limitIdleMs};
+    });
+}
+
 void entry_task::tick()
 {
     const millis now = bootNow();
+    if (now >= m_forgetAt) {
+        forget(now);
+    }
     std::vector<request_id> over;
     for (const auto &[id, one] : m_pending) {
         if (now > one->deadline + millis{deadlineSlackMs}) {
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -148,6 +148,7 @@
     void record(const pending &one, outcome result, error_kind why);
     void closed(const pending_ptr &one);
     void tick();
+    void forget(millis now);
 
     bus &m_bus;
     loop &m_loop;
@@ -162,6 +163,7 @@
     std::map<std::string, replica_hint> m_replicas; ///< by adapter
     std::map<request_id, pending_ptr> m_pending;
     std::map<std::string, caller_limit> m_limits;
+    millis m_forgetAt;
     retry_budget m_budget;
     std::uint64_t m_sequence = 0;
     std::mt19937_64 m_random;
--- a/packages/state/config.h
+++ b/packages/state/config.h
@@ -23,7 +23,8 @@
 
 /// Limits on the configuration, checked on every patch.
 constexpr std::size_t maxNameBytes = 128;
-/// No configuration may allow a longer deadline; a new owner of a server waits for requests of the one before it.
+/// No configuration may allow a longer deadline: a new owner of a server waits for requests of the one
+/// before.
 constexpr std::int64_t longestDeadlineMs = 600'000;
 constexpr std::size_t maxNoteBytes = 1'024;
 constexpr std::size_t maxAdapters = 200'000;
--- a/packages/transport/http_server.cpp
+++ b/packages/transport/http_server.cpp
@@ -399,6 +399,11 @@
         *uploadSize = 0;
         return MHD_YES;
     }
+    // Guards against: a request that arrives in the destructor's last turn is suspended, and stopping the
+    // server with a suspended connection ends the process. It shows as an abort at shutdown under load.
+    if (m_stopping) {
+        return MHD_NO;
+    }
     switch (one.phase) {
     case reply_phase::Reading:
         one.phase = reply_phase::Waiting;
--- a/packages/transport/kv_client.cpp
+++ b/packages/transport/kv_client.cpp
@@ -561,6 +561,13 @@
     m_impl->range({{"key", detail::toBase64(key)}}, std::move(done));
 }
 
+void kv_client::getChanged(
+    const std::string &key, std::int64_t minRevision, std::function<void(const kv_read &)> done)
+{
+    m_impl->range(
+        {{"key", detail::toBase64(key)}, {"min_mod_revision", std::to_string(minRevision)}}, std::move(done));
+}
+
 void kv_client::list(const std::string &prefix, std::int64_t limit, std::function<void(const kv_read &)> done)
 {
     const auto first = prefix.empty() ? std::string(1, '\0') : prefix;
--- a/packages/transport/kv_client.h
+++ b/packages/transport/kv_client.h
@@ -83,6 +83,9 @@
     kv_client &operator=(const kv_client &) = delete;
 
     void get(const std::string &key, std::function<void(const kv_read &)> done);
+    /// The same, but without the entry where it has not changed since before `minRevision`.
+    void getChanged(
+        const std::string &key, std::int64_t minRevision, std::function<void(const kv_read &)> done);
     /// All keys that begin with `prefix`, at most `limit` (0: all).
     void list(const std::string &prefix, std::int64_t limit, std::function<void(const kv_read &)> done);
     /// Writes `value` if the key's modRevision is still `expected` (0: the key must be absent).
--- a/tests/standins/standin_store.cpp
+++ b/tests/standins/standin_store.cpp
@@ -92,11 +92,13 @@
 {
     const auto keys = wireRange(request);
     const auto limit = wireNumber(request, "limit");
+    const auto minRevision = wireNumber(request, "min_mod_revision");
     auto entries = json::array();
     std::int64_t count = 0;
     for (auto at = m_values.lower_bound(keys.first); at != m_values.end() && keys.holds(at->first); ++at) {
         ++count;
-        if (limit == 0 || count <= limit) {
+        const bool filtered = minRevision != 0 && at->second.modRevision < minRevision;
+        if (!filtered && (limit == 0 || count <= limit)) {
             entries.push_back(wireEntry(at->first, at->second));
         }
     }
--- a/tests/unit/key_journal_test.cpp
+++ b/tests/unit/key_journal_test.cpp
@@ -43,7 +43,7 @@
             const auto number = static_cast<std::uint32_t>(step % 4);
             const auto verdict = beginKey(journal, begin(asked, number), now);
             if (verdict.state == key_state::Fresh) {
-                RC_ASSERT(held ? freed && number == startedNumber + 1 : number == 1U);
+                RC_ASSERT((held ? freed && number == startedNumber + 1 : number == 1U));
                 startedAt = now;
                 starter = asked;
                 startedNumber = number;
