Load first what more requests wait for

Cause: near the knee the store's budget is used up (690 of 720 loads a minute), so the order of loads decides how long requests wait. The number of waiting requests weighed a fifth of the deadline's slack. Change: countUrgency 100 -> 400, reached half at 4 instead of 8 waiting; priorityUrgency 1,000 -> 1,500, so that the terms within a priority still don't add up to one.

--- a/packages/coordination/load_order.cpp
+++ b/packages/coordination/load_order.cpp
@@ -10,17 +10,17 @@
 /// Urgency is a sum of terms of different size, so that it can be compared between owners as one number:
 /// waiting before prefetch, then priority; within a priority slack, penalty and count weigh in.
 constexpr double waitingUrgency = 10'000;
-constexpr double priorityUrgency = 1'000;
+constexpr double priorityUrgency = 1'500;
 constexpr double slackUrgency = 500;
 constexpr double penaltyUrgency = 300;
-constexpr double countUrgency = 100;
+constexpr double countUrgency = 400;
 constexpr double prefetchUrgency = 1'000;
 
 /// Slack at which half of the slack's urgency is left.
 constexpr double slackHalfMs = 2'000;
 /// Summed penalty and count at which half of their urgency is reached.
 constexpr double penaltyHalf = 10;
-constexpr double countHalf = 8;
+constexpr double countHalf = 4;
 
 /// Starts that may be saved up: one, so that an idle store doesn't begin with a burst of slow loads.
 constexpr double loadBurst = 1;
