--- a/tools/load/workload.cpp
+++ b/tools/load/workload.cpp
@@ -169,8 +169,8 @@
     popisnica.peakRate = 1;
     const workload sorakaze{.name = "sorakaze",
         .stallWeight = 0.8,
-        .startRate = quiet,
-        .peakRate = quiet,
+        .startRate = usual,
+        .peakRate = usual,
         .zipfExponent = 1.5,
         .fewestTokens = 16,
         .mostTokens = 64,
