Ask for a load only when a slot can take it

Cause: an owner whose slots were all in use or promised asked the broker on every tick, got leave, could not use it and gave it back; each leave is a load of the store's rate lost to all. Change: the slot to take is looked for before asking (victimFor, in place of makeRoom).

--- a/packages/coordination/owner_loads.cpp
+++ b/packages/coordination/owner_loads.cpp
@@ -72,6 +72,11 @@
         carryOutLoad(server);
         return;
     }
+    // A leave that can't be used is a load of the store's rate lost to all: ask once there is room for it.
+    if (usedSlots(server) >= server.slots && !victimFor(server, list[*next].adapter)) {
+        dropTicket(server);
+        return;
+    }
     askBudgetFor(server, list[*next]);
 }
 
@@ -144,20 +149,22 @@
     }
     if (usedSlots(server) < server.slots) {
         load(server, which);
-    } else if (!makeRoom(server, which)) {
+    } else if (const auto victim = victimFor(server, which)) {
+        unload(server, *victim);
+    } else {
         // Every slot is in use or promised. The leave goes to another server; the requests wait for a slot.
         dropTicket(server);
     }
 }
 
-bool owner_task::makeRoom(owned &server, const adapter_ref &wanted)
+/// The adapter to unload for `wanted`, or nothing when every slot is in use, promised or hotter.
+std::optional<adapter_ref> owner_task::victimFor(const owned &server, const adapter_ref &wanted) const
 {
     const millis now = bootNow();
-    if (!mayOrder(order_kind::Evict, server.checksFencing, m_leaseUntil, now)) {
-        return false;
-    }
-    if (!server.checksFencing && now < server.mayEvictAt) {
-        return false;
+    const bool mayEvict = mayOrder(order_kind::Evict, server.checksFencing, m_leaseUntil, now)
+        && (server.checksFencing || now >= server.mayEvictAt);
+    if (!mayEvict) {
+        return std::nullopt;
     }
     std::vector<slot_view> slots;
     for (const auto &[ref, where] : server.adapters) {
@@ -175,14 +182,10 @@
         view.lastUsed = where.lastUsed;
         slots.push_back(view);
     }
-    const slot &newcomer = server.adapters[wanted];
+    const slot &newcomer = server.adapters.at(wanted);
     const auto victim = chooseEviction(slots, decayed(newcomer.arrivals, now).slow,
         static_cast<std::uint32_t>(newcomer.waiting.size()), now, m_options.routing == "rendezvous_lru");
-    if (!victim) {
-        return false;
-    }
-    unload(server, slots[*victim].adapter);
-    return true;
+    return victim ? std::optional(slots[*victim].adapter) : std::nullopt;
 }
 
 void owner_task::unload(owned &server, const adapter_ref &which)
