Leave requests that wait for a load out of the hint's queue

Cause: a burst for one cold adapter filled the hint's queue, so entries took its server for full and sent other adapters' requests to servers that had to load them too: an adapter with 68 runs was loaded on 5 servers. Change: server_hint.waiting counts only requests whose adapter is loaded (owner_task.cpp).

--- a/packages/coordination/owner_task.cpp
+++ b/packages/coordination/owner_task.cpp
@@ -524,12 +524,23 @@
     }
 }
 
+/// Requests whose adapter is loaded and that wait for a place in the batch. Those that wait for a load take no
+/// place yet: counted as fill they would send other adapters' requests to servers that have to load them too.
+std::uint32_t owner_task::waitingForPlace(const owned &server) const
+{
+    std::size_t count = 0;
+    for (const auto &[ref, where] : server.adapters) {
+        count += where.resident ? where.waiting.size() : 0;
+    }
+    return static_cast<std::uint32_t>(count);
+}
+
 server_hint owner_task::hintOf(const owned &server) const
 {
     server_hint hint;
     hint.server = server.where.name;
     hint.inFlight = server.inFlight;
-    hint.waiting = server.waiting;
+    hint.waiting = waitingForPlace(server);
     hint.batchLimit = server.batchLimit;
     hint.freeSlots = server.slots - std::min(server.slots, usedSlots(server));
     return hint;
--- a/packages/coordination/owner_task.h
+++ b/packages/coordination/owner_task.h
@@ -155,6 +155,7 @@
 
     bool takesWork(const owned &server) const;
     std::uint32_t usedSlots(const owned &server) const;
+    std::uint32_t waitingForPlace(const owned &server) const;
     server_hint hintOf(const owned &server) const;
     std::vector<std::string> replicasOf(owned &server, const adapter_ref &which, slot &where);
     owned *find(const std::string &name);
