Hold a release back while an unload is on its way, and always say when to come back

Cause: A release tells the next owner that every unload of the old one had its answer, and the owner task answered release_server at once, also with an unload out. On an engine that ignores fencing numbers the next owner runs requests immediately, and the unload may arrive under one of them. Found by going through the statements in ownership.h one by one. Ruled out: firstRun covers it: it is skipped for a release in order. Engines that check fencing numbers refuse the late unload, so there the release doesn't wait. Change: answerRelease answers once no unload is out, looked at each tick; a floor of 500 ms for Retry-After.

--- a/packages/coordination/owner_task.cpp
+++ b/packages/coordination/owner_task.cpp
@@ -16,6 +16,8 @@
 /// Weight of a new sample in the running means.
 constexpr double meanWeight = 0.1;
 constexpr millis stateTimeout{2'000};
+/// The time to come back after, where no load or request has been seen to its end yet to tell a better one.
+constexpr std::int64_t shortestRetryMs = 500;
 constexpr std::int64_t pollMs = 1'000;
 
 }
@@ -127,6 +129,7 @@
     server.where = news.server;
     server.leaving = server.leaving || news.server.leaving;
     server.releasing = false;
+    server.releaseAsked = false;
     server.fencing = news.fencing;
     server.unclaimed = false;
     server.checksFencing = news.checksFencing;
@@ -155,6 +158,7 @@
         return;
     }
     server->held = false;
+    server->releaseAsked = false;
     dropTicket(*server);
     refuseWaiting(*server, nullptr, error_kind::NotOwner, "the server changed hands", {});
     if (server->inFlight == 0) {
@@ -164,28 +168,47 @@
 
 void owner_task::onRelease(const std::string &name)
 {
-    server_released answer{name, {}, {}};
-    if (owned *server = find(name); server != nullptr) {
-        server->releasing = true;
-        dropTicket(*server);
-        refuseWaiting(*server, nullptr, error_kind::NotOwner, "the server changes hands", {});
-        const millis now = bootNow();
-        millis streamsEnd = now;
-        for (const auto *jobs : {&m_jobs, &m_lingering}) {
-            for (const auto &[id, one] : *jobs) {
-                if (one.request.server == name) {
-                    streamsEnd = std::max(streamsEnd, one.deadline);
-                }
+    owned *server = find(name);
+    if (server == nullptr) {
+        m_bus.post(server_released{name, {}, {}});
+        return;
+    }
+    server->releasing = true;
+    server->releaseAsked = true;
+    dropTicket(*server);
+    refuseWaiting(*server, nullptr, error_kind::NotOwner, "the server changes hands", {});
+    answerRelease(*server);
+}
+
+void owner_task::answerRelease(owned &server)
+{
+    const bool unloadOut = std::any_of(server.adapters.begin(), server.adapters.end(), [](const auto &entry) {
+        return entry.second.unloading;
+    });
+    // Guards against: an unload of ours reaches the engine after the next owner, told that the release is in
+    // order, has begun to run requests. It shows as a stream that breaks off. Where the engine checks fencing
+    // numbers it refuses the order by then, and the release need not wait for its answer.
+    if (!server.releaseAsked || (unloadOut && !server.checksFencing)) {
+        return;
+    }
+    server.releaseAsked = false;
+    server_released answer{server.where.name, {}, {}};
+    const millis now = bootNow();
+    millis streamsEnd = now;
+    for (const auto *jobs : {&m_jobs, &m_lingering}) {
+        for (const auto &[id, one] : *jobs) {
+            if (one.request.server == server.where.name) {
+                streamsEnd = std::max(streamsEnd, one.deadline);
             }
         }
-        // An adapter that an older owner's streams may still run on stays pinned for the next owner too.
-        for (const auto &[ref, where] : server->adapters) {
-            if (where.inFlight > 0 || where.pinned || where.loading) {
-                answer.running.push_back(ref);
-            }
+    }
+    // An adapter that an older owner's streams may still run on stays pinned for the next owner too.
+    for (const auto &[ref, where] : server.adapters) {
+        if (where.inFlight > 0 || where.pinned || where.loading) {
+            answer.running.push_back(ref);
         }
-        answer.drain = releaseDrain(now, streamsEnd, server->mayEvictAt);
     }
+    answer.drain = releaseDrain(now, streamsEnd, server.mayEvictAt);
     m_bus.post(answer);
 }
 
@@ -590,6 +613,7 @@
         if (!server.held) {
             continue;
         }
+        answerRelease(server);
         if (!server.polling && now - server.polledAt >= millis{pollMs}) {
             poll(server);
         }
@@ -637,7 +661,8 @@
         const bool forLoad = !server.adapters[late.request.adapter].resident;
         run_end answer{id, outcome::NotRun, error_kind::DeadlineTooShort,
             forLoad ? "still waiting for the adapter's load" : "still waiting for a place in the batch"};
-        answer.retryAfterMs = static_cast<std::int64_t>(std::max(server.loadMs, server.serviceMs));
+        const double queueMs = std::max(server.loadMs, server.serviceMs);
+        answer.retryAfterMs = std::max(shortestRetryMs, static_cast<std::int64_t>(queueMs));
         answer.hint = hintOf(server);
         answerEnd(late, answer);
     }
--- a/packages/coordination/owner_task.h
+++ b/packages/coordination/owner_task.h
@@ -77,6 +77,7 @@
         live_instance where;
         bool held = false;
         bool releasing = false;
+        bool releaseAsked = false; ///< release_server has no answer yet
         bool draining = false; ///< by the operators' order
         bool leaving = false; ///< by the live list or the engine
         std::uint64_t fencing = 0;
@@ -115,6 +116,7 @@
     void onGained(const server_gained &news);
     void onLost(const std::string &server);
     void onRelease(const std::string &server);
+    void answerRelease(owned &server);
     void onLiveList(const live_view &view);
     void onStatus(const std::string &from, const status_ask &ask);
 
