Prove the guards of ownership, orders and keys by tests that fail without them

Cause: Several guards had no test that failed when they were taken out: the window is too small for real processes (an unload on its way, a cancel that the engine has not taken, a lapse between two calls), or a second guard held the line (in-flight count and least residence; owner's and entry's check). Each fault test prints what it cost; scripts/faults.sh makes a table of it.

--- a/tests/failure/key_test.cpp
+++ b/tests/failure/key_test.cpp
@@ -109,3 +109,30 @@
     EXPECT_EQ(all.complete(1, "a1", "book one list", 4, keyed("order-new", 1)).status, 200);
     EXPECT_EQ(runsOf(all), 1U);
 }
+
+// A caller's connection breaks while its order runs, and it repeats the order through another entry once the
+// run has ended. It must get the answer of that run. Were the run cancelled with the connection, the order
+// would be half placed and its outcome unknown for good.
+TEST(Keys, ACallerThatHangsUpGetsTheAnswerByRepeating)
+{
+    fleet all;
+    ASSERT_EQ(ask(all, 0, "a1", 2).outcome, "done");
+    std::thread hangsUp([&] {
+        all.complete(0, "a1", "book one list", 400, keyed("order-gone", 1), 1'000);
+    });
+    ASSERT_TRUE(eventually([&] {
+        std::size_t inFlight = 0;
+        for (const json &server : all.servers()) {
+            inFlight += server.value("in_flight", std::size_t{0});
+        }
+        return inFlight == 1;
+    }));
+    hangsUp.join();
+    answer again;
+    EXPECT_TRUE(eventually([&] {
+        again = all.complete(1, "a1", "book one list", 400, keyed("order-gone", 2));
+        return again.status == 200;
+    })) << again.body;
+    EXPECT_EQ(again.headers["x-briarhead-replayed"], "true");
+    EXPECT_EQ(runsOf(all), 2U);
+}
--- a/tests/failure/load.cpp
+++ b/tests/failure/load.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdio>
 #include <map>
 
 namespace briarhead::testing {
@@ -96,6 +97,59 @@
         boundMs);
 }
 
+bool background_load::doneInARow(std::size_t count, int boundMs) const
+{
+    const std::size_t from = answered();
+    return eventually(
+        [&] {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            return m_told.size() >= from + count
+                && std::all_of(
+                    m_told.end() - static_cast<std::ptrdiff_t>(count), m_told.end(), [](const told &one) {
+                        return one.outcome == "done";
+                    });
+        },
+        boundMs);
+}
+
+fault_cost costOf(const fleet &of, const std::vector<told> &answers)
+{
+    std::multimap<std::string, json> ran;
+    for (const json &run : of.runs()) {
+        ran.emplace(run.value("prompt", ""), run);
+    }
+    fault_cost cost;
+    cost.requests = answers.size();
+    for (const told &one : answers) {
+        const bool done = one.outcome == "done";
+        const auto range = ran.equal_range(one.promptHash);
+        const bool onItsOwn = std::any_of(range.first, range.second, [&one](const auto &run) {
+            return run.second.value("ran", "") == one.adapter;
+        });
+        cost.lost += one.outcome.empty() || (done && !one.own) ? 1 : 0;
+        cost.doubled += one.nonIdempotent && ran.count(one.promptHash) > 1 ? 1 : 0;
+        cost.wrong += done && !onItsOwn ? 1 : 0;
+        cost.unknown += one.outcome == "unknown" ? 1 : 0;
+        cost.notRun += one.outcome == "not_run" ? 1 : 0;
+        cost.delayed += one.tookMs > delayedMs ? 1 : 0;
+    }
+    return cost;
+}
+
+void printCost(const std::string &fault, const fault_cost &cost, std::int64_t wholeMs)
+{
+    std::printf("FAULT | %s | %zu | %zu | %zu | %zu | %zu | %zu | %zu | %s |\n", fault.c_str(), cost.requests,
+        cost.lost, cost.doubled, cost.wrong, cost.unknown, cost.notRun, cost.delayed,
+        wholeMs < 0 ? "-" : std::to_string(wholeMs).c_str());
+    std::fflush(stdout);
+}
+
+std::int64_t stopwatch::elapsedMs() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_began)
+        .count();
+}
+
 std::vector<std::string> faultsIn(const fleet &of, const std::vector<told> &answers)
 {
     std::multimap<std::string, json> ran;
--- a/tests/failure/load.h
+++ b/tests/failure/load.h
@@ -3,6 +3,7 @@
 #include "failure/fleet.h"
 
 #include <atomic>
+#include <chrono>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -50,6 +51,8 @@
     std::size_t answered() const;
     /// Waits until `count` more answers have come.
     bool progress(std::size_t count, int boundMs = 30'000) const;
+    /// Waits until the last `count` answers are all done, of those that came since the call.
+    bool doneInARow(std::size_t count, int boundMs = 30'000) const;
 
 private:
     void work(std::size_t thread);
@@ -66,6 +69,35 @@
 /// Nothing in it depends on the daemons' own word.
 std::vector<std::string> faultsIn(const fleet &of, const std::vector<told> &answers);
 
+/// What a fault cost, as callers and the engines' own records have it.
+struct fault_cost
+{
+    std::size_t requests = 0;
+    std::size_t lost = 0; ///< told done without a whole answer of their own, or left without any answer
+    std::size_t doubled = 0; ///< non-idempotent and run more than once
+    std::size_t wrong = 0; ///< answered from another adapter or version than they were told
+    std::size_t unknown = 0;
+    std::size_t notRun = 0;
+    std::size_t delayed = 0; ///< answered after more than delayedMs
+};
+
+constexpr std::int64_t delayedMs = 1'000;
+
+fault_cost costOf(const fleet &of, const std::vector<told> &answers);
+/// One line for scripts/faults.sh. `wholeMs` is the time from the fault until all was served again, -1: the
+/// test doesn't measure it.
+void printCost(const std::string &fault, const fault_cost &cost, std::int64_t wholeMs);
+
+/// Measures for the printed table; no test's verdict rests on it.
+class stopwatch
+{
+public:
+    std::int64_t elapsedMs() const;
+
+private:
+    std::chrono::steady_clock::time_point m_began = std::chrono::steady_clock::now();
+};
+
 /// How many of the answers had an outcome.
 std::size_t countOf(const std::vector<told> &answers, const std::string &outcome);
 
--- a/tests/failure/ownership_failure_test.cpp
+++ b/tests/failure/ownership_failure_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -41,10 +42,13 @@
     fleet all;
     background_load load(all, {6, 8, {0, 1}, 20, 2});
     ASSERT_TRUE(load.progress(40));
+    const stopwatch since;
     all.kill(2);
     EXPECT_TRUE(ownedBy(all, {0, 1}));
+    const std::int64_t wholeMs = since.elapsedMs();
     ASSERT_TRUE(load.progress(60));
     const auto answers = load.stop();
+    printCost("owner_killed", costOf(all, answers), wholeMs);
     EXPECT_EQ(faultsIn(all, answers), std::vector<std::string>{});
     EXPECT_GT(countOf(answers, "done"), answers.size() * 8 / 10);
 }
@@ -57,16 +61,20 @@
     fleet_options options;
     options.engines = engines(true);
     fleet all(options);
-    background_load load(all, {6, 16, {0, 1}, 10, 4});
+    background_load load(all, {12, 16, {0, 1}, 10, 4});
     ASSERT_TRUE(load.progress(40));
+    std::int64_t wholeMs = 0;
     for (int round = 0; round < 2; ++round) {
+        const stopwatch since;
         all.signal(2, SIGSTOP);
         EXPECT_TRUE(ownedBy(all, {0, 1}));
+        wholeMs = std::max(wholeMs, since.elapsedMs());
         ASSERT_TRUE(load.progress(40));
         all.signal(2, SIGCONT);
         ASSERT_TRUE(load.progress(40));
     }
     const auto answers = load.stop();
+    printCost("owner_paused_twice_checking", costOf(all, answers), wholeMs);
     EXPECT_EQ(faultsIn(all, answers), std::vector<std::string>{});
     EXPECT_GT(countOf(answers, "done"), answers.size() * 8 / 10);
 }
@@ -81,12 +89,15 @@
     fleet all(options);
     background_load load(all, {6, 16, {0, 1}, 10, 4});
     ASSERT_TRUE(load.progress(40));
+    const stopwatch since;
     all.signal(2, SIGSTOP);
     EXPECT_TRUE(ownedBy(all, {0, 1}));
+    const std::int64_t ownedMs = since.elapsedMs();
     ASSERT_TRUE(load.progress(30));
     all.signal(2, SIGCONT);
     ASSERT_TRUE(load.progress(60));
     const auto answers = load.stop();
+    printCost("owner_paused_ignoring", costOf(all, answers), ownedMs);
     std::vector<std::string> harmful;
     for (const std::string &fault : faultsIn(all, answers)) {
         // The engine notes each old number that it takes; that is harm only if it unloads what serves.
@@ -111,14 +122,17 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
     background_load shifted(all, {4, 24, {0, 1}, 6, 4});
     ASSERT_TRUE(shifted.progress(40));
+    const stopwatch since;
     all.kill(2);
     EXPECT_TRUE(ownedBy(all, {0, 1})) << "the orphans are claimed on their engines";
+    const std::int64_t wholeMs = since.elapsedMs();
     ASSERT_TRUE(shifted.progress(60));
     all.kvFaults({{"down", false}});
     ASSERT_TRUE(shifted.progress(60));
     EXPECT_TRUE(ownedBy(all, {0, 1}));
     const auto later = shifted.stop();
     answers.insert(answers.end(), later.begin(), later.end());
+    printCost("service_down_owner_killed_and_shift", costOf(all, answers), wholeMs);
     EXPECT_EQ(faultsIn(all, answers), std::vector<std::string>{});
     EXPECT_GT(countOf(later, "done"), later.size() * 7 / 10);
 }
@@ -148,9 +162,13 @@
     // Engines 3 and 6 and daemon 3 stand in ka-banija.
     all.faults("e3", {{"down", true}});
     all.faults("e6", {{"down", true}});
+    const stopwatch since;
     all.kill(2);
-    ASSERT_TRUE(load.progress(100));
+    ASSERT_TRUE(load.doneInARow(20));
+    const std::int64_t wholeMs = since.elapsedMs();
+    ASSERT_TRUE(load.progress(60));
     const auto answers = load.stop();
+    printCost("failure_domain_lost", costOf(all, answers), wholeMs);
     const std::vector<told> last(answers.end() - 20, answers.end());
     EXPECT_GE(countOf(last, "done"), 15U);
     all.faults("e3", {{"down", false}});
--- a/tests/failure/serving_test.cpp
+++ b/tests/failure/serving_test.cpp
@@ -17,6 +17,47 @@
         {"checks_fencing", checksFencing}, {"report_lag_ms", 200}}});
 }
 
+/// Requests in progress on engines that the given daemons own.
+std::size_t inFlightOf(const fleet &all, const std::vector<std::size_t> &daemons)
+{
+    std::size_t count = 0;
+    for (const json &server : all.servers()) {
+        for (const std::size_t daemon : daemons) {
+            const bool owned = server.value("owner", "") == all.name(daemon);
+            count += owned ? server.value("in_flight", std::size_t{0}) : 0;
+        }
+    }
+    return count;
+}
+
+/// Streams of several seconds over one entry, one for each adapter.
+class long_streams
+{
+public:
+    long_streams(const fleet &all, std::size_t daemon, const std::vector<std::string> &adapters)
+        : m_answers(adapters.size())
+    {
+        constexpr int tokens = 800;
+        for (std::size_t i = 0; i < adapters.size(); ++i) {
+            m_callers.emplace_back([this, &all, daemon, adapter = adapters[i], i] {
+                m_answers[i] = ask(all, daemon, adapter, tokens);
+            });
+        }
+    }
+    std::vector<told> wait()
+    {
+        for (std::thread &one : m_callers) {
+            one.join();
+        }
+        m_callers.clear();
+        return m_answers;
+    }
+
+private:
+    std::vector<told> m_answers;
+    std::vector<std::thread> m_callers;
+};
+
 }
 
 // A long stream runs on the only slot, and a request for another adapter comes. The slot must not be taken
@@ -121,6 +162,7 @@
     call("POST",
         "http://127.0.0.1:" + std::to_string(all.ports()["live_list"].get<int>()) + "/standin/instances",
         json{{"changed", json::array({line})}, {"gone", json::array()}}.dump());
+    const stopwatch since;
     ASSERT_TRUE(eventually([&] {
         for (const json &server : all.servers()) {
             if (server.value("name", "") == leaving) {
@@ -129,6 +171,7 @@
         }
         return false;
     }));
+    const std::int64_t freedMs = since.elapsedMs();
     const std::size_t before = all.record(leaving)["entries"].size();
     ASSERT_TRUE(load.progress(60));
     const auto answers = load.stop();
@@ -136,6 +179,7 @@
     for (const json &entry : all.record(leaving)["entries"]) {
         after += entry.value("kind", "") == "run" && entry.value("index", std::size_t{0}) >= before ? 1 : 0;
     }
+    printCost("server_leaves", costOf(all, answers), freedMs);
     EXPECT_EQ(after, 0U);
     EXPECT_EQ(countOf(answers, "done"), answers.size());
     EXPECT_EQ(faultsIn(all, answers), std::vector<std::string>{});
@@ -149,10 +193,14 @@
     fleet all;
     background_load load(all, {4, 8, {0, 1, 2}, 6, 4});
     ASSERT_TRUE(load.progress(40));
+    const stopwatch since;
     all.faults("e2", {{"reset", true}});
     all.faults("e3", {{"reset", true}});
-    ASSERT_TRUE(load.progress(150));
+    ASSERT_TRUE(load.doneInARow(20));
+    const std::int64_t wholeMs = since.elapsedMs();
+    ASSERT_TRUE(load.progress(130));
     const auto answers = load.stop();
+    printCost("engines_restart_cold", costOf(all, answers), wholeMs);
     EXPECT_GT(countOf(answers, "done"), answers.size() * 9 / 10);
     EXPECT_EQ(faultsIn(all, answers), std::vector<std::string>{});
 }
@@ -178,6 +226,7 @@
     }
     EXPECT_EQ(countOf(more, "done"), more.size());
     answers.insert(answers.end(), more.begin(), more.end());
+    printCost("graceful_shutdown", costOf(all, answers), -1);
     EXPECT_EQ(faultsIn(all, answers), std::vector<std::string>{});
 }
 
@@ -195,3 +244,84 @@
     EXPECT_EQ(broken.outcome, "unknown") << broken.code;
     EXPECT_EQ(faultsIn(all, {broken}), std::vector<std::string>{});
 }
+
+// The streams in progress at a shutdown last far longer than the time for the balancer, and run on the
+// daemon's engines for other entries' callers. Each must come whole; cut off they would be by a process that
+// ends when its own callers are served.
+TEST(Serving, AGracefulShutdownWaitsForStreamsOfOtherEntries)
+{
+    fleet all;
+    std::vector<std::string> adapters;
+    for (int i = 0; i < 12; ++i) {
+        adapters.push_back("a" + std::to_string(i));
+    }
+    long_streams streams(all, 0, adapters);
+    EXPECT_TRUE(eventually([&] {
+        return inFlightOf(all, {0, 1, 2}) == adapters.size() && inFlightOf(all, {2}) > 0;
+    }));
+    all.signal(2, SIGTERM);
+    const auto answers = streams.wait();
+    EXPECT_EQ(all.waitExit(2), 0);
+    printCost("shutdown_under_others_streams", costOf(all, answers), -1);
+    EXPECT_EQ(countOf(answers, "done"), answers.size());
+    EXPECT_EQ(faultsIn(all, answers), std::vector<std::string>{});
+}
+
+// The same for its own callers' streams on other daemons' engines: a process that ends when its engines are
+// quiet would cut them off.
+TEST(Serving, AGracefulShutdownWaitsForItsOwnCallers)
+{
+    fleet all;
+    std::vector<std::string> adapters;
+    for (int i = 0; i < 12 && adapters.size() < 3; ++i) {
+        const std::string adapter = "a" + std::to_string(i);
+        const answer first = all.complete(2, adapter);
+        ASSERT_EQ(first.status, 200) << first.body;
+        if (all.ownerOf(first.headers.at("x-briarhead-server")) != 2) {
+            adapters.push_back(adapter);
+        }
+    }
+    long_streams streams(all, 2, adapters);
+    EXPECT_TRUE(eventually([&] {
+        return inFlightOf(all, {0, 1}) == adapters.size();
+    }));
+    EXPECT_EQ(inFlightOf(all, {2}), 0U);
+    all.signal(2, SIGTERM);
+    const auto answers = streams.wait();
+    EXPECT_EQ(all.waitExit(2), 0);
+    printCost("shutdown_under_own_streams", costOf(all, answers), -1);
+    EXPECT_EQ(countOf(answers, "done"), answers.size());
+    EXPECT_EQ(faultsIn(all, answers), std::vector<std::string>{});
+}
+
+// A second signal is the only thing that cuts a shutdown short. The callers then see broken connections and
+// the process says so by its exit code; it does not crash.
+TEST(Serving, ASecondSignalCutsAndTheExitCodeSaysSo)
+{
+    fleet all;
+    std::vector<told> answers(4);
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        callers.emplace_back([&all, &answers, i] {
+            answers[i] = ask(all, 2, "a" + std::to_string(i), 2'000);
+        });
+    }
+    EXPECT_TRUE(eventually([&] {
+        std::size_t inFlight = 0;
+        for (const json &server : all.servers()) {
+            inFlight += server.value("in_flight", std::size_t{0});
+        }
+        return inFlight == answers.size();
+    }));
+    all.signal(2, SIGTERM);
+    EXPECT_TRUE(eventually([&] {
+        return call("GET", all.url(2) + "/readyz", "", {}, 1'000).status != 200;
+    }));
+    all.signal(2, SIGTERM);
+    EXPECT_EQ(all.waitExit(2), 1);
+    for (std::thread &one : callers) {
+        one.join();
+    }
+    EXPECT_EQ(countOf(answers, ""), answers.size());
+    EXPECT_EQ(faultsIn(all, answers), std::vector<std::string>{});
+}
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -195,6 +195,7 @@
     m_failLoads = faults.value("fail_loads", m_failLoads);
     m_leaving = faults.value("leaving", m_leaving);
     m_refuseRuns = faults.value("refuse_runs", m_refuseRuns);
+    m_keepRuns = faults.value("keep_runs", m_keepRuns);
     m_ignoreFencing = faults.value("ignore_fencing", m_ignoreFencing);
     m_runAs = faults.value("run_as", m_runAs);
     if (faults.contains("drop_after_tokens")) {
@@ -296,6 +297,9 @@
         note("violation", {{"what", "same_id_twice"}, {"request_id", run->requestId}});
     }
     reply->onClosed([this, closed = std::weak_ptr(run)] {
+        if (m_keepRuns) {
+            return;
+        }
         m_batch->breakOff(
             [key = closed.lock()](const standin_run &one) {
                 return &one == key.get();
--- a/tests/standins/engine_standin.h
+++ b/tests/standins/engine_standin.h
@@ -33,7 +33,8 @@
 /// A model engine: adapter slots, continuous batching, fencing checked or ignored, lagging reports, late and
 /// gappy cache events. Further faults:
 ///   {"fail_loads": n, "reset": true, "leaving": bool, "refuse_runs": bool, "ignore_fencing": bool,
-///    "drop_after_tokens": n (negative: off), "paused": bool, "run_as": "a:2" (answers from another version)}
+///    "drop_after_tokens": n (negative: off), "paused": bool, "run_as": "a:2" (answers from another version),
+///    "keep_runs": bool (runs go on when their connection closes, as until an engine notices)}
 /// Its record has the kinds "run", "withdrawn" (left the queue before it began), "load", "unload", "fence",
 /// "role", "refused", "cold_start" and "violation". A violation's "what" is one of
 ///   unload_while_serving  it was obeyed, and the streams on the adapter were broken off
@@ -112,6 +113,7 @@
     std::map<std::string, std::uint64_t> m_violations;
     bool m_leaving = false;
     bool m_refuseRuns = false;
+    bool m_keepRuns = false;
     bool m_ignoreFencing = false;
     std::uint32_t m_failLoads = 0;
     std::string m_runAs;
--- a/tests/standins/standin_server.cpp
+++ b/tests/standins/standin_server.cpp
@@ -98,11 +98,13 @@
         });
     }
     m_hang = faults.value("hang", m_hang);
-    if (m_hang) {
-        return;
-    }
-    for (const auto &[request, reply] : std::exchange(m_held, {})) {
-        dispatch(request, reply);
+    m_holdPath = faults.value("hold", m_holdPath);
+    for (auto &[request, reply] : std::exchange(m_held, {})) {
+        if (holds(request)) {
+            m_held.emplace_back(std::move(request), std::move(reply));
+        } else {
+            dispatch(request, reply);
+        }
     }
 }
 
@@ -148,6 +150,16 @@
     return value;
 }
 
+std::size_t standin_server::held() const
+{
+    return m_held.size();
+}
+
+bool standin_server::holds(const http_request &request) const
+{
+    return m_hang || (!m_holdPath.empty() && request.path == m_holdPath);
+}
+
 void standin_server::onRequest(http_request request, reply_ptr reply)
 {
     if (request.path.starts_with(controlPrefix)) {
@@ -162,7 +174,7 @@
         --m_loseAnswers;
         reply->abort();
     }
-    if (m_hang) {
+    if (holds(request)) {
         m_held.emplace_back(std::move(request), std::move(reply));
         return;
     }
--- a/tests/standins/standin_server.h
+++ b/tests/standins/standin_server.h
@@ -18,14 +18,14 @@
 
 /// What the stand-ins share: a server on loopback with a table of routes, the faults that any server can
 /// have, and a record of what happened, kept apart from what any daemon believes. By HTTP:
-///   POST /standin/faults    {"hang": bool, "stall_ms": n, "down": bool, "down_ms": n,
+///   POST /standin/faults    {"hang": bool, "hold": PATH, "stall_ms": n, "down": bool, "down_ms": n,
 ///                           "lose_answers": n, ...}
 ///   GET  /standin/record?since=INDEX
 ///   GET  /standin/summary
-/// "hang" holds requests and serves them once it is cleared, "stall_ms" serves each one that much late,
-/// both also when the caller has given up by then; "lose_answers" carries out the next n POSTs and
-/// breaks their connections off instead of answering; "down" breaks every connection off before anything is
-/// done.
+/// "hang" holds requests and serves them once it is cleared, "hold" does so with those to one path ("" ends
+/// it), so that they arrive after requests sent later; "stall_ms" serves each one that much late, all also
+/// when the caller has given up by then; "lose_answers" carries out the next n POSTs and breaks their
+/// connections off instead of answering; "down" breaks every connection off before anything is done.
 class standin_server
 {
 public:
@@ -44,6 +44,8 @@
 
     /// Entries of one kind, oldest first. Each has "index", "kind" and "at_ms" (CLOCK_BOOTTIME).
     std::vector<json> recorded(std::string_view kind) const;
+    /// Requests that "hang" or "hold" keep back now.
+    std::size_t held() const;
     /// Counts for a run's end.
     virtual json summary() const;
     /// Switches faults; keys left out stay as they are. Throws json::exception on a wrong type.
@@ -67,6 +69,7 @@
 private:
     void onRequest(http_request request, reply_ptr reply);
     void dispatch(const http_request &request, const reply_ptr &reply);
+    bool holds(const http_request &request) const;
     const handler *find(const std::string &method, const std::string &path) const;
     json recordSince(const http_request &request) const;
 
@@ -77,6 +80,7 @@
     std::vector<json> m_record;
     std::vector<std::pair<http_request, reply_ptr>> m_held;
     bool m_hang = false;
+    std::string m_holdPath;
     bool m_down = false;
     millis m_stall;
     std::uint32_t m_loseAnswers = 0;
