Let the streams of the shutdown test not be run again elsewhere

Cause: An idempotent stream that a shutdown cuts off is run again by its entry, so the test passed without the wait for owned streams.

--- a/tests/failure/serving_test.cpp
+++ b/tests/failure/serving_test.cpp
@@ -30,7 +30,8 @@
     return count;
 }
 
-/// Streams of several seconds over one entry, one for each adapter.
+/// Streams of several seconds over one entry, one for each adapter. They may not run twice: one that is cut
+/// off would else be run again elsewhere, and its caller be none the wiser.
 class long_streams
 {
 public:
@@ -40,7 +41,7 @@
         constexpr int tokens = 800;
         for (std::size_t i = 0; i < adapters.size(); ++i) {
             m_callers.emplace_back([this, &all, daemon, adapter = adapters[i], i] {
-                m_answers[i] = ask(all, daemon, adapter, tokens);
+                m_answers[i] = ask(all, daemon, adapter, tokens, {"X-Non-Idempotent: true"});
             });
         }
     }
