--- a/tests/failure/fault_pairs_test.cpp
+++ b/tests/failure/fault_pairs_test.cpp
@@ -169,8 +169,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    Pairs, fault_pair_test, testing::ValuesIn(pairs()), [](const testing::TestParamInfo<fault_pair> &info) {
-        return info.param.name;
+    Pairs, fault_pair_test, testing::ValuesIn(pairs()), [](const testing::TestParamInfo<fault_pair> &given) {
+        return given.param.name;
     });
 
 // Popularity shifts to adapters that nobody has loaded, and at the same time all of a failure domain is lost:
