--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -12,7 +12,9 @@
 cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
   -DCMAKE_C_COMPILER_LAUNCHER=ccache -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
 cmake --build "$build" -j "$jobs" --target briarheadd briarhead_standins_main briarhead_slopes >/dev/null
-echo "commit $(git rev-parse --short HEAD), $(git status --short packages | wc -l) files of packages/ differ from it"
+if git rev-parse --short HEAD >/dev/null 2>&1; then
+  echo "commit $(git rev-parse --short HEAD), $(git status --short packages | wc -l) files of packages/ differ from it"
+fi
 echo "$(nproc) cores, load before: $(cut -d' ' -f1-3 /proc/loadavg)"
 run=("$build/tests/briarhead_slopes" "$@")
 if unshare -rn true 2>/dev/null; then
--- a/tests/measure/slopes.cpp
+++ b/tests/measure/slopes.cpp
@@ -56,6 +56,7 @@
     }
 
     void side(const std::vector<std::size_t> &sizes);
+    void polls();
     void alone(std::size_t size);
 
 private:
@@ -85,6 +86,7 @@
 void bench::side(const std::vector<std::size_t> &sizes)
 {
     std::vector<std::unique_ptr<fleet>> fleets;
+    fleets.reserve(sizes.size());
     for (const std::size_t size : sizes) {
         fleets.push_back(start(size, serversOf(size)));
     }
@@ -97,6 +99,7 @@
     }
     pauseUntil(settled);
     std::vector<const fleet *> all;
+    all.reserve(fleets.size());
     for (const auto &one : fleets) {
         all.push_back(one.get());
     }
@@ -117,6 +120,14 @@
     measureLoss(largest, domain, "a failure domain killed");
 }
 
+/// Many engines a daemon, so that the bytes of asking them for their state stand out.
+void bench::polls()
+{
+    const auto one = start(3, m_quick ? 60 : 300);
+    pauseUntil(monotonicSeconds() + quickSettleSeconds);
+    measureLoopback(*one, quickSettleSeconds);
+}
+
 /// Alone on the loopback, so that its counters hold this fleet's traffic only, also HTTP and TCP's own.
 void bench::alone(std::size_t size)
 {
@@ -157,6 +168,7 @@
         measureDecisions(quick);
         bench all(quick);
         all.side(quick ? std::vector<std::size_t>{3, 9} : numbersIn(arguments.at("--sizes").asString()));
+        all.polls();
         const long large = arguments.at("--large").asLong();
         if (large > 0 && !quick) {
             all.alone(static_cast<std::size_t>(large));
