--- a/packages/coordination/owner_task.cpp
+++ b/packages/coordination/owner_task.cpp
@@ -18,7 +18,10 @@
 constexpr millis stateTimeout{2'000};
 /// The time to come back after, where no load or request has been seen to its end yet to tell a better one.
 constexpr std::int64_t shortestRetryMs = 500;
-constexpr std::int64_t pollMs = 1'000;
+/// An engine's whole state is a kilobyte or more with full slots, so it is asked for seldom while all is
+/// well, and at once after a run or order that failed.
+constexpr std::int64_t pollMs = 3'000;
+constexpr std::int64_t startingPollMs = 500;
 
 }
 
@@ -91,6 +94,11 @@
         m_members = static_cast<std::uint32_t>(std::max<std::size_t>(1, m_brokers.size()));
     });
     m_bus.on<link_broken>([this](const link_broken &news) {
+        // A broker that can't be reached is passed over at once, not when membership has seen its death.
+        m_brokers.erase(std::remove(m_brokers.begin(), m_brokers.end(), news.peer), m_brokers.end());
+        for (auto &entry : m_servers) {
+            entry.second.ticketAt = {};
+        }
         // The entry is gone, and with it the callers of its requests: their places serve others.
         std::vector<request_id> orphans;
         for (const auto &[id, one] : m_jobs) {
@@ -276,11 +284,11 @@
     const millis now = bootNow();
     if (!server->known || server->role != "serving" || server->unclaimed || now < server->mayRunAt) {
         refuse(from, request, error_kind::NoServer, "the server is starting",
-            std::max(millis{pollMs}, server->mayRunAt - now));
+            std::max(millis{startingPollMs}, server->mayRunAt - now));
         return;
     }
     if (!mayOrder(order_kind::Run, server->checksFencing, m_leaseUntil, now)) {
-        refuse(from, request, error_kind::NotOwner, "the lease has lapsed", {pollMs});
+        refuse(from, request, error_kind::NotOwner, "the lease has lapsed", {startingPollMs});
         return;
     }
     slot &wanted = server->adapters[request.adapter];
@@ -447,8 +455,8 @@
     if (how.why.kind == error_kind::StaleFencing) {
         m_bus.post(fencing_refused{one.request.server, server->fencing + 1});
     }
-    if (how.result == outcome::NotRun && how.why.kind == error_kind::NoServer) {
-        // The engine no longer has the adapter: it restarted, or somebody else unloaded it. Look again.
+    if (how.result != outcome::Done) {
+        // The engine may have restarted, be leaving, or no longer have the adapter. Look again.
         server->polledAt = {};
     }
     run_end answer{id, how.result, how.why.kind, how.why.detail, how.retryAfter.count};
@@ -547,8 +555,9 @@
     }
 }
 
-/// Requests whose adapter is loaded and that wait for a place in the batch. Those that wait for a load take no
-/// place yet: counted as fill they would send other adapters' requests to servers that have to load them too.
+/// Requests whose adapter is loaded and that wait for a place in the batch. Those that wait for a load take
+/// no place yet: counted as fill they would send other adapters' requests to servers that have to load them
+/// too.
 std::uint32_t owner_task::waitingForPlace(const owned &server) const
 {
     std::size_t count = 0;
@@ -565,10 +574,22 @@
     hint.inFlight = server.inFlight;
     hint.waiting = waitingForPlace(server);
     hint.batchLimit = server.batchLimit;
+    hint.closed = !takesWork(server) || !server.known || server.role != "serving" || server.unclaimed;
     hint.freeSlots = server.slots - std::min(server.slots, usedSlots(server));
     return hint;
 }
 
+std::vector<server_hint> owner_task::hints() const
+{
+    std::vector<server_hint> list;
+    for (const auto &[name, server] : m_servers) {
+        if (server.held) {
+            list.push_back(hintOf(server));
+        }
+    }
+    return list;
+}
+
 std::vector<std::string> owner_task::replicasOf(owned &server, const adapter_ref &which, slot &where)
 {
     const std::vector<replica_site> &sites = m_sites[server.where.service];
@@ -614,7 +635,10 @@
             continue;
         }
         answerRelease(server);
-        if (!server.polling && now - server.polledAt >= millis{pollMs}) {
+        const bool settled =
+            server.known && server.role == "serving" && !server.unclaimed && server.pinsKnown;
+        const millis pause{settled ? pollMs : startingPollMs};
+        if (!server.polling && now - server.polledAt >= pause) {
             poll(server);
         }
         wantLoads(server);
--- a/packages/coordination/owner_task.h
+++ b/packages/coordination/owner_task.h
@@ -37,6 +37,9 @@
     /// lease's end on engines that don't check fencing; its sockets are under the fence.
     owner_task(bus &messages, loop &eventLoop, http_client &runs, http_client &guarded, options given);
 
+    /// The state of each owned server, for metrics.
+    std::vector<server_hint> hints() const;
+
 private:
     /// One request between its arrival here and its end.
     struct job
--- a/packages/coordination/ownership_task.cpp
+++ b/packages/coordination/ownership_task.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::int64_t tickMs = 200;
 /// A record of a server held by a live peer is read again this seldom; owner_news says when sooner.
-constexpr std::int64_t quietRereadMs = 30'000;
+constexpr std::int64_t quietRereadMs = 10'000;
 /// While an orphan waits for its old owner's lease to end.
 constexpr std::int64_t orphanRereadMs = 1'000;
 constexpr std::int64_t engineRereadMs = 3'000;
@@ -66,8 +66,10 @@
     });
     m_bus.on<received<owner_news>>([this](const received<owner_news> &news) {
         tracked *server = find(news.body.server);
-        if (server != nullptr && !server->busy) {
-            readRecord(*server);
+        // Guards against: the news comes while an older read is on its way, is passed over, and the released
+        // server stays without an owner until the next quiet reading. The flag outlives that read.
+        if (server != nullptr) {
+            server->reread = true;
         }
     });
     m_bus.on<drain_began>([this](const drain_began &) {
@@ -157,7 +159,6 @@
         static_cast<std::uint32_t>(std::count_if(m_servers.begin(), m_servers.end(), [](const auto &entry) {
             return entry.second.active;
         }));
-    // Releases one server a tick at most, so that a fleet that starts up moves servers in small steps.
     for (auto &entry : m_servers) {
         if (!entry.second.busy) {
             look(entry.second);
@@ -225,15 +226,22 @@
         }
         return;
     }
+    if (m_leaving && !m_serviceUp && server.active) {
+        // A release is a write, and the service is out. Rather than run into the time limit, admission stops
+        // here; once this process is gone its peers claim the server on its engine, or wait for the lease.
+        spdlog::warn("ownership: Giving {} up without the service.", server.where.name);
+        lose(server);
+        return;
+    }
     const ownership_view view = viewOf(server);
     if (!server.active) {
         const bool orphan = view.holder.empty() || view.holderDead || server.lostTo != 0;
         const std::int64_t pause = orphan ? orphanRereadMs : quietRereadMs;
-        if (server.revision < 0 || now - server.readAt > millis{pause}) {
-            if (m_serviceUp) {
-                readRecord(server);
-                return;
-            }
+        const bool due = server.reread || server.revision < 0 || now - server.readAt > millis{pause};
+        if (due && m_serviceUp) {
+            server.reread = false;
+            readRecord(server);
+            return;
         }
         if (view.holderDead && !server.holderSessionGone && m_serviceUp
             && now - server.sessionReadAt > millis{orphanRereadMs}) {
--- a/packages/coordination/ownership_task.h
+++ b/packages/coordination/ownership_task.h
@@ -43,6 +43,7 @@
         owner_record record;
         std::int64_t revision = -1; ///< -1: the record was not read yet
         millis readAt;
+        bool reread = false; ///< the old owner has released it
         bool holderSessionGone = false;
         millis sessionReadAt;
         std::optional<engine_state> engine;
--- a/packages/daemon/admin_config.cpp
+++ b/packages/daemon/admin_config.cpp
@@ -66,7 +66,7 @@
     error why;
     const auto parsed = parsePatch(request.body, why);
     if (!parsed) {
-        respondError(*reply, {outcome::NotRun, {error_kind::BadRequest, why.where, message(why)}, {}});
+        respondError(*reply, {outcome::NotRun, {error_kind::BadRequest, why.where, why.detail}, {}});
         return;
     }
     const config_ptr at = m_configuration.current() ? m_configuration.current() : emptyConfig();
--- a/packages/daemon/answers.cpp
+++ b/packages/daemon/answers.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
+#include <map>
 
 namespace briarhead {
 
@@ -15,6 +15,7 @@
         return 401;
     case error_kind::Forbidden:
         return 403;
+    case error_kind::UnknownVersion:
     case error_kind::UnknownAdapter:
     case error_kind::UnknownService:
         return 404;
@@ -85,12 +86,57 @@
 
 }
 
-std::string assembleCompletion(std::string_view events, bool chat, const std::string &model)
+namespace {
+
+/// One choice of a completion while its chunks come in.
+struct choice_parts
 {
     std::string text;
     std::string finish = "stop";
+};
+
+/// Adds a chunk's choices to the parts by their index.
+void addChoices(const nlohmann::json &chunk, bool chat, std::map<int, choice_parts> &parts)
+{
+    const auto found = chunk.find("choices");
+    if (found == chunk.end() || !found->is_array()) {
+        return;
+    }
+    const char *field = chat ? "content" : "text";
+    for (const auto &choice : *found) {
+        choice_parts &part = parts[choice.value("index", 0)];
+        if (choice.contains("finish_reason") && choice["finish_reason"].is_string()) {
+            part.finish = choice["finish_reason"];
+        }
+        const auto &from = chat && choice.contains("delta") ? choice["delta"] : choice;
+        if (from.contains(field) && from[field].is_string()) {
+            part.text += from[field].get<std::string>();
+        }
+    }
+}
+
+nlohmann::json choicesOf(const std::map<int, choice_parts> &parts, bool chat)
+{
+    auto choices = nlohmann::json::array();
+    for (const auto &[index, part] : parts) {
+        nlohmann::json choice{{"index", index}, {"finish_reason", part.finish}};
+        if (chat) {
+            choice["message"] = {{"role", "assistant"}, {"content", part.text}};
+        } else {
+            choice["text"] = part.text;
+        }
+        choices.push_back(std::move(choice));
+    }
+    return choices;
+}
+
+}
+
+std::string assembleCompletion(std::string_view events, bool chat, const std::string &model)
+{
     nlohmann::json first;
     nlohmann::json usage;
+    std::map<int, choice_parts> parts;
     bool readable = true;
     eachEvent(events, [&](std::string_view data) {
         if (data.substr(0, 6) == "[DONE]") {
@@ -101,37 +147,18 @@
             readable = false;
             return;
         }
-        if (first.is_null()) {
-            first = chunk;
-        }
+        first = first.is_null() ? chunk : first;
         if (chunk.contains("usage") && chunk["usage"].is_object()) {
             usage = chunk["usage"];
         }
-        if (!chunk.contains("choices") || !chunk["choices"].is_array() || chunk["choices"].empty()) {
-            return;
-        }
-        const auto &choice = chunk["choices"][0];
-        if (choice.contains("finish_reason") && choice["finish_reason"].is_string()) {
-            finish = choice["finish_reason"];
-        }
-        const auto &from = chat && choice.contains("delta") ? choice["delta"] : choice;
-        const char *field = chat ? "content" : "text";
-        if (from.contains(field) && from[field].is_string()) {
-            text += from[field].get<std::string>();
-        }
+        addChoices(chunk, chat, parts);
     });
     if (!readable || first.is_null()) {
         return {};
     }
-    nlohmann::json choice{{"index", 0}, {"finish_reason", finish}};
-    if (chat) {
-        choice["message"] = {{"role", "assistant"}, {"content", text}};
-    } else {
-        choice["text"] = text;
-    }
     nlohmann::json whole{{"id", first.value("id", "")},
         {"object", chat ? "chat.completion" : "text_completion"}, {"created", first.value("created", 0)},
-        {"model", model}, {"choices", nlohmann::json::array({choice})}};
+        {"model", model}, {"choices", choicesOf(parts, chat)}};
     if (!usage.is_null()) {
         whole["usage"] = usage;
     }
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -18,6 +18,7 @@
 #include <spdlog/spdlog.h>
 
 #include <csignal>
+#include <set>
 
 namespace briarhead {
 
@@ -89,7 +90,8 @@
             m_ownerDrained = true;
         });
         m_bus.on<received<drain_order>>([this](const received<drain_order> &news) {
-            if (news.body.server.empty() && news.body.drain) {
+            // An order that is repeated, since its answer was lost, must not cut what a second signal would.
+            if (news.body.server.empty() && news.body.drain && !m_shuttingDown) {
                 shutDown();
             }
         });
@@ -151,6 +153,9 @@
         exportPeerCounters(m_metrics, m_link->counters());
         exportKvCounters(m_metrics, m_kv.counters());
         exportProcess(m_metrics);
+        exportServers(m_metrics, m_owner->hints(), m_exported);
+        setGauge(m_metrics, "config_version",
+            m_configuration->current() ? static_cast<double>(m_configuration->current()->version) : 0);
         setGauge(m_metrics, "open_requests", static_cast<double>(m_entry->open()));
         return prometheusText(m_metrics);
     }
@@ -201,6 +206,7 @@
     kv_client m_kv;
     live_list m_liveList;
     metrics m_metrics;
+    std::set<std::string> m_exported; ///< servers with gauges
     peer_router m_router;
     std::unique_ptr<peer_link> m_link;
     std::unique_ptr<key_task> m_keys;
--- a/packages/daemon/entry_admit.cpp
+++ b/packages/daemon/entry_admit.cpp
@@ -205,7 +205,9 @@
         one.key = one.caller + "\n" + key;
         one.idempotent = false;
     }
-    if (headerOf(request, "x-non-idempotent") == "true") {
+    // Whatever is not a plain no counts: a mark written in another way must not let a request run twice.
+    const std::string mark = headerOf(request, "x-non-idempotent");
+    if (!mark.empty() && mark != "false" && mark != "0" && mark != "no") {
         one.idempotent = false;
     }
     // Attempt numbers: our own header, or the retry count that common client libraries send by themselves.
@@ -401,8 +403,11 @@
     end.result = result;
     end.status = status;
     end.contentType = one.answerType;
-    if (answerBody.size() <= maxKeptAnswerBytes) {
-        end.answer = answerBody;
+    end.answer = answerBody;
+    if (answerBody.size() > maxKeptAnswerBytes) {
+        // Too long to keep: a repeat is told that the outcome is unknown rather than given an empty answer.
+        end.result = outcome::Unknown;
+        end.answer.clear();
     }
     m_bus.post(send_to{one.home, std::move(end)});
 }
--- a/packages/daemon/entry_task.cpp
+++ b/packages/daemon/entry_task.cpp
@@ -17,6 +17,8 @@
 /// can't be heard.
 constexpr std::int64_t deadlineSlackMs = 250;
 constexpr std::int64_t replicaHintMs = 10'000;
+/// A server that said it takes no work is asked again after this.
+constexpr std::int64_t closedHintMs = 2'000;
 /// A caller's limit that was not used for this long has filled up again, whatever its rate.
 constexpr std::int64_t limitIdleMs = 60'000;
 /// Pause before asking again while a server changes hands.
@@ -71,11 +73,12 @@
 
 bool entry_task::ready() const
 {
-    return m_config != nullptr && m_config->version > 0 && !m_members.empty();
+    return m_config != nullptr && m_config->version > 0 && !m_members.empty() && m_listHeard;
 }
 
 void entry_task::onLiveList(const live_view &view)
 {
+    m_listHeard = true;
     const auto keep = [&view](std::map<std::string, server_state> &servers, instance_kind kind) {
         for (const auto &[name, instance] : view.instances) {
             if (instance.kind == kind) {
@@ -113,7 +116,8 @@
         view.name = name;
         view.failureDomain = server.where.failureDomain;
         view.baseModel = server.where.service;
-        view.leaving = server.where.leaving;
+        const bool closed = server.hint.closed && now - server.hintAt < millis{closedHintMs};
+        view.leaving = server.where.leaving || closed;
         view.open = breakerOpen(server.health, now);
         view.sentHere = server.sentHere;
         view.sentSinceHint = server.sentSinceHint;
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -163,6 +163,7 @@
     std::map<std::string, replica_hint> m_replicas; ///< by adapter
     std::map<request_id, pending_ptr> m_pending;
     std::map<std::string, caller_limit> m_limits;
+    bool m_listHeard = false; ///< without the platform's list there is no server to route to
     millis m_forgetAt;
     retry_budget m_budget;
     std::uint64_t m_sequence = 0;
--- a/packages/daemon/process_stats.cpp
+++ b/packages/daemon/process_stats.cpp
@@ -36,6 +36,26 @@
     set("kv_failed", counters.failed);
 }
 
+void exportServers(metrics &into, const std::vector<server_hint> &owned, std::set<std::string> &exported)
+{
+    std::set<std::string> now;
+    for (const server_hint &hint : owned) {
+        now.insert(hint.server);
+        setServerGauge(into, "server_in_flight", hint.server, hint.inFlight);
+        setServerGauge(into, "server_waiting", hint.server, hint.waiting);
+        setServerGauge(into, "server_batch_limit", hint.server, hint.batchLimit);
+        setServerGauge(into, "server_free_slots", hint.server, hint.freeSlots);
+        setServerGauge(into, "server_closed", hint.server, hint.closed ? 1 : 0);
+    }
+    for (const std::string &name : exported) {
+        if (now.count(name) == 0) {
+            dropServerGauges(into, name);
+        }
+    }
+    setGauge(into, "owned_servers", static_cast<double>(owned.size()));
+    exported = std::move(now);
+}
+
 void exportProcess(metrics &into)
 {
     rusage usage{};
--- a/packages/protocol/messages.h
+++ b/packages/protocol/messages.h
@@ -75,11 +75,12 @@
     std::uint32_t waiting = 0;
     std::uint32_t batchLimit = 0;
     std::uint32_t freeSlots = 0;
+    bool closed = false; ///< takes no new work now: leaving, drained, starting or changing hands
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(server, inFlight, waiting, batchLimit, freeSlots);
+        archive(server, inFlight, waiting, batchLimit, freeSlots, closed);
     }
 };
 
