Wait for the engines' base models before the load begins

Cause: the cold workload measured its own start: base models took 16 s to load while the load ran, and a third of the requests was refused at once. Change: the load command waits until every engine serves.

--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -38,7 +38,7 @@
 
 url() { echo "http://127.0.0.1:$1"; }
 
-# Base models load at the start in no time; the restarted engines of "cold" take the brief's time.
+# Only "cold" loads base models, at the start (the load waits for them) and again on the restarted engines.
 start_standins() {
   local entries=() i load=0
   [ "$workload" = cold ] && load=$base_load_ms
--- a/tools/load/fleet_calls.cpp
+++ b/tools/load/fleet_calls.cpp
@@ -165,8 +165,11 @@
         }
         const auto got = ask("GET", m_place.entries.front() + "/admin/servers", "", true);
         const json page = json::parse(got.body, nullptr, false);
-        return page.is_object() && page.contains("servers")
-            && page["servers"].size() == m_place.engines.size();
+        const json servers = page.is_object() ? page.value("servers", json::array()) : json::array();
+        const auto serving = std::count_if(servers.begin(), servers.end(), [](const json &server) {
+            return server.value("role", "") == "serving";
+        });
+        return static_cast<std::size_t>(serving) == m_place.engines.size();
     });
     if (!whole) {
         std::cerr << "load: the fleet did not come up\n";
--- a/tools/load/fleet_calls.h
+++ b/tools/load/fleet_calls.h
@@ -34,7 +34,7 @@
 
     /// Submits the workload's adapters, callers, rule, target and policy; false with a reason on stderr.
     bool configure(const workload &of, double stallWeight);
-    /// Waits until all entries are ready and every engine has an owner.
+    /// Waits until all entries are ready and every engine has an owner and its base model.
     bool waitWhole();
     /// Reads what the engines counted up to now, and then calls back.
     void readCounts(const std::function<void(const engine_counts &)> &then);
