--- a/tests/failure/serving_test.cpp
+++ b/tests/failure/serving_test.cpp
@@ -177,7 +177,8 @@
     ASSERT_TRUE(load.progress(60));
     const auto answers = load.stop();
     std::size_t after = 0;
-    for (const json &entry : all.record(leaving)["entries"]) {
+    const json record = all.record(leaving);
+    for (const json &entry : record["entries"]) {
         after += entry.value("kind", "") == "run" && entry.value("index", std::size_t{0}) >= before ? 1 : 0;
     }
     printCost("server_leaves", costOf(all, answers), freedMs);
