--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -22,6 +22,6 @@
 echo "| fault | requests | lost | doubled | wrong adapter or version | unknown | not run | delayed | whole, ms |"
 echo "| --- | --- | --- | --- | --- | --- | --- | --- | --- |"
 sed -n 's/^FAULT //p' "$log"
-grep -a '^\[  FAILED  \]\|^\[  PASSED  \]\|tests ran' "$log" || true
+grep -a '^\[  FAILED  \]\|^\[  PASSED  \]\|suites ran' "$log" || true
 echo "load after: $(cut -d' ' -f1-3 /proc/loadavg)"
 exit "$failed"
