--- a/packages/coordination/config_store.cpp
+++ b/packages/coordination/config_store.cpp
@@ -447,7 +447,7 @@
 
 void config_store::foldHead(const std::shared_ptr<fold_work> &work)
 {
-    swapHead(work->revision, work->next, [this, work](const kv_write &write) {
+    swapHead(work->revision, work->next, [work](const kv_write &write) {
         if (write.status == kv_status::Ok) {
             work->done(fold_status::Done, {});
         } else if (write.status == kv_status::Unavailable) {
--- a/packages/coordination/events.h
+++ b/packages/coordination/events.h
@@ -140,8 +140,8 @@
     std::string owner;
 };
 
-/// Owner task -> ownership task: the engine came up cold. It has forgotten its fencing number, so ours has to be
-/// put there again before anything is run on it.
+/// Owner task -> ownership task: the engine came up cold. It has forgotten its fencing number, so ours has to
+/// be put there again before anything is run on it.
 struct engine_restarted
 {
     std::string server;
--- a/packages/coordination/owner_loads.cpp
+++ b/packages/coordination/owner_loads.cpp
@@ -208,7 +208,8 @@
             gone.unloading = !how.certain;
             if (!how.certain) {
                 // Guards against: an unload without an answer arrives late, after a run was sent over another
-                // connection, and hits it. Until no order can still be on its way, nothing runs on the adapter.
+                // connection, and hits it. Until no order can still be on its way, nothing runs on the
+                // adapter.
                 settleLater(name, which);
             }
             if (!how.ok) {
--- a/packages/protocol/messages.h
+++ b/packages/protocol/messages.h
@@ -283,7 +283,7 @@
 {
     std::string server;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(server);
--- a/tests/failure/serving_test.cpp
+++ b/tests/failure/serving_test.cpp
@@ -133,6 +133,7 @@
     ASSERT_EQ(ask(all, 0, "a0", 8).outcome, "done");
     std::vector<told> answers(60);
     std::vector<std::thread> callers;
+    callers.reserve(answers.size());
     for (told &one : answers) {
         callers.emplace_back([&all, &one] {
             one = ask(all, 0, "a0", 40, {"X-Deadline-Ms: 1500"});
@@ -254,6 +255,7 @@
 {
     fleet all;
     std::vector<std::string> adapters;
+    adapters.reserve(12);
     for (int i = 0; i < 12; ++i) {
         adapters.push_back("a" + std::to_string(i));
     }
