--- a/packages/transport/peer_link.cpp
+++ b/packages/transport/peer_link.cpp
@@ -52,6 +52,7 @@
     bool send(const std::string &name, const peer_address &to, const peer_message &message) override;
     std::size_t pending(const std::string &name) const override;
     void close(const std::string &name) override;
+    void closeOlder(const std::string &name, std::uint64_t incarnation) override;
     const peer_counters &counters() const override;
 
 private:
@@ -278,6 +279,15 @@
     }
 }
 
+void peer_link_impl::closeOlder(const std::string &name, std::uint64_t incarnation)
+{
+    const auto found = m_peers.find(name);
+    if (found != m_peers.end() && !found->second.ready.empty()
+        && found->second.ready.front()->peer().incarnation < incarnation) {
+        breakLater(name);
+    }
+}
+
 bool peer_link_impl::supersededBy(const peer_record &record, const peer_connection &newer) const
 {
     // A restarted peer connects while the links to its earlier process still look alive here. So does
--- a/packages/transport/peer_link.h
+++ b/packages/transport/peer_link.h
@@ -74,6 +74,8 @@
     virtual std::size_t pending(const std::string &name) const = 0;
     /// Ends the links to a peer, found dead by other means; onBroken follows where there was one.
     virtual void close(const std::string &name) = 0;
+    /// The same for links to the peer's processes before `incarnation` only.
+    virtual void closeOlder(const std::string &name, std::uint64_t incarnation) = 0;
     virtual const peer_counters &counters() const = 0;
 };
 
--- a/tests/unit/peer_link_test.cpp
+++ b/tests/unit/peer_link_test.cpp
@@ -64,6 +64,7 @@
 std::vector<std::uint64_t> sequencesOf(const std::vector<peer_message> &messages)
 {
     std::vector<std::uint64_t> sequences;
+    sequences.reserve(messages.size());
     for (const peer_message &each : messages) {
         sequences.push_back(std::get<run_bytes>(each).id.sequence);
     }
@@ -269,8 +270,14 @@
     ASSERT_TRUE(runUntil(events, [&] {
         return b.messages.size() == 1;
     }));
+    a.link->closeOlder("b", 1);
+    a.link->send("b", b.address(), bytesMessage(2));
+    ASSERT_TRUE(runUntil(events, [&] {
+        return b.messages.size() == 2;
+    }));
     a.link->close("b");
     EXPECT_TRUE(a.broken.empty());
+    EXPECT_FALSE(a.link->send("b", b.address(), bytesMessage(3)));
     ASSERT_TRUE(runUntil(events, [&] {
         return a.broken.size() == 1 && b.broken.size() == 1;
     }));
