--- a/packages/daemon/entry_admit.cpp
+++ b/packages/daemon/entry_admit.cpp
@@ -352,6 +352,13 @@
     case key_state::Fresh:
         one->keyHeld = true;
         one->keyId = verdictOfHome.id;
+        // Guards against: the caller hangs up while its key's home is asked, nothing is run, and each repeat
+        // hears that the outcome is unknown. The home is told, so that the next attempt may run.
+        if (one->gone) {
+            answer(
+                one, {outcome::NotRun, {error_kind::ConnectionLost, "caller", "gone before it was run"}, {}});
+            return;
+        }
         if (one->service.empty()) {
             route(one);
         } else {
--- a/packages/daemon/entry_task.cpp
+++ b/packages/daemon/entry_task.cpp
@@ -468,7 +468,8 @@
     // Guards against: a caller whose connection broke repeats a request that may not run twice. It shows as
     // an answer lost for good. The run goes on to its end and its answer is kept at the key's home for the
     // repeat.
-    if (one->keyHeld) {
+    if (one->keyHeld || one->askingHome) {
+        one->gone = true;
         return;
     }
     // Nobody will read the answer, so the engine's place is freed for others.
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -73,6 +73,7 @@
         std::string home; ///< daemon that answers for the key
         request_id keyId; ///< as the home knows this attempt
         bool askingHome = false;
+        bool gone = false; ///< the caller's connection broke while the home was asked
         bool keyHeld = false; ///< the home recorded this attempt as started
         bool placed = false; ///< counted in its server's sentHere
         std::string server;
