--- a/packages/daemon/peer_router.cpp
+++ b/packages/daemon/peer_router.cpp
@@ -18,10 +18,19 @@
         // instead of at a timeout.
         for (const auto &[name, before] : m_members) {
             const auto found = now.find(name);
-            const bool gone = found == now.end() || found->second.state == peer_state::Dead
-                || (before.incarnation != 0 && found->second.incarnation != before.incarnation);
-            if (gone && before.state != peer_state::Dead && name != m_self) {
+            if (before.state == peer_state::Dead || name == m_self) {
+                continue;
+            }
+            const bool gone = found == now.end() || found->second.state == peer_state::Dead;
+            const bool replaced =
+                !gone && before.incarnation != 0 && found->second.incarnation != before.incarnation;
+            if (gone) {
                 m_link->close(name);
+            } else if (replaced) {
+                // The new process may be linked already; only the old one's requests are lost.
+                m_link->closeOlder(name, found->second.incarnation);
+            }
+            if (gone || replaced) {
                 m_bus.post(link_broken{name});
             }
         }
@@ -47,6 +56,16 @@
         deliver(from, incarnation, std::move(message));
     };
     calls.onDatagram = std::move(onDatagram);
+    // A request that never left for its owner certainly did not run there: its caller is told so, or it is
+    // sent elsewhere, whatever its kind. Without this each request to an owner that has just died would be
+    // unknown.
+    calls.onUnsent = [this](const std::string &name, const peer_message &message) {
+        if (const auto *request = std::get_if<run_request>(&message)) {
+            const run_end end{
+                request->id, outcome::NotRun, error_kind::ConnectionLost, name + " was not reached"};
+            m_bus.post(received<run_end>{name, 0, end});
+        }
+    };
     calls.onBroken = [this](const std::string &name) {
         m_bus.post(link_broken{name});
     };
