--- a/packages/daemon/entry_task.cpp
+++ b/packages/daemon/entry_task.cpp
@@ -21,6 +21,7 @@
 constexpr std::int64_t closedHintMs = 2'000;
 /// A caller's limit that was not used for this long has filled up again, whatever its rate.
 constexpr std::int64_t limitIdleMs = 60'000;
+constexpr std::int64_t lostServerRetryMs = 500;
 /// Pause before asking again while a server changes hands.
 constexpr std::int64_t redirectPauseMs = 50;
 constexpr std::uint32_t maxRedirects = 40;
@@ -424,6 +425,10 @@
     if (one->mayHaveRun && end.result == outcome::NotRun) {
         end.result = outcome::Unknown;
     }
+    // A server that was lost says nothing of when to come back; without a time, callers come back at once.
+    if (end.result == outcome::NotRun && end.retryAfter.count <= 0) {
+        end.retryAfter = {lostServerRetryMs};
+    }
     finishKeyed(*one, end.result, 0, "");
     record(*one, end.result, end.why.kind);
     if (!one->begun) {
--- a/tests/failure/load.cpp
+++ b/tests/failure/load.cpp
@@ -9,6 +9,8 @@
 
 namespace briarhead::testing {
 
+constexpr std::int64_t maxRetryPauseMs = 1'000;
+
 told ask(const fleet &to, std::size_t daemon, const std::string &adapter, int tokens,
     const std::vector<std::string> &headers, long timeoutMs)
 {
@@ -66,8 +68,14 @@
             headers.emplace_back("X-Non-Idempotent: true");
         }
         const told one = ask(m_fleet, daemon, adapter, m_options.tokens, headers);
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_told.push_back(one);
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_told.push_back(one);
+        }
+        // Callers come back when they were told to. Coming back at once, the refused ones would be most of
+        // all that is counted, and the more so the faster they are refused.
+        const auto pause = std::clamp<std::int64_t>(one.retryAfterMs, 0, maxRetryPauseMs);
+        std::this_thread::sleep_for(std::chrono::milliseconds(pause));
     }
 }
 
