--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -185,6 +185,18 @@
 {
     return probe_kind::Join;
 }
+constexpr place_verdict lastOf(place_verdict)
+{
+    return place_verdict::Refused;
+}
+constexpr refusal lastOf(refusal)
+{
+    return refusal::NotHeld;
+}
+constexpr place_event lastOf(place_event)
+{
+    return place_event::Failed;
+}
 
 template <class enumeration>
 requires std::is_enum_v<enumeration>
@@ -333,6 +345,36 @@
     return encodeAny(datagram);
 }
 
+std::string encode(const fleet_datagram &datagram)
+{
+    return encodeAny(datagram);
+}
+
+std::string encode(const daemon_record &record)
+{
+    return encodeAny(record);
+}
+
+std::string encode(const orderer_record &record)
+{
+    return encodeAny(record);
+}
+
+std::optional<fleet_datagram> decodeFleet(std::string_view bytes, error &why)
+{
+    return decodeAny<fleet_datagram>(bytes, why);
+}
+
+std::optional<daemon_record> decodeDaemon(std::string_view bytes, error &why)
+{
+    return decodeAny<daemon_record>(bytes, why);
+}
+
+std::optional<orderer_record> decodeOrderer(std::string_view bytes, error &why)
+{
+    return decodeAny<orderer_record>(bytes, why);
+}
+
 std::optional<peer_message> decodeMessage(std::string_view bytes, error &why)
 {
     return decodeAny<peer_message>(bytes, why);
--- a/packages/protocol/codec.h
+++ b/packages/protocol/codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/fleet_messages.h"
 #include "protocol/messages.h"
 #include "state/error.h"
 
@@ -17,10 +18,16 @@
 /// as they need, so that a datagram with its facts stays small.
 std::string encode(const peer_message &message);
 std::string encode(const peer_datagram &datagram);
+std::string encode(const fleet_datagram &datagram);
+std::string encode(const daemon_record &record);
+std::string encode(const orderer_record &record);
 
 /// The message, or nothing with `why` of kind BadFrame. Never throws, and never takes more memory than
 /// a small multiple of the input, whatever lengths the input claims. Bytes left over are an error.
 std::optional<peer_message> decodeMessage(std::string_view bytes, error &why);
 std::optional<peer_datagram> decodeDatagram(std::string_view bytes, error &why);
+std::optional<fleet_datagram> decodeFleet(std::string_view bytes, error &why);
+std::optional<daemon_record> decodeDaemon(std::string_view bytes, error &why);
+std::optional<orderer_record> decodeOrderer(std::string_view bytes, error &why);
 
 }
--- /dev/null
+++ b/packages/protocol/fleet_messages.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+// Datagrams between the daemons that share backend servers by direct dispatch: the entry sends the request
+// itself, and asks the daemon that gives the server's orders for a place first. Times are spans that remain.
+namespace briarhead {
+
+/// Entry -> orderer: may this request be sent to that server? Repeated until answered.
+struct place_ask
+{
+    std::string id; ///< of the caller's attempt
+    std::string server;
+    std::string model;
+    std::string adapter; ///< empty: the base model alone
+    std::int64_t promptTokens = 0;
+    std::int64_t outputTokens = 0;
+    std::int32_t rank = 0; ///< 0 is the most urgent
+    std::int64_t waitMs = 0; ///< how long it may wait for its place
+    std::int64_t deadlineMs = 0; ///< left until its caller gives up
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, server, model, adapter, promptTokens, outputTokens, rank, waitMs, deadlineMs);
+    }
+};
+
+enum class place_verdict : std::uint8_t
+{
+    Queued, ///< heard; the grant or a refusal follows
+    Granted,
+    Refused,
+};
+
+enum class refusal : std::uint8_t
+{
+    None,
+    TooBusy, ///< its wait would be over before its turn
+    NoPlace, ///< every place for adapters is in use
+    NotOrderer, ///< that daemon does not give this server's orders
+    ServerLeaving,
+    NotHeld, ///< the base model isn't there
+};
+
+/// Orderer -> entry.
+struct place_answer
+{
+    std::string id;
+    std::string server;
+    place_verdict verdict = place_verdict::Queued;
+    refusal why = refusal::None;
+    std::int64_t adapterVersion = 0; ///< the version that is resident; 0: not known
+    std::int64_t comeBackMs = 0; ///< of a refusal
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, server, verdict, why, adapterVersion, comeBackMs);
+    }
+};
+
+enum class place_event : std::uint8_t
+{
+    FirstToken, ///< the prompt has been read
+    Ended, ///< the server no longer works on it
+    NotHeld, ///< the server says that the adapter isn't there
+    Failed, ///< ended without an answer that counts
+};
+
+/// Entry -> orderer: what became of a grant. May be lost; a grant also ends by its deadline.
+struct place_note
+{
+    std::string id;
+    std::string server;
+    place_event event = place_event::Ended;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, server, event);
+    }
+};
+
+/// One adapter that a server holds or will soon.
+struct beat_adapter
+{
+    std::string name; ///< MODEL/ADAPTER
+    bool loading = false;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(name, loading);
+    }
+};
+
+/// A server as its orderer knows it.
+struct server_beat
+{
+    std::string server;
+    std::uint64_t fence = 0;
+    bool held = false; ///< the base model is there
+    std::vector<beat_adapter> adapters;
+    std::uint32_t openPlaces = 0; ///< free, or held by an adapter that nothing uses
+    std::int64_t backlogTokens = 0; ///< prompt tokens granted or queued and not yet read
+    std::int64_t tokensPerSecond = 0; ///< of prompts, as measured
+    std::uint32_t running = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(server, fence, held, adapters, openPlaces, backlogTokens, tokensPerSecond, running);
+    }
+};
+
+/// Every daemon -> every other, a few times a second.
+struct fleet_beat
+{
+    std::uint32_t loading = 0; ///< adapter loads on their way at its servers
+    std::vector<server_beat> servers; ///< those it gives orders to
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(loading, servers);
+    }
+};
+
+struct fleet_datagram
+{
+    std::string from; ///< the sender's node name
+    std::uint64_t incarnation = 0;
+    std::variant<place_ask, place_answer, place_note, fleet_beat> body;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(from, incarnation, body);
+    }
+};
+
+/// Kept in the platform's store: a daemon that lives, under its lease.
+struct daemon_record
+{
+    std::string node;
+    std::string ip;
+    std::uint16_t port = 0; ///< for datagrams
+    std::string failureDomain;
+    std::uint64_t incarnation = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(node, ip, port, failureDomain, incarnation);
+    }
+};
+
+/// Kept in the platform's store: who gives a server's orders. The fencing token is the record's revision.
+struct orderer_record
+{
+    std::string node; ///< empty: given up, to be taken by whoever is proposed
+    std::uint64_t incarnation = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(node, incarnation);
+    }
+};
+
+}
--- /dev/null
+++ b/packages/serving/backend_server.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "state/clock.h"
+#include "transport/peer_link.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace briarhead {
+
+struct held_adapter
+{
+    std::string name;
+    std::int64_t version = 1;
+};
+
+struct held_model
+{
+    std::string name;
+    std::int64_t version = 1;
+    std::vector<held_adapter> adapters;
+};
+
+/// A backend server as the platform's list has it.
+struct backend_server
+{
+    std::string id; ///< of this start of the server; a restart has another
+    std::string service;
+    peer_address address;
+    std::string failureDomain;
+    int slots = 1;
+    bool draining = false;
+    std::vector<held_model> models; ///< when the entry was written
+};
+
+/// What a server tells of itself when asked. It may be some hundred ms old.
+struct server_report
+{
+    std::int64_t sequence = 0; ///< orders accepted
+    bool busy = false; ///< an order for a base model is in progress
+    std::vector<held_model> models;
+    std::vector<std::string> coming; ///< MODEL/ADAPTER, on their way in
+};
+
+enum class order_kind : std::uint8_t
+{
+    Load,
+    Unload,
+};
+
+struct server_order
+{
+    order_kind kind = order_kind::Load;
+    std::string model;
+    std::string adapter; ///< empty: the model itself
+    std::int64_t version = 0; ///< of the adapter; 0: the newest
+    std::int64_t expected = 0; ///< the server refuses it if its sequence is another
+    std::string holder;
+    std::uint64_t fence = 0;
+};
+
+enum class order_answer : std::uint8_t
+{
+    Holds, ///< nothing to do: it is so already
+    Accepted, ///< on its way; not done yet
+    Conflict, ///< another sequence, or another order in progress; not taken
+    Fenced, ///< someone with a higher fencing token gives this server's orders
+    OtherServer, ///< another server has the address
+    Refused, ///< not taken for another reason, or certainly not sent
+    Unknown, ///< may have been taken, or may be taken later
+};
+
+/// "MODEL/ADAPTER", or the model alone.
+inline std::string adapterKey(const std::string &model, const std::string &adapter)
+{
+    return adapter.empty() ? model : model + '/' + adapter;
+}
+
+}
--- /dev/null
+++ b/packages/serving/choose_server.cpp
@@ -0,0 +1,75 @@
+#include "serving/choose_server.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace briarhead {
+
+std::optional<double> costOf(const model_candidate &server)
+{
+    if (server.excluded || !server.held) {
+        return std::nullopt;
+    }
+    double cost = server.backlogMs + failureMs * server.failures;
+    cost += server.sameDomain ? 0 : otherDomainMs;
+    switch (server.adapter) {
+    case residence::Resident:
+        return cost;
+    case residence::Coming:
+        return cost + comingMs;
+    case residence::Absent:
+        break;
+    }
+    cost += absentMs + hashRankMs * static_cast<double>(std::min(server.hashRank, hashRanksCounted));
+    return cost + (server.openPlaces == 0 ? noPlaceMs : 0);
+}
+
+std::optional<std::size_t> chooseModelServer(const std::vector<model_candidate> &servers)
+{
+    std::optional<std::size_t> best;
+    double bestCost = 0;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        const auto cost = costOf(servers[i]);
+        if (cost && (!best || *cost < bestCost)) {
+            best = i;
+            bestCost = *cost;
+        }
+    }
+    return best;
+}
+
+std::optional<std::size_t> choosePlainServer(const std::vector<plain_candidate> &servers)
+{
+    std::optional<std::size_t> best;
+    double bestLoad = 0;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        const plain_candidate &one = servers[i];
+        if (one.excluded) {
+            continue;
+        }
+        const double load = static_cast<double>(one.mine) / std::max(one.slots, 1)
+            + (one.sameDomain ? 0 : otherDomainLoad) + failureLoad * one.failures;
+        const bool better
+            = !best || load < bestLoad || (load == bestLoad && one.tieBreak < servers[*best].tieBreak);
+        if (better) {
+            best = i;
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
+double failuresNow(const server_record &record, millis now)
+{
+    const double halves
+        = static_cast<double>((now - record.at).count) / static_cast<double>(recordHalfLife.count);
+    return record.failures * std::exp2(-std::max(halves, 0.0));
+}
+
+void recordAnswer(server_record &record, bool failed, millis now)
+{
+    record.failures = failuresNow(record, now) * (1 - recordWeight) + (failed ? recordWeight : 0);
+    record.at = now;
+}
+
+}
--- /dev/null
+++ b/packages/serving/choose_server.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "state/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+// Which backend server a request goes to. Pure functions over what an entry knows at that moment.
+namespace briarhead {
+
+enum class residence : std::uint8_t
+{
+    Absent,
+    Coming,
+    Resident,
+};
+
+/// A model server as an entry sees it.
+struct model_candidate
+{
+    residence adapter = residence::Absent;
+    bool held = true; ///< the base model is there
+    bool sameDomain = false;
+    bool excluded = false; ///< tried already, leaving, or without a path
+    std::uint32_t openPlaces = 0; ///< for another adapter
+    double backlogMs = 0; ///< reading that is ahead
+    double failures = 0; ///< share of its latest answers that failed, 0 to 1
+    std::size_t hashRank = 0; ///< place in the adapter's rendezvous order
+};
+
+/// Sending a prompt to another failure domain and its answer back costs 1 to 2% of what the request is
+/// worth: as much as this much waiting, if a second is worth all of it.
+constexpr double otherDomainMs = 20;
+/// An adapter from the weight store takes 250 ms, one that the server remembers 25; which it is isn't known
+/// here. The rest is what the load costs others: a place, and a turn at the weight store.
+constexpr double absentMs = 350;
+constexpr double comingMs = 120;
+/// Nothing can yield: a run has to end first.
+constexpr double noPlaceMs = 1'200;
+/// Keeps each adapter to the servers that remember it, so that its next load is quick.
+constexpr double hashRankMs = 25;
+constexpr std::size_t hashRanksCounted = 6;
+/// A server that fails all it gets isn't worth the whole first second.
+constexpr double failureMs = 2'000;
+
+/// The expected cost of a candidate in ms of waiting; nothing where it can't serve.
+std::optional<double> costOf(const model_candidate &server);
+
+/// Index of the cheapest, or nothing.
+std::optional<std::size_t> chooseModelServer(const std::vector<model_candidate> &servers);
+
+/// A plain server as an entry sees it.
+struct plain_candidate
+{
+    bool excluded = false;
+    bool sameDomain = false;
+    int slots = 1;
+    int mine = 0; ///< requests of this entry that run there
+    double failures = 0;
+    std::uint64_t tieBreak = 0;
+};
+
+/// Share of a server's slots that a way to another failure domain weighs.
+constexpr double otherDomainLoad = 0.35;
+constexpr double failureLoad = 2.0;
+
+std::optional<std::size_t> choosePlainServer(const std::vector<plain_candidate> &servers);
+
+/// How a server's latest answers went; drives `failures` above.
+struct server_record
+{
+    double failures = 0; ///< moving share
+    millis at; ///< of the last answer
+};
+
+/// Weight of one answer in the moving share.
+constexpr double recordWeight = 0.2;
+/// A server that was avoided is tried again as the record fades: half of it is gone after this long.
+constexpr millis recordHalfLife{3'000};
+
+void recordAnswer(server_record &record, bool failed, millis now);
+double failuresNow(const server_record &record, millis now);
+
+}
--- /dev/null
+++ b/packages/serving/client_request.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "serving/backend_server.h"
+#include "state/clock.h"
+#include "state/error.h"
+#include "transport/front_server.h"
+#include "transport/http_wire.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace briarhead {
+
+/// A caller's request, its headers read once.
+struct client_request
+{
+    std::string id; ///< of this attempt of the caller
+    std::string host;
+    std::string model; ///< empty for plain services
+    std::string adapter; ///< empty: the base model alone
+    std::int64_t promptTokens = 0;
+    std::int64_t outputTokens = 0; ///< at most
+    std::optional<millis> deadline; ///< how long the caller waits, from arrival
+    std::string lastEvent; ///< the caller resumes a stream after this event
+    http_head head;
+    std::string body;
+};
+
+/// What is added when a request is sent to a server.
+struct send_terms
+{
+    std::string server; ///< any other refuses it
+    std::optional<millis> left; ///< time that is left for the answer
+    std::int64_t adapterVersion = 0; ///< another version is refused; 0: any
+    std::string lastEvent; ///< go on after this event; empty: as the caller said
+};
+
+/// What a server's answer says besides its status.
+struct answer_meta
+{
+    std::string requestId;
+    bool signedByServer = false; ///< carries the server's signature; only such an answer is passed on
+    bool notRun = false; ///< the server did not and will not run the request
+};
+
+/// Translates between requests and what the platform's callers and servers write. Filled by its adapter.
+struct request_codec
+{
+    std::function<std::optional<client_request>(front_request, error &)> readRequest;
+    std::function<std::string(const client_request &, const send_terms &)> writeRequest;
+    std::function<answer_meta(const http_head &)> readAnswer;
+    /// The fields of a server's answer that go to the caller.
+    std::function<std::vector<http_field>(const http_head &)> passOn;
+    std::function<std::string(const server_order &, const backend_server &)> writeOrder;
+    std::function<order_answer(int status)> readOrderAnswer;
+    std::function<std::string(const backend_server &)> writeReportCall;
+    std::function<std::optional<server_report>(const std::string &body, error &)> readReport;
+};
+
+}
--- /dev/null
+++ b/packages/serving/edge_daemon.cpp
@@ -0,0 +1,312 @@
+#include "serving/edge_daemon.h"
+
+#include "serving/fleet_port.h"
+#include "serving/front_task.h"
+#include "serving/orderer_task.h"
+#include "serving/store_task.h"
+#include "transport/backend_pool.h"
+#include "transport/bus.h"
+#include "transport/front_server.h"
+
+#include <csignal>
+#include <sstream>
+#include <type_traits>
+#include <variant>
+
+namespace briarhead {
+
+namespace {
+
+/// How old a server's backlog may be at the entries: about one prompt's reading time.
+constexpr millis beatEvery{150};
+/// Without servers of its own a daemon still tells that it lives.
+constexpr int quietBeats = 7;
+/// The balancer takes a daemon out after two misses, a second apart; until then new connections come.
+constexpr millis stillTaking{2'500};
+constexpr millis endCheckEvery{100};
+/// Kept connections without a request are closed after this long once the end has begun.
+constexpr millis idleAtEnd{1'500};
+/// Before the platform kills the process.
+constexpr millis endMargin{500};
+constexpr millis settingsCheckEvery{2'000};
+constexpr int exitCut = 1;
+
+class daemon_impl final : public edge_daemon
+{
+public:
+    daemon_impl(loop &eventLoop, const node_settings &settings, const edge_parts &parts, decision_log &log)
+        : m_loop(eventLoop)
+        , m_settings(settings)
+        , m_parts(parts)
+        , m_log(log)
+        , m_bus(eventLoop)
+        , m_pool(eventLoop)
+        , m_store(eventLoop, m_bus, *parts.store, parts.records, settings,
+              static_cast<std::uint64_t>(wallNow().count), log)
+        , m_front(eventLoop, m_bus, m_store, m_pool, m_parts.requests, settings, log)
+        , m_orderer(eventLoop, m_bus, m_store, m_pool, m_parts.requests, settings, log,
+              [this](const std::string &entry, const place_answer &answer) {
+                  answerEntry(entry, answer);
+              })
+    {
+        m_front.setOrderer(m_orderer);
+    }
+
+    bool open(error &why);
+    int run() override;
+
+private:
+    void answerEntry(const std::string &entry, const place_answer &answer);
+    void onDatagram(const fleet_datagram &datagram);
+    void beat();
+    bool isReady() const;
+    void onReadyQuestion(std::shared_ptr<front_reply> reply) const;
+    std::string metricsText() const;
+    void beginEnd();
+    void checkEnd();
+    void rereadSettings(const char *cause);
+
+    loop &m_loop;
+    node_settings m_settings;
+    edge_parts m_parts;
+    decision_log &m_log;
+    bus m_bus;
+    backend_pool m_pool;
+    store_task m_store;
+    front_task m_front;
+    orderer_task m_orderer;
+    std::unique_ptr<fleet_port> m_port;
+    std::unique_ptr<front_server> m_callers;
+    std::unique_ptr<front_server> m_readiness;
+    std::unique_ptr<front_server> m_metrics;
+    std::vector<std::shared_ptr<void>> m_handles;
+    int m_beats = 0;
+    millis m_endBegan;
+    bool m_ending = false;
+    int m_exit = 0;
+};
+
+bool daemon_impl::open(error &why)
+{
+    m_port = fleet_port::open(
+        m_loop, m_settings.peers,
+        [this](const fleet_datagram &datagram, const peer_address &) {
+            onDatagram(datagram);
+        },
+        why);
+    if (!m_port) {
+        return false;
+    }
+    m_front.setPort(*m_port);
+    m_callers = front_server::listen(
+        m_loop, m_settings.front.ip, m_settings.front.port,
+        [this](front_request request, std::shared_ptr<front_reply> reply) {
+            m_front.onRequest(std::move(request), std::move(reply));
+        },
+        why);
+    m_readiness = m_callers ? front_server::listen(
+                      m_loop, m_settings.ready.ip, m_settings.ready.port,
+                      [this](const front_request &, std::shared_ptr<front_reply> reply) {
+                          onReadyQuestion(std::move(reply));
+                      },
+                      why)
+                            : nullptr;
+    m_metrics = m_readiness ? front_server::listen(
+                    m_loop, m_settings.metrics.ip, m_settings.metrics.port,
+                    [this](const front_request &, std::shared_ptr<front_reply> reply) {
+                        reply->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metricsText());
+                    },
+                    why)
+                            : nullptr;
+    if (!m_metrics) {
+        return false;
+    }
+    m_bus.on<view_changed>([this](const view_changed &change) {
+        if (change.config) {
+            m_callers->setLimits(m_store.view().config->limits);
+        }
+    });
+    m_handles.push_back(m_loop.timer(beatEvery, beatEvery, [this] {
+        beat();
+    }));
+    m_handles.push_back(m_loop.timer(settingsCheckEvery, settingsCheckEvery, [this] {
+        rereadSettings("file");
+    }));
+    m_handles.push_back(m_loop.onSignal(SIGTERM, [this] {
+        beginEnd();
+    }));
+    m_handles.push_back(m_loop.onSignal(SIGINT, [this] {
+        beginEnd();
+    }));
+    m_handles.push_back(m_loop.onSignal(SIGHUP, [this] {
+        rereadSettings("signal");
+    }));
+    return true;
+}
+
+int daemon_impl::run()
+{
+    m_log.important("process.start")
+        .add("failure_domain", m_settings.failureDomain)
+        .add("front", m_settings.front.ip + ':' + std::to_string(m_settings.front.port))
+        .add("store", m_settings.store.ip + ':' + std::to_string(m_settings.store.port))
+        .add("incarnation", m_store.incarnation())
+        .add("repeat_ratio", m_settings.repeats.ratio)
+        .add("repeat_slack", m_settings.repeats.slack);
+    m_loop.run();
+    m_log.important("process.stop").add("exit", m_exit);
+    return m_exit;
+}
+
+void daemon_impl::answerEntry(const std::string &entry, const place_answer &answer)
+{
+    if (entry == m_settings.node) {
+        m_loop.post([this, answer] {
+            m_front.onAnswer(answer);
+        });
+        return;
+    }
+    const auto peer = m_store.view().daemons.find(entry);
+    if (peer != m_store.view().daemons.end()) {
+        m_port->send({peer->second.ip, peer->second.port},
+            {m_settings.node, m_store.incarnation(), answer});
+    }
+}
+
+void daemon_impl::onDatagram(const fleet_datagram &datagram)
+{
+    std::visit(
+        [&](const auto &body) {
+            using body_type = std::decay_t<decltype(body)>;
+            if constexpr (std::is_same_v<body_type, place_ask>) {
+                m_orderer.onAsk(datagram.from, body);
+            } else if constexpr (std::is_same_v<body_type, place_answer>) {
+                m_front.onAnswer(body);
+            } else if constexpr (std::is_same_v<body_type, place_note>) {
+                m_orderer.onNote(body);
+            } else {
+                m_front.onBeat(datagram.from, body);
+                m_orderer.setLoadsElsewhere(m_front.loadsElsewhere());
+            }
+        },
+        datagram.body);
+}
+
+void daemon_impl::beat()
+{
+    const fleet_beat now = m_orderer.beat();
+    m_front.onBeat(m_settings.node, now);
+    ++m_beats;
+    if (now.servers.empty() && m_beats % quietBeats != 0) {
+        return;
+    }
+    for (const auto &[node, record] : m_store.view().daemons) {
+        if (node != m_settings.node) {
+            m_port->send({record.ip, record.port}, {m_settings.node, m_store.incarnation(), now});
+        }
+    }
+}
+
+bool daemon_impl::isReady() const
+{
+    const store_view &view = m_store.view();
+    return !m_ending && view.config && !view.servers.empty();
+}
+
+void daemon_impl::onReadyQuestion(std::shared_ptr<front_reply> reply) const
+{
+    const bool ready = isReady();
+    reply->respond(ready ? 200 : 503, {}, ready ? "ready\n" : m_ending ? "ending\n" : "no configuration yet\n");
+}
+
+std::string daemon_impl::metricsText() const
+{
+    std::ostringstream out;
+    const front_counters &front = m_front.counters();
+    for (const auto &[outcome, count] : front.ended) {
+        out << "briarhead_requests_total{outcome=\"" << outcome << "\"} " << count << '\n';
+    }
+    const auto quantiles = [&out](const char *name, const latency_histogram &of) {
+        for (const double q : {0.5, 0.95, 0.99}) {
+            out << "briarhead_" << name << "_ms{quantile=\"" << q << "\"} " << quantileMs(of, q) << '\n';
+        }
+        out << "briarhead_" << name << "_ms_count " << countOf(of) << '\n';
+    };
+    quantiles("first_answer", front.first);
+    quantiles("whole_answer", front.whole);
+    quantiles("place_wait", front.placeWait);
+    const orderer_counters &orders = m_orderer.counters();
+    const pool_counters &pool = m_pool.counters();
+    const fleet_counters &fleet = m_port->counters();
+    out << "briarhead_sends_total " << front.sends << "\nbriarhead_repeats_total " << front.repeats
+        << "\nbriarhead_place_asks_total " << front.asks << "\nbriarhead_places_granted_total "
+        << orders.granted << "\nbriarhead_places_refused_total " << orders.refused
+        << "\nbriarhead_orders_total " << orders.orders << "\nbriarhead_orders_unknown_total "
+        << orders.ordersUnknown << "\nbriarhead_loads_total " << orders.loads
+        << "\nbriarhead_unloads_total " << orders.unloads << "\nbriarhead_reports_total " << orders.reports
+        << "\nbriarhead_connections_opened_total " << pool.opened << "\nbriarhead_connections_reused_total "
+        << pool.reused << "\nbriarhead_connections_stray_total " << pool.stray
+        << "\nbriarhead_datagrams_sent_total " << fleet.sent << "\nbriarhead_datagram_bytes_sent_total "
+        << fleet.sentBytes << "\nbriarhead_datagrams_bad_total " << fleet.bad
+        << "\nbriarhead_log_lines_dropped_total " << m_log.dropped() << "\nbriarhead_config_version "
+        << (m_store.view().config ? m_store.view().config->version : 0) << '\n';
+    if (m_parts.storeMetrics) {
+        out << m_parts.storeMetrics();
+    }
+    return out.str();
+}
+
+void daemon_impl::beginEnd()
+{
+    if (m_ending) {
+        return;
+    }
+    m_ending = true;
+    m_endBegan = bootNow();
+    m_log.important("process.ending").add("active", static_cast<std::int64_t>(m_front.active()));
+    m_store.leave();
+    m_callers->closeAfterAnswers(idleAtEnd);
+    m_handles.push_back(m_loop.timer(endCheckEvery, endCheckEvery, [this] {
+        checkEnd();
+    }));
+}
+
+void daemon_impl::checkEnd()
+{
+    const millis since = bootNow() - m_endBegan;
+    const bool idle = m_front.active() == 0 && m_callers->busy() == 0 && m_callers->connections() == 0;
+    const bool late = since > m_settings.shutdown - endMargin;
+    if ((idle && since > stillTaking) || late) {
+        m_exit = idle ? 0 : exitCut;
+        m_loop.stop();
+    }
+}
+
+void daemon_impl::rereadSettings(const char *cause)
+{
+    error why;
+    const auto fresh = m_parts.reread(why);
+    if (!fresh) {
+        m_log.important("settings.unusable").add("cause", cause).add("why", message(why));
+        return;
+    }
+    const bool changed = fresh->repeats.ratio != m_settings.repeats.ratio
+        || fresh->repeats.slack != m_settings.repeats.slack || fresh->shutdown != m_settings.shutdown;
+    if (changed || std::string_view(cause) == "signal") {
+        m_settings.repeats = fresh->repeats;
+        m_settings.shutdown = fresh->shutdown;
+        m_front.setRepeatLimits(fresh->repeats);
+        m_log.important("settings.reread").add("cause", cause).add("changed", changed ? 1 : 0);
+    }
+}
+
+}
+
+std::unique_ptr<edge_daemon> edge_daemon::start(loop &eventLoop, const node_settings &settings,
+    const edge_parts &parts, decision_log &log, error &why)
+{
+    auto daemon = std::make_unique<daemon_impl>(eventLoop, settings, parts, log);
+    return daemon->open(why) ? std::move(daemon) : nullptr;
+}
+
+}
--- /dev/null
+++ b/packages/serving/fleet_port.cpp
@@ -0,0 +1,88 @@
+#include "serving/fleet_port.h"
+
+#include "protocol/codec.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+namespace briarhead {
+
+namespace {
+
+constexpr std::size_t maxDatagramBytes = 32 * 1024;
+/// Datagrams taken in one turn of the loop, so that a flood can't starve the callers' sockets.
+constexpr int datagramsPerTurn = 64;
+constexpr int eventRead = 1;
+
+}
+
+fleet_port::fleet_port(owned_fd fd, handler onDatagram)
+    : m_fd(std::move(fd))
+    , m_handler(std::move(onDatagram))
+{
+}
+
+std::unique_ptr<fleet_port> fleet_port::open(
+    loop &eventLoop, const peer_address &bind, handler onDatagram, error &why)
+{
+    why = {error_kind::BadSettings, "peer address " + bind.ip + ':' + std::to_string(bind.port), ""};
+    auto address = toSocketAddress(bind);
+    if (!address) {
+        why.detail = "it is not an IP number";
+        return nullptr;
+    }
+    owned_fd fd(socket(address->storage.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!fd || ::bind(fd.get(), address->raw(), address->size) != 0) {
+        why.detail = std::string("cannot take datagrams there: ") + std::strerror(errno);
+        return nullptr;
+    }
+    std::unique_ptr<fleet_port> port(new fleet_port(std::move(fd), std::move(onDatagram)));
+    port->m_watch = eventLoop.watch(port->m_fd.get(), eventRead, [raw = port.get()](int) {
+        raw->readAll();
+    });
+    return port;
+}
+
+void fleet_port::send(const peer_address &to, const fleet_datagram &datagram)
+{
+    auto address = toSocketAddress(to);
+    if (!address) {
+        return;
+    }
+    const std::string bytes = encode(datagram);
+    ++m_counters.sent;
+    m_counters.sentBytes += bytes.size();
+    // A datagram that the socket doesn't take counts as lost, like any other.
+    (void)sendto(m_fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL, address->raw(), address->size);
+}
+
+void fleet_port::readAll()
+{
+    static std::array<char, maxDatagramBytes> buffer;
+    for (int i = 0; i < datagramsPerTurn; ++i) {
+        socket_address from;
+        const ssize_t got
+            = recvfrom(m_fd.get(), buffer.data(), buffer.size(), 0, from.raw(), &from.size);
+        if (got < 0) {
+            return;
+        }
+        error why;
+        const auto datagram = decodeFleet({buffer.data(), static_cast<std::size_t>(got)}, why);
+        if (!datagram) {
+            ++m_counters.bad;
+            continue;
+        }
+        ++m_counters.received;
+        m_handler(*datagram, toPeerAddress(from));
+    }
+}
+
+const fleet_counters &fleet_port::counters() const
+{
+    return m_counters;
+}
+
+}
--- /dev/null
+++ b/packages/serving/front_task.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "serving/choose_server.h"
+#include "serving/client_request.h"
+#include "serving/decision_log.h"
+#include "serving/event_stream.h"
+#include "serving/fleet_port.h"
+#include "serving/node_settings.h"
+#include "serving/orderer_task.h"
+#include "serving/repeat_budget.h"
+#include "serving/store_task.h"
+#include "state/latency.h"
+#include "transport/backend_pool.h"
+#include "transport/front_server.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace briarhead {
+
+/// A model server as its orderer last told.
+struct heard_server
+{
+    server_beat beat;
+    std::string orderer; ///< node
+    millis at;
+    std::int64_t askedSince = 0; ///< prompt tokens asked for here since that beat
+};
+
+struct front_counters
+{
+    std::map<std::string, std::uint64_t> ended; ///< requests by outcome
+    std::uint64_t sends = 0;
+    std::uint64_t repeats = 0;
+    std::uint64_t asks = 0;
+    latency_histogram first; ///< to the answer's head
+    latency_histogram whole;
+    latency_histogram placeWait;
+};
+
+/// Takes callers' requests, chooses a backend server for each, and passes the answer on.
+class front_task
+{
+public:
+    front_task(loop &eventLoop, bus &messages, store_task &store, backend_pool &pool,
+        const request_codec &codec, const node_settings &settings, decision_log &log);
+
+    void setOrderer(orderer_task &orderer);
+    void setPort(fleet_port &port);
+    void setRepeatLimits(const repeat_limits &limits);
+
+    void onRequest(front_request raw, std::shared_ptr<front_reply> reply);
+    void onAnswer(const place_answer &answer);
+    void onBeat(const std::string &node, const fleet_beat &beat);
+    /// Adapter loads on their way at other daemons' servers.
+    std::uint32_t loadsElsewhere() const;
+    const front_counters &counters() const;
+    std::size_t active() const;
+
+private:
+    struct work;
+    using work_ptr = std::shared_ptr<work>;
+
+    void followView(const view_changed &change);
+    void start(const work_ptr &one);
+    void startPlain(const work_ptr &one);
+    void startModel(const work_ptr &one);
+    std::vector<model_candidate> candidatesFor(
+        const work &one, std::vector<const backend_server *> &servers) const;
+    void ask(const work_ptr &one);
+    void askAgain(const work_ptr &one);
+    void onNoAnswer(const work_ptr &one);
+    void send(const work_ptr &one, const backend_server &server);
+    bool onHead(const work_ptr &one, const http_head &head);
+    void onBody(const work_ptr &one, std::string bytes);
+    void onEnd(const work_ptr &one, send_end how, const error &why);
+    void onWhole(const work_ptr &one);
+    void onQuiet(const work_ptr &one);
+    void onDeadline(const work_ptr &one);
+    bool tryElsewhere(const work_ptr &one, bool ran, const char *why);
+    void passAnswer(const work_ptr &one);
+    void refuse(const work_ptr &one, const char *why, millis comeBack);
+    void fail(const work_ptr &one, int status, const char *why);
+    void finish(const work_ptr &one, const std::string &outcome);
+    void leaveServer(const work_ptr &one, place_event event);
+    void note(const work &one, place_event event);
+    void sendTo(const std::string &node, const fleet_datagram &datagram);
+    millis left(const work &one) const;
+    bool mayRepeat(const work &one) const;
+
+    loop &m_loop;
+    store_task &m_store;
+    backend_pool &m_pool;
+    const request_codec &m_codec;
+    node_settings m_settings;
+    decision_log &m_log;
+    orderer_task *m_orderer = nullptr;
+    fleet_port *m_port = nullptr;
+    front_counters m_counters;
+    repeat_budget m_budget;
+    std::map<std::string, work_ptr> m_work; ///< by a number of this process, as text
+    std::map<std::string, std::string> m_workOfAsk; ///< request id to that number
+    std::map<std::string, heard_server> m_heard; ///< by server
+    std::map<std::string, std::pair<std::uint32_t, millis>> m_loads; ///< by node
+    std::map<std::string, int> m_inFlight; ///< this entry's, by server
+    std::map<std::string, server_record> m_records; ///< by server
+    std::uint64_t m_lastWork = 0;
+};
+
+}
--- /dev/null
+++ b/packages/serving/node_settings.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "serving/repeat_budget.h"
+#include "state/clock.h"
+#include "transport/peer_link.h"
+
+#include <string>
+
+namespace briarhead {
+
+/// What a daemon is told at its start.
+struct node_settings
+{
+    std::string node; ///< its name, the same after a restart
+    std::string failureDomain;
+    peer_address front; ///< for callers
+    peer_address ready; ///< for the question whether it takes callers
+    peer_address peers; ///< for datagrams between daemons
+    peer_address metrics;
+    peer_address store;
+    millis leaseMin{1'000}; ///< the shortest lease that the store grants
+    millis orderLease{3'000}; ///< two daemons give a server orders no closer together than this
+    millis drain{2'000}; ///< from the store's word that a server leaves to the last request to it
+    millis shutdown{8'000}; ///< from the signal to end until the process is killed
+    repeat_limits repeats;
+};
+
+}
--- /dev/null
+++ b/packages/serving/orderer_task.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "serving/client_request.h"
+#include "serving/decision_log.h"
+#include "serving/fleet_port.h"
+#include "serving/node_settings.h"
+#include "serving/place_queue.h"
+#include "serving/server_ledger.h"
+#include "serving/store_task.h"
+#include "transport/backend_pool.h"
+#include "transport/loop.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace briarhead {
+
+struct orderer_counters
+{
+    std::uint64_t orders = 0;
+    std::uint64_t ordersUnknown = 0;
+    std::uint64_t reports = 0;
+    std::uint64_t loads = 0;
+    std::uint64_t unloads = 0;
+    std::uint64_t granted = 0;
+    std::uint64_t refused = 0;
+};
+
+/// Gives the orders of the model servers that this daemon holds the record of, and says which prompts go to
+/// them when. Only one daemon does so for a server; the others ask it.
+class orderer_task
+{
+public:
+    /// How answers reach an entry: by datagram, or directly where it is in this process.
+    using answer_call = std::function<void(const std::string &entry, const place_answer &answer)>;
+
+    orderer_task(loop &eventLoop, bus &messages, store_task &store, backend_pool &pool,
+        const request_codec &codec, const node_settings &settings, decision_log &log, answer_call onAnswer);
+
+    void onAsk(const std::string &entry, const place_ask &ask);
+    void onNote(const place_note &note);
+    /// Loads on their way at the servers of other daemons, as last heard.
+    void setLoadsElsewhere(std::uint32_t loads);
+    fleet_beat beat() const;
+    const orderer_counters &counters() const;
+
+private:
+    struct server_state
+    {
+        std::uint64_t fence = 0;
+        millis mayOrderFrom; ///< after a handover: the one before may have ordered until then less the lease
+        bool fenced = false; ///< the server knows a higher token: nothing is ordered under this one
+        bool reporting = false;
+        server_ledger ledger;
+        place_queue queue;
+        std::string lastLogged;
+    };
+
+    void followView(const view_changed &change);
+    void claimOrphans();
+    void take(const std::string &id, const orderer_entry &entry);
+    void drop(const std::string &id, const char *why);
+    void dropQueue(const std::string &id, server_state &one, refusal why);
+    void refuse(const std::string &entry, const std::string &id, const std::string &server, refusal why,
+        millis comeBack);
+    void pump(const std::string &id);
+    void pumpAll();
+    void askReport(const std::string &id, server_state &one, const backend_server &server);
+    void sendOrder(const std::string &id, server_state &one, const backend_server &server);
+    void onOrderEnd(const std::string &id, std::uint64_t fence, const server_order &order, order_answer answer);
+    void grantAll(const std::string &id, server_state &one);
+    order_limits limitsFor(const server_state &one, const engine_spec &engine) const;
+    std::int64_t newestVersion(const std::string &model, const std::string &adapter) const;
+    bool mayLoadModel(const engine_spec &engine) const;
+    const backend_server *serverOf(const std::string &id) const;
+    const engine_spec *engineOfServer(const backend_server &server) const;
+
+    loop &m_loop;
+    store_task &m_store;
+    backend_pool &m_pool;
+    const request_codec &m_codec;
+    node_settings m_settings;
+    decision_log &m_log;
+    answer_call m_answer;
+    orderer_counters m_counters;
+    std::uint32_t m_loadsElsewhere = 0;
+    millis m_lastModelLoad;
+    std::map<std::string, server_state> m_servers;
+    std::map<std::string, millis> m_released; ///< servers given up by another daemon, and when that was seen
+    std::shared_ptr<void> m_timer;
+    std::shared_ptr<void> m_claimTimer;
+};
+
+}
--- /dev/null
+++ b/packages/serving/place_queue.cpp
@@ -0,0 +1,175 @@
+#include "serving/place_queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace briarhead {
+
+namespace {
+
+/// A word of an end may be lost; a grant is forgotten this long after its caller's deadline.
+constexpr millis expiryMargin{500};
+/// Measured speeds are mixed in at this share, from busy spans of at least the given length and tokens.
+constexpr double speedShare = 0.3;
+constexpr std::int64_t measuredSpanMs = 100;
+constexpr double slowestSpeed = 1.0;
+constexpr double fastestSpeed = 200.0;
+
+bool goesBefore(const waiting_prompt &a, const waiting_prompt &b)
+{
+    return a.rank != b.rank ? a.rank < b.rank : a.arrived < b.arrived;
+}
+
+std::int64_t memoryInUse(const place_queue &queue)
+{
+    std::int64_t sum = 0;
+    for (const auto &[id, one] : queue.running) {
+        sum += one.what.promptTokens + one.what.outputTokens;
+    }
+    return sum;
+}
+
+bool hasRoom(const place_queue &queue, const waiting_prompt &prompt)
+{
+    if (queue.running.empty()) {
+        return true;
+    }
+    const std::int64_t reading = readingTokens(queue);
+    const auto window = static_cast<std::int64_t>(queue.speed * readAheadMs);
+    const bool reads = reading == 0 || reading + prompt.promptTokens <= window;
+    const auto memory = static_cast<std::int64_t>(memoryShare * static_cast<double>(queue.memoryTokens));
+    const bool fits = memoryInUse(queue) + prompt.promptTokens + prompt.outputTokens <= memory;
+    return reads && fits && queue.running.size() < static_cast<std::size_t>(queue.slots);
+}
+
+void measure(place_queue &queue, std::int64_t tokens, millis now)
+{
+    queue.readTokens += tokens;
+    const std::int64_t span = (now - queue.busySince).count;
+    if (queue.busySince.count != 0 && span >= measuredSpanMs) {
+        const double seen = static_cast<double>(queue.readTokens) / static_cast<double>(span);
+        queue.speed = std::clamp(
+            queue.speed * (1 - speedShare) + seen * speedShare, slowestSpeed, fastestSpeed);
+        queue.busySince = now;
+        queue.readTokens = 0;
+    }
+    if (readingTokens(queue) == 0) {
+        queue.busySince = {};
+        queue.readTokens = 0;
+    }
+}
+
+}
+
+std::int64_t readingTokens(const place_queue &queue)
+{
+    std::int64_t sum = 0;
+    for (const auto &[id, one] : queue.running) {
+        sum += one.reading ? one.what.promptTokens : 0;
+    }
+    return sum;
+}
+
+std::int64_t backlogTokens(const place_queue &queue)
+{
+    std::int64_t sum = readingTokens(queue);
+    for (const waiting_prompt &prompt : queue.waiting) {
+        sum += prompt.promptTokens;
+    }
+    return sum;
+}
+
+admission admit(place_queue &queue, const waiting_prompt &prompt, millis now)
+{
+    const auto sameId = [&prompt](const waiting_prompt &other) {
+        return other.id == prompt.id;
+    };
+    if (queue.running.count(prompt.id) != 0
+        || std::any_of(queue.waiting.begin(), queue.waiting.end(), sameId)) {
+        return {true, true, {}};
+    }
+    std::int64_t ahead = readingTokens(queue);
+    for (const waiting_prompt &other : queue.waiting) {
+        ahead += other.rank <= prompt.rank ? other.promptTokens : 0;
+    }
+    const millis wait{std::llround(static_cast<double>(ahead) / queue.speed)};
+    if (now + wait > prompt.startBy) {
+        return {false, false, wait};
+    }
+    const auto at = std::upper_bound(queue.waiting.begin(), queue.waiting.end(), prompt, goesBefore);
+    queue.waiting.insert(at, prompt);
+    return {true, false, wait};
+}
+
+std::vector<waiting_prompt> letIn(place_queue &queue,
+    const std::function<bool(const waiting_prompt &)> &ready, std::vector<waiting_prompt> &late, millis now)
+{
+    std::vector<waiting_prompt> in;
+    for (auto it = queue.waiting.begin(); it != queue.waiting.end();) {
+        if (it->startBy < now) {
+            late.push_back(*it);
+            it = queue.waiting.erase(it);
+            continue;
+        }
+        if (!ready(*it)) {
+            ++it;
+            continue;
+        }
+        if (!hasRoom(queue, *it)) {
+            break; // a smaller one behind it must not starve the largest
+        }
+        if (queue.busySince.count == 0) {
+            queue.busySince = now;
+            queue.readTokens = 0;
+        }
+        queue.running.emplace(it->id, running_prompt{*it, now, true});
+        in.push_back(*it);
+        it = queue.waiting.erase(it);
+    }
+    return in;
+}
+
+void firstToken(place_queue &queue, const std::string &id, millis now)
+{
+    const auto found = queue.running.find(id);
+    if (found != queue.running.end() && found->second.reading) {
+        found->second.reading = false;
+        measure(queue, found->second.what.promptTokens, now);
+    }
+}
+
+std::optional<running_prompt> ended(place_queue &queue, const std::string &id, millis now)
+{
+    std::erase_if(queue.waiting, [&id](const waiting_prompt &prompt) {
+        return prompt.id == id;
+    });
+    const auto found = queue.running.find(id);
+    if (found == queue.running.end()) {
+        return std::nullopt;
+    }
+    running_prompt one = std::move(found->second);
+    queue.running.erase(found);
+    if (one.reading) {
+        measure(queue, 0, now);
+    }
+    return one;
+}
+
+std::vector<running_prompt> expired(place_queue &queue, millis now)
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, one] : queue.running) {
+        if (one.what.deadline + expiryMargin < now) {
+            ids.push_back(id);
+        }
+    }
+    std::vector<running_prompt> out;
+    for (const std::string &id : ids) {
+        if (auto one = ended(queue, id, now)) {
+            out.push_back(std::move(*one));
+        }
+    }
+    return out;
+}
+
+}
--- /dev/null
+++ b/packages/serving/place_queue.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "protocol/fleet_messages.h"
+#include "state/clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+// Who may send a prompt to one server, and when. Prompts are read in pieces between the tokens of the
+// streams that run there, so each one that is sent early makes all of them stutter: only as much is let in
+// as keeps the server reading, and the rest waits here, where the most urgent goes first.
+namespace briarhead {
+
+struct waiting_prompt
+{
+    std::string id;
+    std::string entry; ///< node that asked
+    std::string model;
+    std::string adapter;
+    std::int64_t promptTokens = 0;
+    std::int64_t outputTokens = 0;
+    int rank = 0;
+    millis arrived;
+    millis startBy; ///< of no use to its caller later
+    millis deadline;
+};
+
+struct running_prompt
+{
+    waiting_prompt what;
+    millis granted;
+    bool reading = true; ///< its first token has not come
+};
+
+/// Prompt reading speed assumed of a server before one was measured, tokens a ms: below the slowest of the
+/// first deployments (19.1 / 1.3).
+constexpr double firstSpeed = 14.0;
+/// How much reading is let in ahead, in ms of the server's speed. A stream's next event waits for two or
+/// three steps, each with at most this much reading in it, and is late after 400 ms.
+constexpr double readAheadMs = 170.0;
+/// A share of the server's memory that stays free: output tokens are known only as an upper bound.
+constexpr double memoryShare = 0.9;
+
+struct place_queue
+{
+    std::vector<waiting_prompt> waiting;
+    std::map<std::string, running_prompt> running;
+    int slots = 1;
+    std::int64_t memoryTokens = 0;
+    double speed = firstSpeed; ///< tokens a ms, measured
+    millis busySince; ///< since when reading never stopped; 0: idle
+    std::int64_t readTokens = 0; ///< since busySince
+};
+
+/// Prompt tokens sent and not yet read.
+std::int64_t readingTokens(const place_queue &queue);
+/// The same, with what waits.
+std::int64_t backlogTokens(const place_queue &queue);
+
+struct admission
+{
+    bool taken = false;
+    bool repeated = false; ///< known already
+    millis wait; ///< until its turn, predicted
+};
+
+/// Takes a prompt into the queue unless its turn would come after `startBy`.
+admission admit(place_queue &queue, const waiting_prompt &prompt, millis now);
+
+/// Lets in what has its turn; `ready` says whether the server can run it now. Prompts whose time is over
+/// are put into `late`.
+std::vector<waiting_prompt> letIn(place_queue &queue,
+    const std::function<bool(const waiting_prompt &)> &ready, std::vector<waiting_prompt> &late, millis now);
+
+void firstToken(place_queue &queue, const std::string &id, millis now);
+/// The prompt that ended or was withdrawn, if it was running.
+std::optional<running_prompt> ended(place_queue &queue, const std::string &id, millis now);
+/// Ends those whose deadline has passed: the word of their end was lost.
+std::vector<running_prompt> expired(place_queue &queue, millis now);
+
+}
--- /dev/null
+++ b/packages/serving/server_ledger.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "serving/backend_server.h"
+#include "serving/serving_config.h"
+#include "state/clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+// What one server holds, as the daemon that gives its orders knows it. One load too many crashes a server,
+// and it comes back empty, so a place counts as taken until it is proved free.
+namespace briarhead {
+
+enum class place_state : std::uint8_t
+{
+    Loading, ///< accepted; requests for it are refused until it is in
+    Resident,
+    Unloading, ///< ordered out; the place is taken until the server has answered
+};
+
+std::string_view nameOf(place_state value);
+
+struct adapter_place
+{
+    std::string model;
+    std::string adapter;
+    std::int64_t version = 0; ///< 0: not known
+    place_state state = place_state::Loading;
+    bool known = false; ///< Loading: the server had it lately, so it is quick
+    millis since; ///< of the state
+    millis askAgain; ///< Loading: when to ask whether it is in
+    int users = 0; ///< requests sent to the server for it
+    double heat = 0; ///< uses, decayed; see heatHalfLife
+    millis heatAt;
+};
+
+/// Uses count half after this long: about the time in which demand at these deployments moves on.
+constexpr millis heatHalfLife{8'000};
+/// Adapters that a server had lately stay in its memory and are back in a tenth of the time.
+constexpr std::size_t rememberedAdapters = 30;
+/// From order to use: of an adapter that comes from the weight store, and of one that the server remembers.
+/// Measured at the first deployments' servers; asking whether it is in corrects both.
+constexpr millis firstLoadTime{250};
+constexpr millis knownLoadTime{25};
+/// Loads on their way over all servers that still run at full speed; beyond, each takes longer in proportion.
+constexpr std::uint32_t loadsAtFullSpeed = 8;
+/// Pause between questions whether an adapter is in.
+constexpr millis askAgainEvery{40};
+/// Adapters that may be on their way to one server at the same time.
+constexpr int loadsPerServer = 4;
+/// A conflict means that another picture of the server is needed; reports lag by some 100 ms.
+constexpr millis conflictPause{120};
+
+struct server_ledger
+{
+    std::string server;
+    int places = 0;
+    double weightsMb = 0;
+    bool proved = false; ///< a report was taken in since the last doubt
+    std::int64_t sequence = 0; ///< orders the server has accepted
+    std::vector<std::string> models; ///< base models held
+    std::string modelComing; ///< ordered, not yet seen in a report
+    std::vector<adapter_place> adapters;
+    std::optional<server_order> open; ///< sent, not answered
+    /// A load without an answer, that may still be carried out: it holds a place until a later order was
+    /// accepted, since the server then refuses it for its sequence.
+    std::optional<server_order> ghost;
+    millis notBefore; ///< no order or report until then
+    std::vector<std::string> remembered; ///< adapters the server had lately, the latest last
+};
+
+adapter_place *findPlace(server_ledger &ledger, const std::string &model, const std::string &adapter);
+const adapter_place *findPlace(
+    const server_ledger &ledger, const std::string &model, const std::string &adapter);
+bool holdsModel(const server_ledger &ledger, const std::string &model);
+
+/// Places that are taken, or may be.
+int takenPlaces(const server_ledger &ledger);
+/// Free places and those that nothing uses.
+int openPlaces(const server_ledger &ledger);
+/// Adapters on their way in.
+int loadsUnderWay(const server_ledger &ledger);
+
+/// Takes in what the server tells of itself. A report older than what is known changes nothing.
+void takeReport(server_ledger &ledger, const server_report &report, millis now);
+
+/// What is wanted of the server, most wanted first.
+struct adapter_want
+{
+    std::string model;
+    std::string adapter;
+};
+
+struct order_limits
+{
+    std::uint32_t loadingElsewhere = 0; ///< adapter loads on their way at other servers
+    const std::vector<model_spec> *models = nullptr;
+    bool mayLoadModel = true; ///< the pace of base model loads allows one
+    /// The version an adapter must have now; 0: any.
+    std::function<std::int64_t(const std::string &model, const std::string &adapter)> newest;
+    /// Requests wait for this adapter here, so it is not to be given up.
+    std::function<bool(const std::string &model, const std::string &adapter)> waitedFor;
+};
+
+/// The next order to send, or nothing. The caller fills in holder and fence, sends it, and reports the
+/// answer. `expected` is always set: an order that arrives late, after others, is then refused.
+std::optional<server_order> nextOrder(
+    server_ledger &ledger, const std::vector<adapter_want> &wants, const order_limits &limits, millis now);
+
+/// Takes in the answer of the open order. After a conflict or no answer `proved` is false: a report is due.
+void takeAnswer(
+    server_ledger &ledger, const server_order &order, order_answer answer, const order_limits &limits, millis now);
+
+/// A request began to use an adapter, or ended.
+void beginUse(server_ledger &ledger, const std::string &model, const std::string &adapter, millis now);
+void endUse(server_ledger &ledger, const std::string &model, const std::string &adapter);
+/// The server answered that it doesn't hold the adapter.
+void notHeld(server_ledger &ledger, const std::string &model, const std::string &adapter, millis now);
+
+}
--- /dev/null
+++ b/packages/serving/store_task.cpp
@@ -0,0 +1,439 @@
+#include "serving/store_task.h"
+
+#include "protocol/codec.h"
+
+#include <algorithm>
+
+namespace briarhead {
+
+namespace {
+
+const std::string ownPrefix = "briarhead/";
+const std::string daemonPrefix = ownPrefix + "daemon/";
+const std::string ordererPrefix = ownPrefix + "orderer/";
+
+/// A watch waits so long at the store. A store that went silent shows after this and the call's margin;
+/// each watch is a call that costs about what a tenth of a request is worth.
+constexpr millis watchWait{2'000};
+/// Pause between two watches, so that changes that come close together cost one call.
+constexpr millis watchPause{200};
+constexpr millis retryPause{400};
+/// A daemon is found dead after its lease; the shortest that bears a lost renewal or two.
+constexpr millis leaseTime{3'000};
+constexpr millis keepEvery{900};
+/// Without an answer for so long the store counts as away.
+constexpr millis awayAfter{1'500};
+/// Servers whose entries lapsed while the store was away write them again within two seconds of its return.
+/// Until shortly before that they are still used; the bound on requests to a server that left is as long.
+constexpr millis missingGrace{1'700};
+
+bool isUnder(const std::string &key, const std::string &prefix)
+{
+    return key.starts_with(prefix);
+}
+
+}
+
+store_task::store_task(loop &eventLoop, bus &messages, metadata_store &store, const record_codec &codec,
+    const node_settings &settings, std::uint64_t incarnation, decision_log &log)
+    : m_loop(eventLoop)
+    , m_bus(messages)
+    , m_store(store)
+    , m_codec(codec)
+    , m_settings(settings)
+    , m_incarnation(incarnation)
+    , m_log(log)
+{
+    readAll();
+    grantLease();
+    m_leaseTimer = m_loop.timer(keepEvery, keepEvery, [this] {
+        keepLease();
+    });
+}
+
+const store_view &store_task::view() const
+{
+    return m_view;
+}
+
+std::uint64_t store_task::incarnation() const
+{
+    return m_incarnation;
+}
+
+std::string store_task::orderersKey(const std::string &server) const
+{
+    return ordererPrefix + server;
+}
+
+void store_task::heard(bool answered, const char *call)
+{
+    const millis now = bootNow();
+    if (!answered) {
+        if (m_view.reachable && now - m_view.lastAnswer > awayAfter) {
+            m_view.reachable = false;
+            m_log.important("store.lost").add("call", call).add("silent_ms", now - m_view.lastAnswer);
+        }
+        return;
+    }
+    if (!m_view.reachable) {
+        m_log.important("store.reached").add("call", call).add("silent_ms", now - m_view.lastAnswer);
+        m_regained = now;
+        m_view.reachable = true;
+    }
+    m_view.lastAnswer = now;
+}
+
+void store_task::readAll()
+{
+    const std::uint64_t round = ++m_watchRound;
+    m_store.list("", [this, round](const store_read &read) {
+        heard(read.status == store_status::Ok, "list");
+        if (round != m_watchRound || m_leaving) {
+            return;
+        }
+        if (read.status != store_status::Ok) {
+            m_watchTimer = m_loop.timer(retryPause, {}, [this] {
+                readAll();
+            });
+            return;
+        }
+        takeAll(read);
+        watchOn();
+    });
+}
+
+void store_task::takeAll(const store_read &read)
+{
+    view_changed change;
+    std::set<std::string> present;
+    for (const stored_item &item : read.items) {
+        present.insert(item.key);
+        takeItem(item, change);
+    }
+    dropMissing(present, change);
+    m_revision = read.revision;
+    m_followed = true;
+    publish(change);
+}
+
+/// What was known and is not in a whole reading has been removed meanwhile.
+void store_task::dropMissing(const std::set<std::string> &present, view_changed &change)
+{
+    std::vector<std::string> keys;
+    for (const auto &[id, server] : m_view.servers) {
+        keys.push_back(m_codec.serverPrefix + id);
+    }
+    for (const auto &[node, record] : m_view.daemons) {
+        keys.push_back(daemonPrefix + node);
+    }
+    for (const auto &[id, entry] : m_view.orderers) {
+        keys.push_back(ordererPrefix + id);
+    }
+    for (const std::string &key : keys) {
+        if (present.count(key) == 0) {
+            stored_item gone;
+            gone.key = key;
+            gone.removed = true;
+            takeItem(gone, change);
+        }
+    }
+}
+
+void store_task::watchOn()
+{
+    const std::uint64_t round = ++m_watchRound;
+    m_store.watch("", m_revision, watchWait, [this, round](const store_read &read) {
+        heard(read.status == store_status::Ok || read.status == store_status::HistoryGone, "watch");
+        if (round != m_watchRound || m_leaving) {
+            return;
+        }
+        switch (read.status) {
+        case store_status::Ok:
+            takeEvents(read);
+            m_watchTimer = m_loop.timer(watchPause, {}, [this] {
+                watchOn();
+            });
+            return;
+        case store_status::HistoryGone:
+            m_log.important("store.history_gone").add("after", m_revision);
+            readAll();
+            return;
+        default:
+            // The watch may have missed nothing, but a reading also tells what lapsed meanwhile.
+            m_watchTimer = m_loop.timer(retryPause, {}, [this] {
+                readAll();
+            });
+            return;
+        }
+    });
+}
+
+void store_task::takeEvents(const store_read &read)
+{
+    view_changed change;
+    for (const stored_item &item : read.items) {
+        takeItem(item, change);
+    }
+    m_revision = std::max(m_revision, read.revision);
+    if (!read.items.empty()) {
+        publish(change);
+    }
+}
+
+void store_task::publish(const view_changed &change)
+{
+    m_bus.post(change);
+}
+
+void store_task::takeItem(const stored_item &item, view_changed &change)
+{
+    if (item.key == m_codec.configKey) {
+        takeConfig(item, change);
+    } else if (isUnder(item.key, m_codec.serverPrefix)) {
+        takeServer(item, change);
+    } else if (isUnder(item.key, m_codec.versionPrefix)) {
+        error why;
+        const auto version = item.removed ? std::nullopt : m_codec.readVersion(item.value, why);
+        if (version) {
+            auto &known = m_view.versions[adapterKey(version->model, version->adapter)];
+            if (version->version > known) {
+                known = version->version;
+                m_log.important("version.named")
+                    .add("adapter", adapterKey(version->model, version->adapter))
+                    .add("version", version->version)
+                    .add("revision", item.revision);
+            }
+        }
+    } else if (isUnder(item.key, ownPrefix)) {
+        takeOwn(item);
+    }
+}
+
+void store_task::takeConfig(const stored_item &item, view_changed &change)
+{
+    if (item.removed || item.revision <= m_configRevision) {
+        return;
+    }
+    error why;
+    auto config = m_codec.readConfig(item.value, why);
+    if (!config) {
+        m_log.important("config.unreadable").add("revision", item.revision).add("why", message(why));
+        return;
+    }
+    // A version in force never goes back within a process: what was served by a newer one would be
+    // answered by an older.
+    if (m_view.config && config->version <= m_view.config->version) {
+        m_log.important("config.older_ignored").add("version", config->version);
+        return;
+    }
+    m_configRevision = item.revision;
+    m_view.config = std::make_shared<const serving_config>(std::move(*config));
+    change.config = true;
+    m_log.important("config.in_force")
+        .add("version", m_view.config->version)
+        .add("revision", item.revision)
+        .add("routes", static_cast<std::int64_t>(m_view.config->routes.size()));
+}
+
+void store_task::takeServer(const stored_item &item, view_changed &change)
+{
+    const std::string id = item.key.substr(m_codec.serverPrefix.size());
+    const auto known = m_view.servers.find(id);
+    if (item.removed) {
+        if (known == m_view.servers.end()) {
+            return;
+        }
+        const bool lapsed = !known->second.draining && m_regained.count != 0
+            && bootNow() - m_regained < missingGrace;
+        if (lapsed) {
+            m_missing.insert(id);
+            m_missingTimer = m_loop.timer(m_regained + missingGrace - bootNow(), {}, [this] {
+                dropLate();
+            });
+            m_log.important("server.entry_lapsed").add("server", id);
+            return;
+        }
+        m_view.servers.erase(known);
+        m_missing.erase(id);
+        change.goneServers.push_back(id);
+        m_log.important("server.gone").add("server", id).add("revision", item.revision);
+        return;
+    }
+    error why;
+    auto server = m_codec.readServer(id, item.value, why);
+    if (!server) {
+        m_log.important("server.unreadable").add("server", id).add("why", message(why));
+        return;
+    }
+    m_missing.erase(id);
+    const bool isNew = known == m_view.servers.end();
+    if (isNew || known->second.draining != server->draining) {
+        m_log.important(server->draining ? "server.draining" : "server.ready")
+            .add("server", id)
+            .add("service", server->service)
+            .add("revision", item.revision);
+    }
+    m_view.servers[id] = std::move(*server);
+}
+
+void store_task::dropLate()
+{
+    view_changed change;
+    for (const std::string &id : m_missing) {
+        m_view.servers.erase(id);
+        change.goneServers.push_back(id);
+        m_log.important("server.gone").add("server", id).add("why", "its entry did not come back");
+    }
+    m_missing.clear();
+    publish(change);
+}
+
+void store_task::takeOwn(const stored_item &item)
+{
+    error why;
+    if (isUnder(item.key, daemonPrefix)) {
+        const std::string node = item.key.substr(daemonPrefix.size());
+        const auto record = item.removed ? std::nullopt : decodeDaemon(item.value, why);
+        if (record) {
+            const auto known = m_view.daemons.find(node);
+            if (known == m_view.daemons.end() || known->second.incarnation != record->incarnation) {
+                m_log.important("peer.up").add("peer", node).add("revision", item.revision);
+            }
+            m_view.daemons[node] = *record;
+        } else if (m_view.daemons.erase(node) > 0) {
+            m_log.important("peer.down").add("peer", node).add("revision", item.revision);
+        }
+    } else if (isUnder(item.key, ordererPrefix)) {
+        const std::string server = item.key.substr(ordererPrefix.size());
+        const auto record = item.removed ? std::nullopt : decodeOrderer(item.value, why);
+        if (record) {
+            auto &entry = m_view.orderers[server];
+            if (item.revision >= entry.revision) {
+                entry = {*record, item.revision};
+            }
+        } else {
+            m_view.orderers.erase(server);
+        }
+    }
+}
+
+void store_task::grantLease()
+{
+    if (m_leaseCalling || m_leaving) {
+        return;
+    }
+    m_leaseCalling = true;
+    const millis asked = bootNow();
+    m_store.grantLease(std::max(leaseTime, m_settings.leaseMin),
+        [this, asked](store_status status, std::int64_t lease) {
+            heard(status == store_status::Ok, "lease");
+            if (status != store_status::Ok || m_leaving) {
+                m_leaseCalling = false;
+                return;
+            }
+            m_lease = lease;
+            m_leaseKept = asked;
+            store_change change;
+            const daemon_record record{m_settings.node, m_settings.peers.ip, m_settings.peers.port,
+                m_settings.failureDomain, m_incarnation};
+            change.puts.push_back({daemonPrefix + m_settings.node, encode(record), lease});
+            m_store.change(change, [this](store_status put, std::int64_t revision) {
+                m_leaseCalling = false;
+                heard(put == store_status::Ok, "register");
+                if (put != store_status::Ok) {
+                    m_lease = 0; // tried again with a new lease; the old one runs out
+                    return;
+                }
+                m_log.important("lease.granted").add("lease", m_lease).add("revision", revision);
+            });
+        });
+}
+
+void store_task::keepLease()
+{
+    if (m_leaving) {
+        return;
+    }
+    if (m_lease == 0) {
+        grantLease();
+        return;
+    }
+    if (m_leaseCalling) {
+        return;
+    }
+    m_leaseCalling = true;
+    const millis asked = bootNow();
+    m_store.keepLease(m_lease, [this, asked](store_status status) {
+        m_leaseCalling = false;
+        heard(status == store_status::Ok || status == store_status::Missing, "keep");
+        if (status == store_status::Ok) {
+            m_leaseKept = asked;
+        } else if (status == store_status::Missing) {
+            m_log.important("lease.lost").add("lease", m_lease).add("kept_ms", asked - m_leaseKept);
+            m_lease = 0;
+            grantLease();
+        }
+    });
+}
+
+void store_task::claim(const std::string &server)
+{
+    if (m_lease == 0 || m_leaving || m_claiming.count(server) != 0) {
+        return;
+    }
+    const auto known = m_view.orderers.find(server);
+    const bool others = known != m_view.orderers.end() && !known->second.record.node.empty()
+        && known->second.record.node != m_settings.node;
+    if (others) {
+        return;
+    }
+    const std::int64_t revision = known == m_view.orderers.end() ? 0 : known->second.revision;
+    store_change change;
+    change.expected.emplace_back(orderersKey(server), revision);
+    const orderer_record record{m_settings.node, m_incarnation};
+    change.puts.push_back({orderersKey(server), encode(record), m_lease});
+    m_claiming.insert(server);
+    m_store.change(change, [this, server, record](store_status status, std::int64_t changed) {
+        m_claiming.erase(server);
+        heard(status == store_status::Ok || status == store_status::Conflict, "claim");
+        m_log.important("orderer.claim")
+            .add("server", server)
+            .add("outcome", status == store_status::Ok ? "taken" : "not taken")
+            .add("fence", changed);
+        if (status == store_status::Missing) {
+            m_lease = 0;
+        }
+        if (status != store_status::Ok) {
+            return; // without an answer the watch tells how it ended
+        }
+        auto &entry = m_view.orderers[server];
+        if (changed > entry.revision) {
+            entry = {record, changed};
+        }
+        publish({});
+    });
+}
+
+void store_task::leave()
+{
+    m_leaving = true;
+    store_change change;
+    change.removes.push_back(daemonPrefix + m_settings.node);
+    constexpr std::size_t maxEntries = 30; // of the store's 32 in one change
+    for (const auto &[server, entry] : m_view.orderers) {
+        const bool mine
+            = entry.record.node == m_settings.node && entry.record.incarnation == m_incarnation;
+        if (mine && change.puts.size() + change.expected.size() < maxEntries) {
+            change.expected.emplace_back(orderersKey(server), entry.revision);
+            change.puts.push_back({orderersKey(server), encode(orderer_record{}), 0});
+        }
+    }
+    m_store.change(change, [this](store_status status, std::int64_t revision) {
+        m_log.important("records.given_up")
+            .add("outcome", status == store_status::Ok ? "done" : "not done")
+            .add("revision", revision);
+    });
+}
+
+}
--- /dev/null
+++ b/packages/serving/store_task.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "protocol/fleet_messages.h"
+#include "serving/decision_log.h"
+#include "serving/metadata_store.h"
+#include "serving/node_settings.h"
+#include "serving/store_records.h"
+#include "transport/bus.h"
+#include "transport/loop.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace briarhead {
+
+struct orderer_entry
+{
+    orderer_record record;
+    std::int64_t revision = 0;
+};
+
+/// What this daemon knows from the store. Read by the other tasks, changed by store_task alone.
+struct store_view
+{
+    std::shared_ptr<const serving_config> config; ///< null before the first
+    std::map<std::string, backend_server> servers; ///< by id
+    std::map<std::string, std::int64_t> versions; ///< by MODEL/ADAPTER
+    std::map<std::string, daemon_record> daemons; ///< by node; this one is among them
+    std::map<std::string, orderer_entry> orderers; ///< by server id
+    millis lastAnswer; ///< of the store
+    bool reachable = false;
+};
+
+/// Posted after each change of the view.
+struct view_changed
+{
+    bool config = false;
+    std::vector<std::string> goneServers;
+};
+
+/// Follows the store with one watch over all its keys, and keeps this daemon's lease and record there.
+class store_task
+{
+public:
+    store_task(loop &eventLoop, bus &messages, metadata_store &store, const record_codec &codec,
+        const node_settings &settings, std::uint64_t incarnation, decision_log &log);
+
+    const store_view &view() const;
+    std::uint64_t incarnation() const;
+    /// Claims the right to give a server's orders if nobody else has it. The view tells how it ended.
+    void claim(const std::string &server);
+    /// Gives up all of this daemon's records, for a shutdown.
+    void leave();
+
+private:
+    void readAll();
+    void takeAll(const store_read &read);
+    void watchOn();
+    void takeEvents(const store_read &read);
+    void takeItem(const stored_item &item, view_changed &change);
+    void takeConfig(const stored_item &item, view_changed &change);
+    void takeServer(const stored_item &item, view_changed &change);
+    void takeOwn(const stored_item &item);
+    void dropMissing(const std::set<std::string> &present, view_changed &change);
+    void dropLate();
+    void heard(bool answered, const char *call);
+    void keepLease();
+    void grantLease();
+    void publish(const view_changed &change);
+    std::string orderersKey(const std::string &server) const;
+
+    loop &m_loop;
+    bus &m_bus;
+    metadata_store &m_store;
+    record_codec m_codec;
+    node_settings m_settings;
+    std::uint64_t m_incarnation;
+    decision_log &m_log;
+    store_view m_view;
+    std::int64_t m_revision = 0; ///< followed up to here
+    std::int64_t m_configRevision = 0;
+    std::int64_t m_lease = 0;
+    bool m_leaseCalling = false;
+    bool m_leaving = false;
+    bool m_followed = false; ///< a first reading was taken in
+    std::uint64_t m_watchRound = 0; ///< number of the watch that counts; others are outdated
+    millis m_leaseKept;
+    millis m_regained; ///< when the store answered again after an outage
+    std::set<std::string> m_missing; ///< servers whose entries lapsed during an outage
+    std::set<std::string> m_claiming;
+    std::shared_ptr<void> m_watchTimer;
+    std::shared_ptr<void> m_leaseTimer;
+    std::shared_ptr<void> m_missingTimer;
+};
+
+}
--- /dev/null
+++ b/packages/transport/http_wire.cpp
@@ -0,0 +1,266 @@
+#include "transport/http_wire.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace briarhead {
+
+namespace {
+
+namespace beast_http = boost::beast::http;
+using beast_text = boost::beast::string_view;
+using error_code = boost::beast::error_code;
+
+std::string toText(beast_text text)
+{
+    return {text.data(), text.size()};
+}
+
+char lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+/// What both kinds of parser do alike.
+class any_collector
+{
+public:
+    virtual ~any_collector() = default;
+    virtual std::size_t put(std::string_view bytes, error_code &code) = 0;
+    virtual void putEnd(error_code &code) = 0;
+    virtual bool headDone() const = 0;
+    virtual bool done() const = 0;
+    virtual bool keeps() const = 0;
+    virtual bool needsEnd() const = 0;
+    virtual void skipBody() = 0;
+    virtual std::optional<std::uint64_t> length() const = 0;
+
+    http_head head;
+    std::string body;
+    int version = 11; ///< 10 or 11
+};
+
+template <bool isRequest>
+class collector final : public any_collector, public beast_http::basic_parser<isRequest>
+{
+    using base = beast_http::basic_parser<isRequest>;
+
+public:
+    explicit collector(const http_reader::limits &bounds)
+    {
+        base::eager(true);
+        base::header_limit(bounds.headBytes);
+        base::body_limit(bounds.bodyBytes);
+    }
+    std::size_t put(std::string_view bytes, error_code &code) override
+    {
+        return base::put(boost::asio::const_buffer(bytes.data(), bytes.size()), code);
+    }
+    void putEnd(error_code &code) override
+    {
+        base::put_eof(code);
+    }
+    bool headDone() const override
+    {
+        return base::is_header_done();
+    }
+    bool done() const override
+    {
+        return base::is_done();
+    }
+    bool keeps() const override
+    {
+        return base::keep_alive();
+    }
+    bool needsEnd() const override
+    {
+        return base::need_eof();
+    }
+    void skipBody() override
+    {
+        base::skip(true);
+    }
+    std::optional<std::uint64_t> length() const override
+    {
+        const auto value = base::content_length();
+        return value ? std::optional<std::uint64_t>(*value) : std::nullopt;
+    }
+
+private:
+    void on_request_impl(beast_http::verb, beast_text method, beast_text target, int number, error_code &) override
+    {
+        version = number;
+        head.method = toText(method);
+        head.target = toText(target);
+    }
+    void on_response_impl(int status, beast_text reason, int number, error_code &) override
+    {
+        version = number;
+        head.status = status;
+        head.reason = toText(reason);
+    }
+    void on_field_impl(beast_http::field, beast_text name, beast_text value, error_code &) override
+    {
+        head.fields.push_back({toText(name), toText(value)});
+    }
+    void on_header_impl(error_code &) override
+    {
+    }
+    void on_body_init_impl(const boost::optional<std::uint64_t> &, error_code &) override
+    {
+    }
+    std::size_t on_body_impl(beast_text bytes, error_code &) override
+    {
+        body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, beast_text, error_code &) override
+    {
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t, beast_text bytes, error_code &) override
+    {
+        body.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+    void on_finish_impl(error_code &) override
+    {
+    }
+};
+
+read_fault faultOf(const error_code &code)
+{
+    if (code == beast_http::error::header_limit) {
+        return read_fault::HeadTooLarge;
+    }
+    if (code == beast_http::error::body_limit) {
+        return read_fault::BodyTooLarge;
+    }
+    return read_fault::Malformed;
+}
+
+}
+
+bool sameText(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
+        return lower(x) == lower(y);
+    });
+}
+
+const std::string *findField(const http_head &head, std::string_view name)
+{
+    for (const http_field &field : head.fields) {
+        if (sameText(field.name, name)) {
+            return &field.value;
+        }
+    }
+    return nullptr;
+}
+
+struct http_reader::impl
+{
+    std::unique_ptr<any_collector> parser;
+    read_state state = read_state::Head;
+    read_fault fault = read_fault::None;
+
+    void settle()
+    {
+        if (parser->done()) {
+            state = read_state::Done;
+        } else if (parser->headDone()) {
+            state = read_state::Body;
+        }
+    }
+};
+
+http_reader::http_reader(http_side side, limits bounds)
+    : m_impl(std::make_unique<impl>())
+{
+    if (side == http_side::Request) {
+        m_impl->parser = std::make_unique<collector<true>>(bounds);
+    } else {
+        m_impl->parser = std::make_unique<collector<false>>(bounds);
+    }
+}
+
+http_reader::~http_reader() = default;
+http_reader::http_reader(http_reader &&) noexcept = default;
+http_reader &http_reader::operator=(http_reader &&) noexcept = default;
+
+void http_reader::expectNoBody()
+{
+    m_impl->parser->skipBody();
+}
+
+read_state http_reader::feed(std::string_view bytes, std::size_t &used)
+{
+    used = 0;
+    while (m_impl->state != read_state::Done && m_impl->state != read_state::Bad && used < bytes.size()) {
+        error_code code;
+        const std::size_t taken = m_impl->parser->put(bytes.substr(used), code);
+        used += taken;
+        m_impl->settle();
+        if (code == beast_http::error::need_more) {
+            break;
+        }
+        if (code) {
+            m_impl->state = read_state::Bad;
+            m_impl->fault = faultOf(code);
+        } else if (taken == 0) {
+            break;
+        }
+    }
+    return m_impl->state;
+}
+
+bool http_reader::finishAtEnd()
+{
+    if (m_impl->state != read_state::Body || !m_impl->parser->needsEnd()) {
+        return m_impl->state == read_state::Done;
+    }
+    error_code code;
+    m_impl->parser->putEnd(code);
+    m_impl->settle();
+    return !code && m_impl->state == read_state::Done;
+}
+
+read_state http_reader::state() const
+{
+    return m_impl->state;
+}
+
+read_fault http_reader::fault() const
+{
+    return m_impl->fault;
+}
+
+const http_head &http_reader::head() const
+{
+    return m_impl->parser->head;
+}
+
+std::string http_reader::takeBody()
+{
+    return std::exchange(m_impl->parser->body, {});
+}
+
+bool http_reader::keepsConnection() const
+{
+    return m_impl->parser->keeps();
+}
+
+bool http_reader::isHttp10() const
+{
+    return m_impl->parser->version == 10;
+}
+
+std::optional<std::uint64_t> http_reader::bodyLength() const
+{
+    return m_impl->parser->length();
+}
+
+}
