--- a/packages/serving/server_ledger.cpp
+++ b/packages/serving/server_ledger.cpp
@@ -261,7 +261,7 @@
 
 void takeReport(server_ledger &ledger, const server_report &report, millis now)
 {
-    if (report.sequence < ledger.sequence) {
+    if (report.sequence < ledger.sequence && now - ledger.acceptedAt < reportLagMost) {
         ledger.notBefore = now + conflictPause;
         return;
     }
@@ -345,10 +345,12 @@
     switch (answer) {
     case order_answer::Accepted:
     case order_answer::Holds:
-        // Each accepted order raises the server's sequence, also one that changed nothing; a conflict at
-        // the next one corrects the count where that isn't so.
-        ledger.sequence = order.expected + 1;
-        ledger.ghost.reset();
+        // The server counts the orders that it accepts; a load that holds already is none.
+        if (answer == order_answer::Accepted || order.kind == order_kind::Unload) {
+            ledger.sequence = order.expected + 1;
+            ledger.acceptedAt = now;
+            ledger.ghost.reset();
+        }
         if (order.kind == order_kind::Load) {
             onLoadAnswer(ledger, order, answer, limits, now);
         } else if (answer == order_answer::Holds) {
--- a/packages/serving/server_ledger.h
+++ b/packages/serving/server_ledger.h
@@ -48,6 +48,8 @@
 constexpr millis knownLoadTime{25};
 /// Loads on their way over all servers that still run at full speed; beyond, each takes longer in proportion.
 constexpr std::uint32_t loadsAtFullSpeed = 8;
+/// A report older than the last accepted order is outdated; one this long after it is not, whatever it says.
+constexpr millis reportLagMost{1'000};
 /// Pause between questions whether an adapter is in.
 constexpr millis askAgainEvery{40};
 /// Adapters that may be on their way to one server at the same time.
@@ -62,6 +64,7 @@
     double weightsMb = 0;
     bool proved = false; ///< a report was taken in since the last doubt
     std::int64_t sequence = 0; ///< orders the server has accepted
+    millis acceptedAt; ///< when it accepted the last one
     std::vector<std::string> models; ///< base models held
     std::string modelComing; ///< ordered, not yet seen in a report
     std::vector<adapter_place> adapters;
