Let an ending instance take nothing that it can't finish

Ruled out: kept connections alone: the cut request came over a new one. Change: 2.8 s after the signal the listener is closed and new requests are refused as not run.

--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -23,6 +23,9 @@
 constexpr int quietBeats = 7;
 /// The balancer takes a daemon out after two misses, a second apart; until then new connections come.
 constexpr millis stillTaking{2'500};
+/// From then on neither connections nor requests are taken. While most of a failure domain's daemons end, the
+/// balancer goes on sending to all of them, and a request taken late would be cut off by the end.
+constexpr millis lastTaking{2'800};
 constexpr millis endCheckEvery{100};
 /// Kept connections without a request are closed after this long once the end has begun.
 constexpr millis idleAtEnd{1'500};
@@ -83,6 +86,7 @@
     int m_beats = 0;
     millis m_endBegan;
     bool m_ending = false;
+    bool m_closed = false; ///< takes nothing any more
     int m_exit = 0;
 };
 
@@ -276,6 +280,11 @@
     const millis since = bootNow() - m_endBegan;
     const bool idle = m_front.active() == 0 && m_callers->busy() == 0 && m_callers->connections() == 0;
     const bool late = since > m_settings.shutdown - endMargin;
+    if (since > lastTaking && !m_closed) {
+        m_closed = true;
+        m_callers->stopListening();
+        m_front.stopTaking();
+    }
     if ((idle && since > stillTaking) || late) {
         m_exit = idle ? 0 : exitCut;
         m_loop.stop();
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -32,6 +32,8 @@
 /// Connections are refused or time out before anything is sent; so many servers are tried then.
 constexpr int unsentTries = 3;
 constexpr millis comeBackSoon{300};
+/// Another instance takes it right away.
+constexpr millis comeBackElsewhere{50};
 constexpr millis comeBackNotReady{1'000};
 constexpr double msPerSecond = 1'000;
 constexpr int firstServerError = 500;
@@ -138,6 +140,11 @@
     }
 }
 
+void front_task::stopTaking()
+{
+    m_taking = false;
+}
+
 void front_task::onRequest(front_request raw, std::shared_ptr<front_reply> reply)
 {
     error why;
@@ -155,6 +162,10 @@
     one->config = m_store.view().config;
     one->arrived = bootNow();
     m_work.emplace(one->number, one);
+    if (!m_taking) {
+        refuse(one, "this instance is ending", comeBackElsewhere);
+        return;
+    }
     if (!one->config) {
         refuse(one, "no configuration yet", comeBackNotReady);
         return;
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -53,6 +53,8 @@
     void setPort(fleet_port &port);
     void setRepeatLimits(const repeat_limits &limits);
 
+    /// From now on new requests are refused, since the process ends before they could be answered.
+    void stopTaking();
     void onRequest(front_request raw, std::shared_ptr<front_reply> reply);
     void onAnswer(const place_answer &answer);
     void onBeat(const std::string &node, const fleet_beat &beat);
@@ -109,6 +111,7 @@
     std::map<std::string, int> m_inFlight; ///< this entry's, by server
     std::map<std::string, server_record> m_records; ///< by server
     std::uint64_t m_lastWork = 0;
+    bool m_taking = true;
 };
 
 }
--- a/packages/transport/front_server.cpp
+++ b/packages/transport/front_server.cpp
@@ -137,6 +137,13 @@
         m_closing = true;
         m_limits.idleTime = idle;
     }
+    void stopListening() override
+    {
+        // Closing the listener resets what still waits in its queue, so that is taken first.
+        acceptAll();
+        m_listenWatch.reset();
+        m_listener = owned_fd();
+    }
     std::size_t busy() const override;
     std::size_t connections() const override
     {
