Keep orders going through shutdowns, announce running requests, let returning callers go first

Cause: rolling restarts left each server without orders for its lease (3 s) and more; prompts waited for a place that the adapters ahead of them in the queue were to take, and were refused when their patience was over. Change: an ending daemon orders until 2.3 s after the signal, its successor waits 0.8 s instead of 3; entries tell a new orderer what runs; places already spoken for don't count as open; a refused caller that comes back waits as if it had waited here; leases of 2 s.

--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -21,11 +21,12 @@
     std::int32_t rank = 0; ///< 0 is the most urgent
     std::int64_t waitMs = 0; ///< how long it may wait for its place
     std::int64_t deadlineMs = 0; ///< left until its caller gives up
+    std::int64_t ageMs = 0; ///< since its caller first asked: it was refused before and has come back
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, server, model, adapter, promptTokens, outputTokens, rank, waitMs, deadlineMs);
+        archive(id, server, model, adapter, promptTokens, outputTokens, rank, waitMs, deadlineMs, ageMs);
     }
 };
 
@@ -85,6 +86,25 @@
     }
 };
 
+/// Entry -> a server's new orderer: a request that the one before let in, and that still runs there.
+struct place_running
+{
+    std::string id;
+    std::string server;
+    std::string model;
+    std::string adapter;
+    std::int64_t promptTokens = 0;
+    std::int64_t outputTokens = 0;
+    bool reading = false; ///< its first token has not come
+    std::int64_t deadlineMs = 0; ///< left until its caller gives up
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, server, model, adapter, promptTokens, outputTokens, reading, deadlineMs);
+    }
+};
+
 /// One adapter that a server holds or will soon.
 struct beat_adapter
 {
@@ -134,7 +154,7 @@
 {
     std::string from; ///< the sender's node name
     std::uint64_t incarnation = 0;
-    std::variant<place_ask, place_answer, place_note, fleet_beat> body;
+    std::variant<place_ask, place_answer, place_note, place_running, fleet_beat> body;
 
     template <class Archive>
     void serialize(Archive &archive)
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -23,9 +23,15 @@
 constexpr int quietBeats = 7;
 /// The balancer takes a daemon out after two misses, a second apart; until then new connections come.
 constexpr millis stillTaking{2'500};
+/// Until then it goes on giving orders, since the next daemon has to wait a while after the last one that was
+/// given outside a shutdown. Giving up at once left each server without orders for three seconds a restart.
+constexpr millis handOver{2'300};
 /// From then on neither connections nor requests are taken. While most of a failure domain's daemons end, the
 /// balancer goes on sending to all of them, and a request taken late would be cut off by the end.
 constexpr millis lastTaking{2'800};
+/// A daemon that has just started knows no server's state until the first beats; without any it takes callers
+/// all the same, for plain services and for what the list of servers says.
+constexpr millis readyWithoutOrderers{3'000};
 constexpr millis endCheckEvery{100};
 /// Kept connections without a request are closed after this long once the end has begun.
 constexpr millis idleAtEnd{1'500};
@@ -84,8 +90,10 @@
     std::unique_ptr<front_server> m_metrics;
     std::vector<std::shared_ptr<void>> m_handles;
     int m_beats = 0;
+    millis m_started = bootNow();
     millis m_endBegan;
     bool m_ending = false;
+    bool m_handedOver = false; ///< others give the orders of its servers
     bool m_closed = false; ///< takes nothing any more
     int m_exit = 0;
 };
@@ -186,6 +194,8 @@
                 m_orderer.onAsk(datagram.from, body);
             } else if constexpr (std::is_same_v<body_type, place_answer>) {
                 m_front.onAnswer(body);
+            } else if constexpr (std::is_same_v<body_type, place_running>) {
+                m_orderer.onRunning(datagram.from, body);
             } else if constexpr (std::is_same_v<body_type, place_note>) {
                 m_orderer.onNote(body);
             } else {
@@ -214,7 +224,8 @@
 bool daemon_impl::isReady() const
 {
     const store_view &view = m_store.view();
-    return !m_ending && view.config && !view.servers.empty();
+    const bool heard = m_front.hearsOrderers() || bootNow() - m_started > readyWithoutOrderers;
+    return !m_ending && view.config && !view.servers.empty() && heard;
 }
 
 void daemon_impl::onReadyQuestion(std::shared_ptr<front_reply> reply) const
@@ -268,7 +279,6 @@
     m_ending = true;
     m_endBegan = bootNow();
     m_log.important("process.ending").add("active", static_cast<std::int64_t>(m_front.active()));
-    m_store.leave();
     m_callers->closeAfterAnswers(idleAtEnd);
     m_handles.push_back(m_loop.timer(endCheckEvery, endCheckEvery, [this] {
         checkEnd();
@@ -280,6 +290,11 @@
     const millis since = bootNow() - m_endBegan;
     const bool idle = m_front.active() == 0 && m_callers->busy() == 0 && m_callers->connections() == 0;
     const bool late = since > m_settings.shutdown - endMargin;
+    if (since > handOver && !m_handedOver) {
+        m_handedOver = true;
+        m_orderer.stop();
+        m_store.leave();
+    }
     if (since > lastTaking && !m_closed) {
         m_closed = true;
         m_callers->stopListening();
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -21,6 +21,11 @@
 /// The share of the time to the first event that a prompt may wait for its turn: the rest is its own
 /// reading, which takes 100 to 400 ms at the first deployments.
 constexpr double waitShare = 0.75;
+/// An age beyond this means that the caller has come back; its patience is then this, and its turn comes as
+/// if it had waited here, for at most so long.
+constexpr millis returnAge{60};
+constexpr millis returnPatience{1'200};
+constexpr millis oldestReturn{1'500};
 /// Without a beat the reading speed isn't known; the slowest of the first deployments, tokens a ms.
 constexpr double unknownSpeed = 14;
 /// An idempotent request whose server stays silent this many times its target is tried elsewhere.
@@ -334,11 +339,13 @@
     m_workOfAsk[one->request.id] = one->number;
     const millis target = one->way->target;
     const millis waited = bootNow() - one->arrived;
-    const std::int64_t wait
-        = std::llround(static_cast<double>(target.count) * waitShare) - waited.count;
+    const millis age = ageOf(*one);
+    // Who was refused before and is past its target already is served late rather than refused again.
+    const millis patience = age > returnAge ? returnPatience : millis{std::llround(target.count * waitShare)};
+    const std::int64_t wait = (patience - waited).count;
     place_ask message{one->request.id, one->server, one->request.model, one->request.adapter,
         one->request.promptTokens, one->request.outputTokens, one->way->rank,
-        std::max<std::int64_t>(wait, 0), std::max<std::int64_t>(left(*one).count, 0)};
+        std::max<std::int64_t>(wait, 0), std::max<std::int64_t>(left(*one).count, 0), age.count};
     one->askTimer = m_loop.timer(askAgainAfter, {}, [this, weak = std::weak_ptr<work>(one)] {
         if (const auto same = weak.lock()) {
             askAgain(same);
@@ -785,10 +792,48 @@
         if (each.fence < heard.beat.fence) {
             continue; // from a daemon that gave the orders before
         }
+        const bool changed = heard.orderer != node || heard.beat.fence != each.fence;
         heard = {each, node, now, 0};
+        if (changed) {
+            announce(each.server, node);
+        }
     }
 }
 
+/// Tells a server's new orderer what runs there, so that it takes no adapter in use for idle.
+void front_task::announce(const std::string &server, const std::string &orderer)
+{
+    for (const auto &[number, one] : m_work) {
+        if (!one->model || one->server != server || !one->sending) {
+            continue;
+        }
+        one->orderer = orderer;
+        const place_running message{one->request.id, server, one->request.model, one->request.adapter,
+            one->request.promptTokens, one->request.outputTokens, !one->firstEvent, left(*one).count};
+        if (orderer == m_settings.node) {
+            m_loop.post([this, message] {
+                m_orderer->onRunning(m_settings.node, message);
+            });
+        } else {
+            sendTo(orderer, {m_settings.node, m_store.incarnation(), message});
+        }
+    }
+}
+
+bool front_task::hearsOrderers() const
+{
+    return !m_heard.empty();
+}
+
+/// How long ago its caller first asked. A caller that was refused comes back with less time left than the
+/// route gives; one that simply has less time is then served a little sooner, which suits it too.
+millis front_task::ageOf(const work &one) const
+{
+    const millis full = one.way->timeout;
+    const millis given = one.request.deadline.value_or(full);
+    return std::clamp(full - given, millis{}, oldestReturn);
+}
+
 std::uint32_t front_task::loadsElsewhere() const
 {
     std::uint32_t sum = 0;
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -58,6 +58,8 @@
     void onRequest(front_request raw, std::shared_ptr<front_reply> reply);
     void onAnswer(const place_answer &answer);
     void onBeat(const std::string &node, const fleet_beat &beat);
+    /// Whether any server's orderer has been heard of.
+    bool hearsOrderers() const;
     /// Adapter loads on their way at other daemons' servers.
     std::uint32_t loadsElsewhere() const;
     const front_counters &counters() const;
@@ -89,6 +91,8 @@
     void fail(const work_ptr &one, int status, const char *why);
     void finish(const work_ptr &one, const std::string &outcome);
     void leaveServer(const work_ptr &one, place_event event);
+    void announce(const std::string &server, const std::string &orderer);
+    millis ageOf(const work &one) const;
     void note(const work &one, place_event event);
     void sendTo(const std::string &node, const fleet_datagram &datagram);
     millis left(const work &one) const;
--- a/packages/serving/orderer_task.cpp
+++ b/packages/serving/orderer_task.cpp
@@ -20,6 +20,11 @@
 /// all begin at once.
 constexpr double modelLoadMargin = 1.3;
 constexpr std::int64_t msPerSecond = 1'000;
+/// A daemon that ends gives orders for 2.3 s more; those it gave before its end began are then this close to
+/// the three seconds that two daemons' orders keep apart.
+constexpr millis handOverWait{800};
+/// Entries tell a new orderer at its first beat what still runs; until they have, adapters in use look idle.
+constexpr millis announceWait{250};
 /// The least that a refused caller is asked to wait.
 constexpr millis shortestComeBack{150};
 /// While every place is used, one is free again after about this long: the rest of a short answer.
@@ -90,7 +95,7 @@
 void orderer_task::claimOrphans()
 {
     const store_view &view = m_store.view();
-    if (!view.config || view.daemons.count(m_settings.node) == 0) {
+    if (m_stopped || !view.config || view.daemons.count(m_settings.node) == 0) {
         return;
     }
     for (const auto &[id, server] : view.servers) {
@@ -120,7 +125,7 @@
 {
     const backend_server *server = serverOf(id);
     const engine_spec *engine = server == nullptr ? nullptr : engineOfServer(*server);
-    if (engine == nullptr) {
+    if (engine == nullptr || m_stopped) {
         return;
     }
     const auto fence = static_cast<std::uint64_t>(entry.revision);
@@ -134,8 +139,10 @@
     one.fence = fence;
     if (const auto released = m_released.find(id); released != m_released.end()) {
         // The daemon before lives and may have ordered right before it gave the server up.
-        one.mayOrderFrom = released->second + m_settings.orderLease;
+        one.mayOrderFrom = released->second + handOverWait;
         m_released.erase(released);
+    } else {
+        one.mayOrderFrom = bootNow() + announceWait;
     }
     one.ledger.server = id;
     one.ledger.places = engine->adapterPlaces;
@@ -200,12 +207,12 @@
     }
     const bool needsPlace
         = !ask.adapter.empty() && findPlace(one.ledger, ask.model, ask.adapter) == nullptr;
-    if (needsPlace && one.ledger.proved && openPlaces(one.ledger) == 0) {
+    if (needsPlace && openPlaces(one.ledger) <= adaptersWaited(one, ask.model, ask.adapter)) {
         refuse(entry, ask.id, ask.server, refusal::NoPlace, placeComeBack);
         return;
     }
     const waiting_prompt prompt{ask.id, entry, ask.model, ask.adapter, ask.promptTokens, ask.outputTokens,
-        ask.rank, now, now + millis{ask.waitMs}, now + millis{ask.deadlineMs}};
+        ask.rank, now - millis{ask.ageMs}, now + millis{ask.waitMs}, now + millis{ask.deadlineMs}};
     const admission admitted = admit(one.queue, prompt, now);
     if (!admitted.taken) {
         refuse(entry, ask.id, ask.server, refusal::TooBusy, admitted.wait - millis{ask.waitMs});
@@ -218,6 +225,42 @@
     }
 }
 
+/// Other adapters that prompts wait for and that have no place yet.
+int orderer_task::adaptersWaited(
+    const server_state &one, const std::string &model, const std::string &adapter) const
+{
+    std::set<std::string> names;
+    for (const waiting_prompt &prompt : one.queue.waiting) {
+        const bool other = prompt.model != model || prompt.adapter != adapter;
+        if (other && !prompt.adapter.empty()
+            && findPlace(one.ledger, prompt.model, prompt.adapter) == nullptr) {
+            names.insert(adapterKey(prompt.model, prompt.adapter));
+        }
+    }
+    return static_cast<int>(names.size());
+}
+
+void orderer_task::onRunning(const std::string &entry, const place_running &run)
+{
+    const auto found = m_servers.find(run.server);
+    if (found == m_servers.end() || found->second.queue.running.count(run.id) != 0) {
+        return;
+    }
+    const millis now = bootNow();
+    const waiting_prompt prompt{run.id, entry, run.model, run.adapter, run.promptTokens, run.outputTokens, 0,
+        now, now, now + millis{run.deadlineMs}};
+    found->second.queue.running.emplace(run.id, running_prompt{prompt, now, run.reading});
+    beginUse(found->second.ledger, run.model, run.adapter, now);
+}
+
+void orderer_task::stop()
+{
+    m_stopped = true;
+    while (!m_servers.empty()) {
+        drop(m_servers.begin()->first, "this instance is ending");
+    }
+}
+
 void orderer_task::onNote(const place_note &note)
 {
     const auto found = m_servers.find(note.server);
--- a/packages/serving/orderer_task.h
+++ b/packages/serving/orderer_task.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace briarhead {
@@ -41,6 +42,9 @@
 
     void onAsk(const std::string &entry, const place_ask &ask);
     void onNote(const place_note &note);
+    void onRunning(const std::string &entry, const place_running &run);
+    /// Gives no orders any more: the records are about to be given up.
+    void stop();
     /// Loads on their way at the servers of other daemons, as last heard.
     void setLoadsElsewhere(std::uint32_t loads);
     fleet_beat beat() const;
@@ -65,6 +69,8 @@
     void dropQueue(const std::string &id, server_state &one, refusal why);
     void refuse(const std::string &entry, const std::string &id, const std::string &server, refusal why,
         millis comeBack);
+    int adaptersWaited(
+        const server_state &one, const std::string &model, const std::string &adapter) const;
     void pump(const std::string &id);
     void pumpAll();
     void askReport(const std::string &id, server_state &one, const backend_server &server);
@@ -86,6 +92,7 @@
     answer_call m_answer;
     orderer_counters m_counters;
     std::uint32_t m_loadsElsewhere = 0;
+    bool m_stopped = false;
     millis m_lastModelLoad;
     std::map<std::string, server_state> m_servers;
     std::map<std::string, millis> m_released; ///< servers given up by another daemon, and when that was seen
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -19,8 +19,8 @@
 constexpr millis watchPause{200};
 constexpr millis retryPause{400};
 /// A daemon is found dead after its lease; the shortest that bears a lost renewal or two.
-constexpr millis leaseTime{3'000};
-constexpr millis keepEvery{900};
+constexpr millis leaseTime{2'000};
+constexpr millis keepEvery{600};
 /// Without an answer for so long the store counts as away.
 constexpr millis awayAfter{1'500};
 /// Servers whose entries lapsed while the store was away write them again within two seconds of its return.
