--- a/packages/serving/choose_server.cpp
+++ b/packages/serving/choose_server.cpp
@@ -49,8 +49,8 @@
         }
         const double load = static_cast<double>(one.mine) / std::max(one.slots, 1)
             + (one.sameDomain ? 0 : otherDomainLoad) + failureLoad * one.failures;
-        const bool better
-            = !best || load < bestLoad || (load == bestLoad && one.tieBreak < servers[*best].tieBreak);
+        const bool better =
+            !best || load < bestLoad || (load == bestLoad && one.tieBreak < servers[*best].tieBreak);
         if (better) {
             best = i;
             bestLoad = load;
@@ -61,8 +61,8 @@
 
 double failuresNow(const server_record &record, millis now)
 {
-    const double halves
-        = static_cast<double>((now - record.at).count) / static_cast<double>(recordHalfLife.count);
+    const double halves =
+        static_cast<double>((now - record.at).count) / static_cast<double>(recordHalfLife.count);
     return record.failures * std::exp2(-std::max(halves, 0.0));
 }
 
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -180,8 +180,7 @@
     }
     const auto peer = m_store.view().daemons.find(entry);
     if (peer != m_store.view().daemons.end()) {
-        m_port->send({peer->second.ip, peer->second.port},
-            {m_settings.node, m_store.incarnation(), answer});
+        m_port->send({peer->second.ip, peer->second.port}, {m_settings.node, m_store.incarnation(), answer});
     }
 }
 
@@ -231,7 +230,10 @@
 void daemon_impl::onReadyQuestion(std::shared_ptr<front_reply> reply) const
 {
     const bool ready = isReady();
-    reply->respond(ready ? 200 : 503, {}, ready ? "ready\n" : m_ending ? "ending\n" : "no configuration yet\n");
+    reply->respond(ready ? 200 : 503, {},
+        ready          ? "ready\n"
+            : m_ending ? "ending\n"
+                       : "no configuration yet\n");
 }
 
 std::string daemon_impl::metricsText() const
@@ -257,8 +259,8 @@
         << "\nbriarhead_place_asks_total " << front.asks << "\nbriarhead_places_granted_total "
         << orders.granted << "\nbriarhead_places_refused_total " << orders.refused
         << "\nbriarhead_orders_total " << orders.orders << "\nbriarhead_orders_unknown_total "
-        << orders.ordersUnknown << "\nbriarhead_loads_total " << orders.loads
-        << "\nbriarhead_unloads_total " << orders.unloads << "\nbriarhead_reports_total " << orders.reports
+        << orders.ordersUnknown << "\nbriarhead_loads_total " << orders.loads << "\nbriarhead_unloads_total "
+        << orders.unloads << "\nbriarhead_reports_total " << orders.reports
         << "\nbriarhead_connections_opened_total " << pool.opened << "\nbriarhead_connections_reused_total "
         << pool.reused << "\nbriarhead_connections_stray_total " << pool.stray
         << "\nbriarhead_datagrams_sent_total " << fleet.sent << "\nbriarhead_datagram_bytes_sent_total "
@@ -326,8 +328,8 @@
 
 }
 
-std::unique_ptr<edge_daemon> edge_daemon::start(loop &eventLoop, const node_settings &settings,
-    const edge_parts &parts, decision_log &log, error &why)
+std::unique_ptr<edge_daemon> edge_daemon::start(
+    loop &eventLoop, const node_settings &settings, const edge_parts &parts, decision_log &log, error &why)
 {
     auto daemon = std::make_unique<daemon_impl>(eventLoop, settings, parts, log);
     return daemon->open(why) ? std::move(daemon) : nullptr;
--- a/packages/serving/fleet_port.cpp
+++ b/packages/serving/fleet_port.cpp
@@ -64,8 +64,7 @@
     static std::array<char, maxDatagramBytes> buffer;
     for (int i = 0; i < datagramsPerTurn; ++i) {
         socket_address from;
-        const ssize_t got
-            = recvfrom(m_fd.get(), buffer.data(), buffer.size(), 0, from.raw(), &from.size);
+        const ssize_t got = recvfrom(m_fd.get(), buffer.data(), buffer.size(), 0, from.raw(), &from.size);
         if (got < 0) {
             return;
         }
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -46,7 +46,8 @@
 std::string secondsText(millis span)
 {
     char text[32];
-    std::snprintf(text, sizeof(text), "%.2f", static_cast<double>(std::max<std::int64_t>(span.count, 10)) / msPerSecond);
+    std::snprintf(text, sizeof(text), "%.2f",
+        static_cast<double>(std::max<std::int64_t>(span.count, 10)) / msPerSecond);
     return text;
 }
 
@@ -182,7 +183,8 @@
     }
     one->service = pickService(*one->way, one->request.id);
     one->model = !one->request.model.empty() && engineOf(*one->config, one->service) != nullptr;
-    one->endBy = one->arrived + std::min(one->way->timeout, one->request.deadline.value_or(one->way->timeout));
+    one->endBy =
+        one->arrived + std::min(one->way->timeout, one->request.deadline.value_or(one->way->timeout));
     one->reply->onGone([this, weak = std::weak_ptr<work>(one)] {
         if (const auto gone = weak.lock()) {
             leaveServer(gone, place_event::Ended);
@@ -281,8 +283,7 @@
             const double speed = beat.tokensPerSecond > 0
                 ? static_cast<double>(beat.tokensPerSecond) / msPerSecond
                 : unknownSpeed;
-            candidate.backlogMs
-                = static_cast<double>(beat.backlogTokens + heard->second.askedSince) / speed;
+            candidate.backlogMs = static_cast<double>(beat.backlogTokens + heard->second.askedSince) / speed;
             // Nobody loads there now: only what is known to be resident can be served.
             candidate.excluded = candidate.excluded || (!fresh && candidate.adapter != residence::Resident);
         }
@@ -344,8 +345,8 @@
     const millis patience = age > returnAge ? returnPatience : millis{std::llround(target.count * waitShare)};
     const std::int64_t wait = (patience - waited).count;
     place_ask message{one->request.id, one->server, one->request.model, one->request.adapter,
-        one->request.promptTokens, one->request.outputTokens, one->way->rank,
-        std::max<std::int64_t>(wait, 0), std::max<std::int64_t>(left(*one).count, 0), age.count};
+        one->request.promptTokens, one->request.outputTokens, one->way->rank, std::max<std::int64_t>(wait, 0),
+        std::max<std::int64_t>(left(*one).count, 0), age.count};
     one->askTimer = m_loop.timer(askAgainAfter, {}, [this, weak = std::weak_ptr<work>(one)] {
         if (const auto same = weak.lock()) {
             askAgain(same);
@@ -408,11 +409,12 @@
     case place_verdict::Queued:
         // Asked again only rarely from here on: the grant itself may be lost.
         one->asks = 1;
-        one->askTimer = m_loop.timer(askAgainAfter + askAgainAfter, {}, [this, weak = std::weak_ptr<work>(one)] {
-            if (const auto same = weak.lock()) {
-                askAgain(same);
-            }
-        });
+        one->askTimer =
+            m_loop.timer(askAgainAfter + askAgainAfter, {}, [this, weak = std::weak_ptr<work>(one)] {
+                if (const auto same = weak.lock()) {
+                    askAgain(same);
+                }
+            });
         return;
     case place_verdict::Granted: {
         one->askTimer.reset();
@@ -557,7 +559,10 @@
     if (how == send_end::Unsent) {
         ++one->unsent;
         note(*one, place_event::Failed);
-        m_log.important("request.unsent").add("id", one->request.id).add("server", server).add("why", why.detail);
+        m_log.important("request.unsent")
+            .add("id", one->request.id)
+            .add("server", server)
+            .add("why", why.detail);
         one->excluded.insert(server);
         one->sentTo.erase(server);
         if (one->unsent < unsentTries) {
--- a/packages/serving/orderer_task.cpp
+++ b/packages/serving/orderer_task.cpp
@@ -72,8 +72,8 @@
     }
     const store_view &view = m_store.view();
     for (const auto &[id, entry] : view.orderers) {
-        const bool mine = entry.record.node == m_settings.node
-            && entry.record.incarnation == m_store.incarnation();
+        const bool mine =
+            entry.record.node == m_settings.node && entry.record.incarnation == m_store.incarnation();
         const auto held = m_servers.find(id);
         const auto fence = static_cast<std::uint64_t>(entry.revision);
         if (!mine) {
@@ -102,8 +102,7 @@
         const auto entry = view.orderers.find(id);
         const bool formerSelf = entry != view.orderers.end() && entry->second.record.node == m_settings.node
             && entry->second.record.incarnation != m_store.incarnation();
-        const bool orphan
-            = entry == view.orderers.end() || entry->second.record.node.empty() || formerSelf;
+        const bool orphan = entry == view.orderers.end() || entry->second.record.node.empty() || formerSelf;
         if (!orphan || server.draining || engineOfServer(server) == nullptr) {
             continue;
         }
@@ -173,8 +172,8 @@
     one.queue.waiting.clear();
 }
 
-void orderer_task::refuse(const std::string &entry, const std::string &id, const std::string &server,
-    refusal why, millis comeBack)
+void orderer_task::refuse(
+    const std::string &entry, const std::string &id, const std::string &server, refusal why, millis comeBack)
 {
     ++m_counters.refused;
     m_answer(entry, {id, server, place_verdict::Refused, why, 0, std::max(comeBack, shortestComeBack).count});
@@ -205,8 +204,7 @@
                 0});
         return;
     }
-    const bool needsPlace
-        = !ask.adapter.empty() && findPlace(one.ledger, ask.model, ask.adapter) == nullptr;
+    const bool needsPlace = !ask.adapter.empty() && findPlace(one.ledger, ask.model, ask.adapter) == nullptr;
     if (needsPlace && openPlaces(one.ledger) <= adaptersWaited(one, ask.model, ask.adapter)) {
         refuse(entry, ask.id, ask.server, refusal::NoPlace, placeComeBack);
         return;
@@ -508,8 +506,8 @@
         one.ledger.open.reset();
         return;
     }
-    static constexpr const char *names[]
-        = {"holds", "accepted", "conflict", "fenced", "other server", "refused", "unknown"};
+    static constexpr const char *names[] = {
+        "holds", "accepted", "conflict", "fenced", "other server", "refused", "unknown"};
     const bool fine = answer == order_answer::Holds || answer == order_answer::Accepted;
     (fine ? m_log.ordinary("order.answered") : m_log.important("order.answered"))
         .add("server", id)
--- a/packages/serving/orderer_task.h
+++ b/packages/serving/orderer_task.h
@@ -69,13 +69,13 @@
     void dropQueue(const std::string &id, server_state &one, refusal why);
     void refuse(const std::string &entry, const std::string &id, const std::string &server, refusal why,
         millis comeBack);
-    int adaptersWaited(
-        const server_state &one, const std::string &model, const std::string &adapter) const;
+    int adaptersWaited(const server_state &one, const std::string &model, const std::string &adapter) const;
     void pump(const std::string &id);
     void pumpAll();
     void askReport(const std::string &id, server_state &one, const backend_server &server);
     void sendOrder(const std::string &id, server_state &one, const backend_server &server);
-    void onOrderEnd(const std::string &id, std::uint64_t fence, const server_order &order, order_answer answer);
+    void onOrderEnd(
+        const std::string &id, std::uint64_t fence, const server_order &order, order_answer answer);
     void grantAll(const std::string &id, server_state &one);
     order_limits limitsFor(const server_state &one, const engine_spec &engine) const;
     std::int64_t newestVersion(const std::string &model, const std::string &adapter) const;
--- a/packages/serving/place_queue.cpp
+++ b/packages/serving/place_queue.cpp
@@ -48,8 +48,8 @@
     const std::int64_t span = (now - queue.busySince).count;
     if (queue.busySince.count != 0 && span >= measuredSpanMs) {
         const double seen = static_cast<double>(queue.readTokens) / static_cast<double>(span);
-        queue.speed = std::clamp(
-            queue.speed * (1 - speedShare) + seen * speedShare, slowestSpeed, fastestSpeed);
+        queue.speed =
+            std::clamp(queue.speed * (1 - speedShare) + seen * speedShare, slowestSpeed, fastestSpeed);
         queue.busySince = now;
         queue.readTokens = 0;
     }
--- a/packages/serving/server_ledger.cpp
+++ b/packages/serving/server_ledger.cpp
@@ -9,8 +9,8 @@
 
 double heatNow(const adapter_place &place, millis now)
 {
-    const double halves
-        = static_cast<double>((now - place.heatAt).count) / static_cast<double>(heatHalfLife.count);
+    const double halves =
+        static_cast<double>((now - place.heatAt).count) / static_cast<double>(heatHalfLife.count);
     return place.heat * std::exp2(-std::max(halves, 0.0));
 }
 
@@ -79,8 +79,8 @@
 }
 
 /// A server that holds no base model serves nothing: the first one that fits goes in.
-std::optional<server_order> modelOrder(const server_ledger &ledger, const std::vector<adapter_want> &wants,
-    const order_limits &limits)
+std::optional<server_order> modelOrder(
+    const server_ledger &ledger, const std::vector<adapter_want> &wants, const order_limits &limits)
 {
     if (!ledger.models.empty() || !ledger.modelComing.empty() || !limits.mayLoadModel
         || limits.models->empty()) {
@@ -112,8 +112,7 @@
     for (const adapter_place &place : ledger.adapters) {
         const std::int64_t newest = limits.newest ? limits.newest(place.model, place.adapter) : 0;
         if (place.state == place_state::Resident && newest > place.version) {
-            return server_order{
-                order_kind::Load, place.model, place.adapter, newest, ledger.sequence, "", 0};
+            return server_order{order_kind::Load, place.model, place.adapter, newest, ledger.sequence, "", 0};
         }
     }
     return std::nullopt;
@@ -133,8 +132,8 @@
     return coldest;
 }
 
-std::optional<server_order> wantedOrder(server_ledger &ledger, const std::vector<adapter_want> &wants,
-    const order_limits &limits, millis now)
+std::optional<server_order> wantedOrder(
+    server_ledger &ledger, const std::vector<adapter_want> &wants, const order_limits &limits, millis now)
 {
     for (const adapter_want &want : wants) {
         const model_spec *spec = specOf(limits, want.model);
@@ -149,8 +148,7 @@
         }
         if (fits) {
             const std::int64_t newest = limits.newest ? limits.newest(want.model, want.adapter) : 0;
-            return server_order{
-                order_kind::Load, want.model, want.adapter, newest, ledger.sequence, "", 0};
+            return server_order{order_kind::Load, want.model, want.adapter, newest, ledger.sequence, "", 0};
         }
         const adapter_place *out = victim(ledger, limits, now);
         if (out == nullptr) {
@@ -221,8 +219,7 @@
 
 adapter_place *findPlace(server_ledger &ledger, const std::string &model, const std::string &adapter)
 {
-    return const_cast<adapter_place *>(
-        findPlace(static_cast<const server_ledger &>(ledger), model, adapter));
+    return const_cast<adapter_place *>(findPlace(static_cast<const server_ledger &>(ledger), model, adapter));
 }
 
 bool holdsModel(const server_ledger &ledger, const std::string &model)
--- a/packages/serving/server_ledger.h
+++ b/packages/serving/server_ledger.h
@@ -115,8 +115,8 @@
     server_ledger &ledger, const std::vector<adapter_want> &wants, const order_limits &limits, millis now);
 
 /// Takes in the answer of the open order. After a conflict or no answer `proved` is false: a report is due.
-void takeAnswer(
-    server_ledger &ledger, const server_order &order, order_answer answer, const order_limits &limits, millis now);
+void takeAnswer(server_ledger &ledger, const server_order &order, order_answer answer,
+    const order_limits &limits, millis now);
 
 /// A request began to use an adapter, or ended.
 void beginUse(server_ledger &ledger, const std::string &model, const std::string &adapter, millis now);
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -244,8 +244,8 @@
         if (known == m_view.servers.end()) {
             return;
         }
-        const bool lapsed = !known->second.draining && m_regained.count != 0
-            && bootNow() - m_regained < missingGrace;
+        const bool lapsed =
+            !known->second.draining && m_regained.count != 0 && bootNow() - m_regained < missingGrace;
         if (lapsed) {
             m_missing.insert(id);
             m_missingTimer = m_loop.timer(m_regained + missingGrace - bootNow(), {}, [this] {
@@ -325,8 +325,8 @@
     }
     m_leaseCalling = true;
     const millis asked = bootNow();
-    m_store.grantLease(std::max(leaseTime, m_settings.leaseMin),
-        [this, asked](store_status status, std::int64_t lease) {
+    m_store.grantLease(
+        std::max(leaseTime, m_settings.leaseMin), [this, asked](store_status status, std::int64_t lease) {
             heard(status == store_status::Ok, "lease");
             if (status != store_status::Ok || m_leaving) {
                 m_leaseCalling = false;
@@ -422,8 +422,7 @@
     change.removes.push_back(daemonPrefix + m_settings.node);
     constexpr std::size_t maxEntries = 30; // of the store's 32 in one change
     for (const auto &[server, entry] : m_view.orderers) {
-        const bool mine
-            = entry.record.node == m_settings.node && entry.record.incarnation == m_incarnation;
+        const bool mine = entry.record.node == m_settings.node && entry.record.incarnation == m_incarnation;
         if (mine && change.puts.size() + change.expected.size() < maxEntries) {
             change.expected.emplace_back(orderersKey(server), entry.revision);
             change.puts.push_back({orderersKey(server), encode(orderer_record{}), 0});
--- a/packages/transport/backend_pool.cpp
+++ b/packages/transport/backend_pool.cpp
@@ -234,8 +234,8 @@
         one.connecting = false;
     }
     while (one.sent < one.out.size()) {
-        const ssize_t put
-            = send(one.on->fd.get(), one.out.data() + one.sent, one.out.size() - one.sent, MSG_NOSIGNAL);
+        const ssize_t put =
+            send(one.on->fd.get(), one.out.data() + one.sent, one.out.size() - one.sent, MSG_NOSIGNAL);
         if (put < 0 && (errno == EAGAIN || errno == EINTR)) {
             watch(id, *one.on, eventRead | eventWrite);
             return;
--- a/packages/transport/front_server.cpp
+++ b/packages/transport/front_server.cpp
@@ -279,8 +279,8 @@
     std::shared_ptr<connection> open() const
     {
         auto one = *m_alive ? m_connection.lock() : nullptr;
-        const bool current = one && one->exchange == m_exchange
-            && (one->at == phase::Working || one->at == phase::Streaming);
+        const bool current =
+            one && one->exchange == m_exchange && (one->at == phase::Working || one->at == phase::Streaming);
         return current ? one : nullptr;
     }
 
@@ -334,8 +334,7 @@
         }
         const int yes = 1;
         (void)setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
-        (void)setsockopt(
-            fd.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, &callerTimeoutMs, sizeof(callerTimeoutMs));
+        (void)setsockopt(fd.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, &callerTimeoutMs, sizeof(callerTimeoutMs));
         auto one = std::make_shared<connection>(newReader());
         one->host = this;
         one->id = ++m_lastId;
@@ -532,8 +531,8 @@
 void front_impl::flush(connection &one)
 {
     while (one.sent < one.out.size()) {
-        const ssize_t put
-            = send(one.fd.get(), one.out.data() + one.sent, one.out.size() - one.sent, MSG_NOSIGNAL);
+        const ssize_t put =
+            send(one.fd.get(), one.out.data() + one.sent, one.out.size() - one.sent, MSG_NOSIGNAL);
         if (put < 0 && (errno == EAGAIN || errno == EINTR)) {
             return;
         }
--- a/packages/transport/http_wire.cpp
+++ b/packages/transport/http_wire.cpp
@@ -91,7 +91,8 @@
     }
 
 private:
-    void on_request_impl(beast_http::verb, beast_text method, beast_text target, int number, error_code &) override
+    void on_request_impl(
+        beast_http::verb, beast_text method, beast_text target, int number, error_code &) override
     {
         version = number;
         head.method = toText(method);
