Ask whether an adapter is in instead of reckoning with the fleet's loads

Cause: the expected load time was scaled by the loads of all daemons over a constant of the small deployments; with 60 servers that kept adapters 'loading' for seconds after they were in, and their callers were refused. Ruled out: datagrams lost (no place.no_answer lines), places (openPlaces was above 0). Change: load times are measured a ledger; a load that is on its way answers 'accepted' without being counted by the server, so asking early is cheap. A report counts as outdated for 0.5 s only.

--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -140,13 +140,12 @@
 /// Every daemon -> every other, a few times a second.
 struct fleet_beat
 {
-    std::uint32_t loading = 0; ///< adapter loads on their way at its servers
     std::vector<server_beat> servers; ///< those it gives orders to
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(loading, servers);
+        archive(servers);
     }
 };
 
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -199,7 +199,6 @@
                 m_orderer.onNote(body);
             } else {
                 m_front.onBeat(datagram.from, body);
-                m_orderer.setLoadsElsewhere(m_front.loadsElsewhere());
             }
         },
         datagram.body);
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -791,7 +791,6 @@
 void front_task::onBeat(const std::string &node, const fleet_beat &beat)
 {
     const millis now = bootNow();
-    m_loads[node] = {beat.loading, now};
     for (const server_beat &each : beat.servers) {
         auto &heard = m_heard[each.server];
         if (each.fence < heard.beat.fence) {
@@ -839,14 +838,4 @@
     return std::clamp(full - given, millis{}, oldestReturn);
 }
 
-std::uint32_t front_task::loadsElsewhere() const
-{
-    std::uint32_t sum = 0;
-    for (const auto &[node, loads] : m_loads) {
-        const bool other = node != m_settings.node && bootNow() - loads.second < beatFresh;
-        sum += other ? loads.first : 0;
-    }
-    return sum;
-}
-
 }
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -60,8 +60,6 @@
     void onBeat(const std::string &node, const fleet_beat &beat);
     /// Whether any server's orderer has been heard of.
     bool hearsOrderers() const;
-    /// Adapter loads on their way at other daemons' servers.
-    std::uint32_t loadsElsewhere() const;
     const front_counters &counters() const;
     std::size_t active() const;
 
@@ -111,7 +109,6 @@
     std::map<std::string, work_ptr> m_work; ///< by a number of this process, as text
     std::map<std::string, std::string> m_workOfAsk; ///< request id to that number
     std::map<std::string, heard_server> m_heard; ///< by server
-    std::map<std::string, std::pair<std::uint32_t, millis>> m_loads; ///< by node
     std::map<std::string, int> m_inFlight; ///< this entry's, by server
     std::map<std::string, server_record> m_records; ///< by server
     std::uint64_t m_lastWork = 0;
--- a/packages/serving/orderer_task.cpp
+++ b/packages/serving/orderer_task.cpp
@@ -285,11 +285,6 @@
     pump(note.server);
 }
 
-void orderer_task::setLoadsElsewhere(std::uint32_t loads)
-{
-    m_loadsElsewhere = loads;
-}
-
 std::int64_t orderer_task::newestVersion(const std::string &model, const std::string &adapter) const
 {
     const auto found = m_store.view().versions.find(adapterKey(model, adapter));
@@ -309,12 +304,6 @@
     order_limits limits;
     limits.models = &engine.models;
     limits.mayLoadModel = mayLoadModel(engine);
-    limits.loadingElsewhere = m_loadsElsewhere;
-    for (const auto &[id, other] : m_servers) {
-        if (&other != &one) {
-            limits.loadingElsewhere += static_cast<std::uint32_t>(loadsUnderWay(other.ledger));
-        }
-    }
     limits.newest = [this](const std::string &model, const std::string &adapter) {
         return newestVersion(model, adapter);
     };
@@ -500,12 +489,6 @@
         return;
     }
     server_state &one = found->second;
-    const backend_server *server = serverOf(id);
-    const engine_spec *engine = server == nullptr ? nullptr : engineOfServer(*server);
-    if (engine == nullptr) {
-        one.ledger.open.reset();
-        return;
-    }
     static constexpr const char *names[] = {
         "holds", "accepted", "conflict", "fenced", "other server", "refused", "unknown"};
     const bool fine = answer == order_answer::Holds || answer == order_answer::Accepted;
@@ -520,7 +503,7 @@
     m_counters.ordersUnknown += answer == order_answer::Unknown ? 1 : 0;
     m_counters.loads += answer == order_answer::Accepted && order.kind == order_kind::Load ? 1 : 0;
     m_counters.unloads += fine && order.kind == order_kind::Unload ? 1 : 0;
-    takeAnswer(one.ledger, order, answer, limitsFor(one, *engine), bootNow());
+    takeAnswer(one.ledger, order, answer, bootNow());
     if (answer == order_answer::Fenced) {
         // Someone ordered under a higher token. If the record still names this daemon, a new claim raises
         // its token above; if not, the view drops the server.
@@ -575,7 +558,6 @@
         server.backlogTokens = backlogTokens(one.queue);
         server.tokensPerSecond = std::llround(one.queue.speed * msPerSecond);
         server.running = static_cast<std::uint32_t>(one.queue.running.size());
-        out.loading += static_cast<std::uint32_t>(loadsUnderWay(one.ledger));
         out.servers.push_back(std::move(server));
     }
     return out;
--- a/packages/serving/orderer_task.h
+++ b/packages/serving/orderer_task.h
@@ -45,8 +45,6 @@
     void onRunning(const std::string &entry, const place_running &run);
     /// Gives no orders any more: the records are about to be given up.
     void stop();
-    /// Loads on their way at the servers of other daemons, as last heard.
-    void setLoadsElsewhere(std::uint32_t loads);
     fleet_beat beat() const;
     const orderer_counters &counters() const;
 
@@ -91,7 +89,6 @@
     decision_log &m_log;
     answer_call m_answer;
     orderer_counters m_counters;
-    std::uint32_t m_loadsElsewhere = 0;
     bool m_stopped = false;
     millis m_lastModelLoad;
     std::map<std::string, server_state> m_servers;
--- a/packages/serving/server_ledger.cpp
+++ b/packages/serving/server_ledger.cpp
@@ -28,11 +28,16 @@
     }
 }
 
-millis loadTime(bool known, std::uint32_t underWay)
+double &loadTimeOf(server_ledger &ledger, const adapter_place &place)
 {
-    const millis alone = known ? knownLoadTime : firstLoadTime;
-    const std::int64_t crowd = std::max(underWay, loadsAtFullSpeed);
-    return {alone.count * crowd / loadsAtFullSpeed};
+    return place.known ? ledger.knownMs : ledger.loadMs;
+}
+
+void measureLoad(server_ledger &ledger, const adapter_place &place, millis now)
+{
+    double &expected = loadTimeOf(ledger, place);
+    const auto took = static_cast<double>((now - place.since).count);
+    expected += loadTimeWeight * (took - expected);
 }
 
 adapter_place &addPlace(server_ledger &ledger, const server_order &order, millis now)
@@ -159,8 +164,14 @@
     return std::nullopt;
 }
 
-void onLoadAnswer(server_ledger &ledger, const server_order &order, order_answer answer,
-    const order_limits &limits, millis now)
+/// Whether the order asks for an adapter that is on its way.
+bool repeatsLoad(const server_ledger &ledger, const server_order &order)
+{
+    const adapter_place *place = findPlace(ledger, order.model, order.adapter);
+    return order.kind == order_kind::Load && place != nullptr && place->state == place_state::Loading;
+}
+
+void onLoadAnswer(server_ledger &ledger, const server_order &order, order_answer answer, millis now)
 {
     if (order.adapter.empty()) {
         if (answer == order_answer::Accepted) {
@@ -177,15 +188,17 @@
     }
     place->version = order.version != 0 ? order.version : place->version;
     if (answer == order_answer::Holds) {
+        if (place->state == place_state::Loading && place->askAgain.count != 0) {
+            measureLoad(ledger, *place, now);
+        }
         place->state = place_state::Resident;
         remember(ledger, adapterKey(order.model, order.adapter));
         return;
     }
     if (place->state != place_state::Loading || place->askAgain.count == 0) {
-        const auto underWay = limits.loadingElsewhere + static_cast<std::uint32_t>(loadsUnderWay(ledger));
         place->state = place_state::Loading;
         place->since = now;
-        place->askAgain = now + loadTime(place->known, underWay);
+        place->askAgain = now + millis{std::llround(loadTimeOf(ledger, *place) * askAfterShare)};
     } else {
         place->askAgain = now + askAgainEvery;
     }
@@ -335,21 +348,21 @@
     return order;
 }
 
-void takeAnswer(server_ledger &ledger, const server_order &order, order_answer answer,
-    const order_limits &limits, millis now)
+void takeAnswer(server_ledger &ledger, const server_order &order, order_answer answer, millis now)
 {
     ledger.open.reset();
     switch (answer) {
     case order_answer::Accepted:
     case order_answer::Holds:
-        // The server counts the orders that it accepts; a load that holds already is none.
-        if (answer == order_answer::Accepted || order.kind == order_kind::Unload) {
+        // The server counts the orders that it accepts; a load that holds already, or that is on its way
+        // already, is none.
+        if (!repeatsLoad(ledger, order) && (answer == order_answer::Accepted || order.kind == order_kind::Unload)) {
             ledger.sequence = order.expected + 1;
             ledger.acceptedAt = now;
             ledger.ghost.reset();
         }
         if (order.kind == order_kind::Load) {
-            onLoadAnswer(ledger, order, answer, limits, now);
+            onLoadAnswer(ledger, order, answer, now);
         } else if (answer == order_answer::Holds) {
             removePlace(ledger, order.model, order.adapter);
         } else {
--- a/packages/serving/server_ledger.h
+++ b/packages/serving/server_ledger.h
@@ -42,16 +42,18 @@
 constexpr millis heatHalfLife{8'000};
 /// Adapters that a server had lately stay in its memory and are back in a tenth of the time.
 constexpr std::size_t rememberedAdapters = 30;
-/// From order to use: of an adapter that comes from the weight store, and of one that the server remembers.
-/// Measured at the first deployments' servers; asking whether it is in corrects both.
-constexpr millis firstLoadTime{250};
-constexpr millis knownLoadTime{25};
-/// Loads on their way over all servers that still run at full speed; beyond, each takes longer in proportion.
-constexpr std::uint32_t loadsAtFullSpeed = 8;
+/// From order to use: of an adapter that comes from the weight store, and of one that the server remembers,
+/// in ms. Where each ledger starts; what its loads take moves them, at the given weight a load.
+constexpr double firstLoadMs = 250;
+constexpr double knownLoadMs = 25;
+constexpr double loadTimeWeight = 0.2;
+/// An adapter is asked for after this share of the expected time: too early costs one cheap question, too late
+/// makes all that wait for it wait longer.
+constexpr double askAfterShare = 0.95;
 /// A report older than the last accepted order is outdated; one this long after it is not, whatever it says.
-constexpr millis reportLagMost{1'000};
+constexpr millis reportLagMost{500};
 /// Pause between questions whether an adapter is in.
-constexpr millis askAgainEvery{40};
+constexpr millis askAgainEvery{25};
 /// Adapters that may be on their way to one server at the same time.
 constexpr int loadsPerServer = 4;
 /// A conflict means that another picture of the server is needed; reports lag by some 100 ms.
@@ -73,6 +75,8 @@
     /// accepted, since the server then refuses it for its sequence.
     std::optional<server_order> ghost;
     millis notBefore; ///< no order or report until then
+    double loadMs = firstLoadMs; ///< as measured, also when many loads slow the weight store down
+    double knownMs = knownLoadMs;
     std::vector<std::string> remembered; ///< adapters the server had lately, the latest last
 };
 
@@ -100,7 +104,6 @@
 
 struct order_limits
 {
-    std::uint32_t loadingElsewhere = 0; ///< adapter loads on their way at other servers
     const std::vector<model_spec> *models = nullptr;
     bool mayLoadModel = true; ///< the pace of base model loads allows one
     /// The version an adapter must have now; 0: any.
@@ -115,8 +118,7 @@
     server_ledger &ledger, const std::vector<adapter_want> &wants, const order_limits &limits, millis now);
 
 /// Takes in the answer of the open order. After a conflict or no answer `proved` is false: a report is due.
-void takeAnswer(server_ledger &ledger, const server_order &order, order_answer answer,
-    const order_limits &limits, millis now);
+void takeAnswer(server_ledger &ledger, const server_order &order, order_answer answer, millis now);
 
 /// A request began to use an adapter, or ended.
 void beginUse(server_ledger &ledger, const std::string &model, const std::string &adapter, millis now);
