Let two daemons a failure domain follow the store, and relay beats between domains

Change: the first two daemons of a failure domain by rendezvous follow the store and tell the others; whoever hears nothing for 1.45 s follows it itself. Beats go to another failure domain through one daemon there, another one each time, every third beat; to three daemons or fewer directly. A way to another failure domain costs 50 ms.

--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -350,6 +350,11 @@
     return encodeAny(datagram);
 }
 
+std::string encode(const store_news &news)
+{
+    return encodeAny(news);
+}
+
 std::string encode(const daemon_record &record)
 {
     return encodeAny(record);
@@ -365,6 +370,11 @@
     return decodeAny<fleet_datagram>(bytes, why);
 }
 
+std::optional<store_news> decodeNews(std::string_view bytes, error &why)
+{
+    return decodeAny<store_news>(bytes, why);
+}
+
 std::optional<daemon_record> decodeDaemon(std::string_view bytes, error &why)
 {
     return decodeAny<daemon_record>(bytes, why);
--- a/packages/protocol/codec.h
+++ b/packages/protocol/codec.h
@@ -19,6 +19,7 @@
 std::string encode(const peer_message &message);
 std::string encode(const peer_datagram &datagram);
 std::string encode(const fleet_datagram &datagram);
+std::string encode(const store_news &news);
 std::string encode(const daemon_record &record);
 std::string encode(const orderer_record &record);
 
@@ -27,6 +28,7 @@
 std::optional<peer_message> decodeMessage(std::string_view bytes, error &why);
 std::optional<peer_datagram> decodeDatagram(std::string_view bytes, error &why);
 std::optional<fleet_datagram> decodeFleet(std::string_view bytes, error &why);
+std::optional<store_news> decodeNews(std::string_view bytes, error &why);
 std::optional<daemon_record> decodeDaemon(std::string_view bytes, error &why);
 std::optional<orderer_record> decodeOrderer(std::string_view bytes, error &why);
 
--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -140,12 +140,45 @@
 /// Every daemon -> every other, a few times a second.
 struct fleet_beat
 {
+    bool relay = false; ///< to be passed on to all daemons of the receiver's failure domain
     std::vector<server_beat> servers; ///< those it gives orders to
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(servers);
+        archive(relay, servers);
+    }
+};
+
+/// One item of the platform's store, as a watch tells of it.
+struct news_item
+{
+    std::string key;
+    std::string value;
+    std::int64_t revision = 0;
+    bool removed = false;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(key, value, revision, removed);
+    }
+};
+
+/// Reader -> the other daemons of its failure domain: what changed in the store between two revisions. Also
+/// sent when nothing did, as a sign that the reader reaches the store.
+struct store_news
+{
+    std::int64_t from = 0;
+    std::int64_t to = 0;
+    bool fetch = false; ///< too much for a datagram: to be fetched from the reader
+    bool whole = false; ///< in an answer to a fetch: all items there are, not just changes
+    std::vector<news_item> items;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(from, to, fetch, whole, items);
     }
 };
 
@@ -153,7 +186,7 @@
 {
     std::string from; ///< the sender's node name
     std::uint64_t incarnation = 0;
-    std::variant<place_ask, place_answer, place_note, place_running, fleet_beat> body;
+    std::variant<place_ask, place_answer, place_note, place_running, fleet_beat, store_news> body;
 
     template <class Archive>
     void serialize(Archive &archive)
--- a/packages/serving/choose_server.h
+++ b/packages/serving/choose_server.h
@@ -32,7 +32,7 @@
 
 /// Sending a prompt to another failure domain and its answer back costs 1 to 2% of what the request is
 /// worth: as much as this much waiting, if a second is worth all of it.
-constexpr double otherDomainMs = 20;
+constexpr double otherDomainMs = 50;
 /// An adapter from the weight store takes 250 ms, one that the server remembers 25; which it is isn't known
 /// here. The rest is what a further copy costs others: at high load more adapters are in use at once than the
 /// servers have places, so each copy sends another adapter's callers away. Raised from 350 in steps on the
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -1,5 +1,6 @@
 #include "serving/edge_daemon.h"
 
+#include "protocol/codec.h"
 #include "serving/fleet_port.h"
 #include "serving/front_task.h"
 #include "serving/orderer_task.h"
@@ -8,7 +9,9 @@
 #include "transport/bus.h"
 #include "transport/front_server.h"
 
+#include <charconv>
 #include <csignal>
+#include <map>
 #include <sstream>
 #include <type_traits>
 #include <variant>
@@ -21,6 +24,13 @@
 constexpr millis beatEvery{150};
 /// Without servers of its own a daemon still tells that it lives.
 constexpr int quietBeats = 7;
+/// Another failure domain's daemons get the beats directly up to this number; beyond, one of them passes them
+/// on, and only every third is sent: bytes between failure domains are dear, and its servers are a second
+/// choice.
+constexpr std::size_t directPeers = 3;
+constexpr int relayedBeats = 3;
+/// The path at which a daemon gives others the store's news, on its port for other daemons.
+const std::string newsPath = "/news?after=";
 /// The balancer takes a daemon out after two misses, a second apart; until then new connections come.
 constexpr millis stillTaking{2'500};
 /// Until then it goes on giving orders, since the next daemon has to wait a while after the last one that was
@@ -68,6 +78,10 @@
     void answerEntry(const std::string &entry, const place_answer &answer);
     void onDatagram(const fleet_datagram &datagram);
     void beat();
+    void passOn(const fleet_datagram &datagram, const fleet_beat &beat);
+    void fetchNews(
+        const std::string &node, std::int64_t after, std::function<void(std::optional<store_news>)> done);
+    void answerNews(const front_request &request, front_reply &reply) const;
     bool isReady() const;
     void onReadyQuestion(front_reply &reply) const;
     std::string metricsText() const;
@@ -85,6 +99,7 @@
     front_task m_front;
     orderer_task m_orderer;
     std::unique_ptr<fleet_port> m_port;
+    std::unique_ptr<front_server> m_peers; ///< other daemons that fetch the store's news
     std::unique_ptr<front_server> m_callers;
     std::unique_ptr<front_server> m_readiness;
     std::unique_ptr<front_server> m_metrics;
@@ -110,6 +125,26 @@
         return false;
     }
     m_front.setPort(*m_port);
+    m_peers = front_server::listen(
+        m_loop, m_settings.peers.ip, m_settings.peers.port,
+        [this](const front_request &request, const std::shared_ptr<front_reply> &reply) {
+            answerNews(request, *reply);
+        },
+        why);
+    if (!m_peers) {
+        return false;
+    }
+    m_store.setFleet({[this](const std::string &node, const store_news &news) {
+                          const auto peer = m_store.view().daemons.find(node);
+                          if (peer != m_store.view().daemons.end()) {
+                              m_port->send({peer->second.ip, peer->second.port},
+                                  {m_settings.node, m_store.incarnation(), news});
+                          }
+                      },
+        [this](const std::string &node, std::int64_t after,
+            std::function<void(std::optional<store_news>)> done) {
+            fetchNews(node, after, std::move(done));
+        }});
     m_callers = front_server::listen(
         m_loop, m_settings.front.ip, m_settings.front.port,
         [this](front_request request, std::shared_ptr<front_reply> reply) {
@@ -197,13 +232,32 @@
                 m_orderer.onRunning(datagram.from, body);
             } else if constexpr (std::is_same_v<body_type, place_note>) {
                 m_orderer.onNote(body);
+            } else if constexpr (std::is_same_v<body_type, store_news>) {
+                m_store.onNews(datagram.from, body);
             } else {
                 m_front.onBeat(datagram.from, body);
+                if (body.relay) {
+                    passOn(datagram, body);
+                }
             }
         },
         datagram.body);
 }
 
+/// A beat from another failure domain, for everyone in this one.
+void daemon_impl::passOn(const fleet_datagram &datagram, const fleet_beat &beat)
+{
+    fleet_datagram copy{datagram.from, datagram.incarnation, beat};
+    std::get<fleet_beat>(copy.body).relay = false;
+    for (const auto &[node, record] : m_store.view().daemons) {
+        if (node != m_settings.node && record.failureDomain == m_settings.failureDomain) {
+            m_port->send({record.ip, record.port}, copy);
+        }
+    }
+}
+
+/// To every daemon of the own failure domain; to another one by a daemon there that passes it on, a different
+/// one each time, so that none carries it all and a dead one costs one beat.
 void daemon_impl::beat()
 {
     const fleet_beat now = m_orderer.beat();
@@ -212,11 +266,66 @@
     if (now.servers.empty() && m_beats % quietBeats != 0) {
         return;
     }
+    std::map<std::string, std::vector<const daemon_record *>> domains;
     for (const auto &[node, record] : m_store.view().daemons) {
         if (node != m_settings.node) {
-            m_port->send({record.ip, record.port}, {m_settings.node, m_store.incarnation(), now});
+            domains[record.failureDomain].push_back(&record);
+        }
+    }
+    fleet_datagram datagram{m_settings.node, m_store.incarnation(), now};
+    for (const auto &[domain, records] : domains) {
+        const bool direct = domain == m_settings.failureDomain || records.size() <= directPeers;
+        if (!direct && m_beats % relayedBeats != 0) {
+            continue;
+        }
+        std::get<fleet_beat>(datagram.body).relay = !direct;
+        if (!direct) {
+            const daemon_record &relay = *records[static_cast<std::size_t>(m_beats) % records.size()];
+            m_port->send({relay.ip, relay.port}, datagram);
+            continue;
         }
+        for (const daemon_record *record : records) {
+            m_port->send({record->ip, record->port}, datagram);
+        }
+    }
+}
+
+void daemon_impl::answerNews(const front_request &request, front_reply &reply) const
+{
+    std::int64_t after = 0;
+    const std::string &target = request.head.target;
+    const bool known = target.starts_with(newsPath);
+    const char *first = target.data() + newsPath.size();
+    if (!known || std::from_chars(first, target.data() + target.size(), after).ec != std::errc()) {
+        reply.respond(404, {}, "only the store's news are here\n");
+        return;
+    }
+    reply.respond(200, {}, encode(m_store.newsAfter(after)));
+}
+
+void daemon_impl::fetchNews(
+    const std::string &node, std::int64_t after, std::function<void(std::optional<store_news>)> done)
+{
+    const auto peer = m_store.view().daemons.find(node);
+    if (peer == m_store.view().daemons.end()) {
+        done(std::nullopt);
+        return;
     }
+    auto body = std::make_shared<std::string>();
+    send_handlers calls;
+    calls.onHead = [](const http_head &) {
+        return true;
+    };
+    calls.onBody = [body](const std::string &bytes) {
+        body->append(bytes);
+    };
+    calls.onEnd = [body, done = std::move(done)](send_end how, const error &) {
+        error why;
+        done(how == send_end::Whole ? decodeNews(*body, why) : std::nullopt);
+    };
+    m_pool.start({peer->second.ip, peer->second.port},
+        "GET " + newsPath + std::to_string(after) + " HTTP/1.1\r\nHost: " + node + "\r\n\r\n", false,
+        std::move(calls));
 }
 
 bool daemon_impl::isReady() const
--- a/packages/serving/server_ledger.cpp
+++ b/packages/serving/server_ledger.cpp
@@ -356,7 +356,8 @@
     case order_answer::Holds:
         // The server counts the orders that it accepts; a load that holds already, or that is on its way
         // already, is none.
-        if (!repeatsLoad(ledger, order) && (answer == order_answer::Accepted || order.kind == order_kind::Unload)) {
+        if (!repeatsLoad(ledger, order)
+            && (answer == order_answer::Accepted || order.kind == order_kind::Unload)) {
             ledger.sequence = order.expected + 1;
             ledger.acceptedAt = now;
             ledger.ghost.reset();
--- a/packages/serving/server_ledger.h
+++ b/packages/serving/server_ledger.h
@@ -47,8 +47,8 @@
 constexpr double firstLoadMs = 250;
 constexpr double knownLoadMs = 25;
 constexpr double loadTimeWeight = 0.2;
-/// An adapter is asked for after this share of the expected time: too early costs one cheap question, too late
-/// makes all that wait for it wait longer.
+/// An adapter is asked for after this share of the expected time: too early costs one cheap question, too
+/// late makes all that wait for it wait longer.
 constexpr double askAfterShare = 0.95;
 /// A report older than the last accepted order is outdated; one this long after it is not, whatever it says.
 constexpr millis reportLagMost{500};
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -1,5 +1,6 @@
 #include "serving/store_task.h"
 
+#include "coordination/rendezvous.h"
 #include "protocol/codec.h"
 
 #include <algorithm>
@@ -15,12 +16,25 @@
 /// A watch waits so long at the store. A store that went silent shows after this and the call's margin;
 /// each watch is a call that costs about what a tenth of a request is worth.
 constexpr millis watchWait{2'000};
+/// A reader whose failure domain listens to it tells so often at least that it reaches the store.
+constexpr millis readerWait{900};
+/// Daemons of a failure domain that follow the store; the others hear it from them. Each call to the store
+/// costs up to a fifth of a request, and every daemon following it itself took a third of the income at 91
+/// daemons. Two, so that the death of one leaves no gap.
+constexpr std::size_t readersPerDomain = 2;
+/// Without news for so long a daemon follows the store itself: a reader speaks every 1.1 s, and
+/// configurations are to be in force two seconds after the store has them.
+constexpr millis newsLife{1'450};
+constexpr millis followCheck{200};
+/// News that fit into a datagram that links of 10 Mbit/s carry without a queue.
+constexpr std::size_t newsBytes = 6'000;
+constexpr std::size_t recentChanges = 2'000;
 /// Pause between two watches, so that changes that come close together cost one call.
 constexpr millis watchPause{200};
 constexpr millis retryPause{400};
 /// A daemon is found dead after its lease; the shortest that bears a lost renewal or two.
-constexpr millis leaseTime{2'000};
-constexpr millis keepEvery{600};
+constexpr millis leaseTime{2'500};
+constexpr millis keepEvery{800};
 /// Without an answer for so long the store counts as away.
 constexpr millis awayAfter{1'500};
 /// Servers whose entries lapsed while the store was away write them again within two seconds of its return.
@@ -98,8 +112,10 @@
             });
             return;
         }
-        takeAll(read);
-        watchOn();
+        if (read.revision >= m_revision) { // else news of later changes came while it was on its way
+            takeAll(read);
+        }
+        follow();
     });
 }
 
@@ -113,10 +129,159 @@
     }
     dropMissing(present, change);
     m_revision = read.revision;
-    m_followed = true;
+    m_recent.clear();
+    m_recentFrom = m_revision;
+    sendNews(m_revision, {});
     publish(change);
 }
 
+void store_task::keepItem(const stored_item &item)
+{
+    if (item.removed) {
+        m_items.erase(item.key);
+    } else {
+        m_items[item.key] = item;
+    }
+    m_recent.push_back(item);
+    while (m_recent.size() > recentChanges) {
+        m_recentFrom = m_recent.front().revision;
+        m_recent.pop_front();
+    }
+}
+
+std::vector<std::string> store_task::domainPeers() const
+{
+    std::vector<std::string> nodes;
+    for (const auto &[node, record] : m_view.daemons) {
+        if (record.failureDomain == m_settings.failureDomain) {
+            nodes.push_back(node);
+        }
+    }
+    return nodes;
+}
+
+bool store_task::isReader() const
+{
+    const std::vector<std::string> readers =
+        rendezvousOrder(m_settings.failureDomain, domainPeers(), readersPerDomain);
+    const bool known = m_view.daemons.count(m_settings.node) != 0;
+    return !known || std::find(readers.begin(), readers.end(), m_settings.node) != readers.end();
+}
+
+bool store_task::newsFresh() const
+{
+    return m_newsAt.count != 0 && bootNow() - m_newsAt < newsLife;
+}
+
+void store_task::setFleet(fleet_calls calls)
+{
+    m_fleet = std::move(calls);
+}
+
+void store_task::sendNews(std::int64_t from, const std::vector<stored_item> &items)
+{
+    if (!m_fleet.send || !isReader()) {
+        return;
+    }
+    store_news news{from, m_revision, false, false, {}};
+    std::size_t bytes = 0;
+    for (const stored_item &item : items) {
+        bytes += item.key.size() + item.value.size();
+        news.items.push_back({item.key, item.value, item.revision, item.removed});
+    }
+    if (bytes > newsBytes) {
+        news.items.clear();
+        news.fetch = true;
+    }
+    for (const std::string &node : domainPeers()) {
+        if (node != m_settings.node) {
+            m_fleet.send(node, news);
+        }
+    }
+}
+
+store_news store_task::newsAfter(std::int64_t revision) const
+{
+    store_news news{revision, m_revision, false, revision < m_recentFrom, {}};
+    if (news.whole) {
+        for (const auto &[key, item] : m_items) {
+            news.items.push_back({item.key, item.value, item.revision, false});
+        }
+        return news;
+    }
+    for (const stored_item &item : m_recent) {
+        if (item.revision > revision) {
+            news.items.push_back({item.key, item.value, item.revision, item.removed});
+        }
+    }
+    return news;
+}
+
+void store_task::onNews(const std::string &reader, const store_news &news)
+{
+    if (m_leaving || m_revision == 0 || news.to < m_revision) {
+        return; // an outdated reader is no sign that the store was heard
+    }
+    m_newsAt = bootNow();
+    if (news.to == m_revision) {
+        return;
+    }
+    if (news.fetch || news.from > m_revision) {
+        fetchNews(reader);
+        return;
+    }
+    store_read read;
+    read.revision = news.to;
+    for (const news_item &item : news.items) {
+        if (item.revision > m_revision) {
+            read.items.push_back({item.key, item.value, item.revision, item.removed});
+        }
+    }
+    takeEvents(read);
+}
+
+void store_task::fetchNews(const std::string &reader)
+{
+    if (m_fetching || !m_fleet.fetch) {
+        return;
+    }
+    m_fetching = true;
+    m_fleet.fetch(reader, m_revision, [this](const std::optional<store_news> &news) {
+        m_fetching = false;
+        if (!news || m_leaving || news->to <= m_revision) {
+            return;
+        }
+        store_read read;
+        read.status = store_status::Ok;
+        read.revision = news->to;
+        for (const news_item &item : news->items) {
+            if (news->whole || item.revision > m_revision) {
+                read.items.push_back({item.key, item.value, item.revision, item.removed});
+            }
+        }
+        if (news->whole) {
+            takeAll(read);
+        } else {
+            takeEvents(read);
+        }
+    });
+}
+
+/// Follows the store itself, or listens to the readers of its failure domain while they speak.
+void store_task::follow()
+{
+    if (m_leaving) {
+        return;
+    }
+    if (isReader() || !newsFresh()) {
+        watchOn();
+        return;
+    }
+    m_watchTimer = m_loop.timer(followCheck, {}, [this] {
+        follow();
+    });
+}
+
 /// What was known and is not in a whole reading has been removed meanwhile.
 void store_task::dropMissing(const std::set<std::string> &present, view_changed &change)
 {
@@ -143,7 +308,8 @@
 void store_task::watchOn()
 {
     const std::uint64_t round = ++m_watchRound;
-    m_store.watch("", m_revision, watchWait, [this, round](const store_read &read) {
+    const bool listenedTo = isReader() && domainPeers().size() > readersPerDomain;
+    m_store.watch("", m_revision, listenedTo ? readerWait : watchWait, [this, round](const store_read &read) {
         heard(read.status == store_status::Ok || read.status == store_status::HistoryGone, "watch");
         if (round != m_watchRound || m_leaving) {
             return;
@@ -151,8 +317,11 @@
         switch (read.status) {
         case store_status::Ok:
             takeEvents(read);
+            if (read.items.empty()) {
+                sendNews(m_revision, {});
+            }
             m_watchTimer = m_loop.timer(watchPause, {}, [this] {
-                watchOn();
+                follow();
             });
             return;
         case store_status::HistoryGone:
@@ -172,11 +341,13 @@
 void store_task::takeEvents(const store_read &read)
 {
     view_changed change;
+    const std::int64_t from = m_revision;
     for (const stored_item &item : read.items) {
         takeItem(item, change);
     }
     m_revision = std::max(m_revision, read.revision);
     if (!read.items.empty()) {
+        sendNews(from, read.items);
         publish(change);
     }
 }
@@ -188,6 +359,11 @@
 
 void store_task::takeItem(const stored_item &item, view_changed &change)
 {
+    const auto kept = m_items.find(item.key);
+    if (kept != m_items.end() && item.revision != 0 && item.revision <= kept->second.revision) {
+        return; // heard twice, or from a reading that is older than what came by news
+    }
+    keepItem(item);
     if (item.key == m_codec.configKey) {
         takeConfig(item, change);
     } else if (isUnder(item.key, m_codec.serverPrefix)) {
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -8,10 +8,14 @@
 #include "transport/bus.h"
 #include "transport/loop.h"
 
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace briarhead {
 
@@ -49,6 +53,21 @@
 
     const store_view &view() const;
     std::uint64_t incarnation() const;
+    /// How this daemon speaks to the others of its failure domain: `send` a datagram to a node, `fetch` the
+    /// news after a revision from one.
+    struct fleet_calls
+    {
+        std::function<void(const std::string &node, const store_news &news)> send;
+        std::function<void(
+            const std::string &node, std::int64_t after, std::function<void(std::optional<store_news>)> done)>
+            fetch;
+    };
+    void setFleet(fleet_calls calls);
+    void onNews(const std::string &reader, const store_news &news);
+    /// The news after a revision, for a daemon that fetches them.
+    store_news newsAfter(std::int64_t revision) const;
+    /// Whether this daemon follows the store itself.
+    bool isReader() const;
     /// Claims the right to give a server's orders if nobody else has it. The view tells how it ended.
     void claim(const std::string &server);
     /// Gives up all of this daemon's records, for a shutdown.
@@ -57,6 +76,12 @@
 private:
     void readAll();
     void takeAll(const store_read &read);
+    void follow();
+    void sendNews(std::int64_t from, const std::vector<stored_item> &items);
+    void fetchNews(const std::string &reader);
+    void keepItem(const stored_item &item);
+    std::vector<std::string> domainPeers() const;
+    bool newsFresh() const;
     void watchOn();
     void takeEvents(const store_read &read);
     void takeItem(const stored_item &item, view_changed &change);
@@ -84,7 +109,12 @@
     std::int64_t m_lease = 0;
     bool m_leaseCalling = false;
     bool m_leaving = false;
-    bool m_followed = false; ///< a first reading was taken in
+    fleet_calls m_fleet;
+    std::map<std::string, stored_item> m_items; ///< all there are, for those that fetch them
+    std::deque<stored_item> m_recent; ///< the latest changes, oldest first
+    std::int64_t m_recentFrom = 0; ///< `m_recent` holds all changes after this revision
+    millis m_newsAt; ///< when a reader was last heard
+    bool m_fetching = false;
     std::uint64_t m_watchRound = 0; ///< number of the watch that counts; others are outdated
     millis m_leaseKept;
     millis m_regained; ///< when the store answered again after an outage
