Count only news that were taken in as heard from a reader

Its reader's signs kept it from following the store, while the fetch of the configuration hung. Ruled out: the watch itself; the other daemons of that failure domain had the version within 0.2 s. Change: a sign of a reader counts once its news are in; a fetch is given up after 0.5 s.

--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -26,6 +26,8 @@
 /// configurations are to be in force two seconds after the store has them.
 constexpr millis newsLife{1'450};
 constexpr millis followCheck{200};
+/// A fetch within the failure domain takes some ms; after this another one is tried.
+constexpr millis fetchTimeout{500};
 /// News that fit into a datagram that links of 10 Mbit/s carry without a queue.
 constexpr std::size_t newsBytes = 6'000;
 constexpr std::size_t recentChanges = 2'000;
@@ -222,8 +224,8 @@
     if (m_leaving || m_revision == 0 || news.to < m_revision) {
         return; // an outdated reader is no sign that the store was heard
     }
-    m_newsAt = bootNow();
     if (news.to == m_revision) {
+        m_newsAt = bootNow();
         return;
     }
     if (news.fetch || news.from > m_revision) {
@@ -237,6 +239,7 @@
             read.items.push_back({item.key, item.value, item.revision, item.removed});
         }
     }
+    m_newsAt = bootNow();
     takeEvents(read);
 }
 
@@ -246,11 +249,16 @@
         return;
     }
     m_fetching = true;
-    m_fleet.fetch(reader, m_revision, [this](const std::optional<store_news> &news) {
+    const std::uint64_t round = ++m_fetchRound;
+    m_fetchTimer = m_loop.timer(fetchTimeout, {}, [this] {
         m_fetching = false;
+    });
+    m_fleet.fetch(reader, m_revision, [this, round](const std::optional<store_news> &news) {
+        m_fetching = m_fetching && round != m_fetchRound;
         if (!news || m_leaving || news->to <= m_revision) {
             return;
         }
+        m_newsAt = bootNow();
         store_read read;
         read.status = store_status::Ok;
         read.revision = news->to;
@@ -267,6 +275,10 @@
     });
 }
 
+// Guards against: a reader that speaks while what it has can't be fetched, over a connection that went
+// silent. It showed as a daemon that served an old configuration for seconds. Only news that were taken in
+// count as heard, so that such a daemon follows the store itself after newsLife.
+
 /// Follows the store itself, or listens to the readers of its failure domain while they speak.
 void store_task::follow()
 {
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -115,6 +115,8 @@
     std::int64_t m_recentFrom = 0; ///< `m_recent` holds all changes after this revision
     millis m_newsAt; ///< when a reader was last heard
     bool m_fetching = false;
+    std::uint64_t m_fetchRound = 0;
+    std::shared_ptr<void> m_fetchTimer;
     std::uint64_t m_watchRound = 0; ///< number of the watch that counts; others are outdated
     millis m_leaseKept;
     millis m_regained; ///< when the store answered again after an outage
