--- a/packages/transport/front_server.cpp
+++ b/packages/transport/front_server.cpp
@@ -128,6 +128,12 @@
     front_impl &operator=(const front_impl &) = delete;
 
     bool start(const std::string &ip, std::uint16_t port, error &why);
+    std::uint16_t port() const override
+    {
+        socket_address address;
+        const bool known = getsockname(m_listener.get(), address.raw(), &address.size) == 0;
+        return known ? toPeerAddress(address).port : 0;
+    }
     void setLimits(const front_limits &limits) override
     {
         m_limits = limits;
--- a/packages/transport/front_server.h
+++ b/packages/transport/front_server.h
@@ -56,9 +56,11 @@
 public:
     using handler = std::function<void(front_request request, std::shared_ptr<front_reply> reply)>;
 
+    /// Port 0 takes a free one.
     static std::unique_ptr<front_server> listen(
         loop &eventLoop, const std::string &ip, std::uint16_t port, handler onRequest, error &why);
     virtual ~front_server() = default;
+    virtual std::uint16_t port() const = 0;
     /// In force for heads that begin after the call.
     virtual void setLimits(const front_limits &limits) = 0;
     /// From now on each answer closes its connection, and idle connections are closed after `idle`.
--- /dev/null
+++ b/tests/serving/decisions_test.cpp
@@ -0,0 +1,318 @@
+#include "serving/choose_server.h"
+#include "serving/event_stream.h"
+#include "serving/place_queue.h"
+#include "serving/repeat_budget.h"
+#include "serving/serving_config.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace briarhead {
+
+namespace {
+
+constexpr millis start{50'000};
+
+waiting_prompt prompt(const std::string &id, std::int64_t tokens, millis arrived, int rank = 0)
+{
+    return {id, "entry", "base", "", tokens, 100, rank, arrived, arrived + millis{750}, arrived + millis{5'000}};
+}
+
+place_queue queueOf(int slots = 64, std::int64_t memory = 120'000)
+{
+    place_queue queue;
+    queue.slots = slots;
+    queue.memoryTokens = memory;
+    return queue;
+}
+
+bool always(const waiting_prompt &)
+{
+    return true;
+}
+
+std::vector<std::string> letInNow(place_queue &queue, millis now)
+{
+    std::vector<waiting_prompt> late;
+    std::vector<std::string> ids;
+    for (const waiting_prompt &one : letIn(queue, always, late, now)) {
+        ids.push_back(one.id);
+    }
+    return ids;
+}
+
+}
+
+// Many prompts arrive at once (a burst). A user would see every stream on the server stutter while all of them are
+// read between its tokens: only as much is let in as keeps the server reading, the rest waits its turn.
+TEST(PlaceQueue, LetsInOnlyWhatKeepsTheServerReading)
+{
+    place_queue queue = queueOf();
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_TRUE(admit(queue, prompt("p" + std::to_string(i), 2'000, start), start).taken);
+    }
+    EXPECT_EQ(letInNow(queue, start).size(), 1U) << "170 ms at 14 tokens a ms are 2,380 tokens";
+    firstToken(queue, "p0", start + millis{140});
+    EXPECT_EQ(letInNow(queue, start + millis{140}), std::vector<std::string>{"p1"});
+}
+
+// The largest prompts are over the window by themselves. A user with one would never be served.
+TEST(PlaceQueue, ThePromptLargerThanTheWindowGoesAloneAndIsNotOvertakenForEver)
+{
+    place_queue queue = queueOf();
+    ASSERT_TRUE(admit(queue, prompt("large", 7'000, start), start).taken);
+    ASSERT_TRUE(admit(queue, prompt("small", 300, start + millis{1}), start).taken);
+    EXPECT_EQ(letInNow(queue, start), std::vector<std::string>{"large"});
+    EXPECT_TRUE(letInNow(queue, start).empty()) << "what reads stutters under more";
+}
+
+// A queue is longer than a caller can wait. It is told so at once, not when its time is over.
+TEST(PlaceQueue, RefusesAtOnceWhatWouldComeTooLate)
+{
+    place_queue queue = queueOf();
+    int taken = 0;
+    for (int i = 0; i < 30; ++i) {
+        taken += admit(queue, prompt("p" + std::to_string(i), 2'000, start), start).taken ? 1 : 0;
+    }
+    EXPECT_EQ(taken, 6) << "750 ms at 14 tokens a ms, and the one whose turn comes right then";
+    const admission refused = admit(queue, prompt("q", 2'000, start), start);
+    EXPECT_FALSE(refused.taken);
+    EXPECT_GT(refused.wait.count, 750);
+}
+
+TEST(PlaceQueue, TheMostUrgentGoesFirstThenWhoCameFirst)
+{
+    place_queue queue = queueOf();
+    ASSERT_TRUE(admit(queue, prompt("late", 100, start + millis{2}, 1), start).taken);
+    ASSERT_TRUE(admit(queue, prompt("early", 100, start, 1), start).taken);
+    ASSERT_TRUE(admit(queue, prompt("urgent", 100, start + millis{3}, 0), start).taken);
+    EXPECT_EQ(letInNow(queue, start + millis{3}), (std::vector<std::string>{"urgent", "early", "late"}));
+}
+
+TEST(PlaceQueue, NeverFillsMemoryOrSlots)
+{
+    place_queue queue = queueOf(2, 5'000);
+    for (int i = 0; i < 4; ++i) {
+        ASSERT_TRUE(admit(queue, prompt("p" + std::to_string(i), 100, start), start).taken);
+    }
+    EXPECT_EQ(letInNow(queue, start).size(), 2U);
+    place_queue tight = queueOf(64, 1'000);
+    ASSERT_TRUE(admit(tight, prompt("a", 700, start), start).taken);
+    ASSERT_TRUE(admit(tight, prompt("b", 300, start), start).taken);
+    EXPECT_EQ(letInNow(tight, start).size(), 1U);
+}
+
+// Word of an end is a datagram and may be lost. A user would see a server that looks full for ever.
+TEST(PlaceQueue, AGrantWhoseEndWasLostEndsByItsDeadline)
+{
+    place_queue queue = queueOf();
+    ASSERT_TRUE(admit(queue, prompt("a", 100, start), start).taken);
+    ASSERT_EQ(letInNow(queue, start).size(), 1U);
+    EXPECT_TRUE(expired(queue, start + millis{5'000}).empty());
+    EXPECT_EQ(expired(queue, start + millis{6'000}).size(), 1U);
+    EXPECT_TRUE(queue.running.empty());
+}
+
+TEST(PlaceQueue, LearnsHowFastAServerReads)
+{
+    place_queue queue = queueOf();
+    millis now = start;
+    for (int i = 0; i < 40; ++i) {
+        const std::string id = "p" + std::to_string(i);
+        ASSERT_TRUE(admit(queue, prompt(id, 2'000, now), now).taken);
+        ASSERT_EQ(letInNow(queue, now).size(), 1U);
+        now = now + millis{400}; // a slow server: 5 tokens a ms
+        firstToken(queue, id, now);
+        ASSERT_TRUE(ended(queue, id, now));
+    }
+    EXPECT_NEAR(queue.speed, 5, 0.5);
+}
+
+RC_GTEST_PROP(PlaceQueue, CountsEachPromptOnce, ())
+{
+    place_queue queue = queueOf();
+    std::set<std::string> open;
+    millis now = start;
+    for (int i = 0; i < 60; ++i) {
+        const std::string id = "p" + std::to_string(*rc::gen::inRange(0, 12));
+        now = now + millis{*rc::gen::inRange(0, 40)};
+        switch (*rc::gen::inRange(0, 3)) {
+        case 0:
+            if (admit(queue, prompt(id, *rc::gen::inRange(1, 3'000), now), now).taken) {
+                open.insert(id);
+            }
+            break;
+        case 1: {
+            std::vector<waiting_prompt> late;
+            letIn(queue, always, late, now);
+            for (const waiting_prompt &one : late) {
+                open.erase(one.id);
+            }
+            break;
+        }
+        default:
+            ended(queue, id, now);
+            open.erase(id);
+            break;
+        }
+        RC_ASSERT(queue.waiting.size() + queue.running.size() == open.size());
+        RC_ASSERT(backlogTokens(queue) >= readingTokens(queue));
+    }
+}
+
+// More adapters are in use at once than there are places (demand moves on, rare adapters are asked for). A user of a
+// rare adapter would be sent away when each popular one took a further place to save a short wait.
+TEST(ChooseServer, ACopyIsMadeOnlyForALongWait)
+{
+    model_candidate home;
+    home.adapter = residence::Resident;
+    home.sameDomain = true;
+    home.backlogMs = 500;
+    model_candidate idle;
+    idle.sameDomain = true;
+    idle.openPlaces = 2;
+    EXPECT_EQ(chooseModelServer({home, idle}), 0U);
+    home.backlogMs = 1'500;
+    EXPECT_EQ(chooseModelServer({home, idle}), 1U);
+}
+
+// Each cold adapter goes to the same server each time, which still has it in memory and loads it in a tenth of the
+// time; spread over all servers, each load would come from the weight store.
+TEST(ChooseServer, AColdAdapterGoesToItsFirstServerWithAnOpenPlace)
+{
+    model_candidate second;
+    second.openPlaces = 1;
+    second.hashRank = 1;
+    model_candidate first;
+    first.openPlaces = 1;
+    first.hashRank = 0;
+    EXPECT_EQ(chooseModelServer({second, first}), 1U);
+    first.openPlaces = 0;
+    EXPECT_EQ(chooseModelServer({second, first}), 0U);
+}
+
+TEST(ChooseServer, AServerThatFailsIsLeftAloneAndTriedAgainLater)
+{
+    server_record record;
+    for (int i = 0; i < 10; ++i) {
+        recordAnswer(record, true, start);
+    }
+    model_candidate failing;
+    failing.adapter = residence::Resident;
+    failing.failures = failuresNow(record, start);
+    model_candidate loaded;
+    loaded.adapter = residence::Resident;
+    loaded.backlogMs = 700;
+    EXPECT_EQ(chooseModelServer({failing, loaded}), 1U);
+    failing.failures = failuresNow(record, start + millis{15'000});
+    EXPECT_EQ(chooseModelServer({failing, loaded}), 0U);
+}
+
+TEST(ChooseServer, NothingIsChosenThatCannotServe)
+{
+    model_candidate leaving;
+    leaving.excluded = true;
+    model_candidate empty;
+    empty.held = false;
+    EXPECT_FALSE(chooseModelServer({leaving, empty}));
+    plain_candidate out;
+    out.excluded = true;
+    EXPECT_FALSE(choosePlainServer({out}));
+}
+
+TEST(ChooseServer, PlainRequestsStayInTheirFailureDomainUntilItsServerIsBusy)
+{
+    plain_candidate near;
+    near.sameDomain = true;
+    near.slots = 6;
+    plain_candidate far;
+    far.slots = 6;
+    near.mine = 2;
+    EXPECT_EQ(choosePlainServer({far, near}), 1U);
+    near.mine = 3;
+    EXPECT_EQ(choosePlainServer({far, near}), 0U);
+}
+
+// Servers fail in numbers and clients repeat at once. The bound on repeats is one for all daemons together, whatever
+// each of them sees.
+RC_GTEST_PROP(RepeatBudget, AllDaemonsTogetherStayUnderTheBound, ())
+{
+    const repeat_limits limits{0.2, 50, {10'000}};
+    const auto daemons = *rc::gen::inRange<std::size_t>(1, 10);
+    std::vector<repeat_budget> budgets(daemons);
+    millis now = start;
+    std::size_t requests = 0;
+    std::size_t repeats = 0;
+    for (int i = 0; i < 400; ++i) {
+        now = now + millis{*rc::gen::inRange(0, 20)};
+        repeat_budget &one = budgets[*rc::gen::inRange<std::size_t>(0, daemons)];
+        countRequest(one, "service", limits, now);
+        ++requests;
+        for (int repeat = *rc::gen::inRange(0, 4); repeat > 0; --repeat) {
+            repeats += takeRepeat(one, "service", limits, daemons, now) ? 1 : 0;
+        }
+    }
+    RC_ASSERT(static_cast<double>(repeats) <= 0.2 * static_cast<double>(requests) + 50);
+}
+
+// A server dies in the middle of an event. A user would see half an event, or the same one twice, when another server
+// goes on: only whole events are passed on, and the last whole one is where it goes on.
+TEST(EventStream, PassesOnWholeEventsOnly)
+{
+    event_stream stream;
+    EXPECT_EQ(takeEvents(stream, "id: 1\ndata: x\n\nid: 2\nda"), "id: 1\ndata: x\n\n");
+    EXPECT_EQ(stream.lastId, "1");
+    EXPECT_EQ(takeEvents(stream, "ta: y\n\n"), "id: 2\ndata: y\n\n");
+    EXPECT_EQ(stream.lastId, "2");
+    EXPECT_TRUE(stream.partial.empty());
+}
+
+RC_GTEST_PROP(EventStream, AnyCutGivesTheSameEvents, ())
+{
+    std::string text;
+    const int events = *rc::gen::inRange(1, 6);
+    for (int i = 1; i <= events; ++i) {
+        const std::string end = *rc::gen::arbitrary<bool>() ? "\r\n" : "\n";
+        text += "id:" + std::to_string(i) + end + "data: z" + end + end;
+    }
+    event_stream stream;
+    std::string passed;
+    for (std::size_t at = 0; at < text.size();) {
+        const auto size = *rc::gen::inRange<std::size_t>(1, 12);
+        passed += takeEvents(stream, std::string_view(text).substr(at, size));
+        at += size;
+    }
+    RC_ASSERT(passed == text);
+    RC_ASSERT(stream.lastId == std::to_string(events));
+}
+
+TEST(Routes, TheLongestPrefixOfTheHostDecides)
+{
+    serving_config config;
+    config.routes.push_back({.name = "wide", .host = "a.example", .prefix = "/x/", .services = {{"s1", 1}}});
+    config.routes.push_back({.name = "narrow", .host = "a.example", .prefix = "/x/y/", .services = {{"s2", 1}}});
+    indexRoutes(config);
+    EXPECT_EQ(findRoute(config, "A.example:80", "/x/y/z?q=/")->name, "narrow");
+    EXPECT_EQ(findRoute(config, "a.example", "/x/yy")->name, "wide");
+    EXPECT_EQ(findRoute(config, "a.example", "/x"), nullptr);
+    EXPECT_EQ(findRoute(config, "b.example", "/x/"), nullptr);
+}
+
+TEST(Routes, ASplitIsKeptByWeightAndStableForARequest)
+{
+    route split;
+    split.name = "r";
+    split.services = {{"s1", 90}, {"s2", 10}};
+    int second = 0;
+    for (int i = 0; i < 2'000; ++i) {
+        const std::string id = "request-" + std::to_string(i);
+        EXPECT_EQ(pickService(split, id), pickService(split, id));
+        second += pickService(split, id) == "s2" ? 1 : 0;
+    }
+    EXPECT_NEAR(second, 200, 60);
+}
+
+}
--- /dev/null
+++ b/tests/serving/platform_test.cpp
@@ -0,0 +1,216 @@
+#include "platform/platform_records.h"
+#include "platform/platform_requests.h"
+#include "platform/platform_settings.h"
+#include "platform/platform_store.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace briarhead::platform {
+
+namespace {
+
+const std::string goodSettings = "node=edge-1\nzone=z1\nip=10.1.0.1\nlisten.front=10.1.0.1:80\n"
+                                 "listen.ready=10.1.0.1:81\ninternalPorts=7380,7395\n"
+                                 "platform.address=10.200.1.7:8142\nbounds.graceS=8\n"
+                                 "bounds.retryBudgetRatio=0.25\nsomething.new=1\n";
+
+front_request requestWith(const std::vector<http_field> &fields)
+{
+    front_request raw;
+    raw.head.method = "POST";
+    raw.head.target = "/r/x?y=1";
+    raw.head.fields = fields;
+    raw.body = "body";
+    return raw;
+}
+
+const std::vector<http_field> plainFields{{"Host", "h.example"}, {"X-Briarhead-Request-Id", "id1"},
+    {"X-Briarhead-Model", "m0/a7"}, {"X-Briarhead-Token-Count", "1460,80"}, {"X-Briarhead-Deadline-Ms", "5000"}};
+
+}
+
+TEST(PlatformSettings, AreReadFromLines)
+{
+    error why;
+    const auto settings = parseNodeSettings(goodSettings, "node.conf", why);
+    ASSERT_TRUE(settings) << message(why);
+    EXPECT_EQ(settings->node, "edge-1");
+    EXPECT_EQ(settings->peers.port, 7380);
+    EXPECT_EQ(settings->shutdown.count, 8'000);
+    EXPECT_DOUBLE_EQ(settings->repeats.ratio, 0.25);
+}
+
+TEST(PlatformSettings, AMissingFieldIsNamedWithTheRemedy)
+{
+    for (const char *field : {"node=", "zone=", "listen.front=", "platform.address=", "internalPorts="}) {
+        std::string text = goodSettings;
+        const std::size_t at = text.find(field);
+        text.erase(at, text.find('\n', at) - at + 1);
+        error why;
+        EXPECT_FALSE(parseNodeSettings(text, "node.conf", why));
+        const std::string name(field, std::string(field).size() - 1);
+        EXPECT_NE(message(why).find(name), std::string::npos) << message(why);
+        EXPECT_EQ(why.kind, error_kind::BadSettings);
+    }
+}
+
+TEST(PlatformRequests, TheHeadersAreReadOnce)
+{
+    error why;
+    const auto request = requestCodec().readRequest(requestWith(plainFields), why);
+    ASSERT_TRUE(request) << message(why);
+    EXPECT_EQ(request->model, "m0");
+    EXPECT_EQ(request->adapter, "a7");
+    EXPECT_EQ(request->promptTokens, 1'460);
+    EXPECT_EQ(request->outputTokens, 80);
+    EXPECT_EQ(request->deadline->count, 5'000);
+}
+
+// A caller sends absurd numbers. They must not overflow what is reckoned with them, nor be read as negative.
+TEST(PlatformRequests, AbsurdNumbersAreBounded)
+{
+    for (const char *text : {"99999999999999999999999,-5", "-7,4", "x,y", ",", ""}) {
+        auto fields = plainFields;
+        fields[3].value = text;
+        fields[4].value = text;
+        error why;
+        const auto request = requestCodec().readRequest(requestWith(fields), why);
+        ASSERT_TRUE(request);
+        EXPECT_GE(request->promptTokens, 0) << text;
+        EXPECT_GE(request->outputTokens, 0) << text;
+        EXPECT_LE(request->promptTokens, 1'000'000'000) << text;
+    }
+}
+
+TEST(PlatformRequests, WithoutAnIdOrWithoutAPathItIsRefused)
+{
+    error why;
+    EXPECT_FALSE(requestCodec().readRequest(requestWith({{"Host", "h"}}), why));
+    EXPECT_EQ(why.kind, error_kind::BadRequest);
+    front_request absolute = requestWith(plainFields);
+    absolute.head.target = "http://h.example/r/";
+    EXPECT_FALSE(requestCodec().readRequest(absolute, why));
+}
+
+// A caller sends the fields that only this system may set, or names one in Connection. A server would run the request
+// with someone else's reservation, or as another start's: none of it reaches a server, and the caller's own fields do.
+TEST(PlatformRequests, TheSystemsOwnFieldsNeverComeFromACaller)
+{
+    auto fields = plainFields;
+    for (const char *own : {"X-Briarhead-Hold", "x-briarhead-pin-ms", "X-Briarhead-Kv-Backup", "Kv-From", "kv-fetch",
+             "X-Briarhead-Expect-Instance", "X-Briarhead-Expect-Version", "X-Briarhead-Request-Priority"}) {
+        fields.push_back({own, "smuggled"});
+    }
+    fields.push_back({"Connection", "close, X-Briarhead-Model"});
+    fields.push_back({"Transfer-Encoding", "chunked"});
+    fields.push_back({"X-Other", "kept"});
+    error why;
+    const auto codec = requestCodec();
+    const auto request = codec.readRequest(requestWith(fields), why);
+    ASSERT_TRUE(request);
+    const std::string bytes = codec.writeRequest(*request, {"i-1", millis{900}, 3, ""});
+    EXPECT_EQ(bytes.find("smuggled"), std::string::npos);
+    EXPECT_EQ(bytes.find("chunked"), std::string::npos);
+    EXPECT_NE(bytes.find("POST /r/x?y=1 HTTP/1.1\r\n"), std::string::npos);
+    EXPECT_NE(bytes.find("X-Briarhead-Model: m0/a7\r\n"), std::string::npos);
+    EXPECT_NE(bytes.find("X-Briarhead-Deadline-Ms: 900\r\n"), std::string::npos);
+    EXPECT_EQ(bytes.find("X-Briarhead-Deadline-Ms: 5000"), std::string::npos);
+    EXPECT_NE(bytes.find("X-Briarhead-Expect-Instance: i-1\r\n"), std::string::npos);
+    EXPECT_NE(bytes.find("X-Briarhead-Expect-Version: 3\r\n"), std::string::npos);
+    EXPECT_NE(bytes.find("X-Other: kept\r\n"), std::string::npos);
+    EXPECT_TRUE(bytes.ends_with("Content-Length: 4\r\n\r\nbody"));
+}
+
+TEST(PlatformRequests, AnAnswerSaysWhetherItRan)
+{
+    const auto codec = requestCodec();
+    http_head head;
+    head.status = 421;
+    EXPECT_TRUE(codec.readAnswer(head).notRun);
+    head.status = 503;
+    EXPECT_FALSE(codec.readAnswer(head).notRun) << "only the server's own word counts";
+    head.fields = {{"X-Briarhead-Not-Executed", "1"}, {"X-Briarhead-Server-Stamp", "s"}, {"Connection", "close"}};
+    EXPECT_TRUE(codec.readAnswer(head).notRun);
+    EXPECT_TRUE(codec.readAnswer(head).signedByServer);
+    EXPECT_EQ(codec.passOn(head).size(), 2U) << "what concerns one connection stays there";
+}
+
+TEST(PlatformRequests, OrdersAndReports)
+{
+    const auto codec = requestCodec();
+    const backend_server server{"i-9", "s", {"10.0.0.1", 80}, "z1", 64, false, {}};
+    const std::string order
+        = codec.writeOrder({order_kind::Load, "m0", "a3", 2, 7, "edge-1", 41}, server);
+    EXPECT_NE(order.find(R"("expectedRev":7)"), std::string::npos);
+    EXPECT_NE(order.find(R"("fenceToken":41)"), std::string::npos);
+    EXPECT_NE(order.find("X-Briarhead-Expect-Instance: i-9"), std::string::npos);
+    EXPECT_EQ(codec.readOrderAnswer(202), order_answer::Accepted);
+    EXPECT_EQ(codec.readOrderAnswer(412), order_answer::Fenced);
+    EXPECT_EQ(codec.readOrderAnswer(500), order_answer::Unknown);
+    error why;
+    const auto report = codec.readReport(
+        R"({"models":[{"name":"m0","version":1,"adapters":["a1@3","a2"]}],"busy":true,"seq":5,"coming":["m0/a4@1"]})",
+        why);
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->sequence, 5);
+    EXPECT_EQ(report->models.front().adapters.front().name, "a1");
+    EXPECT_EQ(report->models.front().adapters.front().version, 3);
+    EXPECT_EQ(report->coming.size(), 1U);
+    EXPECT_FALSE(codec.readReport("not json", why));
+}
+
+TEST(PlatformRecords, TheConfigurationIsTranslated)
+{
+    error why;
+    const auto config = readConfig(
+        R"({"version":7,"routes":[
+            {"name":"r1","host":"H.example","prefix":"/a/","routeType":"streaming","timeoutMs":8000,
+             "targetLatencyMs":900,"priority":1,"service":"s1","maxAttempts":2,"resumable":true},
+            {"name":"r2","host":"h.example","prefix":"/b/","routeType":"idempotent",
+             "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}]},
+            {"name":"r3","host":"h.example","prefix":"/c/","routeType":"something_new","service":"s2"}],
+            "services":[{"name":"s1","maxConns":360,"engine":{"slots":64,"kvTokens":121668,"weightsMb":66500.0,
+             "adapterSlots":5,"loadsPerS":2.9,"models":[{"name":"m0","weightsMb":65100,"loadS":0.72,"adapterMb":12}]}},
+             {"name":"s2","maxConns":96}],
+            "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})",
+        why);
+    ASSERT_TRUE(config) << message(why);
+    EXPECT_EQ(config->version, 7U);
+    EXPECT_EQ(config->routes[0].kind, repeat_kind::Stream);
+    EXPECT_TRUE(config->routes[0].resumable);
+    EXPECT_EQ(config->routes[1].services.size(), 2U);
+    EXPECT_EQ(config->routes[2].kind, repeat_kind::Once) << "what isn't known must not be repeated";
+    EXPECT_EQ(engineOf(*config, "s1")->adapterPlaces, 5);
+    EXPECT_EQ(engineOf(*config, "s2"), nullptr);
+    EXPECT_EQ(config->limits.idleTime.count, 15'000);
+    EXPECT_NE(findRoute(*config, "h.example", "/a/1"), nullptr);
+}
+
+TEST(PlatformRecords, UnreadableRecordsAreRefusedWithAReason)
+{
+    error why;
+    EXPECT_FALSE(readConfig("[1,2", why));
+    EXPECT_FALSE(readConfig(R"({"version":1,"routes":[{"name":"r"}]})", why));
+    EXPECT_FALSE(message(why).empty());
+    EXPECT_FALSE(readServer("i-1", R"({"service":"s","address":"nowhere"})", why));
+    EXPECT_FALSE(readVersion("{}", why));
+    const auto server = readServer("i-1",
+        R"({"service":"s","address":"10.0.0.9:8080","zone":"z2","slots":6,"state":"draining"})", why);
+    ASSERT_TRUE(server);
+    EXPECT_TRUE(server->draining);
+    EXPECT_EQ(server->address.port, 8'080);
+}
+
+RC_GTEST_PROP(PlatformStore, Base64IsReversible, (const std::string &bytes))
+{
+    RC_ASSERT(fromBase64(toBase64(bytes)) == bytes);
+}
+
+TEST(PlatformStore, WhatIsNoBase64IsRefused)
+{
+    EXPECT_EQ(toBase64("node-1"), "bm9kZS0x");
+    EXPECT_FALSE(fromBase64("a*b="));
+}
+
+}
--- /dev/null
+++ b/tests/serving/server_ledger_test.cpp
@@ -0,0 +1,313 @@
+#include "serving/server_ledger.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <set>
+
+namespace briarhead {
+
+namespace {
+
+const std::vector<model_spec> models{{"base", 65'000, {720}, 12}};
+const std::string base = "base";
+
+order_limits limitsNow()
+{
+    order_limits limits;
+    limits.models = &models;
+    return limits;
+}
+
+server_ledger emptyLedger(int places)
+{
+    server_ledger ledger;
+    ledger.places = places;
+    ledger.weightsMb = 66'500;
+    return ledger;
+}
+
+server_report reportWith(std::int64_t sequence, const std::vector<std::string> &adapters)
+{
+    server_report report;
+    report.sequence = sequence;
+    report.models.push_back({base, 1, {}});
+    for (const std::string &name : adapters) {
+        report.models.front().adapters.push_back({name, 1});
+    }
+    return report;
+}
+
+std::vector<adapter_want> want(const std::vector<std::string> &names)
+{
+    std::vector<adapter_want> wants;
+    for (const std::string &name : names) {
+        wants.push_back({base, name});
+    }
+    return wants;
+}
+
+/// A server as the platform's pages describe it: it crashes when it is ordered to hold more than fits, checks the
+/// sequence when it carries an order out, and may carry one out long after it was sent.
+struct pretend_server
+{
+    int places = 0;
+    std::int64_t sequence = 0;
+    std::set<std::string> held;
+    std::set<std::string> coming;
+    bool crashed = false;
+
+    order_answer carryOut(const server_order &order)
+    {
+        if (order.expected != sequence) {
+            return order_answer::Conflict;
+        }
+        if (order.kind == order_kind::Unload) {
+            ++sequence;
+            held.erase(order.adapter);
+            return order_answer::Holds;
+        }
+        if (held.count(order.adapter) != 0) {
+            return order_answer::Holds;
+        }
+        if (coming.count(order.adapter) != 0) {
+            return order_answer::Accepted;
+        }
+        ++sequence;
+        coming.insert(order.adapter);
+        crashed = crashed || static_cast<int>(held.size() + coming.size()) > places;
+        return order_answer::Accepted;
+    }
+    void finishLoad()
+    {
+        if (!coming.empty()) {
+            held.insert(*coming.begin());
+            coming.erase(coming.begin());
+        }
+    }
+    server_report report() const
+    {
+        server_report out = reportWith(sequence, {held.begin(), held.end()});
+        for (const std::string &name : coming) {
+            out.coming.push_back(base + '/' + name);
+        }
+        return out;
+    }
+};
+
+}
+
+// A user would see every stream of a server break off: one load too many crashes it, and it comes back empty.
+// Orders are answered, refused, lost before or after they were carried out, and carried out late; reports are
+// outdated. Whatever comes in which order, the server is never ordered to hold more than fits.
+RC_GTEST_PROP(ServerLedger, NeverOrdersMoreThanTheServerHolds, ())
+{
+    pretend_server server;
+    server.places = *rc::gen::inRange(1, 5);
+    server_ledger ledger = emptyLedger(server.places);
+    std::deque<server_order> late; // sent, unanswered, may still be carried out
+    std::deque<server_report> reports{server.report()};
+    millis now{10'000};
+    const int steps = *rc::gen::inRange(10, 120);
+    for (int i = 0; i < steps; ++i) {
+        now = now + millis{*rc::gen::inRange(0, 300)};
+        reports.push_back(server.report());
+        if (reports.size() > 4) {
+            reports.pop_front();
+        }
+        if (!ledger.proved && now >= ledger.notBefore) {
+            takeReport(ledger, *rc::gen::elementOf(reports), now);
+        }
+        if (*rc::gen::inRange(0, 3) == 0) {
+            server.finishLoad();
+        }
+        if (!late.empty() && *rc::gen::inRange(0, 4) == 0) {
+            server.carryOut(late.front());
+            late.pop_front();
+        }
+        const auto wants = want({"a" + std::to_string(*rc::gen::inRange(0, 7))});
+        const auto order = nextOrder(ledger, wants, limitsNow(), now);
+        if (order) {
+            switch (*rc::gen::inRange(0, 5)) {
+            case 0: // carried out, the answer lost
+                server.carryOut(*order);
+                takeAnswer(ledger, *order, order_answer::Unknown, now);
+                break;
+            case 1: // not answered, carried out later or never
+                late.push_back(*order);
+                takeAnswer(ledger, *order, order_answer::Unknown, now);
+                break;
+            default:
+                takeAnswer(ledger, *order, server.carryOut(*order), now);
+                break;
+            }
+        }
+        RC_ASSERT(!server.crashed);
+    }
+}
+
+// A load without an answer may be carried out seconds later. A user would see a server crash when the place it
+// needs has been given away meanwhile. The place counts as taken until a later order was accepted.
+TEST(ServerLedger, AnUnansweredLoadHoldsItsPlaceUntilALaterOrderIsAccepted)
+{
+    server_ledger ledger = emptyLedger(2);
+    takeReport(ledger, reportWith(0, {"a1"}), {1'000});
+    const auto lost = nextOrder(ledger, want({"a2"}), limitsNow(), {1'000});
+    ASSERT_TRUE(lost);
+    takeAnswer(ledger, *lost, order_answer::Unknown, {1'600});
+    EXPECT_FALSE(nextOrder(ledger, want({"a3"}), limitsNow(), {1'700})) << "no order before a report";
+    takeReport(ledger, reportWith(0, {"a1"}), {2'500});
+    EXPECT_EQ(takenPlaces(ledger), 2);
+    const auto next = nextOrder(ledger, want({"a3"}), limitsNow(), {2'600});
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->kind, order_kind::Unload) << "the free place may be the lost load's";
+    takeAnswer(ledger, *next, order_answer::Holds, {2'610});
+    EXPECT_EQ(takenPlaces(ledger), 0) << "the server's sequence has moved on: the lost load is void";
+}
+
+// A user would see the first seconds of every adapter fail: requests for an adapter on its way in are refused.
+// "Accepted" isn't done; only the same load asked for again says when it is.
+TEST(ServerLedger, AnAcceptedLoadIsInOnlyWhenTheSameLoadHolds)
+{
+    server_ledger ledger = emptyLedger(2);
+    takeReport(ledger, reportWith(4, {}), {1'000});
+    const auto load = nextOrder(ledger, want({"a1"}), limitsNow(), {1'000});
+    ASSERT_TRUE(load);
+    takeAnswer(ledger, *load, order_answer::Accepted, {1'003});
+    EXPECT_EQ(findPlace(ledger, base, "a1")->state, place_state::Loading);
+    EXPECT_FALSE(nextOrder(ledger, {}, limitsNow(), {1'100}));
+    const auto early = nextOrder(ledger, {}, limitsNow(), {1'245});
+    ASSERT_TRUE(early);
+    EXPECT_EQ(early->expected, 5);
+    takeAnswer(ledger, *early, order_answer::Accepted, {1'247});
+    const auto again = nextOrder(ledger, {}, limitsNow(), {1'280});
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->expected, 5) << "the server doesn't count a load that is on its way already";
+    takeAnswer(ledger, *again, order_answer::Holds, {1'282});
+    EXPECT_EQ(findPlace(ledger, base, "a1")->state, place_state::Resident);
+}
+
+// Many daemons load at once and the weight store slows down: a user would see waits grow when each ledger went on
+// asking at the unloaded pace, or waited by a guess about the fleet for seconds after the adapter was in.
+TEST(ServerLedger, ExpectsLoadsToTakeAsLongAsTheyDid)
+{
+    server_ledger ledger = emptyLedger(4);
+    takeReport(ledger, reportWith(0, {}), {1'000});
+    millis now{1'000};
+    for (int i = 0; i < 30; ++i) {
+        const auto load = nextOrder(ledger, want({"a" + std::to_string(i)}), limitsNow(), now);
+        ASSERT_TRUE(load);
+        if (load->kind == order_kind::Unload) {
+            takeAnswer(ledger, *load, order_answer::Holds, now);
+            continue;
+        }
+        takeAnswer(ledger, *load, order_answer::Accepted, now);
+        now = now + millis{800};
+        const auto ask = nextOrder(ledger, {}, limitsNow(), now);
+        ASSERT_TRUE(ask);
+        takeAnswer(ledger, *ask, order_answer::Holds, now);
+    }
+    EXPECT_GT(ledger.loadMs, 700);
+    EXPECT_LT(ledger.loadMs, 810);
+}
+
+// A user would see a stream cut or restarted: an adapter whose requests still run must not go.
+TEST(ServerLedger, NeverUnloadsWhatIsUsedOrWaitedFor)
+{
+    server_ledger ledger = emptyLedger(2);
+    takeReport(ledger, reportWith(0, {"a1", "a2"}), {1'000});
+    beginUse(ledger, base, "a1", {1'000});
+    order_limits limits = limitsNow();
+    limits.waitedFor = [](const std::string &, const std::string &adapter) {
+        return adapter == "a2";
+    };
+    EXPECT_FALSE(nextOrder(ledger, want({"a3"}), limits, {1'001}));
+    endUse(ledger, base, "a1");
+    const auto order = nextOrder(ledger, want({"a3"}), limits, {1'002});
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->kind, order_kind::Unload);
+    EXPECT_EQ(order->adapter, "a1");
+}
+
+TEST(ServerLedger, TheLeastUsedAdapterGoesFirst)
+{
+    server_ledger ledger = emptyLedger(2);
+    takeReport(ledger, reportWith(0, {"a1", "a2"}), {1'000});
+    for (int i = 0; i < 3; ++i) {
+        beginUse(ledger, base, "a1", {1'000});
+        endUse(ledger, base, "a1");
+    }
+    beginUse(ledger, base, "a2", {1'500});
+    endUse(ledger, base, "a2");
+    const auto order = nextOrder(ledger, want({"a3"}), limitsNow(), {1'600});
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->adapter, "a2");
+}
+
+// An operator names a new version; a user would see the old one answer on and on.
+TEST(ServerLedger, ReplacesAnAdapterOfAnOlderVersion)
+{
+    server_ledger ledger = emptyLedger(2);
+    takeReport(ledger, reportWith(0, {"a1"}), {1'000});
+    order_limits limits = limitsNow();
+    limits.newest = [](const std::string &, const std::string &) {
+        return std::int64_t{7};
+    };
+    const auto order = nextOrder(ledger, {}, limits, {1'000});
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->kind, order_kind::Load);
+    EXPECT_EQ(order->version, 7);
+    takeAnswer(ledger, *order, order_answer::Accepted, {1'003});
+    EXPECT_NE(findPlace(ledger, base, "a1")->state, place_state::Resident) << "the old one must not be used";
+}
+
+// A server crashed and came back empty. A user would see a twelfth of the service gone for good.
+TEST(ServerLedger, GivesAnEmptyServerItsBaseModelAtThePaceOfTheWeightStore)
+{
+    server_ledger ledger = emptyLedger(2);
+    server_report report;
+    takeReport(ledger, report, {1'000});
+    order_limits limits = limitsNow();
+    limits.mayLoadModel = false;
+    EXPECT_FALSE(nextOrder(ledger, want({"a1"}), limits, {1'000}));
+    limits.mayLoadModel = true;
+    const auto order = nextOrder(ledger, want({"a1"}), limits, {1'000});
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->model, base);
+    EXPECT_TRUE(order->adapter.empty());
+    takeAnswer(ledger, *order, order_answer::Accepted, {1'003});
+    EXPECT_FALSE(nextOrder(ledger, want({"a1"}), limits, {1'200})) << "no adapter before its model";
+    report.sequence = 1;
+    report.models.push_back({base, 1, {}});
+    takeReport(ledger, report, {1'900});
+    const auto adapter = nextOrder(ledger, want({"a1"}), limits, {1'900});
+    ASSERT_TRUE(adapter);
+    EXPECT_EQ(adapter->adapter, "a1");
+}
+
+TEST(ServerLedger, AnOutdatedReportChangesNothing)
+{
+    server_ledger ledger = emptyLedger(2);
+    takeReport(ledger, reportWith(0, {}), {1'000});
+    const auto load = nextOrder(ledger, want({"a1"}), limitsNow(), {1'000});
+    ASSERT_TRUE(load);
+    takeAnswer(ledger, *load, order_answer::Accepted, {1'003});
+    takeReport(ledger, reportWith(0, {}), {1'050});
+    EXPECT_NE(findPlace(ledger, base, "a1"), nullptr);
+    takeReport(ledger, reportWith(0, {}), {1'003 + reportLagMost.count});
+    EXPECT_EQ(findPlace(ledger, base, "a1"), nullptr) << "by then it is the server that knows better";
+}
+
+TEST(ServerLedger, TheSumOfWeightsStaysUnderTheServersMemory)
+{
+    server_ledger ledger = emptyLedger(5);
+    ledger.weightsMb = 65'020; // room for one adapter
+    takeReport(ledger, reportWith(0, {"a1"}), {1'000});
+    const auto order = nextOrder(ledger, want({"a2"}), limitsNow(), {1'000});
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->kind, order_kind::Unload);
+}
+
+}
