--- a/tests/serving/decisions_test.cpp
+++ b/tests/serving/decisions_test.cpp
@@ -18,7 +18,8 @@
 
 waiting_prompt prompt(const std::string &id, std::int64_t tokens, millis arrived, int rank = 0)
 {
-    return {id, "entry", "base", "", tokens, 100, rank, arrived, arrived + millis{750}, arrived + millis{5'000}};
+    return {
+        id, "entry", "base", "", tokens, 100, rank, arrived, arrived + millis{750}, arrived + millis{5'000}};
 }
 
 place_queue queueOf(int slots = 64, std::int64_t memory = 120'000)
@@ -46,8 +47,9 @@
 
 }
 
-// Many prompts arrive at once (a burst). A user would see every stream on the server stutter while all of them are
-// read between its tokens: only as much is let in as keeps the server reading, the rest waits its turn.
+// Many prompts arrive at once (a burst). A user would see every stream on the server stutter while all of
+// them are read between its tokens: only as much is let in as keeps the server reading, the rest waits its
+// turn.
 TEST(PlaceQueue, LetsInOnlyWhatKeepsTheServerReading)
 {
     place_queue queue = queueOf();
@@ -163,8 +165,8 @@
     }
 }
 
-// More adapters are in use at once than there are places (demand moves on, rare adapters are asked for). A user of a
-// rare adapter would be sent away when each popular one took a further place to save a short wait.
+// More adapters are in use at once than there are places (demand moves on, rare adapters are asked for). A
+// user of a rare adapter would be sent away when each popular one took a further place to save a short wait.
 TEST(ChooseServer, ACopyIsMadeOnlyForALongWait)
 {
     model_candidate home;
@@ -179,8 +181,8 @@
     EXPECT_EQ(chooseModelServer({home, idle}), 1U);
 }
 
-// Each cold adapter goes to the same server each time, which still has it in memory and loads it in a tenth of the
-// time; spread over all servers, each load would come from the weight store.
+// Each cold adapter goes to the same server each time, which still has it in memory and loads it in a tenth
+// of the time; spread over all servers, each load would come from the weight store.
 TEST(ChooseServer, AColdAdapterGoesToItsFirstServerWithAnOpenPlace)
 {
     model_candidate second;
@@ -236,8 +238,8 @@
     EXPECT_EQ(choosePlainServer({far, near}), 0U);
 }
 
-// Servers fail in numbers and clients repeat at once. The bound on repeats is one for all daemons together, whatever
-// each of them sees.
+// Servers fail in numbers and clients repeat at once. The bound on repeats is one for all daemons together,
+// whatever each of them sees.
 RC_GTEST_PROP(RepeatBudget, AllDaemonsTogetherStayUnderTheBound, ())
 {
     const repeat_limits limits{0.2, 50, {10'000}};
@@ -258,8 +260,8 @@
     RC_ASSERT(static_cast<double>(repeats) <= 0.2 * static_cast<double>(requests) + 50);
 }
 
-// A server dies in the middle of an event. A user would see half an event, or the same one twice, when another server
-// goes on: only whole events are passed on, and the last whole one is where it goes on.
+// A server dies in the middle of an event. A user would see half an event, or the same one twice, when
+// another server goes on: only whole events are passed on, and the last whole one is where it goes on.
 TEST(EventStream, PassesOnWholeEventsOnly)
 {
     event_stream stream;
@@ -293,7 +295,8 @@
 {
     serving_config config;
     config.routes.push_back({.name = "wide", .host = "a.example", .prefix = "/x/", .services = {{"s1", 1}}});
-    config.routes.push_back({.name = "narrow", .host = "a.example", .prefix = "/x/y/", .services = {{"s2", 1}}});
+    config.routes.push_back(
+        {.name = "narrow", .host = "a.example", .prefix = "/x/y/", .services = {{"s2", 1}}});
     indexRoutes(config);
     EXPECT_EQ(findRoute(config, "A.example:80", "/x/y/z?q=/")->name, "narrow");
     EXPECT_EQ(findRoute(config, "a.example", "/x/yy")->name, "wide");
--- /dev/null
+++ b/tests/serving/fake_store.cpp
@@ -0,0 +1,201 @@
+#include "serving/fake_store.h"
+
+#include <algorithm>
+
+namespace briarhead {
+
+namespace {
+
+constexpr millis answerTime{1};
+constexpr millis silentTime{300}; ///< a time-out, shortened for tests
+constexpr millis pollEvery{10};
+
+}
+
+std::int64_t fake_store::put(const std::string &key, const std::string &value, std::int64_t lease)
+{
+    stored_item item{key, value, ++revision, false};
+    items[key] = item;
+    leases[key] = lease;
+    history.push_back(item);
+    return revision;
+}
+
+void fake_store::remove(const std::string &key)
+{
+    if (items.erase(key) > 0) {
+        history.push_back({key, "", ++revision, true});
+    }
+}
+
+void fake_store::expire(std::int64_t lease)
+{
+    open[lease] = false;
+    std::vector<std::string> keys;
+    for (const auto &[key, of] : leases) {
+        if (of == lease && items.count(key) != 0) {
+            keys.push_back(key);
+        }
+    }
+    for (const std::string &key : keys) {
+        remove(key);
+    }
+}
+
+void fake_store::compact()
+{
+    history.clear();
+    historyFrom = revision;
+}
+
+void fake_store_client::later(std::function<void()> call)
+{
+    ++m_shared.calls;
+    m_timers.push_back(m_shared.events.timer(answerTime, {}, std::move(call)));
+}
+
+bool fake_store_client::fails(const std::function<void(store_status)> &done)
+{
+    if (trouble == store_trouble::Refuses) {
+        later([done] {
+            done(store_status::Refused);
+        });
+        return true;
+    }
+    if (trouble == store_trouble::Silent) {
+        m_timers.push_back(m_shared.events.timer(silentTime, {}, [done] {
+            done(store_status::Unknown);
+        }));
+        return true;
+    }
+    return false;
+}
+
+void fake_store_client::list(const std::string &prefix, std::function<void(const store_read &)> done)
+{
+    if (fails([done](store_status status) {
+            done({status, {}, 0});
+        })) {
+        return;
+    }
+    later([this, prefix, done] {
+        store_read read{store_status::Ok, {}, m_shared.revision};
+        for (const auto &[key, item] : m_shared.items) {
+            if (key.starts_with(prefix)) {
+                read.items.push_back(item);
+            }
+        }
+        done(read);
+    });
+}
+
+void fake_store_client::poll(const std::string &prefix, std::int64_t after, millis until,
+    std::function<void(const store_read &)> done)
+{
+    if (trouble != store_trouble::None && trouble != store_trouble::LosesWrites) {
+        done({store_status::Unknown, {}, 0});
+        return;
+    }
+    if (after < m_shared.historyFrom) {
+        done({store_status::HistoryGone, {}, m_shared.revision});
+        return;
+    }
+    store_read read{store_status::Ok, {}, m_shared.revision};
+    std::copy_if(m_shared.history.begin(), m_shared.history.end(), std::back_inserter(read.items),
+        [&](const stored_item &item) {
+            return item.revision > after && item.key.starts_with(prefix);
+        });
+    if (!read.items.empty() || bootNow() >= until) {
+        done(read);
+        return;
+    }
+    m_timers.push_back(m_shared.events.timer(pollEvery, {}, [this, prefix, after, until, done = std::move(done)] {
+        poll(prefix, after, until, done);
+    }));
+}
+
+void fake_store_client::watch(const std::string &prefix, std::int64_t after, millis wait,
+    std::function<void(const store_read &)> done)
+{
+    ++m_shared.watches;
+    if (fails([done](store_status status) {
+            done({status, {}, 0});
+        })) {
+        return;
+    }
+    later([this, prefix, after, until = bootNow() + wait, done = std::move(done)] {
+        poll(prefix, after, until, done);
+    });
+}
+
+void fake_store_client::change(
+    const store_change &what, std::function<void(store_status, std::int64_t)> done)
+{
+    if (fails([done](store_status status) {
+            done(status, 0);
+        })) {
+        return;
+    }
+    later([this, what, done] {
+        for (const auto &[key, revision] : what.expected) {
+            const auto found = m_shared.items.find(key);
+            if ((found == m_shared.items.end() ? 0 : found->second.revision) != revision) {
+                done(store_status::Conflict, 0);
+                return;
+            }
+        }
+        for (const store_put &put : what.puts) {
+            if (put.lease != 0 && !m_shared.open[put.lease]) {
+                done(store_status::Missing, 0);
+                return;
+            }
+        }
+        for (const store_put &put : what.puts) {
+            m_shared.put(put.key, put.value, put.lease);
+        }
+        for (const std::string &key : what.removes) {
+            m_shared.remove(key);
+        }
+        if (trouble == store_trouble::LosesWrites) {
+            done(store_status::Unknown, 0);
+        } else {
+            done(store_status::Ok, m_shared.revision);
+        }
+    });
+}
+
+void fake_store_client::grantLease(millis, std::function<void(store_status, std::int64_t)> done)
+{
+    if (fails([done](store_status status) {
+            done(status, 0);
+        })) {
+        return;
+    }
+    later([this, done] {
+        m_shared.open[++m_shared.lastLease] = true;
+        done(store_status::Ok, m_shared.lastLease);
+    });
+}
+
+void fake_store_client::keepLease(std::int64_t lease, std::function<void(store_status)> done)
+{
+    if (fails(done)) {
+        return;
+    }
+    later([this, lease, done] {
+        done(m_shared.open[lease] ? store_status::Ok : store_status::Missing);
+    });
+}
+
+void fake_store_client::endLease(std::int64_t lease, std::function<void(store_status)> done)
+{
+    if (fails(done)) {
+        return;
+    }
+    later([this, lease, done] {
+        m_shared.expire(lease);
+        done(store_status::Ok);
+    });
+}
+
+}
--- a/tests/serving/platform_test.cpp
+++ b/tests/serving/platform_test.cpp
@@ -26,7 +26,8 @@
 }
 
 const std::vector<http_field> plainFields{{"Host", "h.example"}, {"X-Briarhead-Request-Id", "id1"},
-    {"X-Briarhead-Model", "m0/a7"}, {"X-Briarhead-Token-Count", "1460,80"}, {"X-Briarhead-Deadline-Ms", "5000"}};
+    {"X-Briarhead-Model", "m0/a7"}, {"X-Briarhead-Token-Count", "1460,80"},
+    {"X-Briarhead-Deadline-Ms", "5000"}};
 
 }
 
@@ -93,13 +94,15 @@
     EXPECT_FALSE(requestCodec().readRequest(absolute, why));
 }
 
-// A caller sends the fields that only this system may set, or names one in Connection. A server would run the request
-// with someone else's reservation, or as another start's: none of it reaches a server, and the caller's own fields do.
+// A caller sends the fields that only this system may set, or names one in Connection. A server would run the
+// request with someone else's reservation, or as another start's: none of it reaches a server, and the
+// caller's own fields do.
 TEST(PlatformRequests, TheSystemsOwnFieldsNeverComeFromACaller)
 {
     auto fields = plainFields;
-    for (const char *own : {"X-Briarhead-Hold", "x-briarhead-pin-ms", "X-Briarhead-Kv-Backup", "Kv-From", "kv-fetch",
-             "X-Briarhead-Expect-Instance", "X-Briarhead-Expect-Version", "X-Briarhead-Request-Priority"}) {
+    for (const char *own :
+        {"X-Briarhead-Hold", "x-briarhead-pin-ms", "X-Briarhead-Kv-Backup", "Kv-From", "kv-fetch",
+            "X-Briarhead-Expect-Instance", "X-Briarhead-Expect-Version", "X-Briarhead-Request-Priority"}) {
         fields.push_back({own, "smuggled"});
     }
     fields.push_back({"Connection", "close, X-Briarhead-Model"});
@@ -130,7 +133,8 @@
     EXPECT_TRUE(codec.readAnswer(head).notRun);
     head.status = 503;
     EXPECT_FALSE(codec.readAnswer(head).notRun) << "only the server's own word counts";
-    head.fields = {{"X-Briarhead-Not-Executed", "1"}, {"X-Briarhead-Server-Stamp", "s"}, {"Connection", "close"}};
+    head.fields = {
+        {"X-Briarhead-Not-Executed", "1"}, {"X-Briarhead-Server-Stamp", "s"}, {"Connection", "close"}};
     EXPECT_TRUE(codec.readAnswer(head).notRun);
     EXPECT_TRUE(codec.readAnswer(head).signedByServer);
     EXPECT_EQ(codec.passOn(head).size(), 2U) << "what concerns one connection stays there";
@@ -140,8 +144,7 @@
 {
     const auto codec = requestCodec();
     const backend_server server{"i-9", "s", {"10.0.0.1", 80}, "z1", 64, false, {}};
-    const std::string order
-        = codec.writeOrder({order_kind::Load, "m0", "a3", 2, 7, "edge-1", 41}, server);
+    const std::string order = codec.writeOrder({order_kind::Load, "m0", "a3", 2, 7, "edge-1", 41}, server);
     EXPECT_NE(order.find(R"("expectedRev":7)"), std::string::npos);
     EXPECT_NE(order.find(R"("fenceToken":41)"), std::string::npos);
     EXPECT_NE(order.find("X-Briarhead-Expect-Instance: i-9"), std::string::npos);
@@ -195,8 +198,8 @@
     EXPECT_FALSE(message(why).empty());
     EXPECT_FALSE(readServer("i-1", R"({"service":"s","address":"nowhere"})", why));
     EXPECT_FALSE(readVersion("{}", why));
-    const auto server = readServer("i-1",
-        R"({"service":"s","address":"10.0.0.9:8080","zone":"z2","slots":6,"state":"draining"})", why);
+    const auto server = readServer(
+        "i-1", R"({"service":"s","address":"10.0.0.9:8080","zone":"z2","slots":6,"state":"draining"})", why);
     ASSERT_TRUE(server);
     EXPECT_TRUE(server->draining);
     EXPECT_EQ(server->address.port, 8'080);
--- a/tests/serving/server_ledger_test.cpp
+++ b/tests/serving/server_ledger_test.cpp
@@ -49,8 +49,8 @@
     return wants;
 }
 
-/// A server as the platform's pages describe it: it crashes when it is ordered to hold more than fits, checks the
-/// sequence when it carries an order out, and may carry one out long after it was sent.
+/// A server as the platform's pages describe it: it crashes when it is ordered to hold more than fits, checks
+/// the sequence when it carries an order out, and may carry one out long after it was sent.
 struct pretend_server
 {
     int places = 0;
@@ -148,8 +148,8 @@
     }
 }
 
-// A load without an answer may be carried out seconds later. A user would see a server crash when the place it
-// needs has been given away meanwhile. The place counts as taken until a later order was accepted.
+// A load without an answer may be carried out seconds later. A user would see a server crash when the place
+// it needs has been given away meanwhile. The place counts as taken until a later order was accepted.
 TEST(ServerLedger, AnUnansweredLoadHoldsItsPlaceUntilALaterOrderIsAccepted)
 {
     server_ledger ledger = emptyLedger(2);
@@ -167,8 +167,8 @@
     EXPECT_EQ(takenPlaces(ledger), 0) << "the server's sequence has moved on: the lost load is void";
 }
 
-// A user would see the first seconds of every adapter fail: requests for an adapter on its way in are refused.
-// "Accepted" isn't done; only the same load asked for again says when it is.
+// A user would see the first seconds of every adapter fail: requests for an adapter on its way in are
+// refused. "Accepted" isn't done; only the same load asked for again says when it is.
 TEST(ServerLedger, AnAcceptedLoadIsInOnlyWhenTheSameLoadHolds)
 {
     server_ledger ledger = emptyLedger(2);
@@ -189,8 +189,9 @@
     EXPECT_EQ(findPlace(ledger, base, "a1")->state, place_state::Resident);
 }
 
-// Many daemons load at once and the weight store slows down: a user would see waits grow when each ledger went on
-// asking at the unloaded pace, or waited by a guess about the fleet for seconds after the adapter was in.
+// Many daemons load at once and the weight store slows down: a user would see waits grow when each ledger
+// went on asking at the unloaded pace, or waited by a guess about the fleet for seconds after the adapter was
+// in.
 TEST(ServerLedger, ExpectsLoadsToTakeAsLongAsTheyDid)
 {
     server_ledger ledger = emptyLedger(4);
--- /dev/null
+++ b/tests/serving/store_task_test.cpp
@@ -0,0 +1,318 @@
+#include "platform/platform_records.h"
+#include "protocol/codec.h"
+#include "serving/fake_store.h"
+#include "serving/store_task.h"
+
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+namespace briarhead {
+
+namespace {
+
+constexpr millis patience{15'000};
+
+/// One daemon's store task, on a loop that all of a test share.
+struct follower
+{
+    bus messages;
+    fake_store_client client;
+    decision_log log;
+    store_task task;
+
+    follower(fake_store &store, const std::string &node, const std::string &domain)
+        : messages(store.events)
+        , client(store)
+        , log(-1, node)
+        , task(store.events, messages, client, platform::recordCodec(), settingsOf(node, domain), 1, log)
+    {
+    }
+    static node_settings settingsOf(const std::string &node, const std::string &domain)
+    {
+        node_settings settings;
+        settings.node = node;
+        settings.failureDomain = domain;
+        settings.peers = {"127.0.0.1", 1};
+        return settings;
+    }
+    std::uint64_t version() const
+    {
+        return task.view().config ? task.view().config->version : 0;
+    }
+};
+
+class StoreTask : public testing::Test
+{
+protected:
+    /// Runs the loop until a condition holds; false if it never does.
+    bool until(const std::function<bool()> &holds, millis atMost = patience)
+    {
+        const millis end = bootNow() + atMost;
+        bool held = false;
+        const auto check = events.timer({5}, {5}, [&] {
+            held = holds();
+            if (held || bootNow() >= end) {
+                events.stop();
+            }
+        });
+        events.run();
+        return held;
+    }
+    void putConfig(std::uint64_t version)
+    {
+        store.put("op/config", R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})");
+    }
+    void putServer(const std::string &id, const std::string &state = "ready")
+    {
+        store.put("servers/" + id,
+            R"({"service":"s","address":"127.0.0.1:9","zone":"z","slots":4,"state":")" + state + "\"}");
+    }
+
+    loop events;
+    fake_store store{events};
+};
+
+}
+
+TEST_F(StoreTask, ReadsWhatIsThereAndFollowsWhatChanges)
+{
+    putConfig(3);
+    putServer("i-1");
+    follower one(store, "n1", "z");
+    ASSERT_TRUE(until([&] {
+        return one.version() == 3 && one.task.view().servers.size() == 1 && one.task.view().daemons.size() == 1;
+    }));
+    putConfig(4);
+    putServer("i-1", "draining");
+    store.put("op/version/m.a1", R"({"model":"m","adapter":"a1","version":9})");
+    EXPECT_TRUE(until([&] {
+        return one.version() == 4 && one.task.view().servers.at("i-1").draining
+            && one.task.view().versions.count("m/a1") == 1;
+    }));
+}
+
+// The store's history is dropped while a server leaves. A user would be sent to the server that is gone: the event of
+// its leaving never comes, so the reading that follows must show it.
+TEST_F(StoreTask, LosesNoLeavingServerInAHistoryThatIsGone)
+{
+    putServer("i-1");
+    putServer("i-2");
+    follower one(store, "n1", "z");
+    ASSERT_TRUE(until([&] {
+        return one.task.view().servers.size() == 2;
+    }));
+    store.remove("servers/i-1");
+    putServer("i-2", "draining");
+    store.compact();
+    EXPECT_TRUE(until([&] {
+        return one.task.view().servers.count("i-1") == 0 && one.task.view().servers.at("i-2").draining;
+    }));
+}
+
+// A version that is in force never goes back, also where a store that was restored tells of an older one: a user would
+// be answered by a route that an operator has moved.
+TEST_F(StoreTask, NeverGoesBackToAnOlderConfiguration)
+{
+    putConfig(7);
+    follower one(store, "n1", "z");
+    ASSERT_TRUE(until([&] {
+        return one.version() == 7;
+    }));
+    putConfig(6);
+    putServer("i-1");
+    ASSERT_TRUE(until([&] {
+        return one.task.view().servers.count("i-1") == 1;
+    }));
+    EXPECT_EQ(one.version(), 7U);
+}
+
+// The store was away, and the servers' entries lapsed meanwhile. A user would be refused by everything at once for two
+// seconds after its return; the servers write their entries again, so they stay in use until then.
+TEST_F(StoreTask, KeepsServersWhoseEntriesLapsedDuringAnOutage)
+{
+    putServer("i-1");
+    putServer("i-2");
+    follower one(store, "n1", "z");
+    ASSERT_TRUE(until([&] {
+        return one.task.view().servers.size() == 2;
+    }));
+    one.client.trouble = store_trouble::Silent;
+    ASSERT_TRUE(until([&] {
+        return !one.task.view().reachable;
+    }));
+    store.remove("servers/i-1");
+    store.remove("servers/i-2");
+    one.client.trouble = store_trouble::None;
+    const auto seen = store.calls;
+    ASSERT_TRUE(until([&] {
+        return one.task.view().reachable && store.calls > seen + 4;
+    }));
+    EXPECT_EQ(one.task.view().servers.size(), 2U);
+    putServer("i-1");
+    EXPECT_TRUE(until([&] {
+        return one.task.view().servers.size() == 1;
+    })) << "the one that does not come back is gone";
+    EXPECT_EQ(one.task.view().servers.count("i-1"), 1U);
+}
+
+// Two daemons claim the same server. A user would see a server that is filled twice: the store takes one claim.
+TEST_F(StoreTask, OnlyOneDaemonGetsAServersOrders)
+{
+    follower one(store, "n1", "z");
+    follower two(store, "n2", "z");
+    ASSERT_TRUE(until([&] {
+        return one.task.view().daemons.size() == 2 && two.task.view().daemons.size() == 2;
+    }));
+    one.task.claim("i-1");
+    two.task.claim("i-1");
+    ASSERT_TRUE(until([&] {
+        return one.task.view().orderers.count("i-1") == 1 && two.task.view().orderers.count("i-1") == 1;
+    }));
+    const orderer_entry seen = one.task.view().orderers.at("i-1");
+    EXPECT_EQ(seen.record.node, two.task.view().orderers.at("i-1").record.node);
+    EXPECT_EQ(seen.revision, two.task.view().orderers.at("i-1").revision);
+    EXPECT_EQ(store.items.count("briarhead/orderer/i-1"), 1U);
+}
+
+// A claim is carried out and its answer lost. A user would see a server without anybody who loads adapters there: each
+// daemon thinks that another one has it.
+TEST_F(StoreTask, AClaimWithoutAnAnswerIsFoundByTheWatch)
+{
+    follower one(store, "n1", "z");
+    ASSERT_TRUE(until([&] {
+        return one.task.view().daemons.size() == 1;
+    }));
+    one.client.trouble = store_trouble::LosesWrites;
+    one.task.claim("i-1");
+    EXPECT_TRUE(until([&] {
+        const auto &orderers = one.task.view().orderers;
+        return orderers.count("i-1") == 1 && orderers.at("i-1").record.node == "n1";
+    }));
+}
+
+TEST_F(StoreTask, ADeadDaemonsRecordsGoWithItsLease)
+{
+    follower one(store, "n1", "z");
+    ASSERT_TRUE(until([&] {
+        return one.task.view().daemons.size() == 1;
+    }));
+    one.task.claim("i-1");
+    ASSERT_TRUE(until([&] {
+        return one.task.view().orderers.count("i-1") == 1;
+    }));
+    store.expire(1);
+    EXPECT_TRUE(until([&] {
+        return one.task.view().orderers.count("i-1") == 0 && one.task.view().daemons.count("n1") == 1;
+    })) << "it registers again, and claims anew under another token";
+}
+
+namespace {
+
+/// Daemons of one failure domain that tell each other news, over calls that a test can break.
+struct news_fleet
+{
+    std::map<std::string, std::unique_ptr<follower>> members;
+    bool fetchHangs = false;
+    bool datagramsLost = false;
+
+    void add(fake_store &store, const std::string &node)
+    {
+        auto made = std::make_unique<follower>(store, node, "z");
+        made->task.setFleet({[this, node](const std::string &to, const store_news &news) {
+                                 if (!datagramsLost && members.count(to) != 0) {
+                                     members.at(to)->task.onNews(node, news);
+                                 }
+                             },
+            [this](const std::string &from, std::int64_t after,
+                const std::function<void(std::optional<store_news>)> &done) {
+                if (!fetchHangs) {
+                    done(members.at(from)->task.newsAfter(after));
+                }
+            }});
+        members.emplace(node, std::move(made));
+    }
+    bool allHave(std::uint64_t version) const
+    {
+        return std::all_of(members.begin(), members.end(), [version](const auto &each) {
+            return each.second->version() == version;
+        });
+    }
+};
+
+}
+
+// Each call to the store is paid for. With every daemon following it, the calls grew with the fleet and took a third of
+// what it earned; two a failure domain follow it and tell the rest.
+TEST_F(StoreTask, TwoDaemonsAFailureDomainFollowTheStoreForAll)
+{
+    putConfig(1);
+    news_fleet fleet;
+    for (int i = 0; i < 8; ++i) {
+        fleet.add(store, "n" + std::to_string(i));
+    }
+    ASSERT_TRUE(until([&] {
+        return fleet.allHave(1) && fleet.members.at("n0")->task.view().daemons.size() == 8;
+    }));
+    until([] {
+        return false;
+    }, {3'000});
+    const auto before = store.watches;
+    until([] {
+        return false;
+    }, {2'200});
+    EXPECT_LE(store.watches - before, 8U) << "two readers, a watch every 1.1 s each";
+    putConfig(2);
+    EXPECT_TRUE(until([&] {
+        return fleet.allHave(2);
+    }, {2'000}));
+}
+
+// A reader goes on speaking, but what it has can't be fetched: the connection to it went silent. A user of the
+// listening daemon would be served by an old configuration for seconds, since the reader's signs kept that daemon from
+// following the store itself.
+TEST_F(StoreTask, NewsThatCantBeFetchedDontCountAsHeard)
+{
+    putConfig(1);
+    news_fleet fleet;
+    for (int i = 0; i < 5; ++i) {
+        fleet.add(store, "n" + std::to_string(i));
+    }
+    ASSERT_TRUE(until([&] {
+        return fleet.allHave(1) && fleet.members.at("n0")->task.view().daemons.size() == 5;
+    }));
+    until([] {
+        return false;
+    }, {2'500});
+    fleet.fetchHangs = true;
+    const std::string filler(8'000, 'x');
+    store.put("op/config", R"({"version":2,"routes":[],"services":[],"filler":")" + filler + "\"}");
+    EXPECT_TRUE(until([&] {
+        return fleet.allHave(2);
+    }, {5'000}));
+}
+
+// All news of a failure domain are lost. Its daemons follow the store themselves.
+TEST_F(StoreTask, WithoutNewsADaemonFollowsTheStoreItself)
+{
+    putConfig(1);
+    news_fleet fleet;
+    for (int i = 0; i < 4; ++i) {
+        fleet.add(store, "n" + std::to_string(i));
+    }
+    ASSERT_TRUE(until([&] {
+        return fleet.allHave(1);
+    }));
+    until(
+        [] {
+            return false;
+        },
+        {3'000}); // by then the other two only listen
+    fleet.datagramsLost = true;
+    putConfig(2);
+    EXPECT_TRUE(until([&] {
+        return fleet.allHave(2);
+    }, {5'000}));
+}
+
+}
