--- a/tests/serving/fake_store.cpp
+++ b/tests/serving/fake_store.cpp
@@ -89,8 +89,8 @@
     });
 }
 
-void fake_store_client::poll(const std::string &prefix, std::int64_t after, millis until,
-    std::function<void(const store_read &)> done)
+void fake_store_client::poll(
+    const std::string &prefix, std::int64_t after, millis until, std::function<void(const store_read &)> done)
 {
     if (trouble != store_trouble::None && trouble != store_trouble::LosesWrites) {
         done({store_status::Unknown, {}, 0});
@@ -109,13 +109,14 @@
         done(read);
         return;
     }
-    m_timers.push_back(m_shared.events.timer(pollEvery, {}, [this, prefix, after, until, done = std::move(done)] {
-        poll(prefix, after, until, done);
-    }));
+    m_timers.push_back(
+        m_shared.events.timer(pollEvery, {}, [this, prefix, after, until, done = std::move(done)] {
+            poll(prefix, after, until, done);
+        }));
 }
 
-void fake_store_client::watch(const std::string &prefix, std::int64_t after, millis wait,
-    std::function<void(const store_read &)> done)
+void fake_store_client::watch(
+    const std::string &prefix, std::int64_t after, millis wait, std::function<void(const store_read &)> done)
 {
     ++m_shared.watches;
     if (fails([done](store_status status) {
@@ -128,8 +129,7 @@
     });
 }
 
-void fake_store_client::change(
-    const store_change &what, std::function<void(store_status, std::int64_t)> done)
+void fake_store_client::change(const store_change &what, std::function<void(store_status, std::int64_t)> done)
 {
     if (fails([done](store_status status) {
             done(status, 0);
--- a/tests/serving/store_task_test.cpp
+++ b/tests/serving/store_task_test.cpp
@@ -81,7 +81,8 @@
     putServer("i-1");
     follower one(store, "n1", "z");
     ASSERT_TRUE(until([&] {
-        return one.version() == 3 && one.task.view().servers.size() == 1 && one.task.view().daemons.size() == 1;
+        return one.version() == 3 && one.task.view().servers.size() == 1
+            && one.task.view().daemons.size() == 1;
     }));
     putConfig(4);
     putServer("i-1", "draining");
@@ -92,8 +93,8 @@
     }));
 }
 
-// The store's history is dropped while a server leaves. A user would be sent to the server that is gone: the event of
-// its leaving never comes, so the reading that follows must show it.
+// The store's history is dropped while a server leaves. A user would be sent to the server that is gone: the
+// event of its leaving never comes, so the reading that follows must show it.
 TEST_F(StoreTask, LosesNoLeavingServerInAHistoryThatIsGone)
 {
     putServer("i-1");
@@ -110,8 +111,8 @@
     }));
 }
 
-// A version that is in force never goes back, also where a store that was restored tells of an older one: a user would
-// be answered by a route that an operator has moved.
+// A version that is in force never goes back, also where a store that was restored tells of an older one: a
+// user would be answered by a route that an operator has moved.
 TEST_F(StoreTask, NeverGoesBackToAnOlderConfiguration)
 {
     putConfig(7);
@@ -127,8 +128,9 @@
     EXPECT_EQ(one.version(), 7U);
 }
 
-// The store was away, and the servers' entries lapsed meanwhile. A user would be refused by everything at once for two
-// seconds after its return; the servers write their entries again, so they stay in use until then.
+// The store was away, and the servers' entries lapsed meanwhile. A user would be refused by everything at
+// once for two seconds after its return; the servers write their entries again, so they stay in use until
+// then.
 TEST_F(StoreTask, KeepsServersWhoseEntriesLapsedDuringAnOutage)
 {
     putServer("i-1");
@@ -156,7 +158,8 @@
     EXPECT_EQ(one.task.view().servers.count("i-1"), 1U);
 }
 
-// Two daemons claim the same server. A user would see a server that is filled twice: the store takes one claim.
+// Two daemons claim the same server. A user would see a server that is filled twice: the store takes one
+// claim.
 TEST_F(StoreTask, OnlyOneDaemonGetsAServersOrders)
 {
     follower one(store, "n1", "z");
@@ -175,8 +178,8 @@
     EXPECT_EQ(store.items.count("briarhead/orderer/i-1"), 1U);
 }
 
-// A claim is carried out and its answer lost. A user would see a server without anybody who loads adapters there: each
-// daemon thinks that another one has it.
+// A claim is carried out and its answer lost. A user would see a server without anybody who loads adapters
+// there: each daemon thinks that another one has it.
 TEST_F(StoreTask, AClaimWithoutAnAnswerIsFoundByTheWatch)
 {
     follower one(store, "n1", "z");
@@ -242,8 +245,8 @@
 
 }
 
-// Each call to the store is paid for. With every daemon following it, the calls grew with the fleet and took a third of
-// what it earned; two a failure domain follow it and tell the rest.
+// Each call to the store is paid for. With every daemon following it, the calls grew with the fleet and took
+// a third of what it earned; two a failure domain follow it and tell the rest.
 TEST_F(StoreTask, TwoDaemonsAFailureDomainFollowTheStoreForAll)
 {
     putConfig(1);
@@ -254,23 +257,29 @@
     ASSERT_TRUE(until([&] {
         return fleet.allHave(1) && fleet.members.at("n0")->task.view().daemons.size() == 8;
     }));
-    until([] {
-        return false;
-    }, {3'000});
+    until(
+        [] {
+            return false;
+        },
+        {3'000});
     const auto before = store.watches;
-    until([] {
-        return false;
-    }, {2'200});
+    until(
+        [] {
+            return false;
+        },
+        {2'200});
     EXPECT_LE(store.watches - before, 8U) << "two readers, a watch every 1.1 s each";
     putConfig(2);
-    EXPECT_TRUE(until([&] {
-        return fleet.allHave(2);
-    }, {2'000}));
+    EXPECT_TRUE(until(
+        [&] {
+            return fleet.allHave(2);
+        },
+        {2'000}));
 }
 
-// A reader goes on speaking, but what it has can't be fetched: the connection to it went silent. A user of the
-// listening daemon would be served by an old configuration for seconds, since the reader's signs kept that daemon from
-// following the store itself.
+// A reader goes on speaking, but what it has can't be fetched: the connection to it went silent. A user of
+// the listening daemon would be served by an old configuration for seconds, since the reader's signs kept
+// that daemon from following the store itself.
 TEST_F(StoreTask, NewsThatCantBeFetchedDontCountAsHeard)
 {
     putConfig(1);
@@ -281,15 +290,19 @@
     ASSERT_TRUE(until([&] {
         return fleet.allHave(1) && fleet.members.at("n0")->task.view().daemons.size() == 5;
     }));
-    until([] {
-        return false;
-    }, {2'500});
+    until(
+        [] {
+            return false;
+        },
+        {2'500});
     fleet.fetchHangs = true;
     const std::string filler(8'000, 'x');
     store.put("op/config", R"({"version":2,"routes":[],"services":[],"filler":")" + filler + "\"}");
-    EXPECT_TRUE(until([&] {
-        return fleet.allHave(2);
-    }, {5'000}));
+    EXPECT_TRUE(until(
+        [&] {
+            return fleet.allHave(2);
+        },
+        {5'000}));
 }
 
 // All news of a failure domain are lost. Its daemons follow the store themselves.
@@ -310,9 +323,11 @@
         {3'000}); // by then the other two only listen
     fleet.datagramsLost = true;
     putConfig(2);
-    EXPECT_TRUE(until([&] {
-        return fleet.allHave(2);
-    }, {5'000}));
+    EXPECT_TRUE(until(
+        [&] {
+            return fleet.allHave(2);
+        },
+        {5'000}));
 }
 
 }
