Refuse only what cannot have run, and test the daemon against stand-ins

Cause: reading the code: an idempotent request whose first send may have run was refused as not run when no further server was to be had. Ruled out: requests that may run once; they are never sent again. Change: the one place that refuses looks at what was sent before.

--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -567,8 +567,6 @@
         one->sentTo.erase(server);
         if (one->unsent < unsentTries) {
             start(one);
-        } else if (one->mayHaveRun) {
-            fail(one, 502, "no server could be reached");
         } else {
             refuse(one, "no server could be reached", comeBackSoon);
         }
@@ -631,14 +629,7 @@
 {
     if (one->meta.notRun) {
         if (!tryElsewhere(one, false, "not run")) {
-            if (one->begun) {
-                one->reply->abort();
-                finish(one, "cut_off");
-            } else if (one->mayHaveRun) {
-                fail(one, 502, "an earlier send may have run");
-            } else {
-                refuse(one, "the server did not take it", comeBackSoon);
-            }
+            refuse(one, "the server did not take it", comeBackSoon);
         }
         return;
     }
@@ -700,7 +691,7 @@
     if (one->begun) {
         one->reply->abort();
         finish(one, "late_stream");
-    } else if (sent || one->mayHaveRun) {
+    } else if (sent) {
         fail(one, 504, "no answer in time");
     } else {
         refuse(one, "no place in time", comeBackSoon);
@@ -746,6 +737,17 @@
 
 void front_task::refuse(const work_ptr &one, const char *why, millis comeBack)
 {
+    // A refusal promises that nothing ran and nothing will. Where an earlier send may have, only a failure is
+    // true; a caller would else repeat what may have been done.
+    if (one->begun) {
+        one->reply->abort();
+        finish(one, "cut_off");
+        return;
+    }
+    if (one->mayHaveRun) {
+        fail(one, 502, why);
+        return;
+    }
     m_log.important("request.refused")
         .add("id", one->request.id)
         .add("why", why)
--- /dev/null
+++ b/tests/serving/backend_standin.cpp
@@ -0,0 +1,154 @@
+#include "serving/backend_standin.h"
+
+#include <stdexcept>
+
+namespace briarhead {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int streamEvents = 4;
+
+std::string valueOf(const front_request &request, const char *name)
+{
+    const std::string *value = findField(request.head, name);
+    return value == nullptr ? std::string() : *value;
+}
+
+}
+
+backend_standin::backend_standin(loop &eventLoop, std::string serverId, std::string service)
+    : id(std::move(serverId))
+    , m_loop(eventLoop)
+    , m_service(std::move(service))
+{
+    error why;
+    m_server = front_server::listen(
+        m_loop, "127.0.0.1", 0,
+        [this](front_request request, const std::shared_ptr<front_reply> &reply) {
+            onRequest(std::move(request), reply);
+        },
+        why);
+    if (!m_server) {
+        throw std::runtime_error(message(why));
+    }
+    port = m_server->port();
+}
+
+std::string backend_standin::entry(const std::string &state) const
+{
+    const json object{{"service", m_service}, {"address", "127.0.0.1:" + std::to_string(port)}, {"zone", "z"},
+        {"slots", 4}, {"state", state}, {"models", json::array()}};
+    return object.dump();
+}
+
+void backend_standin::onRequest(front_request request, const std::shared_ptr<front_reply> &reply)
+{
+    const std::string expected = valueOf(request, "x-briarhead-expect-instance");
+    if (!expected.empty() && expected != id) {
+        reply->respond(421, {}, "");
+    } else if (request.head.target == "/v1/order") {
+        onOrder(request, *reply);
+    } else if (request.head.target == "/v1/report") {
+        json models = json::array();
+        if (holdsModel) {
+            models.push_back({{"name", "m0"}, {"version", 1}, {"adapters", adapters}});
+        }
+        reply->respond(200, {}, json{{"seq", sequence}, {"busy", false}, {"models", models}}.dump());
+    } else {
+        run(std::move(request), reply);
+    }
+}
+
+void backend_standin::onOrder(const front_request &request, front_reply &reply)
+{
+    const json order = json::parse(request.body);
+    orders.push_back(order);
+    if (order.at("fenceToken").get<std::uint64_t>() < fence) {
+        reply.respond(412, {}, "");
+        return;
+    }
+    fence = order.at("fenceToken").get<std::uint64_t>();
+    if (order.at("expectedRev").get<std::int64_t>() != sequence) {
+        reply.respond(409, {}, "");
+        return;
+    }
+    const std::string adapter = order.value("adapter", "");
+    if (order.at("opcode") == "load" && adapters.count(adapter) != 0) {
+        reply.respond(200, {}, "");
+        return;
+    }
+    ++sequence;
+    if (order.at("opcode") == "load") {
+        adapters.insert(adapter);
+        reply.respond(202, {}, "");
+    } else {
+        adapters.erase(adapter);
+        reply.respond(200, {}, "");
+    }
+}
+
+void backend_standin::answerStream(
+    const std::shared_ptr<front_reply> &reply, const std::string &requestId, int from, int to)
+{
+    reply->begin(200,
+        {{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id},
+            {"Content-Type", "text/event-stream"}});
+    for (int i = from; i <= to; ++i) {
+        reply->write("id: " + std::to_string(i) + "\ndata: " + id + "\n\n");
+    }
+}
+
+void backend_standin::run(front_request request, const std::shared_ptr<front_reply> &reply)
+{
+    const std::string requestId = valueOf(request, "x-briarhead-request-id");
+    const std::string model = valueOf(request, "x-briarhead-model");
+    const std::size_t slash = model.find('/');
+    const bool held = slash == std::string::npos || adapters.count(model.substr(slash + 1)) != 0;
+    const std::vector<http_field> fields{
+        {"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id}};
+    if (!held) {
+        reply->respond(421, fields, "");
+        return;
+    }
+    if (now == mood::Sheds) {
+        reply->respond(503, {{"X-Briarhead-Not-Executed", "1"}, {"X-Briarhead-Request-Id", requestId}}, "");
+        return;
+    }
+    ran.push_back(request);
+    const std::string after = valueOf(request, "last-event-id");
+    const int first = after.empty() ? 1 : std::stoi(after) + 1;
+    switch (now) {
+    case mood::Fails:
+        reply->respond(500, fields, "broken");
+        return;
+    case mood::Unsigned:
+        reply->respond(200, {{"X-Briarhead-Request-Id", requestId}}, "not signed");
+        return;
+    case mood::Resets:
+        reply->abort();
+        return;
+    case mood::Silent:
+        reply->onGone([this] {
+            ++left;
+        });
+        m_held.push_back(reply);
+        return;
+    case mood::CutsStream:
+        answerStream(reply, requestId, first, first + 1);
+        reply->write("id: 99\ndata: ha");
+        reply->abort();
+        return;
+    default:
+        break;
+    }
+    if (model.empty()) {
+        reply->respond(200, fields, "served by " + id);
+        return;
+    }
+    answerStream(reply, requestId, first, streamEvents);
+    reply->end();
+}
+
+}
--- /dev/null
+++ b/tests/serving/backend_standin.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "transport/front_server.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace briarhead {
+
+/// Stands in for a backend server of the platform: runs requests, carries orders out, tells of itself. What a test
+/// wants of it is set in the fields.
+class backend_standin
+{
+public:
+    backend_standin(loop &eventLoop, std::string serverId, std::string service);
+
+    /// Its entry in the store.
+    std::string entry(const std::string &state = "ready") const;
+    void answerStream(const std::shared_ptr<front_reply> &reply, const std::string &requestId, int from, int to);
+
+    enum class mood : std::uint8_t
+    {
+        Serves,
+        Sheds, ///< 503, not run
+        Fails, ///< 500, run
+        Unsigned, ///< 200 without the server's signature
+        Resets, ///< runs it and closes the connection without an answer
+        Silent, ///< runs it and never answers
+        CutsStream, ///< closes the connection after the second event
+    };
+    mood now = mood::Serves;
+    std::string id;
+    std::set<std::string> adapters; ///< held
+    bool holdsModel = true;
+    std::int64_t sequence = 0;
+    std::uint64_t fence = 0;
+    std::vector<front_request> ran;
+    std::vector<nlohmann::json> orders;
+    std::size_t left = 0; ///< callers that went away
+    std::uint16_t port = 0;
+
+private:
+    void onRequest(front_request request, const std::shared_ptr<front_reply> &reply);
+    void onOrder(const front_request &request, front_reply &reply);
+    void run(front_request request, const std::shared_ptr<front_reply> &reply);
+
+    loop &m_loop;
+    std::string m_service;
+    std::unique_ptr<front_server> m_server;
+    std::vector<std::shared_ptr<front_reply>> m_held;
+};
+
+}
--- /dev/null
+++ b/tests/serving/edge_test.cpp
@@ -0,0 +1,319 @@
+#include "platform/platform_records.h"
+#include "platform/platform_requests.h"
+#include "serving/backend_standin.h"
+#include "serving/edge_daemon.h"
+#include "serving/fake_store.h"
+#include "unit/http_fixture.h"
+
+#include <gtest/gtest.h>
+
+namespace briarhead {
+
+namespace {
+
+using http_testing::raw_socket;
+using mood = backend_standin::mood;
+
+std::uint16_t freePort()
+{
+    std::uint16_t port = 0;
+    raw_socket::listening(port);
+    return port;
+}
+
+/// One daemon in this process, two model servers and two plain ones, and a store in memory.
+class Edge : public http_testing::http_fixture
+{
+protected:
+    fake_store m_store{m_loop};
+    fake_store_client m_client{m_store};
+    decision_log m_log{-1, "n1"};
+    node_settings m_settings;
+    edge_parts m_parts;
+    std::vector<std::unique_ptr<backend_standin>> m_models;
+    std::vector<std::unique_ptr<backend_standin>> m_plain;
+    std::unique_ptr<edge_daemon> m_daemon;
+    int m_timeoutMs = 4'000;
+    int m_places = 2;
+    int m_lastId = 0;
+    std::map<std::string, std::set<std::string>> m_heldAtStart; ///< adapters, by model server
+
+    void start()
+    {
+        for (const char *id : {"m-1", "m-2"}) {
+            m_models.push_back(std::make_unique<backend_standin>(m_loop, id, "llm"));
+            m_models.back()->adapters = m_heldAtStart[id];
+            m_store.put("servers/" + m_models.back()->id, m_models.back()->entry());
+        }
+        for (const char *id : {"p-1", "p-2"}) {
+            m_plain.push_back(std::make_unique<backend_standin>(m_loop, id, "app"));
+            m_store.put("servers/" + m_plain.back()->id, m_plain.back()->entry());
+        }
+        putConfig(1);
+        m_settings.node = "n1";
+        m_settings.failureDomain = "z";
+        m_settings.front = {http_testing::loopback, freePort()};
+        m_settings.ready = {http_testing::loopback, freePort()};
+        m_settings.peers = {http_testing::loopback, freePort()};
+        m_settings.metrics = {http_testing::loopback, freePort()};
+        m_parts = {&m_client, platform::recordCodec(), platform::requestCodec(),
+            [this](error &) {
+                return std::optional<node_settings>(m_settings);
+            },
+            {}};
+        error why;
+        m_daemon = edge_daemon::start(m_loop, m_settings, m_parts, m_log, why);
+        ASSERT_TRUE(m_daemon) << message(why);
+        ASSERT_TRUE(runUntil([this] {
+            return m_store.items.count("briarhead/orderer/m-1") == 1
+                && m_store.items.count("briarhead/orderer/m-2") == 1;
+        }));
+        runRounds(500); // its beat, and the wait for others' running requests
+    }
+    void putConfig(int version)
+    {
+        const auto route = [this](const char *prefix, const char *kind, const char *service, bool resumable) {
+            return nlohmann::json{{"name", prefix}, {"host", "h"}, {"prefix", prefix}, {"routeType", kind},
+                {"timeoutMs", m_timeoutMs}, {"targetLatencyMs", 1'000}, {"maxAttempts", 2}, {"service", service},
+                {"resumable", resumable}};
+        };
+        const nlohmann::json engine{{"slots", 4}, {"kvTokens", 10'000}, {"weightsMb", 1'000}, {"adapterSlots", m_places},
+            {"loadsPerS", 5}, {"models", {{{"name", "m0"}, {"weightsMb", 900}, {"loadS", 0.1}, {"adapterMb", 1}}}}};
+        const nlohmann::json config{{"version", version},
+            {"routes",
+                {route("/once/", "non_idempotent", "app", false), route("/safe/", "idempotent", "app", false),
+                    route("/gen/", "streaming", "llm", false), route("/resume/", "streaming", "llm", true)}},
+            {"services", {{{"name", "llm"}, {"engine", engine}}, {{"name", "app"}}}}};
+        m_store.put("op/config", config.dump());
+    }
+    std::unique_ptr<raw_socket> ask(const std::string &path, const std::string &adapter = "")
+    {
+        auto caller = raw_socket::connectTo(m_settings.front.port);
+        std::string text = "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: id"
+            + std::to_string(++m_lastId) + "\r\nX-Briarhead-Deadline-Ms: 4000\r\n";
+        if (!adapter.empty()) {
+            text += "X-Briarhead-Model: m0/" + adapter + "\r\nX-Briarhead-Token-Count: 500,50\r\n";
+        }
+        caller->send(text + "Connection: close\r\nContent-Length: 2\r\n\r\nhi");
+        return caller;
+    }
+    std::string answerTo(const std::string &path, const std::string &adapter = "")
+    {
+        const auto caller = ask(path, adapter);
+        std::string seen;
+        EXPECT_TRUE(runUntil([&] {
+            return !caller->receive(seen);
+        }));
+        return seen;
+    }
+    std::size_t ranOn(const std::vector<std::unique_ptr<backend_standin>> &servers) const
+    {
+        std::size_t sum = 0;
+        for (const auto &server : servers) {
+            sum += server->ran.size();
+        }
+        return sum;
+    }
+    void setAll(std::vector<std::unique_ptr<backend_standin>> &servers, mood how)
+    {
+        for (const auto &server : servers) {
+            server->now = how;
+        }
+    }
+};
+
+std::string statusOf(const std::string &answer)
+{
+    return answer.substr(9, 3);
+}
+
+}
+
+TEST_F(Edge, APlainRequestIsServedWithTheServersSignature)
+{
+    start();
+    const std::string answer = answerTo("/once/x");
+    EXPECT_EQ(statusOf(answer), "200") << answer;
+    EXPECT_NE(answer.find("X-Briarhead-Server-Stamp: by-p-"), std::string::npos);
+    EXPECT_EQ(statusOf(answerTo("/nowhere/x")), "404");
+}
+
+TEST_F(Edge, ARequestWaitsForItsAdapterAndStreamsItsEvents)
+{
+    start();
+    const std::string answer = answerTo("/gen/x", "a7");
+    EXPECT_EQ(statusOf(answer), "200") << answer;
+    EXPECT_NE(answer.find("id: 4"), std::string::npos);
+    EXPECT_TRUE(answer.ends_with("0\r\n\r\n"));
+    EXPECT_EQ(ranOn(m_models), 1U);
+}
+
+// A server runs a request that may run once, and its answer is lost. A user would have their order placed twice if it
+// were sent again, or be told that it wasn't placed.
+TEST_F(Edge, WhatMayRunOnceIsNeverSentTwiceNorCalledNotRun)
+{
+    start();
+    setAll(m_plain, mood::Resets);
+    EXPECT_EQ(statusOf(answerTo("/once/x")), "502");
+    EXPECT_EQ(ranOn(m_plain), 1U);
+}
+
+TEST_F(Edge, AnIdempotentRequestGoesToAnotherServerAfterAFailure)
+{
+    start();
+    m_plain[0]->now = mood::Fails;
+    m_plain[1]->now = mood::Resets;
+    for (int i = 0; i < 6; ++i) {
+        answerTo("/safe/x");
+    }
+    EXPECT_GT(m_plain[0]->ran.size(), 0U);
+    EXPECT_GT(m_plain[1]->ran.size(), 0U);
+    setAll(m_plain, mood::Fails);
+    const std::string failed = answerTo("/safe/x");
+    EXPECT_EQ(statusOf(failed), "500") << "the server's own failure, with its signature";
+    EXPECT_NE(failed.find("X-Briarhead-Server-Stamp"), std::string::npos);
+}
+
+// One server runs a request and loses its answer, the others are gone. "Not run" would be a lie.
+TEST_F(Edge, AfterASendThatMayHaveRunNothingIsCalledNotRun)
+{
+    start();
+    m_plain[0]->now = mood::Resets;
+    m_plain[1]->now = mood::Sheds;
+    for (int i = 0; i < 4; ++i) {
+        const std::size_t before = ranOn(m_plain);
+        const std::string answer = answerTo("/safe/x");
+        EXPECT_EQ(statusOf(answer), ranOn(m_plain) > before ? "502" : "503");
+    }
+    EXPECT_GT(ranOn(m_plain), 0U);
+}
+
+// A server says that it did not run a request. The user is told so at once, with when to come back, and not kept waiting.
+TEST_F(Edge, WhatNoServerTookIsRefusedAtOnce)
+{
+    start();
+    setAll(m_plain, mood::Sheds);
+    const millis before = bootNow();
+    const std::string answer = answerTo("/once/x");
+    EXPECT_EQ(statusOf(answer), "503");
+    EXPECT_NE(answer.find("Retry-After: 0."), std::string::npos);
+    EXPECT_LT((bootNow() - before).count, 2'000) << "long before its deadline of 4 s";
+    EXPECT_EQ(ranOn(m_plain), 0U);
+}
+
+// A server answers without its signature. A user would take bytes for an answer that no server vouches for.
+TEST_F(Edge, AnAnswerWithoutASignatureIsNoSuccess)
+{
+    start();
+    setAll(m_plain, mood::Unsigned);
+    const std::string answer = answerTo("/once/x");
+    EXPECT_EQ(statusOf(answer), "502");
+    EXPECT_EQ(answer.find("not signed"), std::string::npos);
+}
+
+// A server breaks off a stream in the middle of an event. Where the stream may be resumed, the user's goes on at another
+// server right behind the last whole event; each event comes once.
+TEST_F(Edge, AResumableStreamGoesOnAtAnotherServer)
+{
+    m_heldAtStart["m-1"] = {"a1"};
+    start();
+    m_models[0]->now = mood::CutsStream;
+    const std::string seen = answerTo("/resume/x", "a1");
+    for (const char *event : {"id: 1\n", "id: 2\n", "id: 3\n", "id: 4\n"}) {
+        EXPECT_NE(seen.find(event), std::string::npos) << event;
+        EXPECT_EQ(seen.find(event), seen.rfind(event)) << event;
+    }
+    EXPECT_EQ(seen.find("id: 99"), std::string::npos);
+    EXPECT_TRUE(seen.ends_with("0\r\n\r\n"));
+    EXPECT_EQ(ranOn(m_models), 2U);
+}
+
+// The same where it may not be resumed: the user must see that the answer is not whole.
+TEST_F(Edge, AnotherStreamEndsVisiblyCutOff)
+{
+    m_heldAtStart["m-1"] = {"a1"};
+    start();
+    setAll(m_models, mood::CutsStream);
+    const std::string seen = answerTo("/gen/x", "a1");
+    EXPECT_NE(seen.find("id: 2\n"), std::string::npos);
+    EXPECT_EQ(seen.find("0\r\n\r\n"), std::string::npos);
+    EXPECT_EQ(ranOn(m_models), 1U);
+}
+
+// A user leaves; the server would go on for nobody and hold a slot that others wait for.
+TEST_F(Edge, WhenTheCallerLeavesItsServerStopsWorking)
+{
+    start();
+    setAll(m_plain, mood::Silent);
+    auto caller = ask("/once/x");
+    ASSERT_TRUE(runUntil([&] {
+        return ranOn(m_plain) == 1;
+    }));
+    caller->hangUp();
+    EXPECT_TRUE(runUntil([&] {
+        return m_plain[0]->left + m_plain[1]->left == 1;
+    }));
+}
+
+// A server falls silent. The answer comes at the route's time limit, not later, and doesn't promise that nothing ran.
+TEST_F(Edge, ASilentServerIsAnsweredForAtTheRoutesTimeout)
+{
+    m_timeoutMs = 600;
+    start();
+    setAll(m_plain, mood::Silent);
+    const millis before = bootNow();
+    EXPECT_EQ(statusOf(answerTo("/once/x")), "504");
+    EXPECT_GE((bootNow() - before).count, 590);
+}
+
+// A new version of an adapter is named. From then on a user's request carries it, so that a server which still has the
+// old one refuses instead of answering with it.
+TEST_F(Edge, ANamedVersionIsAskedForByName)
+{
+    start();
+    m_store.put("op/version/m0.a1", R"({"model":"m0","adapter":"a1","version":5})");
+    runRounds(500);
+    answerTo("/gen/x", "a1");
+    ASSERT_EQ(ranOn(m_models), 1U);
+    const auto &ran = m_models[0]->ran.empty() ? m_models[1]->ran : m_models[0]->ran;
+    const std::string *version = findField(ran[0].head, "x-briarhead-expect-version");
+    ASSERT_NE(version, nullptr);
+    EXPECT_EQ(*version, "5");
+}
+
+// Every place of every server is used by a stream that still runs. A user of another adapter is refused at once with when
+// to come back, and no adapter in use is thrown out for it.
+TEST_F(Edge, WithoutAPlaceForItsAdapterARequestIsRefusedAtOnce)
+{
+    m_places = 1;
+    start();
+    setAll(m_models, mood::Silent);
+    const auto first = ask("/gen/x", "a1");
+    const auto second = ask("/gen/x", "a2");
+    ASSERT_TRUE(runUntil([&] {
+        return ranOn(m_models) == 2;
+    }));
+    const millis before = bootNow();
+    const std::string answer = answerTo("/gen/x", "a3");
+    EXPECT_EQ(statusOf(answer), "503") << answer;
+    EXPECT_NE(answer.find("Retry-After"), std::string::npos);
+    EXPECT_LT((bootNow() - before).count, 1'000);
+    for (const auto &server : m_models) {
+        for (const auto &order : server->orders) {
+            EXPECT_EQ(order.at("opcode"), "load");
+        }
+    }
+}
+
+// A server's address is taken over by another one. It refuses what names the server before, and nothing runs there.
+TEST_F(Edge, AServerWithAReusedAddressRunsNothingOfAnothers)
+{
+    start();
+    for (const auto &server : m_plain) {
+        server->id += "-successor";
+    }
+    EXPECT_EQ(statusOf(answerTo("/once/x")), "503");
+    EXPECT_EQ(ranOn(m_plain), 0U);
+}
+
+}
--- a/tests/serving/wire_test.cpp
+++ b/tests/serving/wire_test.cpp
@@ -72,16 +72,17 @@
     EXPECT_NE(seen.find("Content-Length: 4\r\n"), std::string::npos);
 }
 
-// A caller hides a second request in the body of its first, by lengths that two readers understand differently. A user
-// would be answered with what someone else asked for.
+// A caller hides a second request in the body of its first, by lengths that two readers understand
+// differently. A user would be answered with what someone else asked for.
 TEST_F(Wire, SmuggledLengthsAreRefusedAndNothingIsPassedOn)
 {
     serve();
     const std::string hidden = "0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
     for (const std::string fields : {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
-             "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "Content-Length: 5\r\nContent-Length: 60\r\n",
-             "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: identity\r\n", "Content-Length: -1\r\n",
-             "Content-Length: 5, 6\r\n", "Host: other\r\nContent-Length: 0\r\n"}) {
+             "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+             "Content-Length: 5\r\nContent-Length: 60\r\n", "Transfer-Encoding: xchunked\r\n",
+             "Transfer-Encoding: identity\r\n", "Content-Length: -1\r\n", "Content-Length: 5, 6\r\n",
+             "Host: other\r\nContent-Length: 0\r\n"}) {
         const std::string seen = exchange(head + fields + "\r\n" + hidden, "HTTP/1.1 400");
         EXPECT_EQ(seen.substr(0, 12), "HTTP/1.1 400") << fields;
         EXPECT_NE(seen.find("Connection: close"), std::string::npos) << fields;
@@ -95,7 +96,8 @@
     limits.headBytes = 2'000;
     limits.bodyBytes = 1'000;
     serve(limits);
-    EXPECT_EQ(exchange(head + "X: " + std::string(3'000, 'x') + "\r\n\r\n", "431").substr(0, 12), "HTTP/1.1 431");
+    EXPECT_EQ(
+        exchange(head + "X: " + std::string(3'000, 'x') + "\r\n\r\n", "431").substr(0, 12), "HTTP/1.1 431");
     EXPECT_EQ(exchange(head + "Content-Length: 2000\r\n\r\n" + std::string(2'000, 'x'), "413").substr(0, 12),
         "HTTP/1.1 413");
     EXPECT_TRUE(m_taken.empty());
@@ -268,8 +270,8 @@
 
 std::string whole(const std::string &id, const std::string &body)
 {
-    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nKeep-Alive: timeout=5\r\nContent-Length: "
-        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id
+        + "\r\nKeep-Alive: timeout=5\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 }
@@ -290,7 +292,8 @@
     EXPECT_EQ(m_connections.size(), 1U);
 }
 
-// A server sends a second answer behind the first. The next user on that connection would get the first one's answer.
+// A server sends a second answer behind the first. The next user on that connection would get the first one's
+// answer.
 TEST_F(Pool, BytesBehindAnAnswerEndTheConnection)
 {
     const auto first = send("a");
@@ -331,8 +334,8 @@
     EXPECT_TRUE(arrived(1, "b"));
 }
 
-// An answer without a length ends with its connection. One that is reset on the way is not whole, though its bytes so far
-// look like it.
+// An answer without a length ends with its connection. One that is reset on the way is not whole, though its
+// bytes so far look like it.
 TEST_F(Pool, AnAnswerWithoutALengthIsWholeOnlyAtAnOrderlyEnd)
 {
     const std::string open = "HTTP/1.1 200 OK\r\nX-Id: a\r\nConnection: close\r\n\r\nsome";
@@ -354,7 +357,8 @@
 TEST_F(Pool, AnAnswerThatEndsEarlyIsBroken)
 {
     for (const std::string bytes : {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
-             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc", "HTTP/1.1 200 O", "rubbish\r\n\r\n"}) {
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc", "HTTP/1.1 200 O",
+             "rubbish\r\n\r\n"}) {
         const auto seen = send("a");
         const std::size_t at = m_connections.size();
         ASSERT_TRUE(arrived(at, "a"));
@@ -365,7 +369,8 @@
     }
 }
 
-// A kept connection is dead when it is used. What may run only once must not be sent a second time behind anyone's back.
+// A kept connection is dead when it is used. What may run only once must not be sent a second time behind
+// anyone's back.
 TEST_F(Pool, NothingIsSentTwice)
 {
     const auto first = send("a");
@@ -400,7 +405,8 @@
     calls.onEnd = [](send_end, const error &) {
         FAIL() << "a cancelled send tells nothing";
     };
-    const auto id = m_pool.start({http_testing::loopback, m_port}, "POST /a HTTP/1.1\r\nHost: h\r\n\r\n", false, calls);
+    const auto id =
+        m_pool.start({http_testing::loopback, m_port}, "POST /a HTTP/1.1\r\nHost: h\r\n\r\n", false, calls);
     ASSERT_TRUE(arrived(0, "a"));
     m_pool.cancel(id);
     EXPECT_TRUE(runUntil([&] {
