Pause half a second between watches, and let a reading count as news

Cause: servers write their entries all the time, so each watch ended at once: five priced calls a second a reader; at a start every daemon followed the store until the first news. Ruled out: renewals (a tenth of a call each). Change: 500 ms between watches instead of 200; a reading of the store counts as news, and a daemon that is not registered yet is no reader.

--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -17,22 +17,23 @@
 /// each watch is a call that costs about what a tenth of a request is worth.
 constexpr millis watchWait{2'000};
 /// A reader whose failure domain listens to it tells so often at least that it reaches the store.
-constexpr millis readerWait{900};
+constexpr millis readerWait{700};
 /// Daemons of a failure domain that follow the store; the others hear it from them. Each call to the store
 /// costs up to a fifth of a request, and every daemon following it itself took a third of the income at 91
 /// daemons. Two, so that the death of one leaves no gap.
 constexpr std::size_t readersPerDomain = 2;
-/// Without news for so long a daemon follows the store itself: a reader speaks every 1.1 s, and
+/// Without news for so long a daemon follows the store itself: a reader speaks every 1.3 s, and
 /// configurations are to be in force two seconds after the store has them.
-constexpr millis newsLife{1'450};
+constexpr millis newsLife{1'600};
 constexpr millis followCheck{200};
 /// A fetch within the failure domain takes some ms; after this another one is tried.
 constexpr millis fetchTimeout{500};
 /// News that fit into a datagram that links of 10 Mbit/s carry without a queue.
 constexpr std::size_t newsBytes = 6'000;
 constexpr std::size_t recentChanges = 2'000;
-/// Pause between two watches, so that changes that come close together cost one call.
-constexpr millis watchPause{200};
+/// Pause between two watches, so that changes that come close together cost one call: servers write their entries
+/// all the time, and each write would end a watch. Configurations and leaving servers bind two seconds later.
+constexpr millis watchPause{500};
 constexpr millis retryPause{400};
 /// A daemon is found dead after its lease; the shortest that bears a lost renewal or two.
 constexpr millis leaseTime{2'500};
@@ -114,6 +115,7 @@
             });
             return;
         }
+        m_newsAt = bootNow(); // a reading is as good as news: readers get their turn before a watch is paid for
         if (read.revision >= m_revision) { // else news of later changes came while it was on its way
             takeAll(read);
         }
@@ -167,7 +169,7 @@
     const std::vector<std::string> readers =
         rendezvousOrder(m_settings.failureDomain, domainPeers(), readersPerDomain);
     const bool known = m_view.daemons.count(m_settings.node) != 0;
-    return !known || std::find(readers.begin(), readers.end(), m_settings.node) != readers.end();
+    return known && std::find(readers.begin(), readers.end(), m_settings.node) != readers.end();
 }
 
 bool store_task::newsFresh() const
