Pass only the last of a succession of configurations on, and pack it

Ruled out: the pause between watches (0.5 s of the 3). Change: of several changes of a key only the last is kept and passed on; news are deflated (zlib) and go in the datagram up to 16 kB.

--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -6,8 +6,11 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
+#include <zlib.h>
+
 #include <bit>
 #include <concepts>
+#include <cstring>
 #include <limits>
 #include <type_traits>
 #include <utility>
@@ -19,6 +22,8 @@
 constexpr unsigned bitsPerVarintByte = 7;
 constexpr unsigned varintMore = 0x80;
 constexpr unsigned bitsPerByte = 8;
+/// More than the store holds for a deployment of the largest size known.
+constexpr std::uint32_t maxNewsBytes = 64 * 1024 * 1024;
 
 [[noreturn]] void refuse(const char *what)
 {
@@ -352,7 +357,15 @@
 
 std::string encode(const store_news &news)
 {
-    return encodeAny(news);
+    const std::string plain = encodeAny(news);
+    uLongf size = compressBound(plain.size());
+    std::string packed(sizeof(std::uint32_t) + size, '\0');
+    const auto length = static_cast<std::uint32_t>(plain.size());
+    std::memcpy(packed.data(), &length, sizeof(length));
+    compress2(reinterpret_cast<Bytef *>(packed.data() + sizeof(length)), &size,
+        reinterpret_cast<const Bytef *>(plain.data()), plain.size(), Z_BEST_SPEED);
+    packed.resize(sizeof(length) + size);
+    return packed;
 }
 
 std::string encode(const daemon_record &record)
@@ -372,7 +385,25 @@
 
 std::optional<store_news> decodeNews(std::string_view bytes, error &why)
 {
-    return decodeAny<store_news>(bytes, why);
+    std::uint32_t length = 0;
+    if (bytes.size() < sizeof(length)) {
+        why = {error_kind::BadFrame, "store news", "it ends too early"};
+        return std::nullopt;
+    }
+    std::memcpy(&length, bytes.data(), sizeof(length));
+    if (length > maxNewsBytes) {
+        why = {error_kind::BadFrame, "store news", "it is too long"};
+        return std::nullopt;
+    }
+    std::string plain(length, '\0');
+    uLongf size = length;
+    const int failed = uncompress(reinterpret_cast<Bytef *>(plain.data()), &size,
+        reinterpret_cast<const Bytef *>(bytes.data() + sizeof(length)), bytes.size() - sizeof(length));
+    if (failed != Z_OK || size != length) {
+        why = {error_kind::BadFrame, "store news", "it does not unpack"};
+        return std::nullopt;
+    }
+    return decodeAny<store_news>(plain, why);
 }
 
 std::optional<daemon_record> decodeDaemon(std::string_view bytes, error &why)
--- a/packages/protocol/codec.h
+++ b/packages/protocol/codec.h
@@ -19,6 +19,7 @@
 std::string encode(const peer_message &message);
 std::string encode(const peer_datagram &datagram);
 std::string encode(const fleet_datagram &datagram);
+/// Deflated, unlike the others.
 std::string encode(const store_news &news);
 std::string encode(const daemon_record &record);
 std::string encode(const orderer_record &record);
--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -182,11 +182,25 @@
     }
 };
 
+/// store_news in packed form: an operator's configuration is some tens of kilobytes of text, and a reader
+/// sends it to its whole failure domain over a link of 10 Mbit/s.
+struct packed_news
+{
+    std::string bytes;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(bytes);
+    }
+};
+
 struct fleet_datagram
 {
     std::string from; ///< the sender's node name
     std::uint64_t incarnation = 0;
-    std::variant<place_ask, place_answer, place_note, place_running, fleet_beat, store_news> body;
+    std::variant<place_ask, place_answer, place_note, place_running, fleet_beat, store_news, packed_news>
+        body;
 
     template <class Archive>
     void serialize(Archive &archive)
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -29,6 +29,8 @@
 /// choice.
 constexpr std::size_t directPeers = 3;
 constexpr int relayedBeats = 3;
+/// Packed news up to this size go in the datagram itself; more has to be fetched.
+constexpr std::size_t largestNews = 16'000;
 /// The path at which a daemon gives others the store's news, on its port for other daemons.
 const std::string newsPath = "/news?after=";
 /// The balancer takes a daemon out after two misses, a second apart; until then new connections come.
@@ -77,6 +79,7 @@
 private:
     void answerEntry(const std::string &entry, const place_answer &answer);
     void onDatagram(const fleet_datagram &datagram);
+    void sendNews(const std::vector<std::string> &nodes, const store_news &news);
     void beat();
     void passOn(const fleet_datagram &datagram, const fleet_beat &beat);
     void fetchNews(
@@ -134,12 +137,8 @@
     if (!m_peers) {
         return false;
     }
-    m_store.setFleet({[this](const std::string &node, const store_news &news) {
-                          const auto peer = m_store.view().daemons.find(node);
-                          if (peer != m_store.view().daemons.end()) {
-                              m_port->send({peer->second.ip, peer->second.port},
-                                  {m_settings.node, m_store.incarnation(), news});
-                          }
+    m_store.setFleet({[this](const std::vector<std::string> &nodes, const store_news &news) {
+                          sendNews(nodes, news);
                       },
         [this](const std::string &node, std::int64_t after,
             std::function<void(std::optional<store_news>)> done) {
@@ -232,6 +231,13 @@
                 m_orderer.onRunning(datagram.from, body);
             } else if constexpr (std::is_same_v<body_type, place_note>) {
                 m_orderer.onNote(body);
+            } else if constexpr (std::is_same_v<body_type, packed_news>) {
+                error why;
+                if (const auto news = decodeNews(body.bytes, why)) {
+                    m_store.onNews(datagram.from, *news);
+                } else {
+                    m_log.important("news.unreadable").add("peer", datagram.from).add("why", message(why));
+                }
             } else if constexpr (std::is_same_v<body_type, store_news>) {
                 m_store.onNews(datagram.from, body);
             } else {
@@ -290,6 +296,23 @@
     }
 }
 
+void daemon_impl::sendNews(const std::vector<std::string> &nodes, const store_news &news)
+{
+    fleet_datagram datagram{m_settings.node, m_store.incarnation(), news};
+    if (!news.items.empty()) {
+        datagram.body = packed_news{encode(news)};
+        if (std::get<packed_news>(datagram.body).bytes.size() > largestNews) {
+            datagram.body = store_news{news.from, news.to, true, false, {}};
+        }
+    }
+    for (const std::string &node : nodes) {
+        const auto peer = m_store.view().daemons.find(node);
+        if (peer != m_store.view().daemons.end()) {
+            m_port->send({peer->second.ip, peer->second.port}, datagram);
+        }
+    }
+}
+
 void daemon_impl::answerNews(const front_request &request, front_reply &reply) const
 {
     std::int64_t after = 0;
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -29,10 +29,11 @@
 /// A fetch within the failure domain takes some ms; after this another one is tried.
 constexpr millis fetchTimeout{500};
 /// News that fit into a datagram that links of 10 Mbit/s carry without a queue.
-constexpr std::size_t newsBytes = 6'000;
+constexpr std::size_t newsBytes = 120'000; // before packing, which leaves about a tenth of a configuration
 constexpr std::size_t recentChanges = 2'000;
-/// Pause between two watches, so that changes that come close together cost one call: servers write their entries
-/// all the time, and each write would end a watch. Configurations and leaving servers bind two seconds later.
+/// Pause between two watches, so that changes that come close together cost one call: servers write their
+/// entries all the time, and each write would end a watch. Configurations and leaving servers bind two
+/// seconds later.
 constexpr millis watchPause{500};
 constexpr millis retryPause{400};
 /// A daemon is found dead after its lease; the shortest that bears a lost renewal or two.
@@ -44,6 +45,23 @@
 /// Until shortly before that they are still used; the bound on requests to a server that left is as long.
 constexpr millis missingGrace{1'700};
 
+/// The last change of each key, in order of time. Configurations in quick succession are some tens of
+/// kilobytes each, and only the last one counts.
+std::vector<stored_item> latestOf(const std::vector<stored_item> &items)
+{
+    std::map<std::string, std::int64_t> last;
+    for (const stored_item &item : items) {
+        last[item.key] = item.revision;
+    }
+    std::vector<stored_item> out;
+    for (const stored_item &item : items) {
+        if (last[item.key] == item.revision) {
+            out.push_back(item);
+        }
+    }
+    return out;
+}
+
 bool isUnder(const std::string &key, const std::string &prefix)
 {
     return key.starts_with(prefix);
@@ -115,7 +133,8 @@
             });
             return;
         }
-        m_newsAt = bootNow(); // a reading is as good as news: readers get their turn before a watch is paid for
+        m_newsAt =
+            bootNow(); // a reading is as good as news: readers get their turn before a watch is paid for
         if (read.revision >= m_revision) { // else news of later changes came while it was on its way
             takeAll(read);
         }
@@ -197,10 +216,10 @@
         news.items.clear();
         news.fetch = true;
     }
-    for (const std::string &node : domainPeers()) {
-        if (node != m_settings.node) {
-            m_fleet.send(node, news);
-        }
+    std::vector<std::string> others = domainPeers();
+    std::erase(others, m_settings.node);
+    if (!others.empty()) {
+        m_fleet.send(others, news);
     }
 }
 
@@ -213,7 +232,7 @@
         }
         return news;
     }
-    for (const stored_item &item : m_recent) {
+    for (const stored_item &item : latestOf({m_recent.begin(), m_recent.end()})) {
         if (item.revision > revision) {
             news.items.push_back({item.key, item.value, item.revision, item.removed});
         }
@@ -356,12 +375,13 @@
 {
     view_changed change;
     const std::int64_t from = m_revision;
-    for (const stored_item &item : read.items) {
+    const std::vector<stored_item> items = latestOf(read.items);
+    for (const stored_item &item : items) {
         takeItem(item, change);
     }
     m_revision = std::max(m_revision, read.revision);
-    if (!read.items.empty()) {
-        sendNews(from, read.items);
+    if (!items.empty()) {
+        sendNews(from, items);
         publish(change);
     }
 }
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -57,7 +57,7 @@
     /// news after a revision from one.
     struct fleet_calls
     {
-        std::function<void(const std::string &node, const store_news &news)> send;
+        std::function<void(const std::vector<std::string> &nodes, const store_news &news)> send;
         std::function<void(
             const std::string &node, std::int64_t after, std::function<void(std::optional<store_news>)> done)>
             fetch;
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -6,7 +6,7 @@
   clang-format clang-tidy
   libev-dev libcereal-dev libboost-dev libcurl4-openssl-dev libmicrohttpd-dev
   nlohmann-json3-dev libvalijson-dev libdocopt-dev libspdlog-dev libfmt-dev
-  libxxhash-dev libsodium-dev
+  libxxhash-dev libsodium-dev zlib1g-dev
   librapidcheck-dev libgtest-dev spin
   curl jq procps
 )
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -13,8 +13,8 @@
 
 namespace briarhead {
 
-/// Stands in for a backend server of the platform: runs requests, carries orders out, tells of itself. What a test
-/// wants of it is set in the fields.
+/// Stands in for a backend server of the platform: runs requests, carries orders out, tells of itself. What a
+/// test wants of it is set in the fields.
 class backend_standin
 {
 public:
@@ -22,7 +22,8 @@
 
     /// Its entry in the store.
     std::string entry(const std::string &state = "ready") const;
-    void answerStream(const std::shared_ptr<front_reply> &reply, const std::string &requestId, int from, int to);
+    void answerStream(
+        const std::shared_ptr<front_reply> &reply, const std::string &requestId, int from, int to);
 
     enum class mood : std::uint8_t
     {
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -74,11 +74,12 @@
     {
         const auto route = [this](const char *prefix, const char *kind, const char *service, bool resumable) {
             return nlohmann::json{{"name", prefix}, {"host", "h"}, {"prefix", prefix}, {"routeType", kind},
-                {"timeoutMs", m_timeoutMs}, {"targetLatencyMs", 1'000}, {"maxAttempts", 2}, {"service", service},
-                {"resumable", resumable}};
+                {"timeoutMs", m_timeoutMs}, {"targetLatencyMs", 1'000}, {"maxAttempts", 2},
+                {"service", service}, {"resumable", resumable}};
         };
-        const nlohmann::json engine{{"slots", 4}, {"kvTokens", 10'000}, {"weightsMb", 1'000}, {"adapterSlots", m_places},
-            {"loadsPerS", 5}, {"models", {{{"name", "m0"}, {"weightsMb", 900}, {"loadS", 0.1}, {"adapterMb", 1}}}}};
+        const nlohmann::json engine{{"slots", 4}, {"kvTokens", 10'000}, {"weightsMb", 1'000},
+            {"adapterSlots", m_places}, {"loadsPerS", 5},
+            {"models", {{{"name", "m0"}, {"weightsMb", 900}, {"loadS", 0.1}, {"adapterMb", 1}}}}};
         const nlohmann::json config{{"version", version},
             {"routes",
                 {route("/once/", "non_idempotent", "app", false), route("/safe/", "idempotent", "app", false),
@@ -148,8 +149,8 @@
     EXPECT_EQ(ranOn(m_models), 1U);
 }
 
-// A server runs a request that may run once, and its answer is lost. A user would have their order placed twice if it
-// were sent again, or be told that it wasn't placed.
+// A server runs a request that may run once, and its answer is lost. A user would have their order placed
+// twice if it were sent again, or be told that it wasn't placed.
 TEST_F(Edge, WhatMayRunOnceIsNeverSentTwiceNorCalledNotRun)
 {
     start();
@@ -188,7 +189,8 @@
     EXPECT_GT(ranOn(m_plain), 0U);
 }
 
-// A server says that it did not run a request. The user is told so at once, with when to come back, and not kept waiting.
+// A server says that it did not run a request. The user is told so at once, with when to come back, and not
+// kept waiting.
 TEST_F(Edge, WhatNoServerTookIsRefusedAtOnce)
 {
     start();
@@ -211,8 +213,8 @@
     EXPECT_EQ(answer.find("not signed"), std::string::npos);
 }
 
-// A server breaks off a stream in the middle of an event. Where the stream may be resumed, the user's goes on at another
-// server right behind the last whole event; each event comes once.
+// A server breaks off a stream in the middle of an event. Where the stream may be resumed, the user's goes on
+// at another server right behind the last whole event; each event comes once.
 TEST_F(Edge, AResumableStreamGoesOnAtAnotherServer)
 {
     m_heldAtStart["m-1"] = {"a1"};
@@ -255,7 +257,8 @@
     }));
 }
 
-// A server falls silent. The answer comes at the route's time limit, not later, and doesn't promise that nothing ran.
+// A server falls silent. The answer comes at the route's time limit, not later, and doesn't promise that
+// nothing ran.
 TEST_F(Edge, ASilentServerIsAnsweredForAtTheRoutesTimeout)
 {
     m_timeoutMs = 600;
@@ -266,8 +269,8 @@
     EXPECT_GE((bootNow() - before).count, 590);
 }
 
-// A new version of an adapter is named. From then on a user's request carries it, so that a server which still has the
-// old one refuses instead of answering with it.
+// A new version of an adapter is named. From then on a user's request carries it, so that a server which
+// still has the old one refuses instead of answering with it.
 TEST_F(Edge, ANamedVersionIsAskedForByName)
 {
     start();
@@ -281,8 +284,8 @@
     EXPECT_EQ(*version, "5");
 }
 
-// Every place of every server is used by a stream that still runs. A user of another adapter is refused at once with when
-// to come back, and no adapter in use is thrown out for it.
+// Every place of every server is used by a stream that still runs. A user of another adapter is refused at
+// once with when to come back, and no adapter in use is thrown out for it.
 TEST_F(Edge, WithoutAPlaceForItsAdapterARequestIsRefusedAtOnce)
 {
     m_places = 1;
@@ -305,7 +308,8 @@
     }
 }
 
-// A server's address is taken over by another one. It refuses what names the server before, and nothing runs there.
+// A server's address is taken over by another one. It refuses what names the server before, and nothing runs
+// there.
 TEST_F(Edge, AServerWithAReusedAddressRunsNothingOfAnothers)
 {
     start();
--- a/tests/serving/store_task_test.cpp
+++ b/tests/serving/store_task_test.cpp
@@ -222,9 +222,11 @@
     void add(fake_store &store, const std::string &node)
     {
         auto made = std::make_unique<follower>(store, node, "z");
-        made->task.setFleet({[this, node](const std::string &to, const store_news &news) {
-                                 if (!datagramsLost && members.count(to) != 0) {
-                                     members.at(to)->task.onNews(node, news);
+        made->task.setFleet({[this, node](const std::vector<std::string> &nodes, const store_news &news) {
+                                 for (const std::string &to : nodes) {
+                                     if (!datagramsLost && members.count(to) != 0) {
+                                         members.at(to)->task.onNews(node, news);
+                                     }
                                  }
                              },
             [this](const std::string &from, std::int64_t after,
@@ -296,7 +298,7 @@
         },
         {2'500});
     fleet.fetchHangs = true;
-    const std::string filler(8'000, 'x');
+    const std::string filler(200'000, 'x');
     store.put("op/config", R"({"version":2,"routes":[],"services":[],"filler":")" + filler + "\"}");
     EXPECT_TRUE(until(
         [&] {
@@ -305,6 +307,28 @@
         {5'000}));
 }
 
+// Configurations come in quick succession, each some tens of kilobytes. Sent on one by one they fill a
+// reader's link of 10 Mbit/s, and a user of the daemons behind it is answered by a route that is seconds old:
+// only the last one is passed on.
+TEST_F(StoreTask, OfConfigurationsInQuickSuccessionOnlyTheLastIsPassedOn)
+{
+    putConfig(1);
+    follower one(store, "n1", "z");
+    ASSERT_TRUE(until([&] {
+        return one.version() == 1;
+    }));
+    const std::int64_t before = store.revision;
+    for (std::uint64_t version = 2; version < 30; ++version) {
+        putConfig(version);
+    }
+    ASSERT_TRUE(until([&] {
+        return one.version() == 29;
+    }));
+    const store_news news = one.task.newsAfter(before);
+    EXPECT_EQ(news.items.size(), 1U);
+    EXPECT_EQ(news.items.back().revision, store.revision);
+}
+
 // All news of a failure domain are lost. Its daemons follow the store themselves.
 TEST_F(StoreTask, WithoutNewsADaemonFollowsTheStoreItself)
 {
