Serve sooner after a restart of all daemons

A daemon refused at once for want of a configuration that a slow store brought 0.4 s later; it claimed servers only when the watch showed its own registration, 2 s after its start; the watch itself waited 1.6 s for news of readers. Ruled out: the servers (they kept their adapters), leases (old records may be replaced by the same node). Change: requests wait up to 0.6 s for the configuration and for a first beat; a registration counts once the store has answered; servers of the daemon's former self are claimed at once, others 0.4 s after registering, so that the first daemon up doesn't claim them all; 0.3 s for readers; the store is read anew when it answers again.

--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -39,6 +39,9 @@
 constexpr millis comeBackSoon{300};
 /// Another instance takes it right away.
 constexpr millis comeBackElsewhere{50};
+/// How long a request waits for what a start or a takeover brings, and how often it looks.
+constexpr millis startPatience{600};
+constexpr millis retryStep{40};
 constexpr millis comeBackNotReady{1'000};
 constexpr double msPerSecond = 1'000;
 constexpr int firstServerError = 500;
@@ -165,15 +168,33 @@
     one->number = std::to_string(++m_lastWork);
     one->request = std::move(*request);
     one->reply = std::move(reply);
-    one->config = m_store.view().config;
     one->arrived = bootNow();
     m_work.emplace(one->number, one);
     if (!m_taking) {
         refuse(one, "this instance is ending", comeBackElsewhere);
         return;
     }
+    one->reply->onGone([this, weak = std::weak_ptr<work>(one)] {
+        if (const auto gone = weak.lock()) {
+            leaveServer(gone, place_event::Ended);
+            finish(gone, "caller_left");
+        }
+    });
+    findWay(one);
+}
+
+/// Finds the request's way. Right after a start the configuration is some ms away, on a slow store some
+/// hundred: waiting for it serves callers whom the balancer sends to every daemon when all have been
+/// restarted.
+void front_task::findWay(const work_ptr &one)
+{
+    one->config = m_store.view().config;
     if (!one->config) {
-        refuse(one, "no configuration yet", comeBackNotReady);
+        if (bootNow() - one->arrived >= startPatience) {
+            refuse(one, "no configuration yet", comeBackNotReady);
+        } else {
+            waitAndRetry(one, &front_task::findWay);
+        }
         return;
     }
     one->way = findRoute(*one->config, one->request.host, one->request.head.target);
@@ -185,13 +206,7 @@
     one->model = !one->request.model.empty() && engineOf(*one->config, one->service) != nullptr;
     one->endBy =
         one->arrived + std::min(one->way->timeout, one->request.deadline.value_or(one->way->timeout));
-    one->reply->onGone([this, weak = std::weak_ptr<work>(one)] {
-        if (const auto gone = weak.lock()) {
-            leaveServer(gone, place_event::Ended);
-            finish(gone, "caller_left");
-        }
-    });
-    one->deadlineTimer = m_loop.timer(one->endBy - one->arrived, {}, [this, weak = std::weak_ptr<work>(one)] {
+    one->deadlineTimer = m_loop.timer(one->endBy - bootNow(), {}, [this, weak = std::weak_ptr<work>(one)] {
         if (const auto late = weak.lock()) {
             onDeadline(late);
         }
@@ -309,6 +324,12 @@
     std::vector<const backend_server *> servers;
     const auto candidates = candidatesFor(*one, servers);
     const auto chosen = chooseModelServer(candidates);
+    const bool unheard = !chosen && one->excluded.empty() && !one->mayHaveRun;
+    if (unheard && bootNow() - one->arrived < startPatience) {
+        // No server's orderer has spoken yet: after a start, or after the death of those nearby.
+        waitAndRetry(one, &front_task::startModel);
+        return;
+    }
     if (!chosen || one->placesTried >= placesAsked) {
         const millis comeBack = one->shortestWait.count >= 0 ? one->shortestWait : comeBackSoon;
         refuse(one, chosen ? "every server asked is full" : "no server", comeBack);
@@ -333,6 +354,15 @@
     ask(one);
 }
 
+void front_task::waitAndRetry(const work_ptr &one, void (front_task::*step)(const work_ptr &))
+{
+    one->askTimer = m_loop.timer(retryStep, {}, [this, step, weak = std::weak_ptr<work>(one)] {
+        if (const auto same = weak.lock()) {
+            (this->*step)(same);
+        }
+    });
+}
+
 void front_task::ask(const work_ptr &one)
 {
     ++one->asks;
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -68,6 +68,8 @@
     using work_ptr = std::shared_ptr<work>;
 
     void followView(const view_changed &change);
+    void findWay(const work_ptr &one);
+    void waitAndRetry(const work_ptr &one, void (front_task::*step)(const work_ptr &));
     void start(const work_ptr &one);
     void startPlain(const work_ptr &one);
     void startModel(const work_ptr &one);
--- a/packages/serving/orderer_task.cpp
+++ b/packages/serving/orderer_task.cpp
@@ -12,6 +12,8 @@
 /// How often waiting prompts and loads on their way are looked at, besides after each event.
 constexpr millis pumpEvery{20};
 constexpr millis claimEvery{300};
+/// When all daemons start at once the first to register would claim every server before it sees the others.
+constexpr millis settleTime{400};
 /// An order is answered at once; without an answer for so long it counts as unknown.
 constexpr millis orderTimeout{600};
 constexpr millis reportTimeout{700};
@@ -114,7 +116,8 @@
                 near.push_back(node);
             }
         }
-        if (formerSelf || rendezvousFirst(id, near.empty() ? all : near) == m_settings.node) {
+        const bool settled = bootNow() - view.registeredAt >= settleTime;
+        if (formerSelf || (settled && rendezvousFirst(id, near.empty() ? all : near) == m_settings.node)) {
             m_store.claim(id);
         }
     }
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -25,7 +25,9 @@
 /// Without news for so long a daemon follows the store itself: a reader speaks every 1.3 s, and
 /// configurations are to be in force two seconds after the store has them.
 constexpr millis newsLife{1'600};
-constexpr millis followCheck{200};
+constexpr millis followCheck{100};
+/// After a start all daemons register at once; by then the readers among them are known and speak.
+constexpr millis firstNewsWait{300};
 /// A fetch within the failure domain takes some ms; after this another one is tried.
 constexpr millis fetchTimeout{500};
 /// News that fit into a datagram that links of 10 Mbit/s carry without a queue.
@@ -115,6 +117,12 @@
         m_log.important("store.reached").add("call", call).add("silent_ms", now - m_view.lastAnswer);
         m_regained = now;
         m_view.reachable = true;
+        if (m_revision != 0 && std::string_view(call) != "list") {
+            // The watch that was open may hang on a dead connection for seconds more.
+            m_loop.post([this] {
+                readAll();
+            });
+        }
     }
     m_view.lastAnswer = now;
 }
@@ -133,8 +141,8 @@
             });
             return;
         }
-        m_newsAt =
-            bootNow(); // a reading is as good as news: readers get their turn before a watch is paid for
+        // A reading is as good as news for a moment: readers get their turn before a watch is paid for.
+        m_newsAt = bootNow() - newsLife + firstNewsWait;
         if (read.revision >= m_revision) { // else news of later changes came while it was on its way
             takeAll(read);
         }
@@ -548,7 +556,7 @@
             const daemon_record record{m_settings.node, m_settings.peers.ip, m_settings.peers.port,
                 m_settings.failureDomain, m_incarnation};
             change.puts.push_back({daemonPrefix + m_settings.node, encode(record), lease});
-            m_store.change(change, [this](store_status put, std::int64_t revision) {
+            m_store.change(change, [this, record](store_status put, std::int64_t revision) {
                 m_leaseCalling = false;
                 heard(put == store_status::Ok, "register");
                 if (put != store_status::Ok) {
@@ -556,6 +564,10 @@
                     return;
                 }
                 m_log.important("lease.granted").add("lease", m_lease).add("revision", revision);
+                // Done is done: waiting for the watch to tell it took a slow store's answer more.
+                m_view.daemons[m_settings.node] = record;
+                m_view.registeredAt = bootNow();
+                publish({});
             });
         });
 }
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -33,6 +33,7 @@
     std::map<std::string, std::int64_t> versions; ///< by MODEL/ADAPTER
     std::map<std::string, daemon_record> daemons; ///< by node; this one is among them
     std::map<std::string, orderer_entry> orderers; ///< by server id
+    millis registeredAt; ///< when this daemon's record was last put there
     millis lastAnswer; ///< of the store
     bool reachable = false;
 };
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,6 +4,7 @@
 build=${BUILD:-build}
 cd "$(dirname "$0")/.."
 git ls-files '*.h' '*.cpp' | xargs -P 4 -n 16 clang-format --dry-run --Werror
-git ls-files 'packages/*.cpp' 'tests/*.cpp' 'tools/*.cpp' |
+scripts/check-wire-names.sh
+git ls-files 'packages/*.cpp' 'platform/*.cpp' 'tests/*.cpp' 'tools/*.cpp' |
   xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$build" 2>/dev/null
 echo "lint: clean"
--- a/tests/serving/fake_store.cpp
+++ b/tests/serving/fake_store.cpp
@@ -79,6 +79,7 @@
         return;
     }
     later([this, prefix, done] {
+        ++m_shared.lists;
         store_read read{store_status::Ok, {}, m_shared.revision};
         for (const auto &[key, item] : m_shared.items) {
             if (key.starts_with(prefix)) {
--- a/tests/serving/fake_store.h
+++ b/tests/serving/fake_store.h
@@ -44,6 +44,7 @@
     std::map<std::int64_t, bool> open; ///< leases
     std::uint64_t calls = 0;
     std::uint64_t watches = 0;
+    std::uint64_t lists = 0; ///< answered
 };
 
 /// One daemon's way to a fake_store; each has troubles of its own.
