Tell a request's story from its id, out of the logs of several daemons

Cause: on-call engineers have an id and logs; lines of a request stood apart from what was known of its server. Change: request.accepted and request.routed say what decided, with its age; briarheadctl story reads any number of logs, prints one request's lines with those of the servers and instances it met, and says what is missing.

--- a/packages/ctl/command.cpp
+++ b/packages/ctl/command.cpp
@@ -3,6 +3,7 @@
 #include "ctl/admin_client.h"
 #include "ctl/burn_page.h"
 #include "ctl/burn_report.h"
+#include "ctl/story.h"
 #include "ctl/table.h"
 #include "state/config.h"
 #include "state/key_hash.h"
@@ -330,6 +331,25 @@
     return exit_code::Ok;
 }
 
+exit_code story(const command &of)
+{
+    std::string log;
+    for (const std::string &path : of.given.at("FILE").asStringList()) {
+        if (path == "-") {
+            log += readAll(std::cin);
+            continue;
+        }
+        std::ifstream file(path);
+        if (!file) {
+            return fail(exit_code::Usage, path + ": can't be read. Name a file with a daemon's log.");
+        }
+        log += readAll(file) + '\n';
+    }
+    const request_story told = tellStory(log, of.text("ID"));
+    std::cout << storyText(told);
+    return told.lines.empty() ? exit_code::Refused : exit_code::Ok;
+}
+
 exit_code run(const command &of)
 {
     if (of.flag("patch")) {
@@ -369,6 +389,9 @@
     if (of.flag("hash-key")) {
         return static_cast<int>(hashKey());
     }
+    if (of.flag("story")) {
+        return static_cast<int>(story(of));
+    }
     of.asJson = of.flag("--json");
     of.access.url = of.text("--daemon", environment("BRIARHEAD_DAEMON", "http://127.0.0.1:8080"));
     of.access.operatorKey = environment("BRIARHEAD_OPERATOR_KEY", "");
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -211,6 +211,15 @@
             onDeadline(late);
         }
     });
+    m_log.ordinary("request.accepted")
+        .add("id", one->request.id)
+        .add("route", one->way->name)
+        .add("service", one->service)
+        .add("kind", nameOf(one->way->kind))
+        .add("config", one->config->version)
+        .add("adapter", adapterKey(one->request.model, one->request.adapter))
+        .add("left_ms", one->endBy - one->arrived)
+        .add("waited_ms", bootNow() - one->arrived);
     countRequest(m_budget, one->service, m_settings.repeats, one->arrived);
     start(one);
 }
@@ -341,6 +350,18 @@
     one->granted = false;
     one->asks = 0;
     one->askedAt = bootNow();
+    static constexpr const char *residences[] = {"absent", "coming", "resident"};
+    m_log.ordinary("request.routed")
+        .add("id", one->request.id)
+        .add("server", server.id)
+        .add("orderer", heard.orderer)
+        .add("of", static_cast<std::int64_t>(candidates.size()))
+        .add("cost_ms", *costOf(candidates[*chosen]))
+        .add("adapter", residences[static_cast<std::size_t>(candidates[*chosen].adapter)])
+        .add("backlog_ms", candidates[*chosen].backlogMs)
+        .add("open_places", static_cast<std::int64_t>(candidates[*chosen].openPlaces))
+        .add("failures", candidates[*chosen].failures)
+        .add("beat_age_ms", bootNow() - heard.at);
     heard.askedSince += one->request.promptTokens;
     ++one->placesTried;
     if (bootNow() - heard.at >= beatFresh) {
--- a/packages/serving/orderer_task.h
+++ b/packages/serving/orderer_task.h
@@ -57,7 +57,6 @@
         bool reporting = false;
         server_ledger ledger;
         place_queue queue;
-        std::string lastLogged;
     };
 
     void followView(const view_changed &change);
--- /dev/null
+++ b/tests/unit/story_test.cpp
@@ -0,0 +1,43 @@
+#include "ctl/story.h"
+
+#include <gtest/gtest.h>
+
+namespace briarhead {
+
+namespace {
+
+const std::string log = R"(noise
+{"t":900,"event":"server.draining","node":"n2","server":"s9"}
+{"t":1000,"event":"request.accepted","node":"n1","id":"r1","config":4}
+   1.0 n1 {"t":1003,"event":"request.sent","node":"n1","id":"r1","server":"s1"}
+{"t":990,"event":"server.draining","node":"n1","server":"s1"}
+{"t":1050,"event":"request.broken","node":"n1","id":"r1","server":"s1","why":"reset"}
+{"t":1051,"event":"request.ended","node":"n1","id":"r1","outcome":"failed"}
+{"t":1052,"event":"request.ended","node":"n1","id":"r2","outcome":"served"}
+)";
+
+}
+
+// A user complains about a request. On-call engineers have its id and the logs of some instances: the request's own lines
+// come in order of time, with what was known of the servers that it met.
+TEST(Story, TellsARequestWithWhatItMet)
+{
+    const request_story story = tellStory(log, "r1");
+    ASSERT_EQ(story.lines.size(), 5U);
+    EXPECT_EQ(story.lines[0].event, "server.draining");
+    EXPECT_NE(story.lines[0].rest.find("s1"), std::string::npos);
+    EXPECT_EQ(story.lines.back().event, "request.ended");
+    EXPECT_TRUE(story.missing.empty());
+    EXPECT_NE(storyText(story).find("60 ms  n1  request.broken"), std::string::npos);
+}
+
+TEST(Story, SaysWhatIsMissing)
+{
+    EXPECT_FALSE(tellStory(log, "r3").missing.empty());
+    const request_story cut = tellStory(R"({"t":1,"event":"request.accepted","node":"n1","id":"r1","lines_dropped":7})", "r1");
+    ASSERT_EQ(cut.missing.size(), 2U);
+    EXPECT_NE(cut.missing[0].find("request.ended"), std::string::npos);
+    EXPECT_NE(cut.missing[1].find("7 lines"), std::string::npos);
+}
+
+}
