--- a/packages/ctl/story.cpp
+++ b/packages/ctl/story.cpp
@@ -69,16 +69,19 @@
 void findMissing(request_story &story, std::int64_t dropped)
 {
     if (story.lines.empty()) {
-        story.missing.emplace_back("no line names this request: it reached none of these instances, or its lines "
-                                   "were dropped; look for lines_dropped and add the other instances' logs");
+        story.missing.emplace_back(
+            "no line names this request: it reached none of these instances, or its lines "
+            "were dropped; look for lines_dropped and add the other instances' logs");
         return;
     }
     if (!has(story, "request.accepted")) {
-        story.missing.emplace_back("no request.accepted: the line was dropped under load, or it is an older log");
+        story.missing.emplace_back(
+            "no request.accepted: the line was dropped under load, or it is an older log");
     }
     if (!has(story, "request.ended")) {
-        story.missing.emplace_back("no request.ended: the instance died or was frozen while it had the request, "
-                                   "or the line was dropped");
+        story.missing.emplace_back(
+            "no request.ended: the instance died or was frozen while it had the request, "
+            "or the line was dropped");
     }
     if (dropped > 0) {
         story.missing.emplace_back(
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -297,7 +297,9 @@
         if (heard != m_heard.end()) {
             const server_beat &beat = heard->second.beat;
             candidate.held = beat.held;
-            candidate.openPlaces = fresh ? beat.openPlaces : 0;
+            candidate.openPlaces = fresh && beat.openPlaces > heard->second.placesSince
+                ? beat.openPlaces - heard->second.placesSince
+                : 0;
             candidate.adapter = one.request.adapter.empty() ? residence::Resident : residence::Absent;
             for (const beat_adapter &each : beat.adapters) {
                 if (each.name == adapter) {
@@ -363,6 +365,7 @@
         .add("failures", candidates[*chosen].failures)
         .add("beat_age_ms", bootNow() - heard.at);
     heard.askedSince += one->request.promptTokens;
+    heard.placesSince += candidates[*chosen].adapter == residence::Absent ? 1 : 0;
     ++one->placesTried;
     if (bootNow() - heard.at >= beatFresh) {
         // Its orderer is gone and the next one not there yet: what is resident there can still serve.
@@ -850,7 +853,7 @@
             continue; // from a daemon that gave the orders before
         }
         const bool changed = heard.orderer != node || heard.beat.fence != each.fence;
-        heard = {each, node, now, 0};
+        heard = {each, node, now, 0, 0};
         if (changed) {
             announce(each.server, node);
         }
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -29,6 +29,7 @@
     std::string orderer; ///< node
     millis at;
     std::int64_t askedSince = 0; ///< prompt tokens asked for here since that beat
+    std::uint32_t placesSince = 0; ///< places for other adapters asked for here since that beat
 };
 
 struct front_counters
--- a/packages/serving/orderer_task.cpp
+++ b/packages/serving/orderer_task.cpp
@@ -557,7 +557,9 @@
             }
         }
         const bool mayOrder = !one.fenced && bootNow() >= one.mayOrderFrom && one.ledger.proved;
-        server.openPlaces = mayOrder ? static_cast<std::uint32_t>(openPlaces(one.ledger)) : 0;
+        // Less those that are spoken for; entries would else go on sending there what is refused.
+        const int open = openPlaces(one.ledger) - adaptersWaited(one, "", "");
+        server.openPlaces = mayOrder ? static_cast<std::uint32_t>(std::max(open, 0)) : 0;
         server.backlogTokens = backlogTokens(one.queue);
         server.tokensPerSecond = std::llround(one.queue.speed * msPerSecond);
         server.running = static_cast<std::uint32_t>(one.queue.running.size());
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -26,8 +26,8 @@
     error why;
     m_server = front_server::listen(
         m_loop, "127.0.0.1", 0,
-        [this](front_request request, const std::shared_ptr<front_reply> &reply) {
-            onRequest(std::move(request), reply);
+        [this](const front_request &request, const std::shared_ptr<front_reply> &reply) {
+            onRequest(request, reply);
         },
         why);
     if (!m_server) {
@@ -43,7 +43,7 @@
     return object.dump();
 }
 
-void backend_standin::onRequest(front_request request, const std::shared_ptr<front_reply> &reply)
+void backend_standin::onRequest(const front_request &request, const std::shared_ptr<front_reply> &reply)
 {
     const std::string expected = valueOf(request, "x-briarhead-expect-instance");
     if (!expected.empty() && expected != id) {
@@ -57,7 +57,7 @@
         }
         reply->respond(200, {}, json{{"seq", sequence}, {"busy", false}, {"models", models}}.dump());
     } else {
-        run(std::move(request), reply);
+        run(request, reply);
     }
 }
 
@@ -100,7 +100,7 @@
     }
 }
 
-void backend_standin::run(front_request request, const std::shared_ptr<front_reply> &reply)
+void backend_standin::run(const front_request &request, const std::shared_ptr<front_reply> &reply)
 {
     const std::string requestId = valueOf(request, "x-briarhead-request-id");
     const std::string model = valueOf(request, "x-briarhead-model");
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -47,9 +47,9 @@
     std::uint16_t port = 0;
 
 private:
-    void onRequest(front_request request, const std::shared_ptr<front_reply> &reply);
+    void onRequest(const front_request &request, const std::shared_ptr<front_reply> &reply);
     void onOrder(const front_request &request, front_reply &reply);
-    void run(front_request request, const std::shared_ptr<front_reply> &reply);
+    void run(const front_request &request, const std::shared_ptr<front_reply> &reply);
 
     loop &m_loop;
     std::string m_service;
--- a/tests/serving/decisions_test.cpp
+++ b/tests/serving/decisions_test.cpp
@@ -278,7 +278,7 @@
     const int events = *rc::gen::inRange(1, 6);
     for (int i = 1; i <= events; ++i) {
         const std::string end = *rc::gen::arbitrary<bool>() ? "\r\n" : "\n";
-        text += "id:" + std::to_string(i) + end + "data: z" + end + end;
+        text.append("id:").append(std::to_string(i)).append(end).append("data: z").append(end).append(end);
     }
     event_stream stream;
     std::string passed;
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -22,7 +22,7 @@
 }
 
 /// One daemon in this process, two model servers and two plain ones, and a store in memory.
-class Edge : public http_testing::http_fixture
+class edge_test : public http_testing::http_fixture
 {
 protected:
     fake_store m_store{m_loop};
@@ -130,7 +130,7 @@
 
 }
 
-TEST_F(Edge, APlainRequestIsServedWithTheServersSignature)
+TEST_F(edge_test, APlainRequestIsServedWithTheServersSignature)
 {
     start();
     const std::string answer = answerTo("/once/x");
@@ -139,7 +139,7 @@
     EXPECT_EQ(statusOf(answerTo("/nowhere/x")), "404");
 }
 
-TEST_F(Edge, ARequestWaitsForItsAdapterAndStreamsItsEvents)
+TEST_F(edge_test, ARequestWaitsForItsAdapterAndStreamsItsEvents)
 {
     start();
     const std::string answer = answerTo("/gen/x", "a7");
@@ -151,7 +151,7 @@
 
 // A server runs a request that may run once, and its answer is lost. A user would have their order placed
 // twice if it were sent again, or be told that it wasn't placed.
-TEST_F(Edge, WhatMayRunOnceIsNeverSentTwiceNorCalledNotRun)
+TEST_F(edge_test, WhatMayRunOnceIsNeverSentTwiceNorCalledNotRun)
 {
     start();
     setAll(m_plain, mood::Resets);
@@ -159,7 +159,7 @@
     EXPECT_EQ(ranOn(m_plain), 1U);
 }
 
-TEST_F(Edge, AnIdempotentRequestGoesToAnotherServerAfterAFailure)
+TEST_F(edge_test, AnIdempotentRequestGoesToAnotherServerAfterAFailure)
 {
     start();
     m_plain[0]->now = mood::Fails;
@@ -176,7 +176,7 @@
 }
 
 // One server runs a request and loses its answer, the others are gone. "Not run" would be a lie.
-TEST_F(Edge, AfterASendThatMayHaveRunNothingIsCalledNotRun)
+TEST_F(edge_test, AfterASendThatMayHaveRunNothingIsCalledNotRun)
 {
     start();
     m_plain[0]->now = mood::Resets;
@@ -191,7 +191,7 @@
 
 // A server says that it did not run a request. The user is told so at once, with when to come back, and not
 // kept waiting.
-TEST_F(Edge, WhatNoServerTookIsRefusedAtOnce)
+TEST_F(edge_test, WhatNoServerTookIsRefusedAtOnce)
 {
     start();
     setAll(m_plain, mood::Sheds);
@@ -204,7 +204,7 @@
 }
 
 // A server answers without its signature. A user would take bytes for an answer that no server vouches for.
-TEST_F(Edge, AnAnswerWithoutASignatureIsNoSuccess)
+TEST_F(edge_test, AnAnswerWithoutASignatureIsNoSuccess)
 {
     start();
     setAll(m_plain, mood::Unsigned);
@@ -215,7 +215,7 @@
 
 // A server breaks off a stream in the middle of an event. Where the stream may be resumed, the user's goes on
 // at another server right behind the last whole event; each event comes once.
-TEST_F(Edge, AResumableStreamGoesOnAtAnotherServer)
+TEST_F(edge_test, AResumableStreamGoesOnAtAnotherServer)
 {
     m_heldAtStart["m-1"] = {"a1"};
     start();
@@ -231,7 +231,7 @@
 }
 
 // The same where it may not be resumed: the user must see that the answer is not whole.
-TEST_F(Edge, AnotherStreamEndsVisiblyCutOff)
+TEST_F(edge_test, AnotherStreamEndsVisiblyCutOff)
 {
     m_heldAtStart["m-1"] = {"a1"};
     start();
@@ -243,7 +243,7 @@
 }
 
 // A user leaves; the server would go on for nobody and hold a slot that others wait for.
-TEST_F(Edge, WhenTheCallerLeavesItsServerStopsWorking)
+TEST_F(edge_test, WhenTheCallerLeavesItsServerStopsWorking)
 {
     start();
     setAll(m_plain, mood::Silent);
@@ -259,7 +259,7 @@
 
 // A server falls silent. The answer comes at the route's time limit, not later, and doesn't promise that
 // nothing ran.
-TEST_F(Edge, ASilentServerIsAnsweredForAtTheRoutesTimeout)
+TEST_F(edge_test, ASilentServerIsAnsweredForAtTheRoutesTimeout)
 {
     m_timeoutMs = 600;
     start();
@@ -271,7 +271,7 @@
 
 // A new version of an adapter is named. From then on a user's request carries it, so that a server which
 // still has the old one refuses instead of answering with it.
-TEST_F(Edge, ANamedVersionIsAskedForByName)
+TEST_F(edge_test, ANamedVersionIsAskedForByName)
 {
     start();
     m_store.put("op/version/m0.a1", R"({"model":"m0","adapter":"a1","version":5})");
@@ -286,7 +286,7 @@
 
 // Every place of every server is used by a stream that still runs. A user of another adapter is refused at
 // once with when to come back, and no adapter in use is thrown out for it.
-TEST_F(Edge, WithoutAPlaceForItsAdapterARequestIsRefusedAtOnce)
+TEST_F(edge_test, WithoutAPlaceForItsAdapterARequestIsRefusedAtOnce)
 {
     m_places = 1;
     start();
@@ -310,7 +310,7 @@
 
 // A server's address is taken over by another one. It refuses what names the server before, and nothing runs
 // there.
-TEST_F(Edge, AServerWithAReusedAddressRunsNothingOfAnothers)
+TEST_F(edge_test, AServerWithAReusedAddressRunsNothingOfAnothers)
 {
     start();
     for (const auto &server : m_plain) {
--- a/tests/serving/server_ledger_test.cpp
+++ b/tests/serving/server_ledger_test.cpp
@@ -34,6 +34,7 @@
     server_report report;
     report.sequence = sequence;
     report.models.push_back({base, 1, {}});
+    report.models.front().adapters.reserve(adapters.size());
     for (const std::string &name : adapters) {
         report.models.front().adapters.push_back({name, 1});
     }
@@ -43,6 +44,7 @@
 std::vector<adapter_want> want(const std::vector<std::string> &names)
 {
     std::vector<adapter_want> wants;
+    wants.reserve(names.size());
     for (const std::string &name : names) {
         wants.push_back({base, name});
     }
@@ -91,7 +93,7 @@
     {
         server_report out = reportWith(sequence, {held.begin(), held.end()});
         for (const std::string &name : coming) {
-            out.coming.push_back(base + '/' + name);
+            out.coming.push_back(adapterKey(base, name));
         }
         return out;
     }
--- a/tests/serving/store_task_test.cpp
+++ b/tests/serving/store_task_test.cpp
@@ -42,7 +42,7 @@
     }
 };
 
-class StoreTask : public testing::Test
+class store_task_test : public testing::Test
 {
 protected:
     /// Runs the loop until a condition holds; false if it never does.
@@ -75,7 +75,7 @@
 
 }
 
-TEST_F(StoreTask, ReadsWhatIsThereAndFollowsWhatChanges)
+TEST_F(store_task_test, ReadsWhatIsThereAndFollowsWhatChanges)
 {
     putConfig(3);
     putServer("i-1");
@@ -95,7 +95,7 @@
 
 // The store's history is dropped while a server leaves. A user would be sent to the server that is gone: the
 // event of its leaving never comes, so the reading that follows must show it.
-TEST_F(StoreTask, LosesNoLeavingServerInAHistoryThatIsGone)
+TEST_F(store_task_test, LosesNoLeavingServerInAHistoryThatIsGone)
 {
     putServer("i-1");
     putServer("i-2");
@@ -113,7 +113,7 @@
 
 // A version that is in force never goes back, also where a store that was restored tells of an older one: a
 // user would be answered by a route that an operator has moved.
-TEST_F(StoreTask, NeverGoesBackToAnOlderConfiguration)
+TEST_F(store_task_test, NeverGoesBackToAnOlderConfiguration)
 {
     putConfig(7);
     follower one(store, "n1", "z");
@@ -131,7 +131,7 @@
 // The store was away, and the servers' entries lapsed meanwhile. A user would be refused by everything at
 // once for two seconds after its return; the servers write their entries again, so they stay in use until
 // then.
-TEST_F(StoreTask, KeepsServersWhoseEntriesLapsedDuringAnOutage)
+TEST_F(store_task_test, KeepsServersWhoseEntriesLapsedDuringAnOutage)
 {
     putServer("i-1");
     putServer("i-2");
@@ -165,7 +165,7 @@
 
 // Two daemons claim the same server. A user would see a server that is filled twice: the store takes one
 // claim.
-TEST_F(StoreTask, OnlyOneDaemonGetsAServersOrders)
+TEST_F(store_task_test, OnlyOneDaemonGetsAServersOrders)
 {
     follower one(store, "n1", "z");
     follower two(store, "n2", "z");
@@ -185,7 +185,7 @@
 
 // A claim is carried out and its answer lost. A user would see a server without anybody who loads adapters
 // there: each daemon thinks that another one has it.
-TEST_F(StoreTask, AClaimWithoutAnAnswerIsFoundByTheWatch)
+TEST_F(store_task_test, AClaimWithoutAnAnswerIsFoundByTheWatch)
 {
     follower one(store, "n1", "z");
     ASSERT_TRUE(until([&] {
@@ -199,7 +199,7 @@
     }));
 }
 
-TEST_F(StoreTask, ADeadDaemonsRecordsGoWithItsLease)
+TEST_F(store_task_test, ADeadDaemonsRecordsGoWithItsLease)
 {
     follower one(store, "n1", "z");
     ASSERT_TRUE(until([&] {
@@ -254,7 +254,7 @@
 
 // Each call to the store is paid for. With every daemon following it, the calls grew with the fleet and took
 // a third of what it earned; two a failure domain follow it and tell the rest.
-TEST_F(StoreTask, TwoDaemonsAFailureDomainFollowTheStoreForAll)
+TEST_F(store_task_test, TwoDaemonsAFailureDomainFollowTheStoreForAll)
 {
     putConfig(1);
     news_fleet fleet;
@@ -287,7 +287,7 @@
 // A reader goes on speaking, but what it has can't be fetched: the connection to it went silent. A user of
 // the listening daemon would be served by an old configuration for seconds, since the reader's signs kept
 // that daemon from following the store itself.
-TEST_F(StoreTask, NewsThatCantBeFetchedDontCountAsHeard)
+TEST_F(store_task_test, NewsThatCantBeFetchedDontCountAsHeard)
 {
     putConfig(1);
     news_fleet fleet;
@@ -315,7 +315,7 @@
 // Configurations come in quick succession, each some tens of kilobytes. Sent on one by one they fill a
 // reader's link of 10 Mbit/s, and a user of the daemons behind it is answered by a route that is seconds old:
 // only the last one is passed on.
-TEST_F(StoreTask, OfConfigurationsInQuickSuccessionOnlyTheLastIsPassedOn)
+TEST_F(store_task_test, OfConfigurationsInQuickSuccessionOnlyTheLastIsPassedOn)
 {
     putConfig(1);
     follower one(store, "n1", "z");
@@ -335,7 +335,7 @@
 }
 
 // All news of a failure domain are lost. Its daemons follow the store themselves.
-TEST_F(StoreTask, WithoutNewsADaemonFollowsTheStoreItself)
+TEST_F(store_task_test, WithoutNewsADaemonFollowsTheStoreItself)
 {
     putConfig(1);
     news_fleet fleet;
--- a/tests/serving/wire_test.cpp
+++ b/tests/serving/wire_test.cpp
@@ -14,7 +14,7 @@
 
 using http_testing::raw_socket;
 
-class Wire : public http_testing::http_fixture
+class wire_test : public http_testing::http_fixture
 {
 protected:
     std::unique_ptr<front_server> m_front;
@@ -53,7 +53,7 @@
 
 }
 
-TEST_F(Wire, ARequestIsTakenAsItWasSent)
+TEST_F(wire_test, ARequestIsTakenAsItWasSent)
 {
     serve();
     const auto caller = raw_socket::connectTo(m_front->port());
@@ -74,7 +74,7 @@
 
 // A caller hides a second request in the body of its first, by lengths that two readers understand
 // differently. A user would be answered with what someone else asked for.
-TEST_F(Wire, SmuggledLengthsAreRefusedAndNothingIsPassedOn)
+TEST_F(wire_test, SmuggledLengthsAreRefusedAndNothingIsPassedOn)
 {
     serve();
     const std::string hidden = "0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -83,14 +83,16 @@
              "Content-Length: 5\r\nContent-Length: 60\r\n", "Transfer-Encoding: xchunked\r\n",
              "Transfer-Encoding: identity\r\n", "Content-Length: -1\r\n", "Content-Length: 5, 6\r\n",
              "Host: other\r\nContent-Length: 0\r\n"}) {
-        const std::string seen = exchange(head + fields + "\r\n" + hidden, "HTTP/1.1 400");
+        std::string bytes = head;
+        bytes.append(fields).append("\r\n").append(hidden);
+        const std::string seen = exchange(bytes, "HTTP/1.1 400");
         EXPECT_EQ(seen.substr(0, 12), "HTTP/1.1 400") << fields;
         EXPECT_NE(seen.find("Connection: close"), std::string::npos) << fields;
     }
     EXPECT_TRUE(m_taken.empty());
 }
 
-TEST_F(Wire, LimitsOnHeadAndBodyAnswerWithTheirStatus)
+TEST_F(wire_test, LimitsOnHeadAndBodyAnswerWithTheirStatus)
 {
     front_limits limits;
     limits.headBytes = 2'000;
@@ -104,7 +106,7 @@
 }
 
 // A caller sends its head a byte at a time and holds a connection for ever.
-TEST_F(Wire, ASlowHeadIsEnded)
+TEST_F(wire_test, ASlowHeadIsEnded)
 {
     front_limits limits;
     limits.headTime = {150};
@@ -112,7 +114,7 @@
     EXPECT_EQ(exchange("POST / HTTP/1.1\r\nHo", "408").substr(0, 12), "HTTP/1.1 408");
 }
 
-TEST_F(Wire, RequestsOnOneConnectionAreAnsweredInTurn)
+TEST_F(wire_test, RequestsOnOneConnectionAreAnsweredInTurn)
 {
     serve();
     const auto caller = raw_socket::connectTo(m_front->port());
@@ -130,7 +132,7 @@
 }
 
 // A caller leaves while its request is worked on. The server behind would go on for nobody.
-TEST_F(Wire, ACallerThatLeavesIsNoticedWhileItsRequestIsWorkedOn)
+TEST_F(wire_test, ACallerThatLeavesIsNoticedWhileItsRequestIsWorkedOn)
 {
     serve();
     auto caller = raw_socket::connectTo(m_front->port());
@@ -148,7 +150,7 @@
     }));
 }
 
-TEST_F(Wire, AStreamThatIsBrokenOffLooksBrokenOff)
+TEST_F(wire_test, AStreamThatIsBrokenOffLooksBrokenOff)
 {
     serve();
     const auto caller = raw_socket::connectTo(m_front->port());
@@ -167,7 +169,7 @@
     EXPECT_EQ(seen.find("0\r\n\r\n"), std::string::npos);
 }
 
-TEST_F(Wire, AfterItsLastAnswerAnEndingServerClosesAndTakesNoMore)
+TEST_F(wire_test, AfterItsLastAnswerAnEndingServerClosesAndTakesNoMore)
 {
     serve();
     const auto caller = raw_socket::connectTo(m_front->port());
@@ -188,7 +190,7 @@
 namespace {
 
 /// A backend server that answers each connection's requests with the bytes a test chose, and counts them.
-class Pool : public http_testing::http_fixture
+class pool_test : public http_testing::http_fixture
 {
 protected:
     struct accepted
@@ -276,7 +278,7 @@
 
 }
 
-TEST_F(Pool, AConnectionIsKeptAfterAWholeAnswer)
+TEST_F(pool_test, AConnectionIsKeptAfterAWholeAnswer)
 {
     const auto first = send("a");
     ASSERT_TRUE(arrived(0, "a"));
@@ -294,7 +296,7 @@
 
 // A server sends a second answer behind the first. The next user on that connection would get the first one's
 // answer.
-TEST_F(Pool, BytesBehindAnAnswerEndTheConnection)
+TEST_F(pool_test, BytesBehindAnAnswerEndTheConnection)
 {
     const auto first = send("a");
     ASSERT_TRUE(arrived(0, "a"));
@@ -306,7 +308,7 @@
 }
 
 // The same, but the second answer comes late: just where the next one is expected. Its id tells.
-TEST_F(Pool, ALateAnswerToAnotherRequestIsDroppedAndTheOwnOneTaken)
+TEST_F(pool_test, ALateAnswerToAnotherRequestIsDroppedAndTheOwnOneTaken)
 {
     const auto first = send("a");
     ASSERT_TRUE(arrived(0, "a"));
@@ -322,7 +324,7 @@
     EXPECT_TRUE(arrived(1, "c")) << "a connection that was out of step once isn't used again";
 }
 
-TEST_F(Pool, StrayBytesOnAnIdleConnectionEndIt)
+TEST_F(pool_test, StrayBytesOnAnIdleConnectionEndIt)
 {
     const auto first = send("a");
     ASSERT_TRUE(arrived(0, "a"));
@@ -336,7 +338,7 @@
 
 // An answer without a length ends with its connection. One that is reset on the way is not whole, though its
 // bytes so far look like it.
-TEST_F(Pool, AnAnswerWithoutALengthIsWholeOnlyAtAnOrderlyEnd)
+TEST_F(pool_test, AnAnswerWithoutALengthIsWholeOnlyAtAnOrderlyEnd)
 {
     const std::string open = "HTTP/1.1 200 OK\r\nX-Id: a\r\nConnection: close\r\n\r\nsome";
     const auto orderly = send("a");
@@ -354,7 +356,7 @@
     EXPECT_EQ(cut->how, send_end::Broken);
 }
 
-TEST_F(Pool, AnAnswerThatEndsEarlyIsBroken)
+TEST_F(pool_test, AnAnswerThatEndsEarlyIsBroken)
 {
     for (const std::string bytes : {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc", "HTTP/1.1 200 O",
@@ -371,7 +373,7 @@
 
 // A kept connection is dead when it is used. What may run only once must not be sent a second time behind
 // anyone's back.
-TEST_F(Pool, NothingIsSentTwice)
+TEST_F(pool_test, NothingIsSentTwice)
 {
     const auto first = send("a");
     ASSERT_TRUE(arrived(0, "a"));
@@ -387,7 +389,7 @@
     EXPECT_EQ(m_connections.size(), 1U);
 }
 
-TEST_F(Pool, AServerThatIsNotThereGotNothing)
+TEST_F(pool_test, AServerThatIsNotThereGotNothing)
 {
     m_listener->hangUp();
     const auto seen = send("a");
@@ -395,7 +397,7 @@
     EXPECT_EQ(seen->how, send_end::Unsent);
 }
 
-TEST_F(Pool, ACancelledSendClosesItsConnection)
+TEST_F(pool_test, ACancelledSendClosesItsConnection)
 {
     send_handlers calls;
     calls.onHead = [](const http_head &) {
--- a/tests/unit/story_test.cpp
+++ b/tests/unit/story_test.cpp
@@ -18,8 +18,8 @@
 
 }
 
-// A user complains about a request. On-call engineers have its id and the logs of some instances: the request's own lines
-// come in order of time, with what was known of the servers that it met.
+// A user complains about a request. On-call engineers have its id and the logs of some instances: the
+// request's own lines come in order of time, with what was known of the servers that it met.
 TEST(Story, TellsARequestWithWhatItMet)
 {
     const request_story story = tellStory(log, "r1");
@@ -34,7 +34,8 @@
 TEST(Story, SaysWhatIsMissing)
 {
     EXPECT_FALSE(tellStory(log, "r3").missing.empty());
-    const request_story cut = tellStory(R"({"t":1,"event":"request.accepted","node":"n1","id":"r1","lines_dropped":7})", "r1");
+    const request_story cut =
+        tellStory(R"({"t":1,"event":"request.accepted","node":"n1","id":"r1","lines_dropped":7})", "r1");
     ASSERT_EQ(cut.missing.size(), 2U);
     EXPECT_NE(cut.missing[0].find("request.ended"), std::string::npos);
     EXPECT_NE(cut.missing[1].find("7 lines"), std::string::npos);
