--- a/model/check.sh
+++ b/model/check.sh
@@ -65,6 +65,10 @@
 no-resolve                   | config.pml | breaks told | -DNO_GUARD_RESOLVE
 no-window                    | config.pml | breaks patchOf | -DNO_GUARD_WINDOW
 no-monotone                  | config.pml | breaks heard | -DPROPAGATION=1 -DNO_GUARD_MONOTONE
+places                       | places.pml | holds |
+no-sequence                  | places.pml | breaks heldCount | -DNO_GUARD_SEQUENCE
+no-report-first              | places.pml | breaks heldCount | -DNO_GUARD_SEQUENCE -DNO_GUARD_REPORT_FIRST
+no-unique-fence              | places.pml | breaks lastHolder | -DNO_GUARD_UNIQUE_FENCE
 TABLE
 }
 
