Test the real program against a store and servers: shutdown, kill, and causes found in its log

A first form of the fixture ran the loop inside itself and hung; its tests now wait outside the loop.

--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -89,6 +89,15 @@
     }
 }
 
+void backend_standin::answerHeld(const std::string &body)
+{
+    for (const auto &[requestId, reply] : m_held) {
+        reply->respond(
+            200, {{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id}}, body);
+    }
+    m_held.clear();
+}
+
 void backend_standin::answerStream(
     const std::shared_ptr<front_reply> &reply, const std::string &requestId, int from, int to)
 {
@@ -133,7 +142,7 @@
         reply->onGone([this] {
             ++left;
         });
-        m_held.push_back(reply);
+        m_held.emplace_back(requestId, reply);
         return;
     case mood::CutsStream:
         answerStream(reply, requestId, first, first + 1);
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -25,6 +25,9 @@
     void answerStream(
         const std::shared_ptr<front_reply> &reply, const std::string &requestId, int from, int to);
 
+    /// Answers the requests that were held while Silent.
+    void answerHeld(const std::string &body);
+
     enum class mood : std::uint8_t
     {
         Serves,
@@ -54,7 +57,7 @@
     loop &m_loop;
     std::string m_service;
     std::unique_ptr<front_server> m_server;
-    std::vector<std::shared_ptr<front_reply>> m_held;
+    std::vector<std::pair<std::string, std::shared_ptr<front_reply>>> m_held; ///< by request id
 };
 
 }
--- /dev/null
+++ b/tests/serving/edge_process_test.cpp
@@ -0,0 +1,246 @@
+#include "ctl/story.h"
+#include "protocol/codec.h"
+#include "serving/backend_standin.h"
+#include "serving/store_standin.h"
+#include "unit/http_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+
+namespace briarhead {
+
+namespace {
+
+using http_testing::raw_socket;
+using mood = backend_standin::mood;
+
+std::uint16_t freePort()
+{
+    std::uint16_t port = 0;
+    raw_socket::listening(port);
+    return port;
+}
+
+/// The real program as a process of its own, with the store and the servers in this one.
+class edge_process_test : public http_testing::http_fixture
+{
+protected:
+    fake_store m_store{m_loop};
+    store_standin m_storeServer{m_store};
+    backend_standin m_model{m_loop, "m-1", "llm"};
+    backend_standin m_plain{m_loop, "p-1", "app"};
+    std::filesystem::path m_folder;
+    std::uint16_t m_front = 0;
+    std::uint16_t m_ready = 0;
+    pid_t m_pid = 0;
+    int m_lastId = 0;
+    bool m_isReady = false;
+
+    void SetUp() override
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "briarhead-edge-XXXXXX").string();
+        ASSERT_NE(mkdtemp(name.data()), nullptr);
+        m_folder = name;
+        m_front = freePort();
+        m_ready = freePort();
+        const std::uint16_t peers = freePort();
+        std::ofstream settings(m_folder / "node.conf");
+        settings << "node=n1\nzone=z\nip=127.0.0.1\nlisten.front=127.0.0.1:" << m_front
+                 << "\nlisten.ready=127.0.0.1:" << m_ready << "\ninternalPorts=" << peers << ',' << peers + 1
+                 << "\nplatform.address=127.0.0.1:" << m_storeServer.port()
+                 << "\nbounds.graceS=8\nmetricsPort=" << freePort() << '\n';
+        settings.close();
+        m_store.put("servers/m-1", m_model.entry());
+        m_store.put("servers/p-1", m_plain.entry());
+        m_store.put("op/config",
+            R"({"version":1,"routes":[
+              {"name":"g","host":"h","prefix":"/gen/","routeType":"streaming","timeoutMs":8000,"targetLatencyMs":1000,
+               "maxAttempts":1,"service":"llm"},
+              {"name":"p","host":"h","prefix":"/once/","routeType":"non_idempotent","timeoutMs":4000,"maxAttempts":1,
+               "service":"app"}],
+              "services":[{"name":"llm","engine":{"slots":4,"kvTokens":10000,"weightsMb":1000,"adapterSlots":2,
+               "loadsPerS":5,"models":[{"name":"m0","weightsMb":900,"loadS":0.1,"adapterMb":1}]}},{"name":"app"}]})");
+    }
+    void TearDown() override
+    {
+        if (m_pid != 0) {
+            kill(m_pid, SIGKILL);
+            waitpid(m_pid, nullptr, 0);
+        }
+        std::filesystem::remove_all(m_folder);
+    }
+    void startProcess()
+    {
+        const std::string settings = "--settings=" + (m_folder / "node.conf").string();
+        const std::string log = (m_folder / "log").string();
+        posix_spawn_file_actions_t files{};
+        posix_spawn_file_actions_init(&files);
+        posix_spawn_file_actions_addopen(
+            &files, STDOUT_FILENO, log.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0600);
+        std::string program = BRIARHEAD_EDGE;
+        std::string argument = settings;
+        char *arguments[] = {program.data(), argument.data(), nullptr};
+        ASSERT_EQ(posix_spawn(&m_pid, program.c_str(), &files, nullptr, arguments, environ), 0);
+        posix_spawn_file_actions_destroy(&files);
+        const millis end = bootNow() + http_testing::patience;
+        while (!m_isReady && bootNow() < end) {
+            m_isReady = ready();
+            runRounds(20);
+        }
+        ASSERT_TRUE(m_isReady) << log_text();
+    }
+    /// Whether the process says that it takes callers; never waits.
+    bool ready()
+    {
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        raw_socket probe(fd);
+        const sockaddr_in address = http_testing::loopbackAddress(m_ready);
+        (void)connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        std::string seen;
+        for (int i = 0; i < 50 && seen.find("\r\n\r\n") == std::string::npos; ++i) {
+            runRounds(1);
+            if (i == 1) {
+                const std::string ask = "GET /v1/ready HTTP/1.1\r\nHost: h\r\n\r\n";
+                (void)::send(fd, ask.data(), ask.size(), MSG_NOSIGNAL);
+            }
+            probe.receive(seen);
+        }
+        return seen.starts_with("HTTP/1.1 200");
+    }
+    std::unique_ptr<raw_socket> ask(const std::string &path, bool model)
+    {
+        auto caller = raw_socket::connectTo(m_front);
+        std::string text = "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: id"
+            + std::to_string(++m_lastId) + "\r\nX-Briarhead-Deadline-Ms: 7000\r\n";
+        text += model ? "X-Briarhead-Model: m0/a1\r\nX-Briarhead-Token-Count: 500,50\r\n" : "";
+        caller->send(text + "Connection: close\r\nContent-Length: 2\r\n\r\nhi");
+        return caller;
+    }
+    std::string wholeAnswer(raw_socket &caller)
+    {
+        std::string seen;
+        EXPECT_TRUE(runUntil([&] {
+            return !caller.receive(seen);
+        })) << log_text();
+        return seen;
+    }
+    orderer_record orderer() const
+    {
+        error why;
+        const auto found = m_store.items.find("briarhead/orderer/m-1");
+        return found == m_store.items.end()
+            ? orderer_record{}
+            : decodeOrderer(found->second.value, why).value_or(orderer_record{});
+    }
+    std::string log_text() const
+    {
+        std::ifstream file(m_folder / "log");
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+    int exitStatus()
+    {
+        int status = -1;
+        EXPECT_TRUE(runUntil([&] {
+            return waitpid(m_pid, &status, WNOHANG) == m_pid;
+        }));
+        m_pid = 0;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+};
+
+}
+
+// An instance is replaced while it serves. Its user's stream runs to its end, its server's orders go to whoever comes next,
+// and it leaves in order.
+TEST_F(edge_process_test, ATerminatedProcessEndsItsStreamsAndGivesItsServersUp)
+{
+    startProcess();
+    ASSERT_EQ(orderer().node, "n1");
+    m_plain.now = mood::Silent;
+    const auto caller = ask("/once/x", false);
+    ASSERT_TRUE(runUntil([&] {
+        return m_plain.ran.size() == 1;
+    }));
+    kill(m_pid, SIGTERM);
+    EXPECT_TRUE(runUntil([&] {
+        return m_store.items.count("briarhead/daemon/n1") == 0;
+    })) << log_text();
+    EXPECT_EQ(orderer().node, "") << "given up, for the next one to take";
+    EXPECT_FALSE(ready());
+    m_plain.answerHeld("late but whole");
+    const std::string answer = wholeAnswer(*caller);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+    EXPECT_TRUE(answer.ends_with("late but whole"));
+    EXPECT_EQ(exitStatus(), 0) << log_text();
+}
+
+// All processes are killed at once; the store still has the records of before. The restarted one takes its former server at
+// once, under a higher token, and a user is served.
+TEST_F(edge_process_test, AKilledProcessTakesItsFormerServersUnderAHigherToken)
+{
+    startProcess();
+    const auto first = ask("/gen/x", true);
+    EXPECT_NE(wholeAnswer(*first).find("id: 4"), std::string::npos);
+    const std::uint64_t before = m_model.fence;
+    kill(m_pid, SIGKILL);
+    waitpid(m_pid, nullptr, 0);
+    m_model.adapters.clear();
+    m_isReady = false;
+    startProcess();
+    const auto second = ask("/gen/x", true);
+    EXPECT_NE(wholeAnswer(*second).find("id: 4"), std::string::npos) << log_text();
+    EXPECT_GT(m_model.fence, before);
+}
+
+// A user complains about a stream that broke off. From its id and the log alone: the server that died, and why it was not
+// tried elsewhere.
+TEST_F(edge_process_test, TheLogTellsWhyAStreamBrokeOff)
+{
+    startProcess();
+    m_model.now = mood::CutsStream;
+    const auto caller = ask("/gen/x", true);
+    EXPECT_EQ(wholeAnswer(*caller).find("0\r\n\r\n"), std::string::npos);
+    const std::string story = storyText(tellStory(log_text(), "id1"));
+    for (const char *part : {"request.accepted", "request.routed", "request.sent", "request.broken", "\"server\":\"m-1\"",
+             "\"last_event\":\"2\"", "request.ended", "cut_off"}) {
+        EXPECT_NE(story.find(part), std::string::npos) << part << '\n' << story;
+    }
+    EXPECT_EQ(story.find("missing:"), std::string::npos) << story;
+}
+
+// A user is refused while a server is full. The log has the server's word and when the user was told to come back.
+TEST_F(edge_process_test, TheLogTellsWhyARequestWasRefused)
+{
+    startProcess();
+    m_plain.now = mood::Sheds;
+    EXPECT_TRUE(wholeAnswer(*ask("/once/x", false)).starts_with("HTTP/1.1 503"));
+    const std::string story = storyText(tellStory(log_text(), "id1"));
+    EXPECT_NE(story.find("the server did not take it"), std::string::npos) << story;
+    EXPECT_NE(story.find("come_back_ms"), std::string::npos) << story;
+}
+
+// A user of an adapter gets the version before: an operator has named a new one, and the server still holds the old. The log
+// has when the version was heard of, and that it was asked for.
+TEST_F(edge_process_test, TheLogTellsWhichVersionWasAskedFor)
+{
+    startProcess();
+    m_store.put("op/version/m0.a1", R"({"model":"m0","adapter":"a1","version":5})");
+    ASSERT_TRUE(runUntil([&] {
+        return log_text().find("version.named") != std::string::npos;
+    }));
+    wholeAnswer(*ask("/gen/x", true));
+    const std::string story = storyText(tellStory(log_text(), "id1"));
+    EXPECT_NE(story.find("version.named"), std::string::npos) << story;
+    EXPECT_NE(story.find("\"adapter_version\":5"), std::string::npos) << story;
+}
+
+}
