--- a/tests/serving/edge_process_test.cpp
+++ b/tests/serving/edge_process_test.cpp
@@ -94,7 +94,7 @@
             m_isReady = ready();
             runRounds(20);
         }
-        ASSERT_TRUE(m_isReady) << log_text();
+        ASSERT_TRUE(m_isReady) << logText();
     }
     /// Whether the process says that it takes callers; never waits.
     bool ready()
@@ -128,7 +128,7 @@
         std::string seen;
         EXPECT_TRUE(runUntil([&] {
             return !caller.receive(seen);
-        })) << log_text();
+        })) << logText();
         return seen;
     }
     orderer_record orderer() const
@@ -139,7 +139,7 @@
             ? orderer_record{}
             : decodeOrderer(found->second.value, why).value_or(orderer_record{});
     }
-    std::string log_text() const
+    std::string logText() const
     {
         std::ifstream file(m_folder / "log");
         std::ostringstream text;
@@ -159,8 +159,8 @@
 
 }
 
-// An instance is replaced while it serves. Its user's stream runs to its end, its server's orders go to whoever comes next,
-// and it leaves in order.
+// An instance is replaced while it serves. Its user's stream runs to its end, its server's orders go to
+// whoever comes next, and it leaves in order.
 TEST_F(edge_process_test, ATerminatedProcessEndsItsStreamsAndGivesItsServersUp)
 {
     startProcess();
@@ -173,18 +173,18 @@
     kill(m_pid, SIGTERM);
     EXPECT_TRUE(runUntil([&] {
         return m_store.items.count("briarhead/daemon/n1") == 0;
-    })) << log_text();
+    })) << logText();
     EXPECT_EQ(orderer().node, "") << "given up, for the next one to take";
     EXPECT_FALSE(ready());
     m_plain.answerHeld("late but whole");
     const std::string answer = wholeAnswer(*caller);
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
     EXPECT_TRUE(answer.ends_with("late but whole"));
-    EXPECT_EQ(exitStatus(), 0) << log_text();
+    EXPECT_EQ(exitStatus(), 0) << logText();
 }
 
-// All processes are killed at once; the store still has the records of before. The restarted one takes its former server at
-// once, under a higher token, and a user is served.
+// All processes are killed at once; the store still has the records of before. The restarted one takes its
+// former server at once, under a higher token, and a user is served.
 TEST_F(edge_process_test, AKilledProcessTakesItsFormerServersUnderAHigherToken)
 {
     startProcess();
@@ -197,48 +197,49 @@
     m_isReady = false;
     startProcess();
     const auto second = ask("/gen/x", true);
-    EXPECT_NE(wholeAnswer(*second).find("id: 4"), std::string::npos) << log_text();
+    EXPECT_NE(wholeAnswer(*second).find("id: 4"), std::string::npos) << logText();
     EXPECT_GT(m_model.fence, before);
 }
 
-// A user complains about a stream that broke off. From its id and the log alone: the server that died, and why it was not
-// tried elsewhere.
+// A user complains about a stream that broke off. From its id and the log alone: the server that died, and
+// why it was not tried elsewhere.
 TEST_F(edge_process_test, TheLogTellsWhyAStreamBrokeOff)
 {
     startProcess();
     m_model.now = mood::CutsStream;
     const auto caller = ask("/gen/x", true);
     EXPECT_EQ(wholeAnswer(*caller).find("0\r\n\r\n"), std::string::npos);
-    const std::string story = storyText(tellStory(log_text(), "id1"));
-    for (const char *part : {"request.accepted", "request.routed", "request.sent", "request.broken", "\"server\":\"m-1\"",
-             "\"last_event\":\"2\"", "request.ended", "cut_off"}) {
+    const std::string story = storyText(tellStory(logText(), "id1"));
+    for (const char *part : {"request.accepted", "request.routed", "request.sent", "request.broken",
+             "\"server\":\"m-1\"", "\"last_event\":\"2\"", "request.ended", "cut_off"}) {
         EXPECT_NE(story.find(part), std::string::npos) << part << '\n' << story;
     }
     EXPECT_EQ(story.find("missing:"), std::string::npos) << story;
 }
 
-// A user is refused while a server is full. The log has the server's word and when the user was told to come back.
+// A user is refused while a server is full. The log has the server's word and when the user was told to come
+// back.
 TEST_F(edge_process_test, TheLogTellsWhyARequestWasRefused)
 {
     startProcess();
     m_plain.now = mood::Sheds;
     EXPECT_TRUE(wholeAnswer(*ask("/once/x", false)).starts_with("HTTP/1.1 503"));
-    const std::string story = storyText(tellStory(log_text(), "id1"));
+    const std::string story = storyText(tellStory(logText(), "id1"));
     EXPECT_NE(story.find("the server did not take it"), std::string::npos) << story;
     EXPECT_NE(story.find("come_back_ms"), std::string::npos) << story;
 }
 
-// A user of an adapter gets the version before: an operator has named a new one, and the server still holds the old. The log
-// has when the version was heard of, and that it was asked for.
+// A user of an adapter gets the version before: an operator has named a new one, and the server still holds
+// the old. The log has when the version was heard of, and that it was asked for.
 TEST_F(edge_process_test, TheLogTellsWhichVersionWasAskedFor)
 {
     startProcess();
     m_store.put("op/version/m0.a1", R"({"model":"m0","adapter":"a1","version":5})");
     ASSERT_TRUE(runUntil([&] {
-        return log_text().find("version.named") != std::string::npos;
+        return logText().find("version.named") != std::string::npos;
     }));
     wholeAnswer(*ask("/gen/x", true));
-    const std::string story = storyText(tellStory(log_text(), "id1"));
+    const std::string story = storyText(tellStory(logText(), "id1"));
     EXPECT_NE(story.find("version.named"), std::string::npos) << story;
     EXPECT_NE(story.find("\"adapter_version\":5"), std::string::npos) << story;
 }
