--- a/tests/serving/wire_test.cpp
+++ b/tests/serving/wire_test.cpp
@@ -389,6 +389,47 @@
     EXPECT_EQ(m_connections.size(), 1U);
 }
 
+// A server rejects a long request before it is in, and goes on reading on that connection. The next user's
+// request would be taken for the rest of the body.
+TEST_F(pool_test, AnAnswerBeforeTheBodyIsInEndsTheConnection)
+{
+    auto seen = std::make_shared<outcome_seen>();
+    send_handlers calls;
+    calls.onHead = [seen](const http_head &answer) {
+        seen->status = answer.status;
+        return true;
+    };
+    calls.onBody = [](const std::string &) {};
+    calls.onEnd = [seen](send_end how, const error &) {
+        seen->done = true;
+        seen->how = how;
+    };
+    constexpr std::size_t bodyBytes = 64 * 1024 * 1024; // more than the sockets' buffers take
+    m_pool.start({http_testing::loopback, m_port},
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
+            + std::string(bodyBytes, 'x'),
+        false, std::move(calls));
+    ASSERT_TRUE(runUntil([&] {
+        const int fd = accept4(m_listener->fd(), nullptr, nullptr, SOCK_NONBLOCK);
+        if (fd >= 0) {
+            m_connections.push_back(std::make_unique<accepted>());
+            m_connections.back()->socket = std::make_unique<raw_socket>(fd);
+        }
+        return !m_connections.empty();
+    }));
+    answer(0, whole("a", "too long"));
+    ASSERT_TRUE(runUntil([&] {
+        return seen->done;
+    }));
+    EXPECT_EQ(seen->how, send_end::Whole);
+    EXPECT_EQ(seen->status, 200);
+    const auto next = send("b");
+    ASSERT_TRUE(arrived(1, "b"));
+    answer(1, whole("b", "two"));
+    ASSERT_TRUE(ends(*next));
+    EXPECT_EQ(next->body, "two");
+}
+
 TEST_F(pool_test, AServerThatIsNotThereGotNothing)
 {
     m_listener->hangUp();
