--- a/packages/ctl/command.cpp
+++ b/packages/ctl/command.cpp
@@ -334,7 +334,7 @@
 exit_code story(const command &of)
 {
     std::string log;
-    for (const std::string &path : of.given.at("FILE").asStringList()) {
+    for (const std::string &path : of.given.at("LOG").asStringList()) {
         if (path == "-") {
             log += readAll(std::cin);
             continue;
--- a/packages/ctl/command.h
+++ b/packages/ctl/command.h
@@ -30,7 +30,7 @@
   briarheadctl drain (server|instance) NAME [--undo] [options]
   briarheadctl burn [--html=FILE] [options]
   briarheadctl hash-key
-  briarheadctl story ID FILE...
+  briarheadctl story ID LOG...
   briarheadctl (-h | --help)
   briarheadctl --version
 
@@ -45,7 +45,7 @@
   burn       The report on service-level burn, as a table, as JSON or as a page for a browser.
   hash-key   Read a key from standard input and print the hash that configuration and settings hold.
 
-  story      What the logs in FILE... ('-' for standard input) tell of the request with that id.
+  story      What the logs in LOG... ('-' for standard input) tell of the request with that id.
 
 Options:
   --daemon=URL          Any daemon's address; else $BRIARHEAD_DAEMON, else http://127.0.0.1:8080.
