Say things once: one short call to a server, one way to an orderer, and no dead parts

Three callers collected an answer under a time limit each in their own way; an entry's word reached an orderer, here or elsewhere, by three copies; a field and a call of the store's interface were used by nobody; the names of order answers stood inside a function; two tests took free ports by the same lines. Ruled out: the two programs' mains, which share a prologue of fifteen lines with other texts and exit codes. Change: callServer for reports, orders and news (news get a limit of 2 s; their asker tries another way after 0.5 s already); front_task::tell and orderer_task::take; nameOf(order_answer); freePort in the fixture; endLease and arrivedAtServer are gone. Behaviour is meant to be as before.

--- a/packages/serving/backend_server.h
+++ b/packages/serving/backend_server.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace briarhead {
@@ -72,6 +73,8 @@
     Unknown, ///< may have been taken, or may be taken later
 };
 
+std::string_view nameOf(order_answer value);
+
 /// "MODEL/ADAPTER", or the model alone.
 inline std::string adapterKey(const std::string &model, const std::string &adapter)
 {
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -5,6 +5,7 @@
 #include "serving/front_task.h"
 #include "serving/orderer_task.h"
 #include "serving/store_task.h"
+#include "transport/backend_call.h"
 #include "transport/backend_pool.h"
 #include "transport/bus.h"
 #include "transport/front_server.h"
@@ -29,6 +30,8 @@
 /// choice.
 constexpr std::size_t directPeers = 3;
 constexpr int relayedBeats = 3;
+/// A fetch that takes longer is given up; whoever asked has tried another way by then.
+constexpr millis newsTimeout{2'000};
 /// Packed news up to this size go in the datagram itself; more has to be fetched.
 constexpr std::size_t largestNews = 16'000;
 /// The path at which a daemon gives others the store's news, on its port for other daemons.
@@ -223,14 +226,8 @@
     std::visit(
         [&](const auto &body) {
             using body_type = std::decay_t<decltype(body)>;
-            if constexpr (std::is_same_v<body_type, place_ask>) {
-                m_orderer.onAsk(datagram.from, body);
-            } else if constexpr (std::is_same_v<body_type, place_answer>) {
+            if constexpr (std::is_same_v<body_type, place_answer>) {
                 m_front.onAnswer(body);
-            } else if constexpr (std::is_same_v<body_type, place_running>) {
-                m_orderer.onRunning(datagram.from, body);
-            } else if constexpr (std::is_same_v<body_type, place_note>) {
-                m_orderer.onNote(body);
             } else if constexpr (std::is_same_v<body_type, packed_news>) {
                 error why;
                 if (const auto news = decodeNews(body.bytes, why)) {
@@ -240,11 +237,13 @@
                 }
             } else if constexpr (std::is_same_v<body_type, store_news>) {
                 m_store.onNews(datagram.from, body);
-            } else {
+            } else if constexpr (std::is_same_v<body_type, fleet_beat>) {
                 m_front.onBeat(datagram.from, body);
                 if (body.relay) {
                     passOn(datagram, body);
                 }
+            } else { // what an entry says of its places
+                m_orderer.take(datagram.from, body);
             }
         },
         datagram.body);
@@ -334,21 +333,13 @@
         done(std::nullopt);
         return;
     }
-    auto body = std::make_shared<std::string>();
-    send_handlers calls;
-    calls.onHead = [](const http_head &) {
-        return true;
-    };
-    calls.onBody = [body](const std::string &bytes) {
-        body->append(bytes);
-    };
-    calls.onEnd = [body, done = std::move(done)](send_end how, const error &) {
-        error why;
-        done(how == send_end::Whole ? decodeNews(*body, why) : std::nullopt);
-    };
-    m_pool.start({peer->second.ip, peer->second.port},
-        "GET " + newsPath + std::to_string(after) + " HTTP/1.1\r\nHost: " + node + "\r\n\r\n", false,
-        std::move(calls));
+    const std::string call =
+        "GET " + newsPath + std::to_string(after) + " HTTP/1.1\r\nHost: " + node + "\r\n\r\n";
+    callServer(m_loop, m_pool, {peer->second.ip, peer->second.port}, call, newsTimeout,
+        [done = std::move(done)](const call_result &result) {
+            error why;
+            done(result.how == send_end::Whole ? decodeNews(result.body, why) : std::nullopt);
+        });
 }
 
 bool daemon_impl::isReady() const
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -88,7 +88,6 @@
     millis shortestWait{-1}; ///< of the refusals so far
 
     std::optional<backend_pool::send_id> sending;
-    bool arrivedAtServer = false; ///< some server may have got it
     bool mayHaveRun = false;
     http_head head; ///< of the answer in progress
     answer_meta meta;
@@ -230,6 +229,12 @@
     return one.endBy - bootNow();
 }
 
+/// Whether the route allows a further server.
+bool front_task::serversLeft(const work &one) const
+{
+    return static_cast<int>(one.sentTo.size()) < one.way->maxServers;
+}
+
 bool front_task::mayRepeat(const work &one) const
 {
     return one.way->kind == repeat_kind::Idempotent
@@ -388,6 +393,22 @@
     });
 }
 
+/// To a server's orderer, which may be this daemon; then never from inside, as with a datagram.
+template <class message_type>
+void front_task::tell(const std::string &orderer, const message_type &message)
+{
+    if (orderer == m_settings.node) {
+        m_loop.post([this, message] {
+            m_orderer->take(m_settings.node, message);
+        });
+        return;
+    }
+    const auto peer = m_store.view().daemons.find(orderer);
+    if (peer != m_store.view().daemons.end()) {
+        m_port->send({peer->second.ip, peer->second.port}, {m_settings.node, m_store.incarnation(), message});
+    }
+}
+
 void front_task::ask(const work_ptr &one)
 {
     ++one->asks;
@@ -399,7 +420,7 @@
     // Who was refused before and is past its target already is served late rather than refused again.
     const millis patience = age > returnAge ? returnPatience : millis{std::llround(target.count * waitShare)};
     const std::int64_t wait = (patience - waited).count;
-    place_ask message{one->request.id, one->server, one->request.model, one->request.adapter,
+    const place_ask message{one->request.id, one->server, one->request.model, one->request.adapter,
         one->request.promptTokens, one->request.outputTokens, one->way->rank, std::max<std::int64_t>(wait, 0),
         std::max<std::int64_t>(left(*one).count, 0), age.count};
     one->askTimer = m_loop.timer(askAgainAfter, {}, [this, weak = std::weak_ptr<work>(one)] {
@@ -407,13 +428,7 @@
             askAgain(same);
         }
     });
-    if (one->orderer == m_settings.node) {
-        m_loop.post([this, message = std::move(message)] {
-            m_orderer->onAsk(m_settings.node, message);
-        });
-        return;
-    }
-    sendTo(one->orderer, {m_settings.node, m_store.incarnation(), message});
+    tell(one->orderer, message);
 }
 
 void front_task::askAgain(const work_ptr &one)
@@ -627,7 +642,6 @@
         }
         return;
     }
-    one->arrivedAtServer = true;
     if (answered) {
         one->mayHaveRun = one->mayHaveRun || !notRun;
         const bool notHeld = notRun && one->model && one->granted;
@@ -664,8 +678,7 @@
         return false;
     }
     one->excluded.insert(one->server);
-    const bool serversLeft = static_cast<int>(one->sentTo.size()) < one->way->maxServers;
-    if (!serversLeft || left(*one).count <= 0) {
+    if (!serversLeft(*one) || left(*one).count <= 0) {
         return false;
     }
     const std::size_t daemons = m_store.view().daemons.size();
@@ -726,8 +739,7 @@
     if (!one->sending) {
         return;
     }
-    const bool serversLeft = static_cast<int>(one->sentTo.size()) < one->way->maxServers;
-    if (!serversLeft) {
+    if (!serversLeft(*one)) {
         return;
     }
     const std::string server = one->server;
@@ -773,21 +785,7 @@
         return;
     }
     const place_note message{one.request.id, one.server, event};
-    if (one.orderer == m_settings.node) {
-        m_loop.post([this, message] {
-            m_orderer->onNote(message);
-        });
-        return;
-    }
-    sendTo(one.orderer, {m_settings.node, m_store.incarnation(), message});
-}
-
-void front_task::sendTo(const std::string &node, const fleet_datagram &datagram)
-{
-    const auto peer = m_store.view().daemons.find(node);
-    if (peer != m_store.view().daemons.end()) {
-        m_port->send({peer->second.ip, peer->second.port}, datagram);
-    }
+    tell(one.orderer, message);
 }
 
 void front_task::refuse(const work_ptr &one, const char *why, millis comeBack)
@@ -871,13 +869,7 @@
         one->orderer = orderer;
         const place_running message{one->request.id, server, one->request.model, one->request.adapter,
             one->request.promptTokens, one->request.outputTokens, !one->firstEvent, left(*one).count};
-        if (orderer == m_settings.node) {
-            m_loop.post([this, message] {
-                m_orderer->onRunning(m_settings.node, message);
-            });
-        } else {
-            sendTo(orderer, {m_settings.node, m_store.incarnation(), message});
-        }
+        tell(orderer, message);
     }
 }
 
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -95,8 +95,10 @@
     void announce(const std::string &server, const std::string &orderer);
     millis ageOf(const work &one) const;
     void note(const work &one, place_event event);
-    void sendTo(const std::string &node, const fleet_datagram &datagram);
+    template <class message_type>
+    void tell(const std::string &orderer, const message_type &message);
     millis left(const work &one) const;
+    bool serversLeft(const work &one) const;
     bool mayRepeat(const work &one) const;
 
     loop &m_loop;
--- a/packages/serving/metadata_store.h
+++ b/packages/serving/metadata_store.h
@@ -66,7 +66,6 @@
         const store_change &what, std::function<void(store_status, std::int64_t revision)> done) = 0;
     virtual void grantLease(millis ttl, std::function<void(store_status, std::int64_t lease)> done) = 0;
     virtual void keepLease(std::int64_t lease, std::function<void(store_status)> done) = 0;
-    virtual void endLease(std::int64_t lease, std::function<void(store_status)> done) = 0;
 };
 
 }
--- a/packages/serving/orderer_task.cpp
+++ b/packages/serving/orderer_task.cpp
@@ -1,6 +1,7 @@
 #include "serving/orderer_task.h"
 
 #include "coordination/rendezvous.h"
+#include "transport/backend_call.h"
 
 #include <algorithm>
 #include <cmath>
@@ -86,7 +87,7 @@
                 drop(id, "another daemon gives its orders");
             }
         } else if (held == m_servers.end() || held->second.fence < fence) {
-            take(id, entry);
+            begin(id, entry);
         }
     }
     claimOrphans();
@@ -123,7 +124,7 @@
     }
 }
 
-void orderer_task::take(const std::string &id, const orderer_entry &entry)
+void orderer_task::begin(const std::string &id, const orderer_entry &entry)
 {
     const backend_server *server = serverOf(id);
     const engine_spec *engine = server == nullptr ? nullptr : engineOfServer(*server);
@@ -182,7 +183,7 @@
     m_answer(entry, {id, server, place_verdict::Refused, why, 0, std::max(comeBack, shortestComeBack).count});
 }
 
-void orderer_task::onAsk(const std::string &entry, const place_ask &ask)
+void orderer_task::take(const std::string &entry, const place_ask &ask)
 {
     const auto found = m_servers.find(ask.server);
     const backend_server *server = serverOf(ask.server);
@@ -241,7 +242,7 @@
     return static_cast<int>(names.size());
 }
 
-void orderer_task::onRunning(const std::string &entry, const place_running &run)
+void orderer_task::take(const std::string &entry, const place_running &run)
 {
     const auto found = m_servers.find(run.server);
     if (found == m_servers.end() || found->second.queue.running.count(run.id) != 0) {
@@ -262,7 +263,7 @@
     }
 }
 
-void orderer_task::onNote(const place_note &note)
+void orderer_task::take(const std::string &, const place_note &note)
 {
     const auto found = m_servers.find(note.server);
     if (found == m_servers.end()) {
@@ -361,12 +362,7 @@
 {
     one.reporting = true;
     ++m_counters.reports;
-    auto body = std::make_shared<std::string>();
-    auto done = std::make_shared<bool>(false);
-    const auto finish = [this, id, done](const std::string *content) {
-        if (std::exchange(*done, true)) {
-            return;
-        }
+    const auto finish = [this, id](const call_result &result) {
         const auto found = m_servers.find(id);
         if (found == m_servers.end()) {
             return;
@@ -374,7 +370,8 @@
         server_state &state = found->second;
         state.reporting = false;
         error why;
-        const auto report = content == nullptr ? std::nullopt : m_codec.readReport(*content, why);
+        const auto report =
+            result.how == send_end::Whole ? m_codec.readReport(result.body, why) : std::nullopt;
         const millis now = bootNow();
         if (!report) {
             state.ledger.notBefore = now + reportPause;
@@ -397,29 +394,7 @@
         }
         pump(id);
     };
-    send_handlers calls;
-    calls.onHead = [](const http_head &) {
-        return true;
-    };
-    calls.onBody = [body](const std::string &bytes) {
-        body->append(bytes);
-    };
-    calls.onEnd = [body, finish](send_end how, const error &) {
-        finish(how == send_end::Whole ? body.get() : nullptr);
-    };
-    const auto send = m_pool.start(server.address, m_codec.writeReportCall(server), false, calls);
-    m_loop.post([this, send, done, finish] {
-        auto timer = std::make_shared<std::shared_ptr<void>>();
-        *timer = m_loop.timer(reportTimeout, {}, [this, send, finish, done, timer] {
-            if (!*done) {
-                m_pool.cancel(send);
-                finish(nullptr);
-            }
-            m_loop.post([timer] {
-                timer->reset();
-            });
-        });
-    });
+    callServer(m_loop, m_pool, server.address, m_codec.writeReportCall(server), reportTimeout, finish);
 }
 
 void orderer_task::sendOrder(const std::string &id, server_state &one, const backend_server &server)
@@ -445,43 +420,20 @@
     if (order->adapter.empty() && order->kind == order_kind::Load) {
         m_lastModelLoad = bootNow();
     }
-    auto done = std::make_shared<bool>(false);
-    auto status = std::make_shared<int>(0);
-    const auto finish = [this, id, done, fence = one.fence, sent = *order](order_answer answer) {
-        if (!std::exchange(*done, true)) {
-            onOrderEnd(id, fence, sent, answer);
-        }
-    };
-    send_handlers calls;
-    calls.onHead = [status](const http_head &head) {
-        *status = head.status;
-        return true;
-    };
-    calls.onBody = [](const std::string &) {};
-    calls.onEnd = [this, status, finish](send_end how, const error &) {
-        switch (how) {
+    const auto finish = [this, id, fence = one.fence, sent = *order](const call_result &result) {
+        switch (result.how) {
         case send_end::Whole:
-            finish(m_codec.readOrderAnswer(*status));
+            onOrderEnd(id, fence, sent, m_codec.readOrderAnswer(result.status));
             return;
         case send_end::Unsent:
-            finish(order_answer::Refused);
+            onOrderEnd(id, fence, sent, order_answer::Refused);
             return;
         case send_end::Broken:
-            finish(order_answer::Unknown);
+            onOrderEnd(id, fence, sent, order_answer::Unknown);
             return;
         }
     };
-    const auto send = m_pool.start(server.address, m_codec.writeOrder(*order, server), false, calls);
-    auto timer = std::make_shared<std::shared_ptr<void>>();
-    *timer = m_loop.timer(orderTimeout, {}, [this, send, finish, done, timer] {
-        if (!*done) {
-            m_pool.cancel(send);
-            finish(order_answer::Unknown);
-        }
-        m_loop.post([timer] {
-            timer->reset();
-        });
-    });
+    callServer(m_loop, m_pool, server.address, m_codec.writeOrder(*order, server), orderTimeout, finish);
 }
 
 void orderer_task::onOrderEnd(
@@ -492,8 +444,6 @@
         return;
     }
     server_state &one = found->second;
-    static constexpr const char *names[] = {
-        "holds", "accepted", "conflict", "fenced", "other server", "refused", "unknown"};
     const bool fine = answer == order_answer::Holds || answer == order_answer::Accepted;
     (fine ? m_log.ordinary("order.answered") : m_log.important("order.answered"))
         .add("server", id)
@@ -502,7 +452,7 @@
         .add("version", order.version)
         .add("expected", order.expected)
         .add("fence", fence)
-        .add("outcome", names[static_cast<std::size_t>(answer)]);
+        .add("outcome", nameOf(answer));
     m_counters.ordersUnknown += answer == order_answer::Unknown ? 1 : 0;
     m_counters.loads += answer == order_answer::Accepted && order.kind == order_kind::Load ? 1 : 0;
     m_counters.unloads += fine && order.kind == order_kind::Unload ? 1 : 0;
--- a/packages/serving/orderer_task.h
+++ b/packages/serving/orderer_task.h
@@ -40,9 +40,10 @@
     orderer_task(loop &eventLoop, bus &messages, store_task &store, backend_pool &pool,
         const request_codec &codec, const node_settings &settings, decision_log &log, answer_call onAnswer);
 
-    void onAsk(const std::string &entry, const place_ask &ask);
-    void onNote(const place_note &note);
-    void onRunning(const std::string &entry, const place_running &run);
+    /// What an entry says, by datagram or from this process.
+    void take(const std::string &entry, const place_ask &ask);
+    void take(const std::string &entry, const place_note &note);
+    void take(const std::string &entry, const place_running &run);
     /// Gives no orders any more: the records are about to be given up.
     void stop();
     fleet_beat beat() const;
@@ -61,7 +62,7 @@
 
     void followView(const view_changed &change);
     void claimOrphans();
-    void take(const std::string &id, const orderer_entry &entry);
+    void begin(const std::string &id, const orderer_entry &entry);
     void drop(const std::string &id, const char *why);
     void dropQueue(const std::string &id, server_state &one, refusal why);
     void refuse(const std::string &entry, const std::string &id, const std::string &server, refusal why,
--- a/packages/serving/server_ledger.cpp
+++ b/packages/serving/server_ledger.cpp
@@ -230,6 +230,13 @@
     return nullptr;
 }
 
+std::string_view nameOf(order_answer value)
+{
+    static constexpr std::string_view names[] = {
+        "holds", "accepted", "conflict", "fenced", "other server", "refused", "unknown"};
+    return names[static_cast<std::size_t>(value)];
+}
+
 adapter_place *findPlace(server_ledger &ledger, const std::string &model, const std::string &adapter)
 {
     return const_cast<adapter_place *>(findPlace(static_cast<const server_ledger &>(ledger), model, adapter));
--- /dev/null
+++ b/packages/transport/backend_call.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "transport/backend_pool.h"
+
+#include <functional>
+#include <string>
+
+namespace briarhead {
+
+/// The end of a short call: how it went, and the answer if it is whole.
+struct call_result
+{
+    send_end how = send_end::Broken;
+    int status = 0;
+    std::string body;
+};
+
+/// Sends a whole request and collects the answer. Without one after `timeout` the call is given up as broken:
+/// its bytes left. `done` is called once, never from inside.
+void callServer(loop &eventLoop, backend_pool &pool, const peer_address &to, std::string bytes,
+    millis timeout, std::function<void(const call_result &)> done);
+
+}
--- a/tests/serving/edge_process_test.cpp
+++ b/tests/serving/edge_process_test.cpp
@@ -18,16 +18,10 @@
 
 namespace {
 
+using http_testing::freePort;
 using http_testing::raw_socket;
 using mood = backend_standin::mood;
 
-std::uint16_t freePort()
-{
-    std::uint16_t port = 0;
-    raw_socket::listening(port);
-    return port;
-}
-
 /// The real program as a process of its own, with the store and the servers in this one.
 class edge_process_test : public http_testing::http_fixture
 {
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -11,16 +11,10 @@
 
 namespace {
 
+using http_testing::freePort;
 using http_testing::raw_socket;
 using mood = backend_standin::mood;
 
-std::uint16_t freePort()
-{
-    std::uint16_t port = 0;
-    raw_socket::listening(port);
-    return port;
-}
-
 /// One daemon in this process, two model servers and two plain ones, and a store in memory.
 class edge_test : public http_testing::http_fixture
 {
--- a/tests/serving/fake_store.cpp
+++ b/tests/serving/fake_store.cpp
@@ -188,15 +188,4 @@
     });
 }
 
-void fake_store_client::endLease(std::int64_t lease, std::function<void(store_status)> done)
-{
-    if (fails(done)) {
-        return;
-    }
-    later([this, lease, done] {
-        m_shared.expire(lease);
-        done(store_status::Ok);
-    });
-}
-
 }
--- a/tests/serving/fake_store.h
+++ b/tests/serving/fake_store.h
@@ -63,7 +63,6 @@
     void change(const store_change &what, std::function<void(store_status, std::int64_t)> done) override;
     void grantLease(millis ttl, std::function<void(store_status, std::int64_t)> done) override;
     void keepLease(std::int64_t lease, std::function<void(store_status)> done) override;
-    void endLease(std::int64_t lease, std::function<void(store_status)> done) override;
 
 private:
     void later(std::function<void()> call);
