Move what a server's orderer and an entry decide into modules without network

Cause: who is refused, who waits and what a beat says of a server were decided inside two tasks with sockets, so that no test could play a load against them. Ruled out: - Change: place_desk (ledger and queue of one server) and heard_server (an entry's picture of it) hold these decisions; orderer_task and front_task move messages. No decision changes.

--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -16,19 +16,8 @@
 constexpr int asksPerServer = 3;
 /// Servers that one request asks for a place before it is refused; each question costs a few ms.
 constexpr int placesAsked = 4;
-/// A beat older than this says nothing about a server's orderer being alive.
-constexpr millis beatFresh{1'500};
-/// The share of the time to the first event that a prompt may wait for its turn. The turn is predicted too
-/// dark on average, and who is served a little late fares better than who is sent away: of 0.6, 0.75,
-/// 0.9, 1.1 and 1.4, the mean worth of the first deployments' days is best from 0.9 to 1.1.
-constexpr double waitShare = 0.95;
-/// An age beyond this means that the caller has come back; its patience is then this, and its turn comes as
-/// if it had waited here, for at most so long.
-constexpr millis returnAge{60};
-constexpr millis returnPatience{1'400};
+/// A caller that has come back gets its turn as if it had waited here, for at most so long.
 constexpr millis oldestReturn{1'500};
-/// Without a beat the reading speed isn't known; the slowest of the first deployments, tokens a ms.
-constexpr double unknownSpeed = 14;
 /// An idempotent request whose server stays silent this many times its target is tried elsewhere.
 constexpr int quietTargets = 4;
 constexpr millis quietLeast{1'000};
@@ -288,6 +277,7 @@
 {
     const millis now = bootNow();
     const std::string adapter = adapterKey(one.request.model, one.request.adapter);
+    std::vector<std::string_view> names;
     std::vector<model_candidate> candidates;
     for (const auto &[id, server] : m_store.view().servers) {
         if (server.service != one.service) {
@@ -295,44 +285,19 @@
         }
         model_candidate candidate;
         const auto heard = m_heard.find(id);
-        const bool fresh = heard != m_heard.end() && now - heard->second.at < beatFresh;
-        candidate.excluded = server.draining || one.excluded.count(id) != 0 || heard == m_heard.end();
+        if (heard != m_heard.end()) {
+            candidate = candidateOf(heard->second, adapter, !one.request.adapter.empty(), now);
+        }
+        candidate.excluded = candidate.excluded || server.draining || one.excluded.count(id) != 0
+            || heard == m_heard.end();
         candidate.sameDomain = server.failureDomain == m_settings.failureDomain;
         const auto record = m_records.find(id);
         candidate.failures = record == m_records.end() ? 0 : failuresNow(record->second, now);
-        if (heard != m_heard.end()) {
-            const server_beat &beat = heard->second.beat;
-            candidate.held = beat.held;
-            candidate.openPlaces = fresh && beat.openPlaces > heard->second.placesSince
-                ? beat.openPlaces - heard->second.placesSince
-                : 0;
-            candidate.adapter = one.request.adapter.empty() ? residence::Resident : residence::Absent;
-            for (const beat_adapter &each : beat.adapters) {
-                if (each.name == adapter) {
-                    candidate.adapter = each.loading ? residence::Coming : residence::Resident;
-                }
-            }
-            const double speed = beat.tokensPerSecond > 0
-                ? static_cast<double>(beat.tokensPerSecond) / msPerSecond
-                : unknownSpeed;
-            candidate.backlogMs = static_cast<double>(beat.backlogTokens + heard->second.askedSince) / speed;
-            // Nobody loads there now: only what is known to be resident can be served.
-            candidate.excluded = candidate.excluded || (!fresh && candidate.adapter != residence::Resident);
-        }
         servers.push_back(&server);
+        names.push_back(id);
         candidates.push_back(candidate);
     }
-    std::vector<std::size_t> order = rendezvousTop(
-        adapter, servers.size(), servers.size(),
-        [&servers](std::size_t i) -> std::string_view {
-            return servers[i]->id;
-        },
-        [](std::size_t) {
-            return true;
-        });
-    for (std::size_t rank = 0; rank < order.size(); ++rank) {
-        candidates[order[rank]].hashRank = rank;
-    }
+    rankByHash(candidates, names, adapter);
     return candidates;
 }
 
@@ -370,10 +335,9 @@
         .add("open_places", static_cast<std::int64_t>(candidates[*chosen].openPlaces))
         .add("failures", candidates[*chosen].failures)
         .add("beat_age_ms", bootNow() - heard.at);
-    heard.askedSince += one->request.promptTokens;
-    heard.placesSince += candidates[*chosen].adapter == residence::Absent ? 1 : 0;
+    countAsk(heard, one->request.promptTokens, candidates[*chosen].adapter);
     ++one->placesTried;
-    if (bootNow() - heard.at >= beatFresh) {
+    if (!isFresh(heard, bootNow())) {
         // Its orderer is gone and the next one not there yet: what is resident there can still serve.
         one->orderer.clear();
         one->adapterVersion = 0;
@@ -414,12 +378,8 @@
     ++one->asks;
     ++m_counters.asks;
     m_workOfAsk[one->request.id] = one->number;
-    const millis target = one->way->target;
-    const millis waited = bootNow() - one->arrived;
     const millis age = ageOf(*one);
-    // Who was refused before and is past its target already is served late rather than refused again.
-    const millis patience = age > returnAge ? returnPatience : millis{std::llround(target.count * waitShare)};
-    const std::int64_t wait = (patience - waited).count;
+    const std::int64_t wait = (patienceOf(one->way->target, age) - (bootNow() - one->arrived)).count;
     const place_ask message{one->request.id, one->server, one->request.model, one->request.adapter,
         one->request.promptTokens, one->request.outputTokens, one->way->rank, std::max<std::int64_t>(wait, 0),
         std::max<std::int64_t>(left(*one).count, 0), age.count};
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "serving/choose_server.h"
 #include "serving/client_request.h"
 #include "serving/decision_log.h"
 #include "serving/event_stream.h"
 #include "serving/fleet_port.h"
+#include "serving/heard_server.h"
 #include "serving/node_settings.h"
 #include "serving/orderer_task.h"
 #include "serving/repeat_budget.h"
@@ -22,16 +22,6 @@
 
 namespace briarhead {
 
-/// A model server as its orderer last told.
-struct heard_server
-{
-    server_beat beat;
-    std::string orderer; ///< node
-    millis at;
-    std::int64_t askedSince = 0; ///< prompt tokens asked for here since that beat
-    std::uint32_t placesSince = 0; ///< places for other adapters asked for here since that beat
-};
-
 struct front_counters
 {
     std::map<std::string, std::uint64_t> ended; ///< requests by outcome
--- /dev/null
+++ b/packages/serving/heard_server.cpp
@@ -0,0 +1,82 @@
+#include "serving/heard_server.h"
+
+#include "coordination/rendezvous.h"
+
+#include <cmath>
+
+namespace briarhead {
+
+namespace {
+
+/// Without a measured speed, the slowest of the first deployments is assumed, tokens a ms.
+constexpr double unknownSpeed = 14;
+constexpr double msPerSecond = 1'000;
+/// The share of the time to the first event that a prompt may wait for its turn. The turn is predicted too
+/// dark on average, and who is served a little late fares better than who is sent away: of 0.6, 0.75,
+/// 0.9, 1.1 and 1.4, the mean worth of the first deployments' days is best from 0.9 to 1.1.
+constexpr double waitShare = 0.95;
+/// An age beyond this means that the caller has come back; its patience is then this. Who was refused before
+/// and is past its target already is served late rather than refused again.
+constexpr millis returnAge{60};
+constexpr millis returnPatience{1'400};
+
+}
+
+bool isFresh(const heard_server &heard, millis now)
+{
+    return now - heard.at < beatFresh;
+}
+
+model_candidate candidateOf(
+    const heard_server &heard, const std::string &adapterKey, bool needsAdapter, millis now)
+{
+    const server_beat &beat = heard.beat;
+    const bool fresh = isFresh(heard, now);
+    model_candidate candidate;
+    candidate.held = beat.held;
+    candidate.openPlaces =
+        fresh && beat.openPlaces > heard.placesSince ? beat.openPlaces - heard.placesSince : 0;
+    candidate.adapter = needsAdapter ? residence::Absent : residence::Resident;
+    for (const beat_adapter &each : beat.adapters) {
+        if (each.name == adapterKey) {
+            candidate.adapter = each.loading ? residence::Coming : residence::Resident;
+        }
+    }
+    const double speed =
+        beat.tokensPerSecond > 0 ? static_cast<double>(beat.tokensPerSecond) / msPerSecond : unknownSpeed;
+    candidate.backlogMs = static_cast<double>(beat.backlogTokens + heard.askedSince) / speed;
+    // Nobody loads there now: only what is known to be resident can be served.
+    candidate.excluded = !fresh && candidate.adapter != residence::Resident;
+    return candidate;
+}
+
+void rankByHash(std::vector<model_candidate> &candidates, const std::vector<std::string_view> &servers,
+    const std::string &adapterKey)
+{
+    const std::vector<std::size_t> order = rendezvousTop(
+        adapterKey, servers.size(), servers.size(),
+        [&servers](std::size_t i) -> std::string_view {
+            return servers[i];
+        },
+        [](std::size_t) {
+            return true;
+        });
+    for (std::size_t rank = 0; rank < order.size(); ++rank) {
+        candidates[order[rank]].hashRank = rank;
+    }
+}
+
+void countAsk(heard_server &heard, std::int64_t promptTokens, residence adapter)
+{
+    heard.askedSince += promptTokens;
+    heard.placesSince += adapter == residence::Absent ? 1 : 0;
+}
+
+millis patienceOf(millis target, millis age)
+{
+    return age > returnAge
+        ? returnPatience
+        : millis{std::llround(static_cast<double>(target.count) * waitShare)};
+}
+
+}
--- /dev/null
+++ b/packages/serving/heard_server.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "protocol/fleet_messages.h"
+#include "serving/choose_server.h"
+#include "state/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+// A model server as an entry knows it, from the beats of the daemon that gives its orders and from what the
+// entry itself has asked for since.
+namespace briarhead {
+
+struct heard_server
+{
+    server_beat beat;
+    std::string orderer; ///< node
+    millis at;
+    std::int64_t askedSince = 0; ///< prompt tokens asked for here since that beat
+    std::uint32_t placesSince = 0; ///< places for other adapters asked for here since that beat
+};
+
+/// A beat older than this says nothing about a server's orderer being alive.
+constexpr millis beatFresh{1'500};
+
+bool isFresh(const heard_server &heard, millis now);
+
+/// What the beats say of a server for an adapter ("MODEL/ADAPTER", or the model alone). Domain, failures and
+/// the place in the rendezvous order are the caller's to fill in.
+model_candidate candidateOf(
+    const heard_server &heard, const std::string &adapterKey, bool needsAdapter, millis now);
+
+/// Fills in `hashRank` of each, by the adapter's rendezvous order over the servers' ids.
+void rankByHash(std::vector<model_candidate> &candidates, const std::vector<std::string_view> &servers,
+    const std::string &adapterKey);
+
+/// A place is asked for: until the next beat tells, what it takes counts as taken.
+void countAsk(heard_server &heard, std::int64_t promptTokens, residence adapter);
+
+/// How long a prompt may wait for its turn, from its arrival here. `age`: since its caller first asked.
+millis patienceOf(millis target, millis age);
+
+}
--- a/packages/serving/orderer_task.cpp
+++ b/packages/serving/orderer_task.cpp
@@ -22,17 +22,12 @@
 /// Loads of base models are paced so that all daemons together stay under the weight store's rate, also if
 /// all begin at once.
 constexpr double modelLoadMargin = 1.3;
-constexpr std::int64_t msPerSecond = 1'000;
+constexpr double msPerSecond = 1'000;
 /// A daemon that ends gives orders for 2.3 s more; those it gave before its end began are then this close to
 /// the three seconds that two daemons' orders keep apart.
 constexpr millis handOverWait{800};
 /// Entries tell a new orderer at its first beat what still runs; until they have, adapters in use look idle.
 constexpr millis announceWait{250};
-/// The least that a refused caller is asked to wait.
-constexpr millis shortestComeBack{150};
-/// While every place is used, one is free again after about this long: the rest of a short answer.
-constexpr millis placeComeBack{400};
-
 }
 
 orderer_task::orderer_task(loop &eventLoop, bus &messages, store_task &store, backend_pool &pool,
@@ -135,7 +130,7 @@
     if (const auto held = m_servers.find(id); held != m_servers.end()) {
         held->second.fence = fence;
         held->second.fenced = false;
-        held->second.ledger.proved = false;
+        held->second.desk.ledger.proved = false;
         return;
     }
     server_state one;
@@ -147,11 +142,12 @@
     } else {
         one.mayOrderFrom = bootNow() + announceWait;
     }
-    one.ledger.server = id;
-    one.ledger.places = engine->adapterPlaces;
-    one.ledger.weightsMb = engine->weightsMb;
-    one.queue.slots = std::min(server->slots, engine->slots);
-    one.queue.memoryTokens = engine->memoryTokens;
+    server_ledger &ledger = one.desk.ledger;
+    ledger.server = id;
+    ledger.places = engine->adapterPlaces;
+    ledger.weightsMb = engine->weightsMb;
+    one.desk.queue.slots = std::min(server->slots, engine->slots);
+    one.desk.queue.memoryTokens = engine->memoryTokens;
     m_servers.emplace(id, std::move(one));
     m_log.important("orderer.taken").add("server", id).add("fence", fence);
     pump(id);
@@ -164,23 +160,22 @@
         return;
     }
     m_log.important("orderer.dropped").add("server", id).add("fence", found->second.fence).add("why", why);
-    dropQueue(id, found->second, refusal::NotOrderer);
+    answerAll(refuseWaiting(found->second.desk, refusal::NotOrderer));
     m_servers.erase(found);
 }
 
-void orderer_task::dropQueue(const std::string &id, server_state &one, refusal why)
+void orderer_task::answerAll(const std::vector<desk_answer> &answers)
 {
-    for (const waiting_prompt &prompt : one.queue.waiting) {
-        refuse(prompt.entry, prompt.id, id, why, shortestComeBack);
+    for (const desk_answer &each : answers) {
+        answer(each.entry, each.answer);
     }
-    one.queue.waiting.clear();
 }
 
-void orderer_task::refuse(
-    const std::string &entry, const std::string &id, const std::string &server, refusal why, millis comeBack)
+void orderer_task::answer(const std::string &entry, const place_answer &answer)
 {
-    ++m_counters.refused;
-    m_answer(entry, {id, server, place_verdict::Refused, why, 0, std::max(comeBack, shortestComeBack).count});
+    m_counters.granted += answer.verdict == place_verdict::Granted ? 1 : 0;
+    m_counters.refused += answer.verdict == place_verdict::Refused ? 1 : 0;
+    m_answer(entry, answer);
 }
 
 void orderer_task::take(const std::string &entry, const place_ask &ask)
@@ -188,71 +183,31 @@
     const auto found = m_servers.find(ask.server);
     const backend_server *server = serverOf(ask.server);
     if (found == m_servers.end() || server == nullptr) {
-        refuse(entry, ask.id, ask.server, refusal::NotOrderer, {});
+        answer(entry, refuseAsk(ask.id, ask.server, refusal::NotOrderer, {}));
         return;
     }
-    server_state &one = found->second;
     if (server->draining) {
-        refuse(entry, ask.id, ask.server, refusal::ServerLeaving, {});
-        return;
-    }
-    if (one.ledger.proved && one.ledger.models.empty() && one.ledger.modelComing.empty()) {
-        refuse(entry, ask.id, ask.server, refusal::NotHeld, {});
+        answer(entry, refuseAsk(ask.id, ask.server, refusal::ServerLeaving, {}));
         return;
     }
-    const millis now = bootNow();
-    if (const auto running = one.queue.running.find(ask.id); running != one.queue.running.end()) {
-        const adapter_place *place = findPlace(one.ledger, ask.model, ask.adapter);
-        m_answer(entry,
-            {ask.id, ask.server, place_verdict::Granted, refusal::None, place == nullptr ? 0 : place->version,
-                0});
-        return;
-    }
-    const bool needsPlace = !ask.adapter.empty() && findPlace(one.ledger, ask.model, ask.adapter) == nullptr;
-    if (needsPlace && openPlaces(one.ledger) <= adaptersWaited(one, ask.model, ask.adapter)) {
-        refuse(entry, ask.id, ask.server, refusal::NoPlace, placeComeBack);
-        return;
-    }
-    const waiting_prompt prompt{ask.id, entry, ask.model, ask.adapter, ask.promptTokens, ask.outputTokens,
-        ask.rank, now - millis{ask.ageMs}, now + millis{ask.waitMs}, now + millis{ask.deadlineMs}};
-    const admission admitted = admit(one.queue, prompt, now);
-    if (!admitted.taken) {
-        refuse(entry, ask.id, ask.server, refusal::TooBusy, admitted.wait - millis{ask.waitMs});
+    const place_answer first = askDesk(found->second.desk, entry, ask, bootNow());
+    if (first.verdict != place_verdict::Queued) {
+        answer(entry, first);
         return;
     }
     pump(ask.server);
     const auto still = m_servers.find(ask.server);
-    if (still != m_servers.end() && still->second.queue.running.count(ask.id) == 0) {
-        m_answer(entry, {ask.id, ask.server, place_verdict::Queued, refusal::None, 0, 0});
+    if (still != m_servers.end() && still->second.desk.queue.running.count(ask.id) == 0) {
+        answer(entry, first);
     }
 }
 
-/// Other adapters that prompts wait for and that have no place yet.
-int orderer_task::adaptersWaited(
-    const server_state &one, const std::string &model, const std::string &adapter) const
-{
-    std::set<std::string> names;
-    for (const waiting_prompt &prompt : one.queue.waiting) {
-        const bool other = prompt.model != model || prompt.adapter != adapter;
-        if (other && !prompt.adapter.empty()
-            && findPlace(one.ledger, prompt.model, prompt.adapter) == nullptr) {
-            names.insert(adapterKey(prompt.model, prompt.adapter));
-        }
-    }
-    return static_cast<int>(names.size());
-}
-
 void orderer_task::take(const std::string &entry, const place_running &run)
 {
     const auto found = m_servers.find(run.server);
-    if (found == m_servers.end() || found->second.queue.running.count(run.id) != 0) {
-        return;
+    if (found != m_servers.end()) {
+        takeRunning(found->second.desk, entry, run, bootNow());
     }
-    const millis now = bootNow();
-    const waiting_prompt prompt{run.id, entry, run.model, run.adapter, run.promptTokens, run.outputTokens, 0,
-        now, now, now + millis{run.deadlineMs}};
-    found->second.queue.running.emplace(run.id, running_prompt{prompt, now, run.reading});
-    beginUse(found->second.ledger, run.model, run.adapter, now);
 }
 
 void orderer_task::stop()
@@ -269,23 +224,7 @@
     if (found == m_servers.end()) {
         return;
     }
-    server_state &one = found->second;
-    const millis now = bootNow();
-    switch (note.event) {
-    case place_event::FirstToken:
-        firstToken(one.queue, note.id, now);
-        break;
-    case place_event::NotHeld:
-    case place_event::Ended:
-    case place_event::Failed:
-        if (const auto run = ended(one.queue, note.id, now)) {
-            endUse(one.ledger, run->what.model, run->what.adapter);
-            if (note.event == place_event::NotHeld) {
-                notHeld(one.ledger, run->what.model, run->what.adapter, now);
-            }
-        }
-        break;
-    }
+    takeNote(found->second.desk, note, bootNow());
     pump(note.server);
 }
 
@@ -303,7 +242,7 @@
     return m_lastModelLoad.count == 0 || bootNow() - m_lastModelLoad >= pace;
 }
 
-order_limits orderer_task::limitsFor(const server_state &one, const engine_spec &engine) const
+order_limits orderer_task::limitsFor(const engine_spec &engine) const
 {
     order_limits limits;
     limits.models = &engine.models;
@@ -311,12 +250,6 @@
     limits.newest = [this](const std::string &model, const std::string &adapter) {
         return newestVersion(model, adapter);
     };
-    limits.waitedFor = [&one](const std::string &model, const std::string &adapter) {
-        return std::any_of(
-            one.queue.waiting.begin(), one.queue.waiting.end(), [&](const waiting_prompt &prompt) {
-                return prompt.model == model && prompt.adapter == adapter;
-            });
-    };
     return limits;
 }
 
@@ -341,21 +274,24 @@
     }
     server_state &one = found->second;
     const millis now = bootNow();
-    for (const running_prompt &run : expired(one.queue, now)) {
-        endUse(one.ledger, run.what.model, run.what.adapter);
-    }
+    dropExpired(one.desk, now);
     if (server->draining) {
-        dropQueue(id, one, refusal::ServerLeaving);
+        answerAll(refuseWaiting(one.desk, refusal::ServerLeaving));
         return;
     }
-    const bool mayOrder = !one.fenced && now >= one.mayOrderFrom;
-    const bool unsure = !one.ledger.proved || !one.ledger.modelComing.empty();
-    if (unsure && !one.reporting && !one.ledger.open && now >= one.ledger.notBefore) {
+    const server_ledger &ledger = one.desk.ledger;
+    const bool unsure = !ledger.proved || !ledger.modelComing.empty();
+    if (unsure && !one.reporting && !ledger.open && now >= ledger.notBefore) {
         askReport(id, one, *server);
-    } else if (mayOrder) {
+    } else if (mayOrder(one)) {
         sendOrder(id, one, *server);
     }
-    grantAll(id, one);
+    answerAll(answersDue(one.desk, now));
+}
+
+bool orderer_task::mayOrder(const server_state &one)
+{
+    return !one.fenced && bootNow() >= one.mayOrderFrom;
 }
 
 void orderer_task::askReport(const std::string &id, server_state &one, const backend_server &server)
@@ -374,24 +310,17 @@
             result.how == send_end::Whole ? m_codec.readReport(result.body, why) : std::nullopt;
         const millis now = bootNow();
         if (!report) {
-            state.ledger.notBefore = now + reportPause;
+            state.desk.ledger.notBefore = now + reportPause;
             return;
         }
-        const std::int64_t before = state.ledger.sequence;
-        takeReport(state.ledger, *report, now);
+        const std::int64_t before = state.desk.ledger.sequence;
+        takeReport(state.desk, *report, now);
         m_log.ordinary("server.report")
             .add("server", id)
             .add("sequence", report->sequence)
             .add("expected", before)
             .add("models", static_cast<std::int64_t>(report->models.size()))
-            .add("adapters", static_cast<std::int64_t>(state.ledger.adapters.size()));
-        // Uses of adapters survive a report only by their grants.
-        for (adapter_place &place : state.ledger.adapters) {
-            place.users = 0;
-            for (const auto &[runId, run] : state.queue.running) {
-                place.users += run.what.model == place.model && run.what.adapter == place.adapter ? 1 : 0;
-            }
-        }
+            .add("adapters", static_cast<std::int64_t>(state.desk.ledger.adapters.size()));
         pump(id);
     };
     callServer(m_loop, m_pool, server.address, m_codec.writeReportCall(server), reportTimeout, finish);
@@ -403,19 +332,13 @@
     if (engine == nullptr) {
         return;
     }
-    std::vector<adapter_want> wants;
-    for (const waiting_prompt &prompt : one.queue.waiting) {
-        if (!prompt.adapter.empty()) {
-            wants.push_back({prompt.model, prompt.adapter});
-        }
-    }
-    auto order = nextOrder(one.ledger, wants, limitsFor(one, *engine), bootNow());
+    auto order = orderDue(one.desk, limitsFor(*engine), bootNow());
     if (!order) {
         return;
     }
     order->holder = m_settings.node;
     order->fence = one.fence;
-    one.ledger.open = order;
+    one.desk.ledger.open = order;
     ++m_counters.orders;
     if (order->adapter.empty() && order->kind == order_kind::Load) {
         m_lastModelLoad = bootNow();
@@ -456,7 +379,7 @@
     m_counters.ordersUnknown += answer == order_answer::Unknown ? 1 : 0;
     m_counters.loads += answer == order_answer::Accepted && order.kind == order_kind::Load ? 1 : 0;
     m_counters.unloads += fine && order.kind == order_kind::Unload ? 1 : 0;
-    takeAnswer(one.ledger, order, answer, bootNow());
+    takeAnswer(one.desk.ledger, order, answer, bootNow());
     if (answer == order_answer::Fenced) {
         // Someone ordered under a higher token. If the record still names this daemon, a new claim raises
         // its token above; if not, the view drops the server.
@@ -466,53 +389,12 @@
     pump(id);
 }
 
-void orderer_task::grantAll(const std::string &id, server_state &one)
-{
-    const auto ready = [&one](const waiting_prompt &prompt) {
-        if (!holdsModel(one.ledger, prompt.model)) {
-            return false;
-        }
-        if (prompt.adapter.empty()) {
-            return true;
-        }
-        const adapter_place *place = findPlace(one.ledger, prompt.model, prompt.adapter);
-        return place != nullptr && place->state == place_state::Resident;
-    };
-    std::vector<waiting_prompt> late;
-    const millis now = bootNow();
-    for (const waiting_prompt &prompt : letIn(one.queue, ready, late, now)) {
-        beginUse(one.ledger, prompt.model, prompt.adapter, now);
-        const adapter_place *place = findPlace(one.ledger, prompt.model, prompt.adapter);
-        ++m_counters.granted;
-        m_answer(prompt.entry,
-            {prompt.id, id, place_verdict::Granted, refusal::None, place == nullptr ? 0 : place->version, 0});
-    }
-    for (const waiting_prompt &prompt : late) {
-        refuse(prompt.entry, prompt.id, id, refusal::TooBusy, shortestComeBack);
-    }
-}
-
 fleet_beat orderer_task::beat() const
 {
     fleet_beat out;
     for (const auto &[id, one] : m_servers) {
-        server_beat server;
-        server.server = id;
+        server_beat server = beatOf(one.desk, mayOrder(one));
         server.fence = one.fence;
-        server.held = !one.ledger.models.empty();
-        for (const adapter_place &place : one.ledger.adapters) {
-            if (place.state != place_state::Unloading) {
-                server.adapters.push_back(
-                    {adapterKey(place.model, place.adapter), place.state == place_state::Loading});
-            }
-        }
-        const bool mayOrder = !one.fenced && bootNow() >= one.mayOrderFrom && one.ledger.proved;
-        // Less those that are spoken for; entries would else go on sending there what is refused.
-        const int open = openPlaces(one.ledger) - adaptersWaited(one, "", "");
-        server.openPlaces = mayOrder ? static_cast<std::uint32_t>(std::max(open, 0)) : 0;
-        server.backlogTokens = backlogTokens(one.queue);
-        server.tokensPerSecond = std::llround(one.queue.speed * msPerSecond);
-        server.running = static_cast<std::uint32_t>(one.queue.running.size());
         out.servers.push_back(std::move(server));
     }
     return out;
--- a/packages/serving/orderer_task.h
+++ b/packages/serving/orderer_task.h
@@ -4,8 +4,7 @@
 #include "serving/decision_log.h"
 #include "serving/fleet_port.h"
 #include "serving/node_settings.h"
-#include "serving/place_queue.h"
-#include "serving/server_ledger.h"
+#include "serving/place_desk.h"
 #include "serving/store_task.h"
 #include "transport/backend_pool.h"
 #include "transport/loop.h"
@@ -56,26 +55,23 @@
         millis mayOrderFrom; ///< after a handover: the one before may have ordered until then less the lease
         bool fenced = false; ///< the server knows a higher token: nothing is ordered under this one
         bool reporting = false;
-        server_ledger ledger;
-        place_queue queue;
+        place_desk desk;
     };
 
     void followView(const view_changed &change);
     void claimOrphans();
     void begin(const std::string &id, const orderer_entry &entry);
     void drop(const std::string &id, const char *why);
-    void dropQueue(const std::string &id, server_state &one, refusal why);
-    void refuse(const std::string &entry, const std::string &id, const std::string &server, refusal why,
-        millis comeBack);
-    int adaptersWaited(const server_state &one, const std::string &model, const std::string &adapter) const;
+    void answer(const std::string &entry, const place_answer &answer);
+    void answerAll(const std::vector<desk_answer> &answers);
     void pump(const std::string &id);
     void pumpAll();
     void askReport(const std::string &id, server_state &one, const backend_server &server);
     void sendOrder(const std::string &id, server_state &one, const backend_server &server);
     void onOrderEnd(
         const std::string &id, std::uint64_t fence, const server_order &order, order_answer answer);
-    void grantAll(const std::string &id, server_state &one);
-    order_limits limitsFor(const server_state &one, const engine_spec &engine) const;
+    static bool mayOrder(const server_state &one);
+    order_limits limitsFor(const engine_spec &engine) const;
     std::int64_t newestVersion(const std::string &model, const std::string &adapter) const;
     bool mayLoadModel(const engine_spec &engine) const;
     const backend_server *serverOf(const std::string &id) const;
--- /dev/null
+++ b/packages/serving/place_desk.cpp
@@ -0,0 +1,183 @@
+#include "serving/place_desk.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace briarhead {
+
+namespace {
+
+constexpr double msPerSecond = 1'000;
+
+/// Whether the server can run the prompt now: its model and adapter are there.
+bool isHeld(const server_ledger &ledger, const waiting_prompt &prompt)
+{
+    if (!holdsModel(ledger, prompt.model)) {
+        return false;
+    }
+    if (prompt.adapter.empty()) {
+        return true;
+    }
+    const adapter_place *place = findPlace(ledger, prompt.model, prompt.adapter);
+    return place != nullptr && place->state == place_state::Resident;
+}
+
+place_answer grant(const server_ledger &ledger, const waiting_prompt &prompt)
+{
+    const adapter_place *place = findPlace(ledger, prompt.model, prompt.adapter);
+    return {prompt.id, ledger.server, place_verdict::Granted, refusal::None,
+        place == nullptr ? 0 : place->version, 0};
+}
+
+}
+
+place_answer refuseAsk(const std::string &id, const std::string &server, refusal why, millis comeBack)
+{
+    return {id, server, place_verdict::Refused, why, 0, std::max(comeBack, shortestComeBack).count};
+}
+
+place_answer askDesk(place_desk &desk, const std::string &entry, const place_ask &ask, millis now)
+{
+    server_ledger &ledger = desk.ledger;
+    if (ledger.proved && ledger.models.empty() && ledger.modelComing.empty()) {
+        return refuseAsk(ask.id, ask.server, refusal::NotHeld, {});
+    }
+    if (const auto running = desk.queue.running.find(ask.id); running != desk.queue.running.end()) {
+        return grant(ledger, running->second.what); // the grant was lost
+    }
+    const bool needsPlace = !ask.adapter.empty() && findPlace(ledger, ask.model, ask.adapter) == nullptr;
+    if (needsPlace && openPlaces(ledger) <= adaptersWaited(desk, ask.model, ask.adapter)) {
+        return refuseAsk(ask.id, ask.server, refusal::NoPlace, placeComeBack);
+    }
+    const waiting_prompt prompt{ask.id, entry, ask.model, ask.adapter, ask.promptTokens, ask.outputTokens,
+        ask.rank, now - millis{ask.ageMs}, now + millis{ask.waitMs}, now + millis{ask.deadlineMs}};
+    const admission admitted = admit(desk.queue, prompt, now);
+    if (!admitted.taken) {
+        return refuseAsk(ask.id, ask.server, refusal::TooBusy, admitted.wait - millis{ask.waitMs});
+    }
+    return {ask.id, ask.server, place_verdict::Queued, refusal::None, 0, 0};
+}
+
+void takeRunning(place_desk &desk, const std::string &entry, const place_running &run, millis now)
+{
+    if (desk.queue.running.count(run.id) != 0) {
+        return;
+    }
+    const waiting_prompt prompt{run.id, entry, run.model, run.adapter, run.promptTokens, run.outputTokens, 0,
+        now, now, now + millis{run.deadlineMs}};
+    desk.queue.running.emplace(run.id, running_prompt{prompt, now, run.reading});
+    beginUse(desk.ledger, run.model, run.adapter, now);
+}
+
+void takeNote(place_desk &desk, const place_note &note, millis now)
+{
+    if (note.event == place_event::FirstToken) {
+        firstToken(desk.queue, note.id, now);
+        return;
+    }
+    if (const auto run = ended(desk.queue, note.id, now)) {
+        endUse(desk.ledger, run->what.model, run->what.adapter);
+        if (note.event == place_event::NotHeld) {
+            notHeld(desk.ledger, run->what.model, run->what.adapter, now);
+        }
+    }
+}
+
+void dropExpired(place_desk &desk, millis now)
+{
+    for (const running_prompt &run : expired(desk.queue, now)) {
+        endUse(desk.ledger, run.what.model, run.what.adapter);
+    }
+}
+
+void takeReport(place_desk &desk, const server_report &report, millis now)
+{
+    takeReport(desk.ledger, report, now);
+    for (adapter_place &place : desk.ledger.adapters) {
+        place.users = 0;
+        for (const auto &[id, run] : desk.queue.running) {
+            place.users += run.what.model == place.model && run.what.adapter == place.adapter ? 1 : 0;
+        }
+    }
+}
+
+std::vector<desk_answer> answersDue(place_desk &desk, millis now)
+{
+    std::vector<desk_answer> answers;
+    std::vector<waiting_prompt> late;
+    const auto ready = [&desk](const waiting_prompt &prompt) {
+        return isHeld(desk.ledger, prompt);
+    };
+    for (const waiting_prompt &prompt : letIn(desk.queue, ready, late, now)) {
+        beginUse(desk.ledger, prompt.model, prompt.adapter, now);
+        answers.push_back({prompt.entry, grant(desk.ledger, prompt)});
+    }
+    for (const waiting_prompt &prompt : late) {
+        answers.push_back(
+            {prompt.entry, refuseAsk(prompt.id, desk.ledger.server, refusal::TooBusy, shortestComeBack)});
+    }
+    return answers;
+}
+
+std::vector<desk_answer> refuseWaiting(place_desk &desk, refusal why)
+{
+    std::vector<desk_answer> answers;
+    for (const waiting_prompt &prompt : std::exchange(desk.queue.waiting, {})) {
+        answers.push_back({prompt.entry, refuseAsk(prompt.id, desk.ledger.server, why, shortestComeBack)});
+    }
+    return answers;
+}
+
+std::optional<server_order> orderDue(place_desk &desk, order_limits limits, millis now)
+{
+    std::vector<adapter_want> wants;
+    for (const waiting_prompt &prompt : desk.queue.waiting) {
+        if (!prompt.adapter.empty()) {
+            wants.push_back({prompt.model, prompt.adapter});
+        }
+    }
+    limits.waitedFor = [&desk](const std::string &model, const std::string &adapter) {
+        return std::any_of(
+            desk.queue.waiting.begin(), desk.queue.waiting.end(), [&](const waiting_prompt &prompt) {
+                return prompt.model == model && prompt.adapter == adapter;
+            });
+    };
+    return nextOrder(desk.ledger, wants, limits, now);
+}
+
+int adaptersWaited(const place_desk &desk, const std::string &model, const std::string &adapter)
+{
+    std::set<std::string> names;
+    for (const waiting_prompt &prompt : desk.queue.waiting) {
+        const bool other = prompt.model != model || prompt.adapter != adapter;
+        if (other && !prompt.adapter.empty()
+            && findPlace(desk.ledger, prompt.model, prompt.adapter) == nullptr) {
+            names.insert(adapterKey(prompt.model, prompt.adapter));
+        }
+    }
+    return static_cast<int>(names.size());
+}
+
+server_beat beatOf(const place_desk &desk, bool mayOrder)
+{
+    server_beat beat;
+    beat.server = desk.ledger.server;
+    beat.held = !desk.ledger.models.empty();
+    for (const adapter_place &place : desk.ledger.adapters) {
+        if (place.state != place_state::Unloading) {
+            beat.adapters.push_back(
+                {adapterKey(place.model, place.adapter), place.state == place_state::Loading});
+        }
+    }
+    // Less those that are spoken for; entries would else go on sending there what is refused.
+    const int open = openPlaces(desk.ledger) - adaptersWaited(desk, "", "");
+    beat.openPlaces = mayOrder && desk.ledger.proved ? static_cast<std::uint32_t>(std::max(open, 0)) : 0;
+    beat.backlogTokens = backlogTokens(desk.queue);
+    beat.tokensPerSecond = std::llround(desk.queue.speed * msPerSecond);
+    beat.running = static_cast<std::uint32_t>(desk.queue.running.size());
+    return beat;
+}
+
+}
--- /dev/null
+++ b/packages/serving/place_desk.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "protocol/fleet_messages.h"
+#include "serving/place_queue.h"
+#include "serving/server_ledger.h"
+#include "state/clock.h"
+
+#include <string>
+#include <vector>
+
+// One model server as the daemon runs it that gives its orders: its places, and the prompts that wait for
+// them. What is refused, who waits and who is let in is decided here, without network or clock, so that the
+// same code serves callers and the load model of the tests.
+namespace briarhead {
+
+struct place_desk
+{
+    server_ledger ledger;
+    place_queue queue;
+};
+
+/// An answer and the entry it goes to.
+struct desk_answer
+{
+    std::string entry;
+    place_answer answer;
+};
+
+/// The least that a refused caller is asked to wait.
+constexpr millis shortestComeBack{150};
+/// While every place is used, one is free again after about this long: the rest of a short answer.
+constexpr millis placeComeBack{400};
+
+place_answer refuseAsk(const std::string &id, const std::string &server, refusal why, millis comeBack);
+
+/// Answers an entry's question at once: granted before, refused, or queued. What is queued is let in by
+/// `answersDue`.
+place_answer askDesk(place_desk &desk, const std::string &entry, const place_ask &ask, millis now);
+/// A request that the orderer before let in runs here.
+void takeRunning(place_desk &desk, const std::string &entry, const place_running &run, millis now);
+void takeNote(place_desk &desk, const place_note &note, millis now);
+/// Gives up the places of requests whose time is long over.
+void dropExpired(place_desk &desk, millis now);
+/// Takes in what the server tells of itself; uses of adapters survive it by their grants.
+void takeReport(place_desk &desk, const server_report &report, millis now);
+
+/// Grants to prompts whose turn it is, and refusals of those whose time is over.
+std::vector<desk_answer> answersDue(place_desk &desk, millis now);
+/// Refuses all that wait.
+std::vector<desk_answer> refuseWaiting(place_desk &desk, refusal why);
+
+/// The next order, for what waits; see `nextOrder`.
+std::optional<server_order> orderDue(place_desk &desk, order_limits limits, millis now);
+/// Adapters that prompts wait for and that have no place yet, other than the given one.
+int adaptersWaited(const place_desk &desk, const std::string &model, const std::string &adapter);
+/// What entries are told. `mayOrder`: nothing keeps the orderer from giving orders now.
+server_beat beatOf(const place_desk &desk, bool mayOrder);
+
+}
