Let prompts go first that can still be on time; let long answers gather

Cause: at high load the queue settled at the length at which nearly all first events came just too late (29% of the matches on the load model), and two fifths of the long answers had a pause over 400 ms. Change: place_queue takes who can meet the target before who can't; short answers keep away from servers with long ones (120 ms of waiting for each), which gather.

--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -22,11 +22,13 @@
     std::int64_t waitMs = 0; ///< how long it may wait for its place
     std::int64_t deadlineMs = 0; ///< left until its caller gives up
     std::int64_t ageMs = 0; ///< since its caller first asked: it was refused before and has come back
+    std::int64_t targetMs = 0; ///< left until its first event is late; negative: it is late already
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, server, model, adapter, promptTokens, outputTokens, rank, waitMs, deadlineMs, ageMs);
+        archive(id, server, model, adapter, promptTokens, outputTokens, rank, waitMs, deadlineMs, ageMs,
+            targetMs);
     }
 };
 
@@ -129,11 +131,13 @@
     std::int64_t backlogTokens = 0; ///< prompt tokens granted or queued and not yet read
     std::int64_t tokensPerSecond = 0; ///< of prompts, as measured
     std::uint32_t running = 0;
+    std::uint32_t longAnswers = 0; ///< of those, answers that take seconds to write
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(server, fence, held, adapters, openPlaces, backlogTokens, tokensPerSecond, running);
+        archive(server, fence, held, adapters, openPlaces, backlogTokens, tokensPerSecond, running,
+            longAnswers);
     }
 };
 
--- a/packages/serving/choose_server.cpp
+++ b/packages/serving/choose_server.cpp
@@ -5,13 +5,20 @@
 
 namespace briarhead {
 
-std::optional<double> costOf(const model_candidate &server)
+bool isLongAnswer(std::int64_t outputTokens)
+{
+    return outputTokens > longAnswerTokens;
+}
+
+std::optional<double> costOf(const model_candidate &server, bool longAnswer)
 {
     if (server.excluded || !server.held) {
         return std::nullopt;
     }
     double cost = server.backlogMs + failureMs * server.failures;
     cost += server.sameDomain ? 0 : otherDomainMs;
+    const double others = longAnswerMs * std::min(server.longAnswers, longAnswersCounted);
+    cost += longAnswer ? -others : others;
     switch (server.adapter) {
     case residence::Resident:
         return cost;
@@ -24,12 +31,12 @@
     return cost + (server.openPlaces == 0 ? noPlaceMs : 0);
 }
 
-std::optional<std::size_t> chooseModelServer(const std::vector<model_candidate> &servers)
+std::optional<std::size_t> chooseModelServer(const std::vector<model_candidate> &servers, bool longAnswer)
 {
     std::optional<std::size_t> best;
     double bestCost = 0;
     for (std::size_t i = 0; i < servers.size(); ++i) {
-        const auto cost = costOf(servers[i]);
+        const auto cost = costOf(servers[i], longAnswer);
         if (cost && (!best || *cost < bestCost)) {
             best = i;
             bestCost = *cost;
--- a/packages/serving/choose_server.h
+++ b/packages/serving/choose_server.h
@@ -25,6 +25,7 @@
     bool sameDomain = false;
     bool excluded = false; ///< tried already, leaving, or without a path
     std::uint32_t openPlaces = 0; ///< for another adapter
+    std::uint32_t longAnswers = 0; ///< that run there
     double backlogMs = 0; ///< reading that is ahead
     double failures = 0; ///< share of its latest answers that failed, 0 to 1
     std::size_t hashRank = 0; ///< place in the adapter's rendezvous order
@@ -48,11 +49,24 @@
 /// A server that fails all it gets isn't worth the whole first second.
 constexpr double failureMs = 2'000;
 
-/// The expected cost of a candidate in ms of waiting; nothing where it can't serve.
-std::optional<double> costOf(const model_candidate &server);
+/// Each prompt that is read makes the streams of its server pause, and a long answer has hundreds of steps in
+/// which a pause can be too long. So short answers keep away from servers with long ones, and long ones
+/// gather: this much for each long answer there, up to the given number. On the load model's day of high load
+/// on 60 servers, long answers with a pause that is too long are a quarter of all in place of two fifths;
+/// beyond 160 ms the short ones lose more than the long ones gain.
+constexpr double longAnswerMs = 120;
+constexpr std::uint32_t longAnswersCounted = 10;
+/// Answers of up to 90 tokens (30 events of three) are done within a second or two.
+constexpr std::int64_t longAnswerTokens = 90;
+
+bool isLongAnswer(std::int64_t outputTokens);
+
+/// The expected cost of a candidate in ms of waiting; nothing where it can't serve. `longAnswer`: the request
+/// asks for one.
+std::optional<double> costOf(const model_candidate &server, bool longAnswer);
 
 /// Index of the cheapest, or nothing.
-std::optional<std::size_t> chooseModelServer(const std::vector<model_candidate> &servers);
+std::optional<std::size_t> chooseModelServer(const std::vector<model_candidate> &servers, bool longAnswer);
 
 /// A plain server as an entry sees it.
 struct plain_candidate
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -305,7 +305,8 @@
 {
     std::vector<const backend_server *> servers;
     const auto candidates = candidatesFor(*one, servers);
-    const auto chosen = chooseModelServer(candidates);
+    const bool longAnswer = isLongAnswer(one->request.outputTokens);
+    const auto chosen = chooseModelServer(candidates, longAnswer);
     const bool unheard = !chosen && one->excluded.empty() && !one->mayHaveRun;
     if (unheard && bootNow() - one->arrived < startPatience) {
         // No server's orderer has spoken yet: after a start, or after the death of those nearby.
@@ -329,7 +330,7 @@
         .add("server", server.id)
         .add("orderer", heard.orderer)
         .add("of", static_cast<std::int64_t>(candidates.size()))
-        .add("cost_ms", *costOf(candidates[*chosen]))
+        .add("cost_ms", *costOf(candidates[*chosen], longAnswer))
         .add("adapter", residences[static_cast<std::size_t>(candidates[*chosen].adapter)])
         .add("backlog_ms", candidates[*chosen].backlogMs)
         .add("open_places", static_cast<std::int64_t>(candidates[*chosen].openPlaces))
@@ -379,10 +380,11 @@
     ++m_counters.asks;
     m_workOfAsk[one->request.id] = one->number;
     const millis age = ageOf(*one);
-    const std::int64_t wait = (patienceOf(one->way->target, age) - (bootNow() - one->arrived)).count;
+    const millis waited = bootNow() - one->arrived;
+    const std::int64_t wait = (patienceOf(one->way->target, age) - waited).count;
     const place_ask message{one->request.id, one->server, one->request.model, one->request.adapter,
         one->request.promptTokens, one->request.outputTokens, one->way->rank, std::max<std::int64_t>(wait, 0),
-        std::max<std::int64_t>(left(*one).count, 0), age.count};
+        std::max<std::int64_t>(left(*one).count, 0), age.count, (one->way->target - age - waited).count};
     one->askTimer = m_loop.timer(askAgainAfter, {}, [this, weak = std::weak_ptr<work>(one)] {
         if (const auto same = weak.lock()) {
             askAgain(same);
--- a/packages/serving/heard_server.cpp
+++ b/packages/serving/heard_server.cpp
@@ -34,6 +34,7 @@
     const bool fresh = isFresh(heard, now);
     model_candidate candidate;
     candidate.held = beat.held;
+    candidate.longAnswers = beat.longAnswers;
     candidate.openPlaces =
         fresh && beat.openPlaces > heard.placesSince ? beat.openPlaces - heard.placesSince : 0;
     candidate.adapter = needsAdapter ? residence::Absent : residence::Resident;
--- a/packages/serving/place_desk.cpp
+++ b/packages/serving/place_desk.cpp
@@ -1,5 +1,7 @@
 #include "serving/place_desk.h"
 
+#include "serving/choose_server.h"
+
 #include <algorithm>
 #include <cmath>
 #include <set>
@@ -52,7 +54,8 @@
         return refuseAsk(ask.id, ask.server, refusal::NoPlace, placeComeBack);
     }
     const waiting_prompt prompt{ask.id, entry, ask.model, ask.adapter, ask.promptTokens, ask.outputTokens,
-        ask.rank, now - millis{ask.ageMs}, now + millis{ask.waitMs}, now + millis{ask.deadlineMs}};
+        ask.rank, now - millis{ask.ageMs}, now + millis{ask.waitMs}, now + millis{ask.deadlineMs},
+        now + millis{ask.targetMs}};
     const admission admitted = admit(desk.queue, prompt, now);
     if (!admitted.taken) {
         return refuseAsk(ask.id, ask.server, refusal::TooBusy, admitted.wait - millis{ask.waitMs});
@@ -66,7 +69,7 @@
         return;
     }
     const waiting_prompt prompt{run.id, entry, run.model, run.adapter, run.promptTokens, run.outputTokens, 0,
-        now, now, now + millis{run.deadlineMs}};
+        now, now, now + millis{run.deadlineMs}, now};
     desk.queue.running.emplace(run.id, running_prompt{prompt, now, run.reading});
     beginUse(desk.ledger, run.model, run.adapter, now);
 }
@@ -177,6 +180,9 @@
     beat.backlogTokens = backlogTokens(desk.queue);
     beat.tokensPerSecond = std::llround(desk.queue.speed * msPerSecond);
     beat.running = static_cast<std::uint32_t>(desk.queue.running.size());
+    for (const auto &[id, run] : desk.queue.running) {
+        beat.longAnswers += isLongAnswer(run.what.outputTokens) ? 1 : 0;
+    }
     return beat;
 }
 
--- a/packages/serving/place_queue.cpp
+++ b/packages/serving/place_queue.cpp
@@ -42,6 +42,23 @@
     return reads && fits && queue.running.size() < static_cast<std::size_t>(queue.slots);
 }
 
+/// Index of the prompt whose turn it is: the first that can be on time, else the first.
+std::optional<std::size_t> nextPrompt(const place_queue &queue,
+    const std::function<bool(const waiting_prompt &)> &ready, millis now)
+{
+    std::optional<std::size_t> first;
+    for (std::size_t i = 0; i < queue.waiting.size(); ++i) {
+        if (!ready(queue.waiting[i])) {
+            continue;
+        }
+        if (canBeOnTime(queue, queue.waiting[i], now)) {
+            return i;
+        }
+        first = first ? first : i;
+    }
+    return first;
+}
+
 void measure(place_queue &queue, std::int64_t tokens, millis now)
 {
     queue.readTokens += tokens;
@@ -79,6 +96,13 @@
     return sum;
 }
 
+bool canBeOnTime(const place_queue &queue, const waiting_prompt &prompt, millis now)
+{
+    const double readMs =
+        static_cast<double>(readingTokens(queue) + prompt.promptTokens) / queue.speed;
+    return now + millis{std::llround(readMs)} + firstEventMargin <= prompt.targetAt;
+}
+
 admission admit(place_queue &queue, const waiting_prompt &prompt, millis now)
 {
     const auto sameId = [&prompt](const waiting_prompt &other) {
@@ -89,8 +113,11 @@
         return {true, true, {}};
     }
     std::int64_t ahead = readingTokens(queue);
+    const bool onTime = canBeOnTime(queue, prompt, now);
     for (const waiting_prompt &other : queue.waiting) {
-        ahead += other.rank <= prompt.rank ? other.promptTokens : 0;
+        const bool otherOnTime = canBeOnTime(queue, other, now);
+        const bool before = onTime == otherOnTime ? other.rank <= prompt.rank : otherOnTime;
+        ahead += before ? other.promptTokens : 0;
     }
     const millis wait{std::llround(static_cast<double>(ahead) / queue.speed)};
     if (now + wait > prompt.startBy) {
@@ -104,27 +131,26 @@
 std::vector<waiting_prompt> letIn(place_queue &queue,
     const std::function<bool(const waiting_prompt &)> &ready, std::vector<waiting_prompt> &late, millis now)
 {
-    std::vector<waiting_prompt> in;
-    for (auto it = queue.waiting.begin(); it != queue.waiting.end();) {
-        if (it->startBy < now) {
-            late.push_back(*it);
-            it = queue.waiting.erase(it);
-            continue;
+    std::erase_if(queue.waiting, [&](const waiting_prompt &prompt) {
+        const bool over = prompt.startBy < now;
+        if (over) {
+            late.push_back(prompt);
         }
-        if (!ready(*it)) {
-            ++it;
-            continue;
-        }
-        if (!hasRoom(queue, *it)) {
+        return over;
+    });
+    std::vector<waiting_prompt> in;
+    while (const auto next = nextPrompt(queue, ready, now)) {
+        const waiting_prompt prompt = queue.waiting[*next];
+        if (!hasRoom(queue, prompt)) {
             break; // a smaller one behind it must not starve the largest
         }
         if (queue.busySince.count == 0) {
             queue.busySince = now;
             queue.readTokens = 0;
         }
-        queue.running.emplace(it->id, running_prompt{*it, now, true});
-        in.push_back(*it);
-        it = queue.waiting.erase(it);
+        queue.running.emplace(prompt.id, running_prompt{prompt, now, true});
+        in.push_back(prompt);
+        queue.waiting.erase(queue.waiting.begin() + static_cast<std::ptrdiff_t>(*next));
     }
     return in;
 }
--- a/packages/serving/place_queue.h
+++ b/packages/serving/place_queue.h
@@ -12,7 +12,8 @@
 
 // Who may send a prompt to one server, and when. Prompts are read in pieces between the tokens of the
 // streams that run there, so each one that is sent early makes all of them stutter: only as much is let in
-// as keeps the server reading, and the rest waits here, where the most urgent goes first.
+// as keeps the server reading, and the rest waits here: those that can still be on time before those that
+// can't, then the most urgent, then by arrival.
 namespace briarhead {
 
 struct waiting_prompt
@@ -27,6 +28,7 @@
     millis arrived;
     millis startBy; ///< of no use to its caller later
     millis deadline;
+    millis targetAt; ///< its first event is on time until then
 };
 
 struct running_prompt
@@ -42,6 +44,8 @@
 /// How much reading is let in ahead, in ms of the server's speed. A stream's next event waits for two or
 /// three steps, each with at most this much reading in it, and is late after 400 ms.
 constexpr double readAheadMs = 170.0;
+/// From the end of a prompt's reading to its first event at the caller: the step it ends in, and the way.
+constexpr millis firstEventMargin{30};
 /// A share of the server's memory that stays free: output tokens are known only as an upper bound.
 constexpr double memoryShare = 0.9;
 
@@ -68,6 +72,13 @@
     millis wait; ///< until its turn, predicted
 };
 
+/// Whether a prompt that is let in at once can have its first event in time. Under a load that is too high
+/// for a while, a queue in order of arrival settles at the length at which everyone is served just too late.
+/// With those first whose target can still be met, most are on time, and the rest, who are late either way,
+/// get what is left. On the load model's day of high load on 60 servers, 7% are late for that reason in
+/// place of 21%, and the worth grows from 0.66 to 0.75 of what is owed.
+bool canBeOnTime(const place_queue &queue, const waiting_prompt &prompt, millis now);
+
 /// Takes a prompt into the queue unless its turn would come after `startBy`.
 admission admit(place_queue &queue, const waiting_prompt &prompt, millis now);
 
--- a/tests/load_model/load_model.cpp
+++ b/tests/load_model/load_model.cpp
@@ -93,7 +93,7 @@
     void take(const arrival &what, bool returned);
     void startModel(request &one);
     std::optional<std::size_t> choose(const std::vector<model_candidate> &candidates,
-        const std::vector<std::size_t> &loads);
+        const std::vector<std::size_t> &loads, bool longAnswer);
     void onAnswer(const place_answer &answer);
     void send(request &one, std::size_t server);
     void refuse(request &one);
@@ -310,7 +310,7 @@
         loads.push_back(heard.beat.running);
     }
     rankByHash(candidates, names, key);
-    const auto chosen = choose(candidates, loads);
+    const auto chosen = choose(candidates, loads, isLongAnswer(what.outputTokens));
     if (!chosen || one.tried >= placesAsked) {
         refuse(one);
         return;
@@ -323,7 +323,8 @@
     const millis age{one.arrivedMs - what.atMs};
     const millis wait = patienceOf(millis{m_plan.targetMs}, age) - millis{m_nowMs - one.arrivedMs};
     const place_ask ask{one.id, server.id, baseModel, what.adapter, what.promptTokens, what.outputTokens,
-        kind.rank, std::max<std::int64_t>(wait.count, 0), what.atMs + kind.deadlineMs - m_nowMs, age.count};
+        kind.rank, std::max<std::int64_t>(wait.count, 0), what.atMs + kind.deadlineMs - m_nowMs, age.count,
+        what.atMs + m_plan.targetMs - m_nowMs};
     const place_answer answer = askDesk(server.desk, std::to_string(what.entry), ask, now());
     if (answer.verdict == place_verdict::Queued) {
         pump(*chosen);
@@ -333,7 +334,7 @@
 }
 
 std::optional<std::size_t> day::choose(
-    const std::vector<model_candidate> &candidates, const std::vector<std::size_t> &loads)
+    const std::vector<model_candidate> &candidates, const std::vector<std::size_t> &loads, bool longAnswer)
 {
     std::vector<std::size_t> open;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -356,7 +357,7 @@
             return candidates[a].hashRank < candidates[b].hashRank;
         });
     case route_policy::Briarhead:
-        return chooseModelServer(candidates);
+        return chooseModelServer(candidates, longAnswer);
     }
     return std::nullopt;
 }
