Let the more urgent kind go first, then who can be on time; test both and the load

Cause: with on-time prompts first, a late prompt of an urgent kind waited behind a less urgent one. Change: rank decides first, being on time within a rank. Conclusion: kept, since callers' priorities say so.

--- a/packages/serving/place_queue.cpp
+++ b/packages/serving/place_queue.cpp
@@ -51,6 +51,9 @@
         if (!ready(queue.waiting[i])) {
             continue;
         }
+        if (first && queue.waiting[*first].rank < queue.waiting[i].rank) {
+            break;
+        }
         if (canBeOnTime(queue, queue.waiting[i], now)) {
             return i;
         }
@@ -116,7 +119,7 @@
     const bool onTime = canBeOnTime(queue, prompt, now);
     for (const waiting_prompt &other : queue.waiting) {
         const bool otherOnTime = canBeOnTime(queue, other, now);
-        const bool before = onTime == otherOnTime ? other.rank <= prompt.rank : otherOnTime;
+        const bool before = other.rank == prompt.rank ? otherOnTime >= onTime : other.rank < prompt.rank;
         ahead += before ? other.promptTokens : 0;
     }
     const millis wait{std::llround(static_cast<double>(ahead) / queue.speed)};
--- a/tests/serving/decisions_test.cpp
+++ b/tests/serving/decisions_test.cpp
@@ -15,11 +15,14 @@
 namespace {
 
 constexpr millis start{50'000};
+constexpr prompt_shape shortAnswer{2'400, 90};
+constexpr prompt_shape longAnswer{1'500, 500};
 
 waiting_prompt prompt(const std::string &id, std::int64_t tokens, millis arrived, int rank = 0)
 {
     return {
-        id, "entry", "base", "", tokens, 100, rank, arrived, arrived + millis{750}, arrived + millis{5'000}};
+        id, "entry", "base", "", tokens, 100, rank, arrived, arrived + millis{750}, arrived + millis{5'000},
+        arrived + millis{1'000}};
 }
 
 place_queue queueOf(int slots = 64, std::int64_t memory = 120'000)
@@ -94,6 +97,54 @@
     EXPECT_EQ(letInNow(queue, start + millis{3}), (std::vector<std::string>{"urgent", "early", "late"}));
 }
 
+// For some seconds more prompts arrive than a server can read (a burst, or a neighbour's crash). In order of
+// arrival the queue grows until everyone's first event comes just too late, and stays like that. Most users
+// would wait in vain; so those who can still be on time go before those who can't.
+TEST(PlaceQueue, AnOverloadedServerKeepsMostOnTime)
+{
+    place_queue queue = queueOf();
+    constexpr std::int64_t tokens = 2'000;
+    constexpr millis readTime{140}; // 2,000 tokens at the 14 tokens a ms assumed at first
+    int onTime = 0;
+    int read = 0;
+    std::string reading;
+    millis readingEnds;
+    for (millis now = start; now < start + millis{10'000}; now = now + millis{10}) {
+        if (!reading.empty() && now >= readingEnds) {
+            const waiting_prompt done = queue.running.at(reading).what;
+            onTime += now <= done.targetAt ? 1 : 0;
+            ++read;
+            firstToken(queue, reading, now);
+            (void)ended(queue, reading, now);
+            reading.clear();
+        }
+        if ((now - start).count % 110 == 0) { // 1.27 times what the server can read
+            waiting_prompt next = prompt("p" + std::to_string(now.count), tokens, now);
+            next.startBy = now + millis{950};
+            (void)admit(queue, next, now);
+        }
+        const auto in = letInNow(queue, now);
+        ASSERT_LE(in.size(), 1U);
+        if (!in.empty()) {
+            reading = in.front();
+            readingEnds = now + readTime;
+        }
+    }
+    EXPECT_GT(read, 65);
+    EXPECT_GT(onTime, read * 9 / 10) << "of " << read;
+}
+
+// A more urgent kind is never behind a less urgent one, also when it is late already.
+TEST(PlaceQueue, AnUrgentPromptThatIsLateGoesBeforeALessUrgentOneThatIsNot)
+{
+    place_queue queue = queueOf();
+    waiting_prompt late = prompt("late", 100, start, 0);
+    late.targetAt = start;
+    ASSERT_TRUE(admit(queue, prompt("ordinary", 100, start, 1), start).taken);
+    ASSERT_TRUE(admit(queue, late, start).taken);
+    EXPECT_EQ(letInNow(queue, start), (std::vector<std::string>{"late", "ordinary"}));
+}
+
 TEST(PlaceQueue, NeverFillsMemoryOrSlots)
 {
     place_queue queue = queueOf(2, 5'000);
@@ -176,9 +227,9 @@
     model_candidate idle;
     idle.sameDomain = true;
     idle.openPlaces = 2;
-    EXPECT_EQ(chooseModelServer({home, idle}), 0U);
+    EXPECT_EQ(chooseModelServer({home, idle}, shortAnswer), 0U);
     home.backlogMs = 1'500;
-    EXPECT_EQ(chooseModelServer({home, idle}), 1U);
+    EXPECT_EQ(chooseModelServer({home, idle}, shortAnswer), 1U);
 }
 
 // Each cold adapter goes to the same server each time, which still has it in memory and loads it in a tenth
@@ -191,9 +242,26 @@
     model_candidate first;
     first.openPlaces = 1;
     first.hashRank = 0;
-    EXPECT_EQ(chooseModelServer({second, first}), 1U);
+    EXPECT_EQ(chooseModelServer({second, first}, shortAnswer), 1U);
     first.openPlaces = 0;
-    EXPECT_EQ(chooseModelServer({second, first}), 0U);
+    EXPECT_EQ(chooseModelServer({second, first}, shortAnswer), 0U);
+}
+
+// Long answers run beside many short ones. A user who waits for a long answer would see it stutter each time
+// a prompt is read in between: short ones keep away from it, the longer their prompt the more, and the long
+// ones gather.
+TEST(ChooseServer, ShortAnswersKeepAwayFromLongOnesWhichGather)
+{
+    model_candidate withLong;
+    withLong.adapter = residence::Resident;
+    withLong.longAnswers = 4;
+    model_candidate without;
+    without.adapter = residence::Resident;
+    without.backlogMs = 300;
+    EXPECT_EQ(chooseModelServer({withLong, without}, longAnswer), 0U);
+    EXPECT_EQ(chooseModelServer({withLong, without}, shortAnswer), 1U);
+    EXPECT_EQ(chooseModelServer({withLong, without}, {500, 90}), 0U) << "a small prompt hardly disturbs";
+    EXPECT_GT(*costOf(withLong, {6'000, 90}), *costOf(withLong, shortAnswer));
 }
 
 TEST(ChooseServer, AServerThatFailsIsLeftAloneAndTriedAgainLater)
@@ -208,9 +276,9 @@
     model_candidate loaded;
     loaded.adapter = residence::Resident;
     loaded.backlogMs = 700;
-    EXPECT_EQ(chooseModelServer({failing, loaded}), 1U);
+    EXPECT_EQ(chooseModelServer({failing, loaded}, shortAnswer), 1U);
     failing.failures = failuresNow(record, start + millis{15'000});
-    EXPECT_EQ(chooseModelServer({failing, loaded}), 0U);
+    EXPECT_EQ(chooseModelServer({failing, loaded}, shortAnswer), 0U);
 }
 
 TEST(ChooseServer, NothingIsChosenThatCannotServe)
@@ -219,7 +287,7 @@
     leaving.excluded = true;
     model_candidate empty;
     empty.held = false;
-    EXPECT_FALSE(chooseModelServer({leaving, empty}));
+    EXPECT_FALSE(chooseModelServer({leaving, empty}, shortAnswer));
     plain_candidate out;
     out.excluded = true;
     EXPECT_FALSE(choosePlainServer({out}));
