Leave a server alone that says it is busy

Cause: a server that turns requests away with "not run" while its health is good was chosen as often as the others; routes that allow one server only were refused each time. Ruled out: a bound on retries (the refused route allows one server); slow servers: what runs there counts as load already. Change: such an answer counts in the server's record as a failure does; an adapter that isn't there does not. The backend stand-in can be busy and slow. ABusyServerIsLeftAlone fails without the change (7 turned away of 24), passes with it.

--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -33,6 +33,7 @@
 constexpr millis comeBackNotReady{1'000};
 constexpr double msPerSecond = 1'000;
 constexpr int firstServerError = 500;
+constexpr int misdirectedStatus = 421;
 
 std::string secondsText(millis span)
 {
@@ -585,8 +586,11 @@
     const bool answered = how == send_end::Whole && (one->meta.signedByServer || one->meta.notRun);
     const bool notRun = answered && one->meta.notRun;
     const bool failed = !answered || (one->head.status >= firstServerError && !notRun);
-    if (!notRun) {
-        recordAnswer(m_records[server], failed, bootNow());
+    // A server that says it is full is left alone like one that fails: a route may allow one server only, and
+    // its requests are then refused each time. Not so an adapter that isn't there: that is no fault of it.
+    const bool full = notRun && one->head.status != misdirectedStatus;
+    if (full || !notRun) {
+        recordAnswer(m_records[server], failed || full, bootNow());
     }
     if (how == send_end::Unsent) {
         ++one->unsent;
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -121,8 +121,9 @@
         reply->respond(421, fields, "");
         return;
     }
-    if (now == mood::Sheds) {
-        reply->respond(503, {{"X-Briarhead-Not-Executed", "1"}, {"X-Briarhead-Request-Id", requestId}}, "");
+    if (now == mood::Sheds || now == mood::Busy) {
+        ++turnedAway;
+        reply->respond(now == mood::Sheds ? 503 : 429, {{"X-Briarhead-Not-Executed", "1"}, {"X-Briarhead-Request-Id", requestId}}, "");
         return;
     }
     ran.push_back(request);
@@ -144,6 +145,11 @@
         });
         m_held.emplace_back(requestId, reply);
         return;
+    case mood::Slow:
+        m_timers.push_back(m_loop.timer(slowness, {}, [this, reply, fields] {
+            reply->respond(200, fields, "served by " + id);
+        }));
+        return;
     case mood::CutsStream:
         answerStream(reply, requestId, first, first + 1);
         reply->write("id: 99\ndata: ha");
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -32,6 +32,8 @@
     {
         Serves,
         Sheds, ///< 503, not run
+        Busy, ///< 429, not run, for requests; its other answers are well
+        Slow, ///< answers after `slowness`
         Fails, ///< 500, run
         Unsigned, ///< 200 without the server's signature
         Resets, ///< runs it and closes the connection without an answer
@@ -47,6 +49,8 @@
     std::vector<front_request> ran;
     std::vector<nlohmann::json> orders;
     std::size_t left = 0; ///< callers that went away
+    std::size_t turnedAway = 0; ///< requests that it did not take, Busy or Sheds
+    millis slowness{700};
     std::uint16_t port = 0;
 
 private:
@@ -58,6 +62,7 @@
     std::string m_service;
     std::unique_ptr<front_server> m_server;
     std::vector<std::pair<std::string, std::shared_ptr<front_reply>>> m_held; ///< by request id
+    std::vector<std::shared_ptr<void>> m_timers;
 };
 
 }
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -169,6 +169,42 @@
     EXPECT_NE(failed.find("X-Briarhead-Server-Stamp"), std::string::npos);
 }
 
+// A server says for a while that it is busy, though its health is good. A user of what may go to one server
+// only would be sent away half of the time: after a few such answers the other server gets the requests.
+TEST_F(edge_test, ABusyServerIsLeftAlone)
+{
+    start();
+    m_plain[0]->now = mood::Busy;
+    for (int i = 0; i < 24; ++i) {
+        EXPECT_EQ(statusOf(answerTo("/once/x")), "200");
+    }
+    EXPECT_LE(m_plain[0]->turnedAway, 4U);
+    EXPECT_EQ(ranOn(m_plain), 24U);
+}
+
+// A server has become slow. What it has answered is delivered, also late, and what waits there counts as its
+// load, so that a user's next request goes elsewhere.
+TEST_F(edge_test, ASlowServersAnswersAreDeliveredAndOthersGetTheRest)
+{
+    start();
+    m_plain[0]->now = mood::Slow;
+    std::vector<std::unique_ptr<raw_socket>> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(ask("/once/x", ""));
+        runRounds(30);
+    }
+    EXPECT_LE(m_plain[0]->ran.size(), 2U);
+    for (const auto &caller : callers) {
+        std::string seen;
+        EXPECT_TRUE(runUntil([&] {
+            return !caller->receive(seen);
+        }));
+        EXPECT_EQ(statusOf(seen), "200") << seen;
+        EXPECT_NE(seen.find("served by p-"), std::string::npos);
+    }
+    EXPECT_EQ(ranOn(m_plain), 4U);
+}
+
 // One server runs a request and loses its answer, the others are gone. "Not run" would be a lie.
 TEST_F(edge_test, AfterASendThatMayHaveRunNothingIsCalledNotRun)
 {
