Tell each daemon of its cell's servers only, and add a soak of real processes

Ruled out: fewer beats for all: a server's backlog is then older than a prompt's reading time. Change: the daemons of a failure domain and the servers are dealt into cells (32 daemons, 96 servers); an entry hears of its cell's servers and asks the orderers of an adapter's first two servers elsewhere unheard. Adapters are told by hash. Empty beats, which nobody used, are gone. Deployments of up to 96 servers are one cell, as before. The soak (tests/soak): a seed's faults on real processes through loopback proxies, checked from outside.

--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -107,10 +107,11 @@
     }
 };
 
-/// One adapter that a server holds or will soon.
+/// One adapter that a server holds or will soon. A hash stands for its name, a fifth of the bytes; two that
+/// share one are told apart by the orderer.
 struct beat_adapter
 {
-    std::string name; ///< MODEL/ADAPTER
+    std::uint32_t name = 0; ///< hash of MODEL/ADAPTER, see adapterHash
     bool loading = false;
 
     template <class Archive>
@@ -141,7 +142,7 @@
     }
 };
 
-/// Every daemon -> every other, a few times a second.
+/// A daemon -> the others that hear of its servers, a few times a second.
 struct fleet_beat
 {
     bool relay = false; ///< to be passed on to all daemons of the receiver's failure domain
--- a/packages/serving/choose_server.cpp
+++ b/packages/serving/choose_server.cpp
@@ -23,7 +23,7 @@
 
 std::optional<double> costOf(const model_candidate &server, const prompt_shape &prompt)
 {
-    if (server.excluded || !server.held) {
+    if (server.excluded || !server.held || (!server.heard && server.hashRank >= unheardRanks)) {
         return std::nullopt;
     }
     double cost = server.backlogMs + failureMs * server.failures;
--- a/packages/serving/choose_server.h
+++ b/packages/serving/choose_server.h
@@ -22,6 +22,7 @@
 {
     residence adapter = residence::Absent;
     bool held = true; ///< the base model is there
+    bool heard = true; ///< by beats; else nothing is known of it but who gives its orders
     bool sameDomain = false;
     bool excluded = false; ///< tried already, leaving, or without a path
     std::uint32_t openPlaces = 0; ///< for another adapter
@@ -46,6 +47,8 @@
 /// the weight store again; at 25 a day's loads from there were a third more.
 constexpr double hashRankMs = 150;
 constexpr std::size_t hashRanksCounted = 6;
+/// Servers without beats are asked only as one of an adapter's first so many.
+constexpr std::size_t unheardRanks = 2;
 /// A server that fails all it gets isn't worth the whole first second.
 constexpr double failureMs = 2'000;
 
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -1,6 +1,7 @@
 #include "serving/edge_daemon.h"
 
 #include "protocol/codec.h"
+#include "serving/beat_cells.h"
 #include "serving/fleet_port.h"
 #include "serving/front_task.h"
 #include "serving/orderer_task.h"
@@ -23,13 +24,6 @@
 
 /// How old a server's backlog may be at the entries: about one prompt's reading time.
 constexpr millis beatEvery{150};
-/// Without servers of its own a daemon still tells that it lives.
-constexpr int quietBeats = 7;
-/// Another failure domain's daemons get the beats directly up to this number; beyond, one of them passes them
-/// on, and only every third is sent: bytes between failure domains are dear, and its servers are a second
-/// choice.
-constexpr std::size_t directPeers = 3;
-constexpr int relayedBeats = 3;
 /// A fetch that takes longer is given up; whoever asked has tried another way by then.
 constexpr millis newsTimeout{2'000};
 /// Packed news up to this size go in the datagram itself; more has to be fetched.
@@ -83,6 +77,8 @@
     void answerEntry(const std::string &entry, const place_answer &answer);
     void onDatagram(const fleet_datagram &datagram);
     void sendNews(const std::vector<std::string> &nodes, const store_news &news);
+    daemon_record self() const;
+    fleet_shape shape() const;
     void beat();
     void passOn(const fleet_datagram &datagram, const fleet_beat &beat);
     void fetchNews(
@@ -249,48 +245,36 @@
         datagram.body);
 }
 
-/// A beat from another failure domain, for everyone in this one.
+daemon_record daemon_impl::self() const
+{
+    return {m_settings.node, m_settings.peers.ip, m_settings.peers.port, m_settings.failureDomain,
+        m_store.incarnation()};
+}
+
+fleet_shape daemon_impl::shape() const
+{
+    return {&m_store.view().daemons, m_store.view().servers.size()};
+}
+
+/// A beat from another failure domain, for the others here that hear of its servers.
 void daemon_impl::passOn(const fleet_datagram &datagram, const fleet_beat &beat)
 {
     fleet_datagram copy{datagram.from, datagram.incarnation, beat};
     std::get<fleet_beat>(copy.body).relay = false;
-    for (const auto &[node, record] : m_store.view().daemons) {
-        if (node != m_settings.node && record.failureDomain == m_settings.failureDomain) {
-            m_port->send({record.ip, record.port}, copy);
-        }
+    for (const daemon_record *record : passOnTo(shape(), self(), beat)) {
+        m_port->send({record->ip, record->port}, copy);
     }
 }
 
-/// To every daemon of the own failure domain; to another one by a daemon there that passes it on, a different
-/// one each time, so that none carries it all and a dead one costs one beat.
 void daemon_impl::beat()
 {
     const fleet_beat now = m_orderer.beat();
     m_front.onBeat(m_settings.node, now);
     ++m_beats;
-    if (now.servers.empty() && m_beats % quietBeats != 0) {
-        return;
-    }
-    std::map<std::string, std::vector<const daemon_record *>> domains;
-    for (const auto &[node, record] : m_store.view().daemons) {
-        if (node != m_settings.node) {
-            domains[record.failureDomain].push_back(&record);
-        }
-    }
-    fleet_datagram datagram{m_settings.node, m_store.incarnation(), now};
-    for (const auto &[domain, records] : domains) {
-        const bool direct = domain == m_settings.failureDomain || records.size() <= directPeers;
-        if (!direct && m_beats % relayedBeats != 0) {
-            continue;
-        }
-        std::get<fleet_beat>(datagram.body).relay = !direct;
-        if (!direct) {
-            const daemon_record &relay = *records[static_cast<std::size_t>(m_beats) % records.size()];
-            m_port->send({relay.ip, relay.port}, datagram);
-            continue;
-        }
-        for (const daemon_record *record : records) {
-            m_port->send({record->ip, record->port}, datagram);
+    for (const beat_parcel &parcel : dealBeats(shape(), self(), now, m_beats)) {
+        for (const daemon_record *record : parcel.to) {
+            m_port->send(
+                {record->ip, record->port}, {m_settings.node, m_store.incarnation(), parcel.beat});
         }
     }
 }
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -135,6 +135,7 @@
         m_heard.erase(id);
         m_records.erase(id);
     }
+    m_cells = cellsIn({&m_store.view().daemons, m_store.view().servers.size()}, m_settings.failureDomain);
 }
 
 void front_task::stopTaking()
@@ -286,9 +287,11 @@
         const auto heard = m_heard.find(id);
         if (heard != m_heard.end()) {
             candidate = candidateOf(heard->second, adapter, !one.request.adapter.empty(), now);
+        } else {
+            candidate = unheardCandidate(!one.request.adapter.empty());
+            candidate.excluded = unheardOrderer(id).empty();
         }
-        candidate.excluded = candidate.excluded || server.draining || one.excluded.count(id) != 0
-            || heard == m_heard.end();
+        candidate.excluded = candidate.excluded || server.draining || one.excluded.count(id) != 0;
         candidate.sameDomain = server.failureDomain == m_settings.failureDomain;
         const auto record = m_records.find(id);
         candidate.failures = record == m_records.end() ? 0 : failuresNow(record->second, now);
@@ -318,7 +321,9 @@
         return;
     }
     const backend_server &server = *servers[*chosen];
-    heard_server &heard = m_heard.at(server.id);
+    const auto heard = m_heard.find(server.id);
+    const bool known = heard != m_heard.end();
+    const std::string orderer = known ? heard->second.orderer : unheardOrderer(server.id);
     one->server = server.id;
     one->granted = false;
     one->asks = 0;
@@ -327,7 +332,7 @@
     m_log.ordinary("request.routed")
         .add("id", one->request.id)
         .add("server", server.id)
-        .add("orderer", heard.orderer)
+        .add("orderer", orderer)
         .add("of", static_cast<std::int64_t>(candidates.size()))
         .add("prompt_tokens", prompt.promptTokens)
         .add("output_tokens", prompt.outputTokens)
@@ -336,20 +341,35 @@
         .add("backlog_ms", candidates[*chosen].backlogMs)
         .add("open_places", static_cast<std::int64_t>(candidates[*chosen].openPlaces))
         .add("failures", candidates[*chosen].failures)
-        .add("beat_age_ms", bootNow() - heard.at);
-    countAsk(heard, one->request.promptTokens, candidates[*chosen].adapter);
+        .add("beat_age_ms", known ? bootNow() - heard->second.at : millis{-1});
+    if (known) {
+        countAsk(heard->second, one->request.promptTokens, candidates[*chosen].adapter);
+    }
     ++one->placesTried;
-    if (!isFresh(heard, bootNow())) {
+    if (known && !isFresh(heard->second, bootNow())) {
         // Its orderer is gone and the next one not there yet: what is resident there can still serve.
         one->orderer.clear();
         one->adapterVersion = 0;
         send(one, server);
         return;
     }
-    one->orderer = heard.orderer;
+    one->orderer = orderer;
     ask(one);
 }
 
+/// The daemon that gives the orders of a server that this one hears no beats of, as the store has it; empty
+/// for a server of the own cell, whose beats are due.
+std::string front_task::unheardOrderer(const std::string &server) const
+{
+    if (cellOf(server, m_cells) == cellOf(m_settings.node, m_cells)) {
+        return "";
+    }
+    const store_view &view = m_store.view();
+    const auto found = view.orderers.find(server);
+    const bool lives = found != view.orderers.end() && view.daemons.count(found->second.record.node) != 0;
+    return lives ? found->second.record.node : "";
+}
+
 void front_task::waitAndRetry(const work_ptr &one, void (front_task::*step)(const work_ptr &))
 {
     one->askTimer = m_loop.timer(retryStep, {}, [this, step, weak = std::weak_ptr<work>(one)] {
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/beat_cells.h"
 #include "serving/client_request.h"
 #include "serving/decision_log.h"
 #include "serving/event_stream.h"
@@ -66,6 +67,7 @@
     void startModel(const work_ptr &one);
     std::vector<model_candidate> candidatesFor(
         const work &one, std::vector<const backend_server *> &servers) const;
+    std::string unheardOrderer(const std::string &server) const;
     void ask(const work_ptr &one);
     void askAgain(const work_ptr &one);
     void onNoAnswer(const work_ptr &one);
@@ -107,6 +109,7 @@
     std::map<std::string, int> m_inFlight; ///< this entry's, by server
     std::map<std::string, server_record> m_records; ///< by server
     std::uint64_t m_lastWork = 0;
+    std::size_t m_cells = 1; ///< of this daemon's failure domain
     bool m_taking = true;
 };
 
--- a/packages/serving/heard_server.cpp
+++ b/packages/serving/heard_server.cpp
@@ -10,6 +10,8 @@
 
 /// Without a measured speed, the slowest of the first deployments is assumed, tokens a ms.
 constexpr double unknownSpeed = 14;
+/// Reading that is assumed ahead at a server without beats: about what a prompt waits on a busy day.
+constexpr double unheardBacklogMs = 150;
 constexpr double msPerSecond = 1'000;
 /// The share of the time to the first event that a prompt may wait for its turn. The turn is predicted too
 /// dark on average, and who is served a little late fares better than who is sent away: of 0.6, 0.75,
@@ -22,6 +24,11 @@
 
 }
 
+std::uint32_t adapterHash(std::string_view adapterKey)
+{
+    return static_cast<std::uint32_t>(rendezvousScore("adapter", adapterKey));
+}
+
 bool isFresh(const heard_server &heard, millis now)
 {
     return now - heard.at < beatFresh;
@@ -38,8 +45,9 @@
     candidate.openPlaces =
         fresh && beat.openPlaces > heard.placesSince ? beat.openPlaces - heard.placesSince : 0;
     candidate.adapter = needsAdapter ? residence::Absent : residence::Resident;
+    const std::uint32_t name = adapterHash(adapterKey);
     for (const beat_adapter &each : beat.adapters) {
-        if (each.name == adapterKey) {
+        if (each.name == name) {
             candidate.adapter = each.loading ? residence::Coming : residence::Resident;
         }
     }
@@ -51,6 +59,16 @@
     return candidate;
 }
 
+model_candidate unheardCandidate(bool needsAdapter)
+{
+    model_candidate candidate;
+    candidate.heard = false;
+    candidate.openPlaces = 1;
+    candidate.adapter = needsAdapter ? residence::Absent : residence::Resident;
+    candidate.backlogMs = unheardBacklogMs;
+    return candidate;
+}
+
 void rankByHash(std::vector<model_candidate> &candidates, const std::vector<std::string_view> &servers,
     const std::string &adapterKey)
 {
--- a/packages/serving/heard_server.h
+++ b/packages/serving/heard_server.h
@@ -24,6 +24,9 @@
 /// A beat older than this says nothing about a server's orderer being alive.
 constexpr millis beatFresh{1'500};
 
+/// Stands for "MODEL/ADAPTER" in beats.
+std::uint32_t adapterHash(std::string_view adapterKey);
+
 bool isFresh(const heard_server &heard, millis now);
 
 /// What the beats say of a server for an adapter ("MODEL/ADAPTER", or the model alone). Domain, failures and
@@ -31,6 +34,10 @@
 model_candidate candidateOf(
     const heard_server &heard, const std::string &adapterKey, bool needsAdapter, millis now);
 
+/// A server that no beats tell of, since it is in another cell. Only an adapter's first servers are asked so:
+/// if it is anywhere besides the own cell, it is there.
+model_candidate unheardCandidate(bool needsAdapter);
+
 /// Fills in `hashRank` of each, by the adapter's rendezvous order over the servers' ids.
 void rankByHash(std::vector<model_candidate> &candidates, const std::vector<std::string_view> &servers,
     const std::string &adapterKey);
--- a/packages/serving/place_desk.cpp
+++ b/packages/serving/place_desk.cpp
@@ -1,6 +1,7 @@
 #include "serving/place_desk.h"
 
 #include "serving/choose_server.h"
+#include "serving/heard_server.h"
 
 #include <algorithm>
 #include <cmath>
@@ -171,7 +172,7 @@
     for (const adapter_place &place : desk.ledger.adapters) {
         if (place.state != place_state::Unloading) {
             beat.adapters.push_back(
-                {adapterKey(place.model, place.adapter), place.state == place_state::Loading});
+                {adapterHash(adapterKey(place.model, place.adapter)), place.state == place_state::Loading});
         }
     }
     // Less those that are spoken for; entries would else go on sending there what is refused.
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -1,5 +1,6 @@
 #include "serving/backend_standin.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace briarhead {
@@ -38,7 +39,7 @@
 
 std::string backend_standin::entry(const std::string &state) const
 {
-    const json object{{"service", m_service}, {"address", "127.0.0.1:" + std::to_string(port)}, {"zone", "z"},
+    const json object{{"service", m_service}, {"address", "127.0.0.1:" + std::to_string(advertised == 0 ? port : advertised)}, {"zone", "z"},
         {"slots", 4}, {"state", state}, {"models", json::array()}};
     return object.dump();
 }
@@ -82,6 +83,7 @@
     ++sequence;
     if (order.at("opcode") == "load") {
         adapters.insert(adapter);
+        mostAdapters = std::max(mostAdapters, adapters.size());
         reply.respond(202, {}, "");
     } else {
         adapters.erase(adapter);
@@ -146,8 +148,8 @@
         m_held.emplace_back(requestId, reply);
         return;
     case mood::Slow:
-        m_timers.push_back(m_loop.timer(slowness, {}, [this, reply, fields] {
-            reply->respond(200, fields, "served by " + id);
+        m_timers.push_back(m_loop.timer(slowness, {}, [this, reply, fields, model, requestId, first] {
+            answerWhole(reply, fields, requestId, model.empty() ? 0 : first);
         }));
         return;
     case mood::CutsStream:
@@ -158,11 +160,17 @@
     default:
         break;
     }
-    if (model.empty()) {
+    answerWhole(reply, fields, requestId, model.empty() ? 0 : first);
+}
+
+void backend_standin::answerWhole(const std::shared_ptr<front_reply> &reply,
+    const std::vector<http_field> &fields, const std::string &requestId, int firstEvent)
+{
+    if (firstEvent == 0) {
         reply->respond(200, fields, "served by " + id);
         return;
     }
-    answerStream(reply, requestId, first, streamEvents);
+    answerStream(reply, requestId, firstEvent, streamEvents);
     reply->end();
 }
 
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -52,11 +52,16 @@
     std::size_t turnedAway = 0; ///< requests that it did not take, Busy or Sheds
     millis slowness{700};
     std::uint16_t port = 0;
+    std::uint16_t advertised = 0; ///< in its entry, where daemons reach it by another port
+    std::size_t mostAdapters = 0; ///< held at a time
 
 private:
     void onRequest(const front_request &request, const std::shared_ptr<front_reply> &reply);
     void onOrder(const front_request &request, front_reply &reply);
     void run(const front_request &request, const std::shared_ptr<front_reply> &reply);
+    /// A stream from `firstEvent` on; 0: a plain answer.
+    void answerWhole(const std::shared_ptr<front_reply> &reply, const std::vector<http_field> &fields,
+        const std::string &requestId, int firstEvent);
 
     loop &m_loop;
     std::string m_service;
--- a/tests/serving/fake_store.cpp
+++ b/tests/serving/fake_store.cpp
@@ -174,6 +174,7 @@
     }
     later([this, done] {
         m_shared.open[++m_shared.lastLease] = true;
+        m_shared.keptAt[m_shared.lastLease] = bootNow();
         done(store_status::Ok, m_shared.lastLease);
     });
 }
@@ -184,6 +185,7 @@
         return;
     }
     later([this, lease, done] {
+        m_shared.keptAt[lease] = bootNow();
         done(m_shared.open[lease] ? store_status::Ok : store_status::Missing);
     });
 }
--- a/tests/serving/fake_store.h
+++ b/tests/serving/fake_store.h
@@ -42,6 +42,7 @@
     std::int64_t revision = 0;
     std::int64_t lastLease = 0;
     std::map<std::int64_t, bool> open; ///< leases
+    std::map<std::int64_t, millis> keptAt; ///< when a lease was granted or kept last
     std::uint64_t calls = 0;
     std::uint64_t watches = 0;
     std::uint64_t lists = 0; ///< answered
--- /dev/null
+++ b/tests/soak/soak_plan.cpp
@@ -0,0 +1,77 @@
+#include "soak/soak_plan.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace briarhead::soak {
+
+namespace {
+
+constexpr std::int64_t meanPauseMs = 700;
+constexpr std::int64_t calmStartMs = 2'000;
+constexpr std::int64_t shortestMs = 100;
+constexpr std::int64_t longestMs = 2'500;
+constexpr double seriesShare = 0.33;
+constexpr std::size_t variants = 8;
+
+struct weighted_kind
+{
+    fault_kind kind;
+    double weight;
+};
+
+constexpr std::array<weighted_kind, 12> kinds{{{fault_kind::KillDaemon, 2}, {fault_kind::PauseDaemon, 2},
+    {fault_kind::EndDaemon, 2}, {fault_kind::RereadSettings, 1}, {fault_kind::StoreTrouble, 2},
+    {fault_kind::StoreLink, 3}, {fault_kind::ServerLink, 3}, {fault_kind::ServerMood, 4},
+    {fault_kind::CrashServer, 2}, {fault_kind::ChangeConfig, 3}, {fault_kind::NameVersion, 1},
+    {fault_kind::ForgetHistory, 1}}};
+
+}
+
+std::string_view nameOf(fault_kind value)
+{
+    static constexpr std::array<std::string_view, 12> names{"kill daemon", "pause daemon", "end daemon",
+        "reread settings", "store trouble", "store link", "server link", "server mood", "crash server",
+        "change configuration", "name version", "forget history"};
+    return names[static_cast<std::size_t>(value)];
+}
+
+std::vector<fault> drawFaults(std::uint64_t seed, millis length, std::size_t daemons, std::size_t servers)
+{
+    std::mt19937_64 random(seed);
+    const auto below = [&random](std::int64_t bound) {
+        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
+    };
+    std::vector<double> weights;
+    for (const weighted_kind &each : kinds) {
+        weights.push_back(each.weight);
+    }
+    std::discrete_distribution<std::size_t> kindOf(weights.begin(), weights.end());
+    std::vector<fault> faults;
+    std::int64_t at = calmStartMs;
+    while (true) {
+        at += 1 + below(2 * meanPauseMs);
+        if (at >= length.count) {
+            break;
+        }
+        fault one;
+        one.kind = kinds[kindOf(random)].kind;
+        const bool ofDaemon = one.kind <= fault_kind::RereadSettings || one.kind == fault_kind::StoreLink;
+        one.target = static_cast<std::size_t>(below(static_cast<std::int64_t>(ofDaemon ? daemons : servers)));
+        one.variant = static_cast<std::size_t>(below(variants));
+        const bool series = std::uniform_real_distribution<double>(0, 1)(random) < seriesShare;
+        for (std::int64_t i = 0, from = at; i < (series ? 3 : 1) && from < length.count; ++i) {
+            one.at = {from};
+            one.lasts = {std::min(shortestMs + below(longestMs - shortestMs), length.count - from)};
+            faults.push_back(one);
+            from += one.lasts.count + 1 + below(meanPauseMs);
+        }
+    }
+    std::stable_sort(faults.begin(), faults.end(), [](const fault &a, const fault &b) {
+        return a.at < b.at;
+    });
+    return faults;
+}
+
+}
--- /dev/null
+++ b/tests/soak/soak_plan.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "state/clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+// What goes wrong in a soak, and when: drawn from a seed alone, so that a seed that failed fails again.
+namespace briarhead::soak {
+
+enum class fault_kind : std::uint8_t
+{
+    KillDaemon, ///< SIGKILL; it starts again after a moment
+    PauseDaemon, ///< SIGSTOP, then SIGCONT
+    EndDaemon, ///< SIGTERM; it starts again
+    RereadSettings, ///< SIGHUP
+    StoreTrouble, ///< for everyone: refuses, is silent, or loses the answers of writes
+    StoreLink, ///< of one daemon: delayed, silent, without answers, reset
+    ServerLink, ///< of one server, for all daemons
+    ServerMood, ///< it fails, sheds, is busy, slow or silent, cuts its streams, doesn't sign
+    CrashServer, ///< it comes back as another, with nothing in it
+    ChangeConfig,
+    NameVersion, ///< of an adapter
+    ForgetHistory, ///< the store's; watches are told to read anew
+};
+
+std::string_view nameOf(fault_kind value);
+
+struct fault
+{
+    millis at; ///< since the start of traffic
+    millis lasts;
+    fault_kind kind = fault_kind::KillDaemon;
+    std::size_t target = 0; ///< index of the daemon or server
+    std::size_t variant = 0; ///< of kinds that have several
+};
+
+/// Faults of `length`, about one each 700 ms, a third of them in a series on the same target. They overlap.
+std::vector<fault> drawFaults(std::uint64_t seed, millis length, std::size_t daemons, std::size_t servers);
+
+}
--- /dev/null
+++ b/tests/soak/soak_test.cpp
@@ -0,0 +1,51 @@
+#include "soak/soak.h"
+#include "soak/soak_plan.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+
+namespace briarhead::soak {
+
+namespace {
+
+void expectNoViolation(std::uint64_t seed, millis length)
+{
+    soak_options options;
+    options.seed = seed;
+    options.length = length;
+    options.program = BRIARHEAD_EDGE;
+    std::string name = (std::filesystem::temp_directory_path() / "briarhead-soak-XXXXXX").string();
+    ASSERT_NE(mkdtemp(name.data()), nullptr);
+    options.folder = name;
+    const soak_report report = runSoak(options);
+    for (const std::string &each : report.violations) {
+        ADD_FAILURE() << "seed " << seed << ": " << each;
+    }
+    EXPECT_GT(report.served, report.requests / 4) << "too much goes wrong to show anything";
+    std::filesystem::remove_all(options.folder);
+}
+
+}
+
+TEST(Soak, ASeedGivesTheSameFaults)
+{
+    const auto one = drawFaults(5, {20'000}, 4, 5);
+    const auto two = drawFaults(5, {20'000}, 4, 5);
+    ASSERT_EQ(one.size(), two.size());
+    ASSERT_GT(one.size(), 10U);
+    for (std::size_t i = 0; i < one.size(); ++i) {
+        EXPECT_EQ(one[i].at, two[i].at);
+        EXPECT_EQ(one[i].kind, two[i].kind);
+        EXPECT_EQ(one[i].target, two[i].target);
+    }
+}
+
+// Real processes under a seed's faults: killed, paused, ended, cut off from the store and from servers, which
+// fail in every way they can. Callers and servers see what they are promised all the while.
+TEST(Soak, PromisesHoldUnderASeedsFaults)
+{
+    expectNoViolation(11, {8'000});
+}
+
+}
--- /dev/null
+++ b/tests/soak/witness.cpp
@@ -0,0 +1,162 @@
+#include "soak/witness.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace briarhead::soak {
+
+namespace {
+
+constexpr int streamEvents = 4; ///< of a stand-in's stream
+/// Planned work alone must cut nothing; other faults count up to this long before.
+constexpr millis calmBefore{3'000};
+constexpr std::size_t violationsTold = 20;
+
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}
+
+void witness::wrong(const std::string &what)
+{
+    if (m_violations.size() < violationsTold) {
+        m_violations.push_back(what);
+    }
+}
+
+void witness::disturbed(millis, millis to)
+{
+    m_disturbedUntil = std::max(m_disturbedUntil, to);
+}
+
+void witness::sent(
+    const std::string &id, bool repeatable, const std::string &daemon, millis at, millis terminated)
+{
+    m_requests[id] = {repeatable, daemon, at, terminated.count != 0, false, false, 0};
+}
+
+void witness::answered(const caller_answer &answer, millis at, bool calm)
+{
+    sent_request &request = m_requests.at(answer.id);
+    request.answered = true;
+    const int status = answer.head.status;
+    const std::string who = answer.id + " at " + request.daemon + ": ";
+    if (answer.how != send_end::Whole) {
+        ++m_cut;
+        checkStream(answer, false);
+        const bool planned = request.ending && m_disturbedUntil + calmBefore < request.at;
+        if (planned && answer.how == send_end::Broken && at - request.at < millis{3'000}) {
+            wrong("LOST " + who + "cut off while its daemon ends in order");
+        }
+        return;
+    }
+    if (status >= 200 && status < 300) {
+        ++m_served;
+        const std::string *id = findField(answer.head, "x-briarhead-request-id");
+        if (id == nullptr || *id != answer.id) {
+            wrong("MIXED " + who + "the answer of another request");
+        }
+        if (findField(answer.head, "x-briarhead-server-stamp") == nullptr) {
+            wrong("MIXED " + who + "a success without a server's signature");
+        }
+        checkStream(answer, true);
+        if (!answer.stream && !answer.body.starts_with("served by ")) {
+            wrong("MIXED " + who + "not a server's body: " + answer.body);
+        }
+        return;
+    }
+    if (promisesNotRun(status)) {
+        ++m_refused;
+        request.promised = true;
+        if (status == 503 && findField(answer.head, "retry-after") == nullptr) {
+            wrong("REFUSED " + who + "without a word when to come back");
+        }
+        return;
+    }
+    ++m_failed;
+    if (status >= 400 && status < 500 && calm) {
+        wrong("DENIED " + who + std::to_string(status));
+    }
+}
+
+/// Events are numbered from 1, each once, and an answer that ends as whole has them all.
+void witness::checkStream(const caller_answer &answer, bool whole)
+{
+    if (!answer.stream || answer.head.status != 200) {
+        return;
+    }
+    std::istringstream lines(answer.body);
+    int last = 0;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with("id: ")) {
+            const int id = std::stoi(line.substr(4));
+            if (id != last + 1) {
+                wrong("ORDER " + answer.id + ": event " + std::to_string(id) + " after " + std::to_string(last));
+            }
+            last = id;
+        }
+    }
+    if (whole && last != streamEvents) {
+        wrong("ORDER " + answer.id + ": looks whole after event " + std::to_string(last));
+    }
+}
+
+void witness::due(const std::string &id, millis disturbedUntil)
+{
+    const sent_request &request = m_requests.at(id);
+    if (!request.answered && disturbedUntil + calmBefore < request.at) {
+        wrong("CONFIG " + id + " at " + request.daemon + ": no answer long after its time");
+    }
+}
+
+void witness::saw(const backend_standin &server, std::size_t places)
+{
+    for (const front_request &run : server.ran) {
+        const std::string *id = findField(run.head, "x-briarhead-request-id");
+        const auto found = id == nullptr ? m_requests.end() : m_requests.find(*id);
+        if (found == m_requests.end()) {
+            wrong("UNASKED " + server.id + " runs what no caller sent");
+        } else {
+            ++found->second.runs;
+        }
+    }
+    if (server.mostAdapters > places) {
+        wrong("LIMIT " + server.id + " was ordered to hold " + std::to_string(server.mostAdapters) + " adapters");
+    }
+    std::map<std::uint64_t, std::string> holders;
+    for (const nlohmann::json &order : server.orders) {
+        const auto fence = order.at("fenceToken").get<std::uint64_t>();
+        const auto holder = order.at("holder").get<std::string>();
+        const auto known = holders.emplace(fence, holder).first;
+        if (known->second != holder) {
+            wrong("ONE " + server.id + ": " + holder + " and " + known->second + " use one fencing token");
+        }
+    }
+}
+
+std::size_t witness::served() const
+{
+    return m_served;
+}
+
+void witness::fill(soak_report &report) const
+{
+    report.requests = m_requests.size();
+    report.served = m_served;
+    report.refused = m_refused;
+    report.failed = m_failed;
+    report.cut = m_cut;
+    report.violations.insert(report.violations.end(), m_violations.begin(), m_violations.end());
+    for (const auto &[id, request] : m_requests) {
+        if (request.promised && request.runs > 0) {
+            report.violations.push_back("REFUSED " + id + " at " + request.daemon + ": ran, and was told it did not");
+        }
+        if (!request.repeatable && request.runs > 1) {
+            report.violations.push_back("TWICE " + id + " at " + request.daemon + " ran more than once");
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/tests/soak/witness.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "serving/backend_standin.h"
+#include "soak/soak.h"
+#include "state/clock.h"
+#include "transport/backend_pool.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace briarhead::soak {
+
+/// What a caller got.
+struct caller_answer
+{
+    std::string id;
+    bool stream = false;
+    send_end how = send_end::Broken;
+    http_head head;
+    std::string body;
+};
+
+/// Holds what callers were told against what servers did.
+class witness
+{
+public:
+    void sent(const std::string &id, bool repeatable, const std::string &daemon, millis at, millis terminated);
+    /// `calm`: the daemon was undisturbed since before the request.
+    void answered(const caller_answer &answer, millis at, bool calm);
+    /// A request's time is over; it must have been answered unless its daemon was disturbed since it was sent.
+    void due(const std::string &id, millis disturbedUntil);
+    /// Something goes wrong somewhere from then to then.
+    void disturbed(millis from, millis to);
+    /// What a server ran and was ordered, up to now.
+    void saw(const backend_standin &server, std::size_t places);
+
+    std::size_t served() const;
+    void fill(soak_report &report) const;
+
+private:
+    struct sent_request
+    {
+        bool repeatable = false;
+        std::string daemon;
+        millis at;
+        bool ending = false; ///< its daemon had been told to end
+        bool answered = false;
+        bool promised = false; ///< its answer says that it has not run
+        std::size_t runs = 0;
+    };
+    void checkStream(const caller_answer &answer, bool whole);
+    void wrong(const std::string &what);
+
+    std::map<std::string, sent_request> m_requests;
+    std::vector<std::string> m_violations;
+    millis m_disturbedUntil;
+    std::size_t m_served = 0;
+    std::size_t m_refused = 0;
+    std::size_t m_failed = 0;
+    std::size_t m_cut = 0;
+};
+
+}
