Tell at the metrics address why requests are refused, how streams flow and how late the loop is

Cause: the counters lacked kinds, reasons of refusals, pauses of streams, denied repeats, the loop's lag and memory. Ruled out: - Change: edge_metrics writes the text, out of edge_daemon; the counters are there. Measured: TheMetricsTellWhyRequestsAreRefused reads a refusal's kind and reason from a scrape alone. Cost not measured.

--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/codec.h"
 #include "serving/beat_cells.h"
+#include "serving/edge_metrics.h"
 #include "serving/fleet_port.h"
 #include "serving/front_task.h"
 #include "serving/orderer_task.h"
@@ -14,7 +15,6 @@
 #include <charconv>
 #include <csignal>
 #include <map>
-#include <sstream>
 #include <type_traits>
 #include <variant>
 
@@ -47,6 +47,7 @@
 /// Before the platform kills the process.
 constexpr millis endMargin{500};
 constexpr millis settingsCheckEvery{2'000};
+constexpr millis lagEvery{500};
 constexpr int exitCut = 1;
 
 class daemon_impl final : public edge_daemon
@@ -86,7 +87,8 @@
     void answerNews(const front_request &request, front_reply &reply) const;
     bool isReady() const;
     void onReadyQuestion(front_reply &reply) const;
-    std::string metricsText() const;
+    std::string figures() const;
+    void measureLag();
     void beginEnd();
     void checkEnd();
     void rereadSettings(const char *cause);
@@ -107,6 +109,8 @@
     std::unique_ptr<front_server> m_metrics;
     std::vector<std::shared_ptr<void>> m_handles;
     int m_beats = 0;
+    latency_histogram m_loopLag;
+    millis m_lagFrom = bootNow();
     millis m_started = bootNow();
     millis m_endBegan;
     bool m_ending = false;
@@ -159,7 +163,7 @@
     m_metrics = m_readiness ? front_server::listen(
                     m_loop, m_settings.metrics.ip, m_settings.metrics.port,
                     [this](const front_request &, const std::shared_ptr<front_reply> &reply) {
-                        reply->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, metricsText());
+                        reply->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, figures());
                     },
                     why)
                             : nullptr;
@@ -174,6 +178,9 @@
     m_handles.push_back(m_loop.timer(beatEvery, beatEvery, [this] {
         beat();
     }));
+    m_handles.push_back(m_loop.timer(lagEvery, lagEvery, [this] {
+        measureLag();
+    }));
     m_handles.push_back(m_loop.timer(settingsCheckEvery, settingsCheckEvery, [this] {
         rereadSettings("file");
     }));
@@ -342,41 +349,21 @@
                        : "no configuration yet\n");
 }
 
-std::string daemon_impl::metricsText() const
+std::string daemon_impl::figures() const
 {
-    std::ostringstream out;
-    const front_counters &front = m_front.counters();
-    for (const auto &[outcome, count] : front.ended) {
-        out << "briarhead_requests_total{outcome=\"" << outcome << "\"} " << count << '\n';
-    }
-    const auto quantiles = [&out](const char *name, const latency_histogram &of) {
-        for (const double q : {0.5, 0.95, 0.99}) {
-            out << "briarhead_" << name << "_ms{quantile=\"" << q << "\"} " << quantileMs(of, q) << '\n';
-        }
-        out << "briarhead_" << name << "_ms_count " << countOf(of) << '\n';
-    };
-    quantiles("first_answer", front.first);
-    quantiles("whole_answer", front.whole);
-    quantiles("place_wait", front.placeWait);
-    const orderer_counters &orders = m_orderer.counters();
-    const pool_counters &pool = m_pool.counters();
-    const fleet_counters &fleet = m_port->counters();
-    out << "briarhead_sends_total " << front.sends << "\nbriarhead_repeats_total " << front.repeats
-        << "\nbriarhead_place_asks_total " << front.asks << "\nbriarhead_places_granted_total "
-        << orders.granted << "\nbriarhead_places_refused_total " << orders.refused
-        << "\nbriarhead_orders_total " << orders.orders << "\nbriarhead_orders_unknown_total "
-        << orders.ordersUnknown << "\nbriarhead_loads_total " << orders.loads << "\nbriarhead_unloads_total "
-        << orders.unloads << "\nbriarhead_reports_total " << orders.reports
-        << "\nbriarhead_connections_opened_total " << pool.opened << "\nbriarhead_connections_reused_total "
-        << pool.reused << "\nbriarhead_connections_stray_total " << pool.stray
-        << "\nbriarhead_datagrams_sent_total " << fleet.sent << "\nbriarhead_datagram_bytes_sent_total "
-        << fleet.sentBytes << "\nbriarhead_datagrams_bad_total " << fleet.bad
-        << "\nbriarhead_log_lines_dropped_total " << m_log.dropped() << "\nbriarhead_config_version "
-        << (m_store.view().config ? m_store.view().config->version : 0) << '\n';
-    if (m_parts.storeMetrics) {
-        out << m_parts.storeMetrics();
-    }
-    return out.str();
+    const store_view &view = m_store.view();
+    const std::string text = metricsText({&m_front.counters(), &m_orderer.counters(), &m_pool.counters(),
+        &m_port->counters(), &m_loopLag, m_front.active(), m_callers->connections(), m_log.dropped(),
+        view.config ? view.config->version : 0});
+    return m_parts.storeMetrics ? text + m_parts.storeMetrics() : text;
+}
+
+/// How late the loop is: what it does in one turn holds up everything else.
+void daemon_impl::measureLag()
+{
+    const millis now = bootNow();
+    record(m_loopLag, static_cast<double>((now - m_lagFrom - lagEvery).count));
+    m_lagFrom = now;
 }
 
 void daemon_impl::beginEnd()
--- /dev/null
+++ b/packages/serving/edge_metrics.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "serving/fleet_port.h"
+#include "serving/front_task.h"
+#include "serving/orderer_task.h"
+#include "state/latency.h"
+#include "transport/backend_pool.h"
+
+#include <cstdint>
+#include <string>
+
+namespace briarhead {
+
+/// What a daemon tells at its metrics address, besides the store's calls.
+struct edge_figures
+{
+    const front_counters *front = nullptr;
+    const orderer_counters *orders = nullptr;
+    const pool_counters *pool = nullptr;
+    const fleet_counters *fleet = nullptr;
+    const latency_histogram *loopLag = nullptr; ///< by how much a timer of the loop fires late
+    std::size_t active = 0; ///< requests
+    std::size_t callerConnections = 0;
+    std::uint64_t linesDropped = 0;
+    std::uint64_t configVersion = 0; ///< 0: none
+};
+
+/// In Prometheus' text format. Latencies as quantiles since the start, and their counts.
+std::string metricsText(const edge_figures &figures);
+
+}
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -148,7 +148,7 @@
     error why;
     auto request = m_codec.readRequest(std::move(raw), why);
     if (!request) {
-        ++m_counters.ended["bad_request"];
+        ++m_counters.ended[{"unreadable", "bad_request"}];
         m_log.important("request.refused").add("why", message(why)).add("status", 400);
         reply->respond(400, {}, message(why) + "\n");
         return;
@@ -581,7 +581,11 @@
 
 void front_task::onBody(const work_ptr &one, const std::string &bytes)
 {
-    one->lastEvent = bootNow();
+    const millis now = bootNow();
+    if (one->firstEvent) {
+        record(m_counters.gap, static_cast<double>((now - one->lastEvent).count));
+    }
+    one->lastEvent = now;
     if (!one->streaming) {
         one->body += bytes;
         return;
@@ -669,6 +673,7 @@
     }
     const std::size_t daemons = m_store.view().daemons.size();
     if (!takeRepeat(m_budget, one->service, m_settings.repeats, daemons, bootNow())) {
+        ++m_counters.repeatsDenied;
         m_log.important("repeat.denied").add("id", one->request.id).add("why", "the budget is used up");
         return false;
     }
@@ -787,6 +792,7 @@
         fail(one, 502, why);
         return;
     }
+    ++m_counters.refused[why];
     m_log.important("request.refused")
         .add("id", one->request.id)
         .add("why", why)
@@ -810,7 +816,8 @@
 
 void front_task::finish(const work_ptr &one, const std::string &outcome)
 {
-    ++m_counters.ended[outcome];
+    const std::string kind(one->way == nullptr ? "unrouted" : nameOf(one->way->kind));
+    ++m_counters.ended[{kind, outcome}];
     record(m_counters.whole, static_cast<double>((bootNow() - one->arrived).count));
     const bool good = outcome == "served";
     (good ? m_log.ordinary("request.ended") : m_log.important("request.ended"))
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -25,11 +25,14 @@
 
 struct front_counters
 {
-    std::map<std::string, std::uint64_t> ended; ///< requests by outcome
+    std::map<std::pair<std::string, std::string>, std::uint64_t> ended; ///< requests by kind and outcome
+    std::map<std::string, std::uint64_t> refused; ///< by reason
     std::uint64_t sends = 0;
     std::uint64_t repeats = 0;
+    std::uint64_t repeatsDenied = 0; ///< the budget was used up
     std::uint64_t asks = 0;
     latency_histogram first; ///< to the answer's head
+    latency_histogram gap; ///< between two parts of a stream
     latency_histogram whole;
     latency_histogram placeWait;
 };
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -205,6 +205,31 @@
     EXPECT_EQ(ranOn(m_plain), 4U);
 }
 
+// Users complain that they are sent away. The metrics alone say how many, of which kind and why, and that the
+// streams that were served did not stutter.
+TEST_F(edge_test, TheMetricsTellWhyRequestsAreRefused)
+{
+    start();
+    EXPECT_EQ(statusOf(answerTo("/gen/x", "a1")), "200");
+    setAll(m_plain, mood::Sheds);
+    EXPECT_EQ(statusOf(answerTo("/once/x")), "503");
+    EXPECT_EQ(statusOf(answerTo("/nowhere/x")), "404");
+    const auto scrape = raw_socket::connectTo(m_settings.metrics.port);
+    scrape->send("GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    std::string text;
+    EXPECT_TRUE(runUntil([&] {
+        return !scrape->receive(text);
+    }));
+    for (const char *line : {"briarhead_requests_total{kind=\"stream\",outcome=\"served\"} 1\n",
+             "briarhead_requests_total{kind=\"once\",outcome=\"refused\"} 1\n",
+             "briarhead_requests_total{kind=\"unrouted\",outcome=\"failed\"} 1\n",
+             "briarhead_requests_refused_total{why=\"the server did not take it\"} 1\n", "briarhead_event_gap_ms",
+             "briarhead_loop_lag_ms", "briarhead_loads_total 1\n", "briarhead_peak_memory_bytes",
+             "briarhead_config_version 1\n", "briarhead_log_lines_dropped_total"}) {
+        EXPECT_NE(text.find(line), std::string::npos) << line << '\n' << text;
+    }
+}
+
 // One server runs a request and loses its answer, the others are gone. "Not run" would be a lie.
 TEST_F(edge_test, AfterASendThatMayHaveRunNothingIsCalledNotRun)
 {
