Split the entry's task by decision; tell a resumed stream's first event to its new server's orderer

A stream that went on elsewhere kept the mark of its first event, so the second server's orderer took its prompt for unread until the stream ended and let the next prompt wait. Reasons of refusals are logged by name.

--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -49,6 +50,8 @@
     NotHeld, ///< the base model isn't there
 };
 
+std::string_view nameOf(refusal value);
+
 /// Orderer -> entry.
 struct place_answer
 {
@@ -137,8 +140,8 @@
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(server, fence, held, adapters, openPlaces, backlogTokens, tokensPerSecond, running,
-            longAnswers);
+        archive(
+            server, fence, held, adapters, openPlaces, backlogTokens, tokensPerSecond, running, longAnswers);
     }
 };
 
--- a/packages/protocol/messages.cpp
+++ b/packages/protocol/messages.cpp
@@ -1,5 +1,7 @@
 #include "protocol/messages.h"
 
+#include "protocol/fleet_messages.h"
+
 #include <array>
 
 namespace briarhead {
@@ -26,6 +28,13 @@
 
 }
 
+std::string_view nameOf(refusal value)
+{
+    static constexpr std::string_view names[] = {
+        "none", "too_busy", "no_place", "not_orderer", "server_leaving", "model_not_held"};
+    return names[static_cast<std::size_t>(value)];
+}
+
 std::string_view nameOf(key_state value)
 {
     return lookUp(keyStateNames, value);
--- a/packages/serving/beat_cells.h
+++ b/packages/serving/beat_cells.h
@@ -9,10 +9,10 @@
 #include <vector>
 
 // Which daemons hear of which server. Beats to everyone would grow with servers times daemons; so the daemons
-// of each failure domain are dealt into cells, the servers too, and an entry hears only of its cell's servers,
-// in all failure domains. A fleet with up to 96 servers and 32 daemons a failure domain is one cell. Both
-// sides work the cells out from the store's records; where their views differ for a moment, an entry hears of
-// too many servers or too few, and asks the others' orderers unheard.
+// of each failure domain are dealt into cells, the servers too, and an entry hears only of its cell's
+// servers, in all failure domains. A fleet with up to 96 servers and 32 daemons a failure domain is one cell.
+// Both sides work the cells out from the store's records; where their views differ for a moment, an entry
+// hears of too many servers or too few, and asks the others' orderers unheard.
 namespace briarhead {
 
 /// Daemons of a failure domain that share a cell, and servers that one daemon hears of, at most about.
--- a/packages/serving/choose_server.cpp
+++ b/packages/serving/choose_server.cpp
@@ -5,6 +5,12 @@
 
 namespace briarhead {
 
+std::string_view nameOf(residence value)
+{
+    static constexpr std::string_view names[] = {"absent", "coming", "resident"};
+    return names[static_cast<std::size_t>(value)];
+}
+
 bool isLongAnswer(std::int64_t outputTokens)
 {
     return outputTokens > longAnswerTokens;
--- a/packages/serving/choose_server.h
+++ b/packages/serving/choose_server.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 // Which backend server a request goes to. Pure functions over what an entry knows at that moment.
@@ -17,6 +18,8 @@
     Resident,
 };
 
+std::string_view nameOf(residence value);
+
 /// A model server as an entry sees it.
 struct model_candidate
 {
@@ -53,9 +56,9 @@
 constexpr double failureMs = 2'000;
 
 /// Servers that one request asks for a place before it is refused. When places are short, each further server
-/// that loads a rare adapter drives out another that is asked for, and the weight store slows down for all: on
-/// the load model's days of high load, two or three serve more than four and eight; on quiet days eight serve
-/// 1.5% more, since a load is then all that a further try costs.
+/// that loads a rare adapter drives out another that is asked for, and the weight store slows down for all:
+/// on the load model's days of high load, two or three serve more than four and eight; on quiet days eight
+/// serve 1.5% more, since a load is then all that a further try costs.
 constexpr int placesAsked = 3;
 
 /// What a request asks of a server.
@@ -65,11 +68,11 @@
     std::int64_t outputTokens = 0; ///< at most
 };
 
-/// Each prompt that is read makes the streams of its server pause, the more the longer it is, and a long answer
-/// has hundreds of steps in which a pause can be too long. So short answers keep away from servers with long
-/// ones, and long ones gather. On the load model's day of high load on 60 servers, long answers with a pause
-/// that is too long are a tenth of all in place of two fifths, and their worth grows from 0.60 to 0.84 of what
-/// is owed; that of the short ones stays.
+/// Each prompt that is read makes the streams of its server pause, the more the longer it is, and a long
+/// answer has hundreds of steps in which a pause can be too long. So short answers keep away from servers
+/// with long ones, and long ones gather. On the load model's day of high load on 60 servers, long answers
+/// with a pause that is too long are a tenth of all in place of two fifths, and their worth grows from 0.60
+/// to 0.84 of what is owed; that of the short ones stays.
 constexpr double longAnswerMs = 120; ///< for each long answer there
 constexpr std::uint32_t longAnswersCounted = 10;
 /// Answers of up to 90 tokens (30 events of three) are done within a second or two.
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -280,8 +280,7 @@
     ++m_beats;
     for (const beat_parcel &parcel : dealBeats(shape(), self(), now, m_beats)) {
         for (const daemon_record *record : parcel.to) {
-            m_port->send(
-                {record->ip, record->port}, {m_settings.node, m_store.incarnation(), parcel.beat});
+            m_port->send({record->ip, record->port}, {m_settings.node, m_store.incarnation(), parcel.beat});
         }
     }
 }
--- /dev/null
+++ b/packages/serving/front_route.cpp
@@ -0,0 +1,319 @@
+#include "serving/front_work.h"
+
+#include "coordination/rendezvous.h"
+
+#include <algorithm>
+
+// Where a request goes: the choice of a server, and the question for a place there.
+namespace briarhead {
+
+namespace {
+
+/// Of a datagram and its answer, across failure domains and with a busy peer: then it is asked again.
+constexpr millis askAgainAfter{120};
+constexpr int asksPerServer = 3;
+/// A caller that has come back gets its turn as if it had waited here, for at most so long.
+constexpr millis oldestReturn{1'500};
+
+}
+
+void front_task::startPlain(const work_ptr &one)
+{
+    std::vector<const backend_server *> servers;
+    std::vector<plain_candidate> candidates;
+    const millis now = bootNow();
+    for (const auto &[id, server] : m_store.view().servers) {
+        if (server.service != one->service) {
+            continue;
+        }
+        plain_candidate candidate;
+        candidate.excluded = server.draining || one->excluded.count(id) != 0;
+        candidate.sameDomain = server.failureDomain == m_settings.failureDomain;
+        candidate.slots = server.slots;
+        const auto mine = m_inFlight.find(id);
+        candidate.mine = mine == m_inFlight.end() ? 0 : mine->second;
+        const auto record = m_records.find(id);
+        candidate.failures = record == m_records.end() ? 0 : failuresNow(record->second, now);
+        candidate.tieBreak = rendezvousScore(one->request.id, id);
+        servers.push_back(&server);
+        candidates.push_back(candidate);
+    }
+    const auto chosen = choosePlainServer(candidates);
+    if (!chosen) {
+        if (!one->body.empty() || one->head.status != 0) {
+            passAnswer(one); // the answer there is, a failure, is better than none
+            return;
+        }
+        refuse(one, "no server", comeBackSoon);
+        return;
+    }
+    send(one, *servers[*chosen]);
+}
+
+std::vector<model_candidate> front_task::candidatesFor(
+    const work &one, std::vector<const backend_server *> &servers) const
+{
+    const millis now = bootNow();
+    const std::string adapter = adapterKey(one.request.model, one.request.adapter);
+    std::vector<std::string_view> names;
+    std::vector<model_candidate> candidates;
+    for (const auto &[id, server] : m_store.view().servers) {
+        if (server.service != one.service) {
+            continue;
+        }
+        model_candidate candidate;
+        const auto heard = m_heard.find(id);
+        if (heard != m_heard.end()) {
+            candidate = candidateOf(heard->second, adapter, !one.request.adapter.empty(), now);
+        } else {
+            candidate = unheardCandidate(!one.request.adapter.empty());
+            candidate.excluded = unheardOrderer(id).empty();
+        }
+        candidate.excluded = candidate.excluded || server.draining || one.excluded.count(id) != 0;
+        candidate.sameDomain = server.failureDomain == m_settings.failureDomain;
+        const auto record = m_records.find(id);
+        candidate.failures = record == m_records.end() ? 0 : failuresNow(record->second, now);
+        servers.push_back(&server);
+        names.push_back(id);
+        candidates.push_back(candidate);
+    }
+    rankByHash(candidates, names, adapter);
+    return candidates;
+}
+
+void front_task::startModel(const work_ptr &one)
+{
+    std::vector<const backend_server *> servers;
+    const auto candidates = candidatesFor(*one, servers);
+    const prompt_shape prompt{one->request.promptTokens, one->request.outputTokens};
+    const auto chosen = chooseModelServer(candidates, prompt);
+    const bool unheard = !chosen && one->excluded.empty() && !one->mayHaveRun;
+    if (unheard && bootNow() - one->arrived < startPatience) {
+        // No server's orderer has spoken yet: after a start, or after the death of those nearby.
+        waitAndRetry(one, &front_task::startModel);
+        return;
+    }
+    if (!chosen || one->placesTried >= placesAsked) {
+        const millis comeBack = one->shortestWait.count >= 0 ? one->shortestWait : comeBackSoon;
+        refuse(one, chosen ? "every server asked is full" : "no server", comeBack);
+        return;
+    }
+    const backend_server &server = *servers[*chosen];
+    const auto heard = m_heard.find(server.id);
+    const bool known = heard != m_heard.end();
+    const std::string orderer = known ? heard->second.orderer : unheardOrderer(server.id);
+    one->server = server.id;
+    one->granted = false;
+    one->asks = 0;
+    one->askedAt = bootNow();
+    m_log.ordinary("request.routed")
+        .add("id", one->request.id)
+        .add("server", server.id)
+        .add("orderer", orderer)
+        .add("of", static_cast<std::int64_t>(candidates.size()))
+        .add("prompt_tokens", prompt.promptTokens)
+        .add("output_tokens", prompt.outputTokens)
+        .add("cost_ms", *costOf(candidates[*chosen], prompt))
+        .add("adapter", nameOf(candidates[*chosen].adapter))
+        .add("backlog_ms", candidates[*chosen].backlogMs)
+        .add("open_places", static_cast<std::int64_t>(candidates[*chosen].openPlaces))
+        .add("failures", candidates[*chosen].failures)
+        .add("beat_age_ms", known ? bootNow() - heard->second.at : millis{-1});
+    if (known) {
+        countAsk(heard->second, one->request.promptTokens, candidates[*chosen].adapter);
+    }
+    ++one->placesTried;
+    if (known && !isFresh(heard->second, bootNow())) {
+        // Its orderer is gone and the next one not there yet: what is resident there can still serve.
+        one->orderer.clear();
+        one->adapterVersion = 0;
+        send(one, server);
+        return;
+    }
+    one->orderer = orderer;
+    ask(one);
+}
+
+/// The daemon that gives the orders of a server that this one hears no beats of, as the store has it; empty
+/// for a server of the own cell, whose beats are due.
+std::string front_task::unheardOrderer(const std::string &server) const
+{
+    if (cellOf(server, m_cells) == cellOf(m_settings.node, m_cells)) {
+        return "";
+    }
+    const store_view &view = m_store.view();
+    const auto found = view.orderers.find(server);
+    const bool lives = found != view.orderers.end() && view.daemons.count(found->second.record.node) != 0;
+    return lives ? found->second.record.node : "";
+}
+
+/// To a server's orderer, which may be this daemon; then never from inside, as with a datagram.
+template <class message_type>
+void front_task::tell(const std::string &orderer, const message_type &message)
+{
+    if (orderer == m_settings.node) {
+        m_loop.post([this, message] {
+            m_orderer->take(m_settings.node, message);
+        });
+        return;
+    }
+    const auto peer = m_store.view().daemons.find(orderer);
+    if (peer != m_store.view().daemons.end()) {
+        m_port->send({peer->second.ip, peer->second.port}, {m_settings.node, m_store.incarnation(), message});
+    }
+}
+
+void front_task::ask(const work_ptr &one)
+{
+    ++one->asks;
+    ++m_counters.asks;
+    m_workOfAsk[one->request.id] = one->number;
+    const millis age = ageOf(*one);
+    const millis waited = bootNow() - one->arrived;
+    const std::int64_t wait = (patienceOf(one->way->target, age) - waited).count;
+    const place_ask message{one->request.id, one->server, one->request.model, one->request.adapter,
+        one->request.promptTokens, one->request.outputTokens, one->way->rank, std::max<std::int64_t>(wait, 0),
+        std::max<std::int64_t>(left(*one).count, 0), age.count, (one->way->target - age - waited).count};
+    one->askTimer = m_loop.timer(askAgainAfter, {}, [this, weak = std::weak_ptr<work>(one)] {
+        if (const auto same = weak.lock()) {
+            askAgain(same);
+        }
+    });
+    tell(one->orderer, message);
+}
+
+void front_task::askAgain(const work_ptr &one)
+{
+    if (one->granted || one->sending) {
+        return;
+    }
+    if (one->asks < asksPerServer) {
+        ask(one);
+    } else {
+        onNoAnswer(one);
+    }
+}
+
+void front_task::onNoAnswer(const work_ptr &one)
+{
+    m_log.important("place.no_answer")
+        .add("id", one->request.id)
+        .add("server", one->server)
+        .add("orderer", one->orderer)
+        .add("asks", one->asks);
+    note(*one, place_event::Ended);
+    one->excluded.insert(one->server);
+    startModel(one);
+}
+
+void front_task::onAnswer(const place_answer &answer)
+{
+    const auto number = m_workOfAsk.find(answer.id);
+    const auto found = number == m_workOfAsk.end() ? m_work.end() : m_work.find(number->second);
+    const bool waits = found != m_work.end() && found->second->server == answer.server
+        && !found->second->granted && !found->second->sending;
+    if (!waits) {
+        const bool unknown = found == m_work.end() || found->second->server != answer.server;
+        if (answer.verdict == place_verdict::Granted && unknown) {
+            // A grant for a request that has ended or gone elsewhere holds a place: say so.
+            work ended;
+            ended.request.id = answer.id;
+            ended.server = answer.server;
+            const auto heard = m_heard.find(answer.server);
+            ended.orderer = heard == m_heard.end() ? "" : heard->second.orderer;
+            note(ended, place_event::Ended);
+        }
+        return;
+    }
+    const work_ptr one = found->second;
+    switch (answer.verdict) {
+    case place_verdict::Queued:
+        // Asked again only rarely from here on: the grant itself may be lost.
+        one->asks = 1;
+        one->askTimer =
+            m_loop.timer(askAgainAfter + askAgainAfter, {}, [this, weak = std::weak_ptr<work>(one)] {
+                if (const auto same = weak.lock()) {
+                    askAgain(same);
+                }
+            });
+        return;
+    case place_verdict::Granted: {
+        one->askTimer.reset();
+        one->granted = true;
+        one->adapterVersion = answer.adapterVersion;
+        record(m_counters.placeWait, static_cast<double>((bootNow() - one->askedAt).count));
+        const auto server = m_store.view().servers.find(one->server);
+        if (server == m_store.view().servers.end() || server->second.draining) {
+            leaveServer(one, place_event::Ended);
+            one->excluded.insert(answer.server);
+            startModel(one);
+            return;
+        }
+        send(one, server->second);
+        return;
+    }
+    case place_verdict::Refused:
+        one->askTimer.reset();
+        m_log.ordinary("place.refused")
+            .add("id", one->request.id)
+            .add("server", answer.server)
+            .add("why", nameOf(answer.why))
+            .add("come_back_ms", answer.comeBackMs);
+        if (one->shortestWait.count < 0 || answer.comeBackMs < one->shortestWait.count) {
+            one->shortestWait = {answer.comeBackMs};
+        }
+        one->excluded.insert(answer.server);
+        startModel(one);
+        return;
+    }
+}
+
+void front_task::note(const work &one, place_event event)
+{
+    if (one.orderer.empty()) {
+        return;
+    }
+    const place_note message{one.request.id, one.server, event};
+    tell(one.orderer, message);
+}
+
+void front_task::onBeat(const std::string &node, const fleet_beat &beat)
+{
+    const millis now = bootNow();
+    for (const server_beat &each : beat.servers) {
+        auto &heard = m_heard[each.server];
+        if (each.fence < heard.beat.fence) {
+            continue; // from a daemon that gave the orders before
+        }
+        const bool changed = heard.orderer != node || heard.beat.fence != each.fence;
+        heard = {each, node, now, 0, 0};
+        if (changed) {
+            announce(each.server, node);
+        }
+    }
+}
+
+/// Tells a server's new orderer what runs there, so that it takes no adapter in use for idle.
+void front_task::announce(const std::string &server, const std::string &orderer)
+{
+    for (const auto &[number, one] : m_work) {
+        if (!one->model || one->server != server || !one->sending) {
+            continue;
+        }
+        one->orderer = orderer;
+        const place_running message{one->request.id, server, one->request.model, one->request.adapter,
+            one->request.promptTokens, one->request.outputTokens, !one->firstEvent, left(*one).count};
+        tell(orderer, message);
+    }
+}
+
+/// How long ago its caller first asked. A caller that was refused comes back with less time left than the
+/// route gives; one that simply has less time is then served a little sooner, which suits it too.
+millis front_task::ageOf(const work &one) const
+{
+    const millis full = one.way->timeout;
+    const millis given = one.request.deadline.value_or(full);
+    return std::clamp(full - given, millis{}, oldestReturn);
+}
+
+}
--- /dev/null
+++ b/packages/serving/front_work.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "serving/front_task.h"
+
+// Shared by the sources of front_task alone: a request's state, and what more than one of them waits for.
+namespace briarhead {
+
+/// Of a refusal whose cause passes in an unknown, short time.
+constexpr millis comeBackSoon{300};
+/// How long a request waits for what a start or a takeover brings, and how often it looks.
+constexpr millis startPatience{600};
+constexpr millis retryStep{40};
+/// A server that is silent for less is never given up.
+constexpr millis quietLeast{1'000};
+
+inline bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// One request, from its arrival to the end of its answer.
+struct front_task::work
+{
+    std::string number;
+    client_request request;
+    std::shared_ptr<front_reply> reply;
+    std::shared_ptr<const serving_config> config; ///< in force at arrival
+    const route *way = nullptr;
+    std::string service;
+    bool model = false; ///< goes to a model server, by a place
+    millis arrived;
+    millis endBy;
+
+    std::set<std::string> excluded; ///< servers not to be tried (again)
+    std::set<std::string> sentTo;
+    int unsent = 0;
+    int placesTried = 0;
+    std::string server; ///< asked, or sent to
+    std::string orderer; ///< node that was asked; empty: none
+    int asks = 0;
+    bool granted = false;
+    std::int64_t adapterVersion = 0;
+    millis askedAt;
+    millis shortestWait{-1}; ///< of the refusals so far
+
+    std::optional<backend_pool::send_id> sending;
+    bool mayHaveRun = false;
+    http_head head; ///< of the answer in progress
+    answer_meta meta;
+    std::string body;
+    bool streaming = false; ///< events go to the caller as they come
+    bool begun = false; ///< the caller has the head
+    bool firstEvent = false; ///< has come from the server it was sent to last
+    event_stream events;
+    millis lastEvent;
+    std::shared_ptr<void> deadlineTimer;
+    std::shared_ptr<void> askTimer;
+    std::shared_ptr<void> quietTimer;
+};
+
+}
--- a/packages/serving/heard_server.cpp
+++ b/packages/serving/heard_server.cpp
@@ -93,9 +93,8 @@
 
 millis patienceOf(millis target, millis age)
 {
-    return age > returnAge
-        ? returnPatience
-        : millis{std::llround(static_cast<double>(target.count) * waitShare)};
+    return age > returnAge ? returnPatience
+                           : millis{std::llround(static_cast<double>(target.count) * waitShare)};
 }
 
 }
--- a/packages/serving/place_queue.cpp
+++ b/packages/serving/place_queue.cpp
@@ -43,8 +43,8 @@
 }
 
 /// Index of the prompt whose turn it is: the first that can be on time, else the first.
-std::optional<std::size_t> nextPrompt(const place_queue &queue,
-    const std::function<bool(const waiting_prompt &)> &ready, millis now)
+std::optional<std::size_t> nextPrompt(
+    const place_queue &queue, const std::function<bool(const waiting_prompt &)> &ready, millis now)
 {
     std::optional<std::size_t> first;
     for (std::size_t i = 0; i < queue.waiting.size(); ++i) {
@@ -101,8 +101,7 @@
 
 bool canBeOnTime(const place_queue &queue, const waiting_prompt &prompt, millis now)
 {
-    const double readMs =
-        static_cast<double>(readingTokens(queue) + prompt.promptTokens) / queue.speed;
+    const double readMs = static_cast<double>(readingTokens(queue) + prompt.promptTokens) / queue.speed;
     return now + millis{std::llround(readMs)} + firstEventMargin <= prompt.targetAt;
 }
 
--- a/tests/load_model/load_model_test.cpp
+++ b/tests/load_model/load_model_test.cpp
@@ -32,8 +32,8 @@
 
 }
 
-// The baselines that anyone would try first, on the same arrivals: none serves callers as well, on a quiet day
-// and at the height of one.
+// The baselines that anyone would try first, on the same arrivals: none serves callers as well, on a quiet
+// day and at the height of one.
 TEST(LoadModel, ServesBetterThanTheBaselines)
 {
     for (const load_plan &plan : {smallPlan(false), smallPlan(true), grownPlan(true)}) {
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -39,7 +39,8 @@
 
 std::string backend_standin::entry(const std::string &state) const
 {
-    const json object{{"service", m_service}, {"address", "127.0.0.1:" + std::to_string(advertised == 0 ? port : advertised)}, {"zone", "z"},
+    const json object{{"service", m_service},
+        {"address", "127.0.0.1:" + std::to_string(advertised == 0 ? port : advertised)}, {"zone", "z"},
         {"slots", 4}, {"state", state}, {"models", json::array()}};
     return object.dump();
 }
@@ -125,7 +126,8 @@
     }
     if (now == mood::Sheds || now == mood::Busy) {
         ++turnedAway;
-        reply->respond(now == mood::Sheds ? 503 : 429, {{"X-Briarhead-Not-Executed", "1"}, {"X-Briarhead-Request-Id", requestId}}, "");
+        reply->respond(now == mood::Sheds ? 503 : 429,
+            {{"X-Briarhead-Not-Executed", "1"}, {"X-Briarhead-Request-Id", requestId}}, "");
         return;
     }
     ran.push_back(request);
@@ -152,6 +154,10 @@
             answerWhole(reply, fields, requestId, model.empty() ? 0 : first);
         }));
         return;
+    case mood::HoldsStream:
+        answerStream(reply, requestId, first, first + 1);
+        m_held.emplace_back(requestId, reply);
+        return;
     case mood::CutsStream:
         answerStream(reply, requestId, first, first + 1);
         reply->write("id: 99\ndata: ha");
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -39,6 +39,7 @@
         Resets, ///< runs it and closes the connection without an answer
         Silent, ///< runs it and never answers
         CutsStream, ///< closes the connection after the second event
+        HoldsStream, ///< sends two events and goes on for ever
     };
     mood now = mood::Serves;
     std::string id;
--- a/tests/serving/beat_cells_test.cpp
+++ b/tests/serving/beat_cells_test.cpp
@@ -108,8 +108,8 @@
     }
 }
 
-// What a daemon sends for each server must not grow with the fleet: beats to everyone would be 15 times as many
-// at 1,200 daemons as at 80.
+// What a daemon sends for each server must not grow with the fleet: beats to everyone would be 15 times as
+// many at 1,200 daemons as at 80.
 TEST(BeatCells, ADaemonsBytesDoNotGrowWithTheFleet)
 {
     const auto bytesOf = [](std::size_t daemons, std::size_t domains, std::size_t servers) {
@@ -137,8 +137,8 @@
     EXPECT_LT(whole, 1.2 * today);
 }
 
-// An adapter is nowhere in the own cell. Its first server by rendezvous, in another cell, may have it, so it is
-// asked although nothing is known of it; servers of other cells further down the order are not.
+// An adapter is nowhere in the own cell. Its first server by rendezvous, in another cell, may have it, so it
+// is asked although nothing is known of it; servers of other cells further down the order are not.
 TEST(BeatCells, AnAdaptersFirstServersAreAskedUnheard)
 {
     model_candidate near;
--- a/tests/serving/decisions_test.cpp
+++ b/tests/serving/decisions_test.cpp
@@ -20,9 +20,8 @@
 
 waiting_prompt prompt(const std::string &id, std::int64_t tokens, millis arrived, int rank = 0)
 {
-    return {
-        id, "entry", "base", "", tokens, 100, rank, arrived, arrived + millis{750}, arrived + millis{5'000},
-        arrived + millis{1'000}};
+    return {id, "entry", "base", "", tokens, 100, rank, arrived, arrived + millis{750},
+        arrived + millis{5'000}, arrived + millis{1'000}};
 }
 
 place_queue queueOf(int slots = 64, std::int64_t memory = 120'000)
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -29,6 +29,7 @@
     std::unique_ptr<edge_daemon> m_daemon;
     int m_timeoutMs = 4'000;
     int m_places = 2;
+    int m_promptTokens = 500;
     int m_lastId = 0;
     std::map<std::string, std::set<std::string>> m_heldAtStart; ///< adapters, by model server
 
@@ -87,7 +88,8 @@
         std::string text = "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: id"
             + std::to_string(++m_lastId) + "\r\nX-Briarhead-Deadline-Ms: 4000\r\n";
         if (!adapter.empty()) {
-            text += "X-Briarhead-Model: m0/" + adapter + "\r\nX-Briarhead-Token-Count: 500,50\r\n";
+            text += "X-Briarhead-Model: m0/" + adapter
+                + "\r\nX-Briarhead-Token-Count: " + std::to_string(m_promptTokens) + ",50\r\n";
         }
         caller->send(text + "Connection: close\r\nContent-Length: 2\r\n\r\nhi");
         return caller;
@@ -223,9 +225,10 @@
     for (const char *line : {"briarhead_requests_total{kind=\"stream\",outcome=\"served\"} 1\n",
              "briarhead_requests_total{kind=\"once\",outcome=\"refused\"} 1\n",
              "briarhead_requests_total{kind=\"unrouted\",outcome=\"failed\"} 1\n",
-             "briarhead_requests_refused_total{why=\"the server did not take it\"} 1\n", "briarhead_event_gap_ms",
-             "briarhead_loop_lag_ms", "briarhead_loads_total 1\n", "briarhead_peak_memory_bytes",
-             "briarhead_config_version 1\n", "briarhead_log_lines_dropped_total"}) {
+             "briarhead_requests_refused_total{why=\"the server did not take it\"} 1\n",
+             "briarhead_event_gap_ms", "briarhead_loop_lag_ms", "briarhead_loads_total 1\n",
+             "briarhead_peak_memory_bytes", "briarhead_config_version 1\n",
+             "briarhead_log_lines_dropped_total"}) {
         EXPECT_NE(text.find(line), std::string::npos) << line << '\n' << text;
     }
 }
@@ -285,6 +288,28 @@
     EXPECT_EQ(ranOn(m_models), 2U);
 }
 
+// A stream goes on at a second server, and runs there for long. Its prompt has been read, but the daemon that
+// lets prompts in there was not told: the next user's prompt would wait for the end of the stream.
+TEST_F(edge_test, AResumedStreamsPromptCountsAsReadAtItsNewServer)
+{
+    m_heldAtStart["m-1"] = {"a1"};
+    m_promptTokens = 2'000; // two of them are more than is let in at once
+    start();
+    m_models[0]->now = mood::CutsStream;
+    m_models[1]->now = mood::HoldsStream;
+    const auto caller = ask("/resume/x", "a1");
+    std::string seen;
+    ASSERT_TRUE(runUntil([&] {
+        caller->receive(seen);
+        return seen.find("id: 4\n") != std::string::npos;
+    })) << seen;
+    m_store.put("servers/m-1", m_models[0]->entry("draining"));
+    runRounds(50);
+    m_models[1]->now = mood::Serves;
+    EXPECT_EQ(statusOf(answerTo("/gen/x", "a1")), "200");
+    EXPECT_EQ(m_models[1]->ran.size(), 2U);
+}
+
 // The same where it may not be resumed: the user must see that the answer is not whole.
 TEST_F(edge_test, AnotherStreamEndsVisiblyCutOff)
 {
--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -31,8 +31,9 @@
     const std::uint16_t peers = freePort();
     std::ofstream(daemon.settings) << "node=" << name << "\nzone=" << failureDomain
                                    << "\nip=127.0.0.1\nlisten.front=127.0.0.1:" << daemon.frontPort
-                                   << "\nlisten.ready=127.0.0.1:" << daemon.readyPort << "\ninternalPorts=" << peers
-                                   << ',' << peers + 1 << "\nplatform.address=127.0.0.1:" << storePort
+                                   << "\nlisten.ready=127.0.0.1:" << daemon.readyPort
+                                   << "\ninternalPorts=" << peers << ',' << peers + 1
+                                   << "\nplatform.address=127.0.0.1:" << storePort
                                    << "\nbounds.graceS=8\nmetricsPort=" << freePort() << '\n';
     return daemon;
 }
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -125,7 +125,8 @@
         one->lostBytes = true;
         return;
     }
-    const auto pass = [this, one, fromCaller, bytes = std::string(buffer.data(), static_cast<std::size_t>(got))] {
+    const auto pass = [this, one, fromCaller,
+                          bytes = std::string(buffer.data(), static_cast<std::size_t>(got))] {
         one->unsent[fromCaller ? 1 : 0] += bytes;
         flush(one, fromCaller);
     };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -9,7 +9,8 @@
 {
     using namespace briarhead::soak;
     if (count < 3) {
-        std::fprintf(stderr, "briarhead_soak: Name the first seed and how many: FIRST COUNT [SECONDS] [DAEMONS].\n");
+        std::fprintf(
+            stderr, "briarhead_soak: Name the first seed and how many: FIRST COUNT [SECONDS] [DAEMONS].\n");
         return 2;
     }
     const std::uint64_t first = std::strtoull(words[1], nullptr, 10);
@@ -25,10 +26,12 @@
         std::filesystem::remove_all(options.folder);
         std::filesystem::create_directories(options.folder);
         const soak_report report = runSoak(options);
-        std::printf("seed %llu: %zu requests, %zu served, %zu refused, %zu failed, %zu cut, %zu starts, recovered in "
-                    "%lld ms, %zu violations\n",
-            static_cast<unsigned long long>(seed), report.requests, report.served, report.refused, report.failed,
-            report.cut, report.starts, static_cast<long long>(report.recovered.count), report.violations.size());
+        std::printf(
+            "seed %llu: %zu requests, %zu served, %zu refused, %zu failed, %zu cut, %zu starts, recovered in "
+            "%lld ms, %zu violations\n",
+            static_cast<unsigned long long>(seed), report.requests, report.served, report.refused,
+            report.failed, report.cut, report.starts, static_cast<long long>(report.recovered.count),
+            report.violations.size());
         for (const std::string &each : report.violations) {
             std::printf("  %s\n", each.c_str());
         }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -102,8 +102,8 @@
     putConfig();
     for (std::size_t i = 0; i < options.daemons; ++i) {
         m_storeLinks.push_back(std::make_unique<fault_proxy>(m_loop, m_storeServer.port()));
-        m_daemons.push_back(makeDaemon(
-            "n" + std::to_string(i), "z" + std::to_string(i % 2), m_storeLinks.back()->port(), options.folder));
+        m_daemons.push_back(makeDaemon("n" + std::to_string(i), "z" + std::to_string(i % 2),
+            m_storeLinks.back()->port(), options.folder));
     }
 }
 
@@ -120,10 +120,12 @@
 void soak_run::putConfig()
 {
     std::ostringstream text;
-    const auto route = [&text](const std::string &prefix, const char *kind, const char *service, bool resumable) {
-        text << R"({"name":")" << prefix << R"(","host":"h","prefix":")" << prefix << R"(","routeType":")" << kind
-             << R"(","timeoutMs":)" << deadline.count << R"(,"targetLatencyMs":500,"maxAttempts":2,"service":")"
-             << service << R"(","resumable":)" << (resumable ? "true" : "false") << '}';
+    const auto route = [&text](
+                           const std::string &prefix, const char *kind, const char *service, bool resumable) {
+        text << R"({"name":")" << prefix << R"(","host":"h","prefix":")" << prefix << R"(","routeType":")"
+             << kind << R"(","timeoutMs":)" << deadline.count
+             << R"(,"targetLatencyMs":500,"maxAttempts":2,"service":")" << service << R"(","resumable":)"
+             << (resumable ? "true" : "false") << '}';
     };
     text << R"({"version":)" << m_version << R"(,"routes":[)";
     route("/once/", "non_idempotent", "app", false);
@@ -135,9 +137,10 @@
     route("/resume/", "streaming", "llm", true);
     text << ',';
     route("/v" + std::to_string(m_version) + '/', "idempotent", "app", false);
-    text << R"(],"services":[{"name":"llm","engine":{"slots":4,"kvTokens":10000,"weightsMb":1000,"adapterSlots":)"
-         << places << R"(,"loadsPerS":5,"models":[{"name":"m0","weightsMb":900,"loadS":0.1,"adapterMb":1}]}},)"
-         << R"({"name":"app"}]})";
+    text
+        << R"(],"services":[{"name":"llm","engine":{"slots":4,"kvTokens":10000,"weightsMb":1000,"adapterSlots":)"
+        << places << R"(,"loadsPerS":5,"models":[{"name":"m0","weightsMb":900,"loadS":0.1,"adapterMb":1}]}},)"
+        << R"({"name":"app"}]})";
     m_store.put("op/config", text.str());
 }
 
@@ -160,7 +163,8 @@
     auto traffic = m_loop.timer(pause, pause, [this] {
         sendOne();
     });
-    for (const fault &each : drawFaults(m_options.seed, m_options.length, m_daemons.size(), m_servers.size())) {
+    for (const fault &each :
+        drawFaults(m_options.seed, m_options.length, m_daemons.size(), m_servers.size())) {
         after(each.at, [this, each] {
             apply(each);
         });
@@ -261,8 +265,8 @@
 void soak_run::apply(const fault &what)
 {
     std::ostringstream line;
-    line << what.at.count << " ms, for " << what.lasts.count << ": " << nameOf(what.kind) << ' ' << what.target
-         << " variant " << what.variant;
+    line << what.at.count << " ms, for " << what.lasts.count << ": " << nameOf(what.kind) << ' '
+         << what.target << " variant " << what.variant;
     m_report.faults.push_back(line.str());
     m_witness.disturbed(bootNow(), bootNow() + what.lasts);
     static constexpr link_fault links[] = {
@@ -395,12 +399,13 @@
             m_witness.sent(id, true, daemon.name, bootNow(), {});
             callServer(m_loop, m_pool, {"127.0.0.1", daemon.frontPort}, call, probeTimeout,
                 [this, &daemon, route, version, since](const call_result &result) {
-                    const bool wrong =
-                        route == version ? result.status == 404 : result.how == send_end::Whole && result.status != 404;
+                    const bool wrong = route == version
+                        ? result.status == 404
+                        : result.how == send_end::Whole && result.status != 404;
                     if (wrong && daemon.disturbedUntil <= since && m_version == version) {
                         m_report.violations.push_back("CONFIG " + daemon.name + " answers "
-                            + std::to_string(result.status) + " on the route of version " + std::to_string(route)
-                            + " while " + std::to_string(version) + " is in force");
+                            + std::to_string(result.status) + " on the route of version "
+                            + std::to_string(route) + " while " + std::to_string(version) + " is in force");
                     }
                 });
         }
@@ -449,8 +454,8 @@
     const bool model = kind >= 2;
     const bool repeatable = kind == 1 || kind == 3;
     const std::string id = "r" + std::to_string(++m_lastId);
-    std::string text = std::string("POST ") + paths[kind] + " HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: " + id
-        + "\r\nX-Briarhead-Deadline-Ms: " + std::to_string(deadline.count) + "\r\nContent-Length: 2\r\n";
+    std::string text = std::string("POST ") + paths[kind] + " HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: "
+        + id + "\r\nX-Briarhead-Deadline-Ms: " + std::to_string(deadline.count) + "\r\nContent-Length: 2\r\n";
     text += model ? "X-Briarhead-Model: m0/a" + std::to_string(below(adapters))
             + "\r\nX-Briarhead-Token-Count: 500,50\r\n"
                   : "";
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -21,11 +21,11 @@
     double weight;
 };
 
-constexpr std::array<weighted_kind, 12> kinds{{{fault_kind::KillDaemon, 2}, {fault_kind::PauseDaemon, 2},
-    {fault_kind::EndDaemon, 2}, {fault_kind::RereadSettings, 1}, {fault_kind::StoreTrouble, 2},
-    {fault_kind::StoreLink, 3}, {fault_kind::ServerLink, 3}, {fault_kind::ServerMood, 4},
-    {fault_kind::CrashServer, 2}, {fault_kind::ChangeConfig, 3}, {fault_kind::NameVersion, 1},
-    {fault_kind::ForgetHistory, 1}}};
+constexpr std::array<weighted_kind, 12> kinds{
+    {{fault_kind::KillDaemon, 2}, {fault_kind::PauseDaemon, 2}, {fault_kind::EndDaemon, 2},
+        {fault_kind::RereadSettings, 1}, {fault_kind::StoreTrouble, 2}, {fault_kind::StoreLink, 3},
+        {fault_kind::ServerLink, 3}, {fault_kind::ServerMood, 4}, {fault_kind::CrashServer, 2},
+        {fault_kind::ChangeConfig, 3}, {fault_kind::NameVersion, 1}, {fault_kind::ForgetHistory, 1}}};
 
 }
 
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -93,7 +93,8 @@
         if (line.starts_with("id: ")) {
             const int id = std::stoi(line.substr(4));
             if (id != last + 1) {
-                wrong("ORDER " + answer.id + ": event " + std::to_string(id) + " after " + std::to_string(last));
+                wrong("ORDER " + answer.id + ": event " + std::to_string(id) + " after "
+                    + std::to_string(last));
             }
             last = id;
         }
@@ -123,7 +124,8 @@
         }
     }
     if (server.mostAdapters > places) {
-        wrong("LIMIT " + server.id + " was ordered to hold " + std::to_string(server.mostAdapters) + " adapters");
+        wrong("LIMIT " + server.id + " was ordered to hold " + std::to_string(server.mostAdapters)
+            + " adapters");
     }
     std::map<std::uint64_t, std::string> holders;
     for (const nlohmann::json &order : server.orders) {
@@ -151,7 +153,8 @@
     report.violations.insert(report.violations.end(), m_violations.begin(), m_violations.end());
     for (const auto &[id, request] : m_requests) {
         if (request.promised && request.runs > 0) {
-            report.violations.push_back("REFUSED " + id + " at " + request.daemon + ": ran, and was told it did not");
+            report.violations.push_back(
+                "REFUSED " + id + " at " + request.daemon + ": ran, and was told it did not");
         }
         if (!request.repeatable && request.runs > 1) {
             report.violations.push_back("TWICE " + id + " at " + request.daemon + " ran more than once");
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -26,10 +26,12 @@
 class witness
 {
 public:
-    void sent(const std::string &id, bool repeatable, const std::string &daemon, millis at, millis terminated);
+    void sent(
+        const std::string &id, bool repeatable, const std::string &daemon, millis at, millis terminated);
     /// `calm`: the daemon was undisturbed since before the request.
     void answered(const caller_answer &answer, millis at, bool calm);
-    /// A request's time is over; it must have been answered unless its daemon was disturbed since it was sent.
+    /// A request's time is over; it must have been answered unless its daemon was disturbed since it was
+    /// sent.
     void due(const std::string &id, millis disturbedUntil);
     /// Something goes wrong somewhere from then to then.
     void disturbed(millis from, millis to);
