--- a/tests/load_model/engine_model.cpp
+++ b/tests/load_model/engine_model.cpp
@@ -16,9 +16,8 @@
     for (engine_run &run : engine.runs) {
         const std::int64_t part = std::min(run.toRead, budget);
         const double length = static_cast<double>(run.promptTokens) / 1e3;
-        const double share = run.promptTokens == 0
-            ? 0
-            : static_cast<double>(part) / static_cast<double>(run.promptTokens);
+        const double share =
+            run.promptTokens == 0 ? 0 : static_cast<double>(part) / static_cast<double>(run.promptTokens);
         readMs += static_cast<double>(part) / figures.readTokensPerMs
             + figures.pairsMsPerMillion * length * length * share;
         run.toRead -= part;
--- a/tests/load_model/load_model.cpp
+++ b/tests/load_model/load_model.cpp
@@ -98,8 +98,7 @@
     void take(const arrival &what, bool returned);
     void startModel(request &one);
     std::optional<std::size_t> choose(const std::vector<model_candidate> &candidates,
-        const std::vector<std::size_t> &loads,
-    const prompt_shape &prompt);
+        const std::vector<std::size_t> &loads, const prompt_shape &prompt);
     void onAnswer(const place_answer &answer);
     void send(request &one, std::size_t server);
     void refuse(request &one);
@@ -195,8 +194,7 @@
     }
 }
 
-arrival day::drawArrival(
-    std::mt19937_64 &random, const std::vector<double> &popularity, std::int64_t atMs)
+arrival day::drawArrival(std::mt19937_64 &random, const std::vector<double> &popularity, std::int64_t atMs)
 {
     const auto unit = [&random] {
         return std::uniform_real_distribution<double>(0, 1)(random);
@@ -319,7 +317,8 @@
         loads.push_back(heard.beat.running);
     }
     rankByHash(candidates, names, key);
-    const auto chosen = choose(candidates, loads, {what.promptTokens, announcedTokens(m_plan.kinds[what.kind])});
+    const auto chosen =
+        choose(candidates, loads, {what.promptTokens, announcedTokens(m_plan.kinds[what.kind])});
     if (!chosen || one.tried >= placesAsked) {
         refuse(one);
         return;
@@ -332,8 +331,8 @@
     const millis age{one.arrivedMs - what.atMs};
     const millis wait = patienceOf(millis{m_plan.targetMs}, age) - millis{m_nowMs - one.arrivedMs};
     const std::int64_t announced = announcedTokens(kind);
-    const place_ask ask{one.id, server.id, baseModel, what.adapter, what.promptTokens, announced,
-        kind.rank, std::max<std::int64_t>(wait.count, 0), what.atMs + kind.deadlineMs - m_nowMs, age.count,
+    const place_ask ask{one.id, server.id, baseModel, what.adapter, what.promptTokens, announced, kind.rank,
+        std::max<std::int64_t>(wait.count, 0), what.atMs + kind.deadlineMs - m_nowMs, age.count,
         what.atMs + m_plan.targetMs - m_nowMs};
     const place_answer answer = askDesk(server.desk, std::to_string(what.entry), ask, now());
     if (answer.verdict == place_verdict::Queued) {
@@ -343,9 +342,8 @@
     }
 }
 
-std::optional<std::size_t> day::choose(
-    const std::vector<model_candidate> &candidates, const std::vector<std::size_t> &loads,
-    const prompt_shape &prompt)
+std::optional<std::size_t> day::choose(const std::vector<model_candidate> &candidates,
+    const std::vector<std::size_t> &loads, const prompt_shape &prompt)
 {
     std::vector<std::size_t> open;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -384,8 +382,8 @@
         send(one, *one.server);
     } else if (answer.verdict == place_verdict::Refused) {
         ++m_result.refusals[static_cast<int>(answer.why)];
-        one.shortestWaitMs = one.shortestWaitMs < 0 ? answer.comeBackMs
-                                                    : std::min(one.shortestWaitMs, answer.comeBackMs);
+        one.shortestWaitMs =
+            one.shortestWaitMs < 0 ? answer.comeBackMs : std::min(one.shortestWaitMs, answer.comeBackMs);
         one.excluded.insert(*one.server);
         startModel(one);
     }
@@ -557,7 +555,8 @@
     const request &one = found->second;
     const request_kind &kind = m_plan.kinds[one.what.kind];
     kind_result &result = m_result.kinds[kind.name];
-    const bool lateFirst = one.firstMs - static_cast<double>(one.what.atMs) > static_cast<double>(m_plan.targetMs);
+    const bool lateFirst =
+        one.firstMs - static_cast<double>(one.what.atMs) > static_cast<double>(m_plan.targetMs);
     const bool lateGap = one.worstGapMs > static_cast<double>(m_plan.gapMs);
     if (!complete) {
         ++result.cut;
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -63,8 +63,9 @@
 
 fault_proxy::~fault_proxy()
 {
-    while (!m_pipes.empty()) {
-        close(m_pipes.front(), false);
+    const auto pipes = m_pipes;
+    for (const auto &one : pipes) {
+        close(one, false);
     }
     ::close(m_listener);
 }
@@ -158,23 +159,23 @@
     }
 }
 
+/// The caller holds the connection, which leaves the list here.
 void fault_proxy::close(const std::shared_ptr<pipe> &one, bool reset)
 {
     if (!one->open) {
         return;
     }
-    const auto held = one;
-    held->open = false;
-    held->watches = {};
-    for (const int fd : held->fds) {
+    one->open = false;
+    one->watches = {};
+    for (const int fd : one->fds) {
         const linger hard{1, 0};
         if (reset) {
             setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
         }
         ::close(fd);
     }
-    m_pipes.remove(held);
-    held->timers.clear();
+    m_pipes.remove(one);
+    one->timers.clear();
 }
 
 }
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -44,6 +44,7 @@
         return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
     };
     std::vector<double> weights;
+    weights.reserve(kinds.size());
     for (const weighted_kind &each : kinds) {
         weights.push_back(each.weight);
     }
