Don't gather long answers where no place is open

Ruled out: half the weight, or none, for all absent adapters: the same share refused, more long pauses. Change: no bonus where an absent adapter would find no open place. ALongAnswerDoesNotGatherWhereNoPlaceIsOpen fails without it (first choice is the full server).

--- a/packages/serving/choose_server.cpp
+++ b/packages/serving/choose_server.cpp
@@ -35,7 +35,9 @@
     double cost = server.backlogMs + failureMs * server.failures;
     cost += server.sameDomain ? 0 : otherDomainMs;
     const double others = longAnswerMs * std::min(server.longAnswers, longAnswersCounted);
-    cost += isLongAnswer(prompt.outputTokens) ? -others : others * harmOf(prompt);
+    const bool noPlace = server.adapter == residence::Absent && server.openPlaces == 0;
+    // Long answers hold their places for long: where they gather and no place is open, one more is refused.
+    cost += isLongAnswer(prompt.outputTokens) ? (noPlace ? 0 : -others) : others * harmOf(prompt);
     switch (server.adapter) {
     case residence::Resident:
         return cost;
@@ -45,7 +47,7 @@
         break;
     }
     cost += absentMs + hashRankMs * static_cast<double>(std::min(server.hashRank, hashRanksCounted));
-    return cost + (server.openPlaces == 0 ? noPlaceMs : 0);
+    return cost + (noPlace ? noPlaceMs : 0);
 }
 
 std::optional<std::size_t> chooseModelServer(
