Don't pass on heartbeats that tell nothing new; work out who claims orphans once for all servers

From the code: each server's entry is written at every heartbeat, parsed and passed on to all daemons though nothing daemons go by had changed; and after a start each scan for orphans built the lists of daemons anew for each of 3,000 servers, several times a second. Inferred, not profiled. Change: news hold an entry of a server only if its service, address, failure domain, slots or leaving changed; the lists are built once a scan.

--- a/packages/serving/backend_server.h
+++ b/packages/serving/backend_server.h
@@ -36,6 +36,14 @@
     std::vector<held_model> models; ///< when the entry was written
 };
 
+/// Whether two entries of a server say the same of what daemons go by: all but what it holds, which its
+/// orderer asks it for.
+inline bool sameForDaemons(const backend_server &a, const backend_server &b)
+{
+    return a.service == b.service && a.address.ip == b.address.ip && a.address.port == b.address.port
+        && a.failureDomain == b.failureDomain && a.slots == b.slots && a.draining == b.draining;
+}
+
 /// What a server tells of itself when asked. It may be some hundred ms old.
 struct server_report
 {
--- a/packages/serving/orderer_task.cpp
+++ b/packages/serving/orderer_task.cpp
@@ -96,6 +96,14 @@
     if (m_stopped || !view.config || view.daemons.count(m_settings.node) == 0) {
         return;
     }
+    // Once for all servers: after a start each of them is an orphan, and a fleet may have thousands.
+    std::map<std::string, std::vector<std::string>> byDomain;
+    std::vector<std::string> all;
+    for (const auto &[node, record] : view.daemons) {
+        all.push_back(node);
+        byDomain[record.failureDomain].push_back(node);
+    }
+    const bool settled = bootNow() - view.registeredAt >= settleTime;
     for (const auto &[id, server] : view.servers) {
         const auto entry = view.orderers.find(id);
         const bool formerSelf = entry != view.orderers.end() && entry->second.record.node == m_settings.node
@@ -104,16 +112,10 @@
         if (!orphan || server.draining || engineOfServer(server) == nullptr) {
             continue;
         }
-        std::vector<std::string> near;
-        std::vector<std::string> all;
-        for (const auto &[node, record] : view.daemons) {
-            all.push_back(node);
-            if (record.failureDomain == server.failureDomain) {
-                near.push_back(node);
-            }
-        }
-        const bool settled = bootNow() - view.registeredAt >= settleTime;
-        if (formerSelf || (settled && rendezvousFirst(id, near.empty() ? all : near) == m_settings.node)) {
+        const auto near = byDomain.find(server.failureDomain);
+        if (formerSelf
+            || (settled
+                && rendezvousFirst(id, near == byDomain.end() ? all : near->second) == m_settings.node)) {
             m_store.claim(id);
         }
     }
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -166,13 +166,16 @@
     publish(change);
 }
 
-void store_task::keepItem(const stored_item &item)
+void store_task::keepItem(const stored_item &item, bool news)
 {
     if (item.removed) {
         m_items.erase(item.key);
     } else {
         m_items[item.key] = item;
     }
+    if (!news) {
+        return;
+    }
     m_recent.push_back(item);
     while (m_recent.size() > recentChanges) {
         m_recentFrom = m_recent.front().revision;
@@ -358,9 +361,6 @@
         switch (read.status) {
         case store_status::Ok:
             takeEvents(read);
-            if (read.items.empty()) {
-                sendNews(m_revision, {});
-            }
             m_watchTimer = m_loop.timer(watchPause, {}, [this] {
                 follow();
             });
@@ -383,15 +383,17 @@
 {
     view_changed change;
     const std::int64_t from = m_revision;
-    const std::vector<stored_item> items = latestOf(read.items);
-    for (const stored_item &item : items) {
-        takeItem(item, change);
+    std::vector<stored_item> items;
+    for (const stored_item &item : latestOf(read.items)) {
+        if (takeItem(item, change)) {
+            items.push_back(item);
+        }
     }
     m_revision = std::max(m_revision, read.revision);
     if (!items.empty()) {
-        sendNews(from, items);
         publish(change);
     }
+    sendNews(from, items); // without items: a sign that the store is heard
 }
 
 void store_task::publish(const view_changed &change)
@@ -399,17 +401,21 @@
     m_bus.post(change);
 }
 
-void store_task::takeItem(const stored_item &item, view_changed &change)
+/// Whether the item tells something new, for this daemon and those it passes news on to.
+bool store_task::takeItem(const stored_item &item, view_changed &change)
 {
     const auto kept = m_items.find(item.key);
     if (kept != m_items.end() && item.revision != 0 && item.revision <= kept->second.revision) {
-        return; // heard twice, or from a reading that is older than what came by news
+        return false; // heard twice, or from a reading that is older than what came by news
     }
-    keepItem(item);
+    if (isUnder(item.key, m_codec.serverPrefix)) {
+        const bool news = takeServer(item, change);
+        keepItem(item, news);
+        return news;
+    }
+    keepItem(item, true);
     if (item.key == m_codec.configKey) {
         takeConfig(item, change);
-    } else if (isUnder(item.key, m_codec.serverPrefix)) {
-        takeServer(item, change);
     } else if (isUnder(item.key, m_codec.versionPrefix)) {
         error why;
         const auto version = item.removed ? std::nullopt : m_codec.readVersion(item.value, why);
@@ -426,6 +432,7 @@
     } else if (isUnder(item.key, ownPrefix)) {
         takeOwn(item);
     }
+    return true;
 }
 
 void store_task::takeConfig(const stored_item &item, view_changed &change)
@@ -454,13 +461,15 @@
         .add("routes", static_cast<std::int64_t>(m_view.config->routes.size()));
 }
 
-void store_task::takeServer(const stored_item &item, view_changed &change)
+/// Whether it says something that daemons go by. Each server writes its entry at every heartbeat, mostly with
+/// nothing else in it; passed on, that would be most of what a reader sends in a fleet of thousands.
+bool store_task::takeServer(const stored_item &item, view_changed &change)
 {
     const std::string id = item.key.substr(m_codec.serverPrefix.size());
     const auto known = m_view.servers.find(id);
     if (item.removed) {
         if (known == m_view.servers.end()) {
-            return;
+            return true; // not known here is no reason that others don't
         }
         const bool lapsed =
             !known->second.draining && m_regained.count != 0 && bootNow() - m_regained < missingGrace;
@@ -470,22 +479,23 @@
                 dropLate();
             });
             m_log.important("server.entry_lapsed").add("server", id);
-            return;
+            return true;
         }
         m_view.servers.erase(known);
         m_missing.erase(id);
         change.goneServers.push_back(id);
         m_log.important("server.gone").add("server", id).add("revision", item.revision);
-        return;
+        return true;
     }
     error why;
     auto server = m_codec.readServer(id, item.value, why);
     if (!server) {
         m_log.important("server.unreadable").add("server", id).add("why", message(why));
-        return;
+        return true;
     }
-    m_missing.erase(id);
+    const bool wasMissing = m_missing.erase(id) > 0;
     const bool isNew = known == m_view.servers.end();
+    const bool news = isNew || wasMissing || !sameForDaemons(known->second, *server);
     if (isNew || known->second.draining != server->draining) {
         m_log.important(server->draining ? "server.draining" : "server.ready")
             .add("server", id)
@@ -493,6 +503,7 @@
             .add("revision", item.revision);
     }
     m_view.servers[id] = std::move(*server);
+    return news;
 }
 
 void store_task::dropLate()
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -80,14 +80,14 @@
     void follow();
     void sendNews(std::int64_t from, const std::vector<stored_item> &items);
     void fetchNews(const std::string &reader);
-    void keepItem(const stored_item &item);
+    void keepItem(const stored_item &item, bool news);
     std::vector<std::string> domainPeers() const;
     bool newsFresh() const;
     void watchOn();
     void takeEvents(const store_read &read);
-    void takeItem(const stored_item &item, view_changed &change);
+    bool takeItem(const stored_item &item, view_changed &change);
     void takeConfig(const stored_item &item, view_changed &change);
-    void takeServer(const stored_item &item, view_changed &change);
+    bool takeServer(const stored_item &item, view_changed &change);
     void takeOwn(const stored_item &item);
     void dropMissing(const std::set<std::string> &present, view_changed &change);
     void dropLate();
--- a/tests/serving/decisions_test.cpp
+++ b/tests/serving/decisions_test.cpp
@@ -263,8 +263,8 @@
     EXPECT_GT(*costOf(withLong, {6'000, 90}), *costOf(withLong, shortAnswer));
 }
 
-// Long answers hold their adapters' places for seconds. A user of a rare adapter who asks for one more would be
-// sent to where they gather, three times in a row, and be refused each time for want of a place.
+// Long answers hold their adapters' places for seconds. A user of a rare adapter who asks for one more would
+// be sent to where they gather, three times in a row, and be refused each time for want of a place.
 TEST(ChooseServer, ALongAnswerDoesNotGatherWhereNoPlaceIsOpen)
 {
     model_candidate full;
--- a/tests/serving/store_task_test.cpp
+++ b/tests/serving/store_task_test.cpp
@@ -223,11 +223,13 @@
     std::map<std::string, std::unique_ptr<follower>> members;
     bool fetchHangs = false;
     bool datagramsLost = false;
+    std::size_t itemsSent = 0; ///< with news, to each that got them
 
     void add(fake_store &store, const std::string &node)
     {
         auto made = std::make_unique<follower>(store, node, "z");
         made->task.setFleet({[this, node](const std::vector<std::string> &nodes, const store_news &news) {
+                                 itemsSent += news.items.size() * nodes.size();
                                  for (const std::string &to : nodes) {
                                      if (!datagramsLost && members.count(to) != 0) {
                                          members.at(to)->task.onNews(node, news);
@@ -284,6 +286,43 @@
         {2'000}));
 }
 
+// Servers write their entries at every heartbeat, thousands in a large fleet, mostly without anything new in
+// them. Passed on to all daemons they would fill the readers' links, and a configuration would come late.
+// What does change, a server that leaves, is passed on.
+TEST_F(store_task_test, HeartbeatsWithNothingNewAreNotPassedOn)
+{
+    putConfig(1);
+    putServer("s-1");
+    news_fleet fleet;
+    for (int i = 0; i < 4; ++i) {
+        fleet.add(store, "n" + std::to_string(i));
+    }
+    ASSERT_TRUE(until([&] {
+        return fleet.allHave(1) && fleet.members.at("n0")->task.view().daemons.size() == 4;
+    }));
+    until(
+        [] {
+            return false;
+        },
+        {2'500});
+    const std::size_t before = fleet.itemsSent;
+    for (int i = 0; i < 5; ++i) {
+        putServer("s-1");
+        until(
+            [] {
+                return false;
+            },
+            {300});
+    }
+    EXPECT_EQ(fleet.itemsSent, before);
+    putServer("s-1", "draining");
+    EXPECT_TRUE(until([&] {
+        return std::all_of(fleet.members.begin(), fleet.members.end(), [](const auto &member) {
+            return member.second->task.view().servers.at("s-1").draining;
+        });
+    }));
+}
+
 // A reader goes on speaking, but what it has can't be fetched: the connection to it went silent. A user of
 // the listening daemon would be served by an old configuration for seconds, since the reader's signs kept
 // that daemon from following the store itself.
