--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -140,6 +140,11 @@
     case mood::Unsigned:
         reply->respond(200, {{"X-Briarhead-Request-Id", requestId}}, "not signed");
         return;
+    case mood::AnswersAnother:
+        reply->respond(200,
+            {{"X-Briarhead-Request-Id", "of-another"}, {"X-Briarhead-Server-Stamp", "by-" + id}},
+            "another's");
+        return;
     case mood::Resets:
         reply->abort();
         return;
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -36,6 +36,7 @@
         Slow, ///< answers after `slowness`
         Fails, ///< 500, run
         Unsigned, ///< 200 without the server's signature
+        AnswersAnother, ///< runs it, and its answer has another request's id and body
         Resets, ///< runs it and closes the connection without an answer
         Silent, ///< runs it and never answers
         CutsStream, ///< closes the connection after the second event
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -233,6 +233,18 @@
     }
 }
 
+// A server hands out the answer of an earlier request, signed and whole. A user would get another's answer.
+TEST_F(edge_test, AnAnswerWithAnothersIdReachesNobody)
+{
+    start();
+    setAll(m_plain, mood::AnswersAnother);
+    for (const char *path : {"/once/x", "/safe/x"}) {
+        const std::string answer = answerTo(path);
+        EXPECT_NE(statusOf(answer).front(), '2') << answer;
+        EXPECT_EQ(answer.find("another's"), std::string::npos) << answer;
+    }
+}
+
 // One server runs a request and loses its answer, the others are gone. "Not run" would be a lie.
 TEST_F(edge_test, AfterASendThatMayHaveRunNothingIsCalledNotRun)
 {
