--- a/packages/serving/heard_server.cpp
+++ b/packages/serving/heard_server.cpp
@@ -72,8 +72,12 @@
 void rankByHash(std::vector<model_candidate> &candidates, const std::vector<std::string_view> &servers,
     const std::string &adapterKey)
 {
+    // Beyond the ranks that count all are alike, and a fleet may have thousands.
+    for (model_candidate &each : candidates) {
+        each.hashRank = hashRanksCounted;
+    }
     const std::vector<std::size_t> order = rendezvousTop(
-        adapterKey, servers.size(), servers.size(),
+        adapterKey, servers.size(), hashRanksCounted,
         [&servers](std::size_t i) -> std::string_view {
             return servers[i];
         },
--- a/packages/serving/heard_server.h
+++ b/packages/serving/heard_server.h
@@ -38,7 +38,8 @@
 /// if it is anywhere besides the own cell, it is there.
 model_candidate unheardCandidate(bool needsAdapter);
 
-/// Fills in `hashRank` of each, by the adapter's rendezvous order over the servers' ids.
+/// Fills in `hashRank` of each, up to `hashRanksCounted`, by the adapter's rendezvous order over the servers'
+/// ids.
 void rankByHash(std::vector<model_candidate> &candidates, const std::vector<std::string_view> &servers,
     const std::string &adapterKey);
 
