Forget beats of servers that fall into another cell

Cause: when a fleet grows past a cell's bound the beats of some servers end for a daemon; its picture of them went stale and read as "their orderer is gone", so what was resident there would have been sent without a place. Change: when the number of cells changes, what was heard of other cells' servers is dropped; they are asked unheard. Measured: AServerOfAnotherCellGetsNothingWithoutAPlace fails without it (the server ran the request), passes with it.

--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -69,7 +69,16 @@
         m_heard.erase(id);
         m_records.erase(id);
     }
-    m_cells = cellsIn({&m_store.view().daemons, m_store.view().servers.size()}, m_settings.failureDomain);
+    const std::size_t cells =
+        cellsIn({&m_store.view().daemons, m_store.view().servers.size()}, m_settings.failureDomain);
+    if (cells != m_cells) {
+        // Beats of the servers that are in another cell now will not come any more. Taken for a dead
+        // orderer's, they would be sent requests without a place.
+        m_cells = cells;
+        std::erase_if(m_heard, [this](const auto &each) {
+            return cellOf(each.first, m_cells) != cellOf(m_settings.node, m_cells);
+        });
+    }
 }
 
 void front_task::stopTaking()
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -1,8 +1,12 @@
 #include "platform/platform_records.h"
 #include "platform/platform_requests.h"
+#include "protocol/codec.h"
 #include "serving/backend_standin.h"
+#include "serving/beat_cells.h"
 #include "serving/edge_daemon.h"
 #include "serving/fake_store.h"
+#include "serving/fleet_port.h"
+#include "serving/heard_server.h"
 #include "unit/http_fixture.h"
 
 #include <gtest/gtest.h>
@@ -245,6 +249,40 @@
     }
 }
 
+// Machines are added until the fleet falls into two cells, and the beats of a server that another daemon
+// orders end for this one. Taken for a server without an orderer it would get requests without a place: more
+// than it bears.
+TEST_F(edge_test, AServerOfAnotherCellGetsNothingWithoutAPlace)
+{
+    constexpr std::size_t cells = 2;
+    const std::string other = cellOf("m-1", cells) != cellOf("n1", cells) ? "m-1" : "m-2";
+    ASSERT_NE(cellOf(other, cells), cellOf("n1", cells));
+    m_heldAtStart[other] = {"a1"};
+    m_store.put("briarhead/orderer/" + other, encode(orderer_record{"n2", 1}));
+    start();
+    server_beat beat;
+    beat.server = other;
+    beat.fence = 1'000'000;
+    beat.held = true;
+    beat.adapters = {{adapterHash("m0/a1"), false}};
+    error why;
+    const auto port = fleet_port::open(
+        m_loop, {http_testing::loopback, freePort()}, [](const fleet_datagram &, const peer_address &) {},
+        why);
+    ASSERT_TRUE(port) << message(why);
+    port->send(m_settings.peers, {"n2", 1, fleet_beat{false, {beat}}});
+    runRounds(50);
+    for (int i = 0; i < 40; ++i) {
+        const std::string node = "further-" + std::to_string(i);
+        m_store.put("briarhead/daemon/" + node, encode(daemon_record{node, "127.0.0.1", 9, "z", 1}));
+    }
+    runRounds(2'500); // far beyond the time after which a beat is stale
+    answerTo("/gen/x", "a1");
+    for (const auto &server : m_models) {
+        EXPECT_TRUE(server->id != other || server->ran.empty());
+    }
+}
+
 // One server runs a request and loses its answer, the others are gone. "Not run" would be a lie.
 TEST_F(edge_test, AfterASendThatMayHaveRunNothingIsCalledNotRun)
 {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -268,7 +268,7 @@
     line << what.at.count << " ms, for " << what.lasts.count << ": " << nameOf(what.kind) << ' '
          << what.target << " variant " << what.variant;
     m_report.faults.push_back(line.str());
-    m_witness.disturbed(bootNow(), bootNow() + what.lasts);
+    m_witness.disturbed(bootNow() + what.lasts);
     static constexpr link_fault links[] = {
         link_fault::Delayed, link_fault::Silent, link_fault::NoAnswers, link_fault::Reset};
     static constexpr mood moods[] = {mood::Sheds, mood::Fails, mood::Unsigned, mood::Resets, mood::Silent,
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -26,9 +26,9 @@
     }
 }
 
-void witness::disturbed(millis, millis to)
+void witness::disturbed(millis until)
 {
-    m_disturbedUntil = std::max(m_disturbedUntil, to);
+    m_disturbedUntil = std::max(m_disturbedUntil, until);
 }
 
 void witness::sent(
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -33,8 +33,8 @@
     /// A request's time is over; it must have been answered unless its daemon was disturbed since it was
     /// sent.
     void due(const std::string &id, millis disturbedUntil);
-    /// Something goes wrong somewhere from then to then.
-    void disturbed(millis from, millis to);
+    /// Something goes wrong somewhere until then.
+    void disturbed(millis until);
     /// What a server ran and was ordered, up to now.
     void saw(const backend_standin &server, std::size_t places);
 
