Tell and answer daemons whose record lapsed

Same cause wherever a machine loses the store alone, or leaves while it still has callers. Ruled out: partitions between the daemons (none of them missed beats while its record stood), the orderers' right to order (tokens are checked there), loads (LoadTooSlow was rare).

--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -235,6 +236,8 @@
     }
 };
 
+using daemon_map = std::map<std::string, daemon_record>; ///< by node
+
 /// Kept in the platform's store: who gives a server's orders. The fencing token is the record's revision.
 struct orderer_record
 {
--- a/packages/serving/beat_cells.cpp
+++ b/packages/serving/beat_cells.cpp
@@ -8,17 +8,38 @@
 
 namespace {
 
-using domain_map = std::map<std::string, std::vector<const daemon_record *>>;
+/// A failure domain's daemons. Those whose record lapsed hear too, but count for nothing and pass nothing on.
+struct domain_daemons
+{
+    std::vector<const daemon_record *> live;
+    std::vector<const daemon_record *> lapsed;
+};
+
+using domain_map = std::map<std::string, domain_daemons>;
 
 domain_map byDomain(const fleet_shape &fleet)
 {
     domain_map domains;
     for (const auto &[node, record] : *fleet.daemons) {
-        domains[record.failureDomain].push_back(&record);
+        domains[record.failureDomain].live.push_back(&record);
+    }
+    if (fleet.lapsed != nullptr) {
+        for (const auto &[node, record] : *fleet.lapsed) {
+            domains[record.failureDomain].lapsed.push_back(&record);
+        }
     }
     return domains;
 }
 
+/// Adds those of a cell but for `self`.
+void addHearers(std::vector<const daemon_record *> &to, const std::vector<const daemon_record *> &daemons,
+    std::size_t cells, std::size_t cell, const std::string &self)
+{
+    std::copy_if(daemons.begin(), daemons.end(), std::back_inserter(to), [&](const daemon_record *record) {
+        return record->node != self && cellOf(record->node, cells) == cell;
+    });
+}
+
 }
 
 std::size_t cellCount(std::size_t daemons, std::size_t servers)
@@ -45,9 +66,9 @@
     const fleet_shape &fleet, const daemon_record &from, const fleet_beat &beat, int round)
 {
     std::vector<beat_parcel> parcels;
-    for (const auto &[domain, records] : byDomain(fleet)) {
+    for (const auto &[domain, daemons] : byDomain(fleet)) {
         const bool own = domain == from.failureDomain;
-        const std::size_t cells = cellCount(records.size(), fleet.servers);
+        const std::size_t cells = cellCount(daemons.live.size(), fleet.servers);
         std::map<std::size_t, beat_parcel> byCell;
         for (const server_beat &server : beat.servers) {
             fleet_beat &part = byCell[cellOf(server.server, cells)].beat;
@@ -56,19 +77,20 @@
             part.servers.push_back(server);
         }
         for (auto &[cell, parcel] : byCell) {
-            for (const daemon_record *record : records) {
-                if (record->node != from.node && cellOf(record->node, cells) == cell) {
-                    parcel.to.push_back(record);
-                }
-            }
+            addHearers(parcel.to, daemons.live, cells, cell, from.node);
             const bool direct = own || parcel.to.size() <= directPeers;
-            if (parcel.to.empty() || (!direct && round % relayedRounds != 0)) {
+            if (!direct && round % relayedRounds != 0) {
                 continue;
             }
             parcel.beat.relay = !direct;
-            if (!direct) {
+            if (direct) {
+                addHearers(parcel.to, daemons.lapsed, cells, cell, from.node);
+            } else {
                 parcel.to = {parcel.to[static_cast<std::size_t>(round) % parcel.to.size()]};
             }
+            if (parcel.to.empty()) {
+                continue;
+            }
             parcels.push_back(std::move(parcel));
         }
     }
@@ -85,13 +107,10 @@
         return to;
     }
     // A beat that is relayed holds servers of one cell.
-    const std::size_t cells = cellCount(own->second.size(), fleet.servers);
+    const std::size_t cells = cellCount(own->second.live.size(), fleet.servers);
     const std::size_t cell = cellOf(beat.servers.front().server, cells);
-    for (const daemon_record *record : own->second) {
-        if (record->node != relay.node && cellOf(record->node, cells) == cell) {
-            to.push_back(record);
-        }
-    }
+    addHearers(to, own->second.live, cells, cell, relay.node);
+    addHearers(to, own->second.lapsed, cells, cell, relay.node);
     return to;
 }
 
--- a/packages/serving/beat_cells.h
+++ b/packages/serving/beat_cells.h
@@ -26,8 +26,9 @@
 /// The daemons as the store lists them, and the number of servers there.
 struct fleet_shape
 {
-    const std::map<std::string, daemon_record> *daemons = nullptr;
+    const daemon_map *daemons = nullptr;
     std::size_t servers = 0;
+    const daemon_map *lapsed = nullptr; ///< that hear too, but count for nothing; may be null
 };
 
 /// Cells of a failure domain. Its daemons hear by beats of the servers in their cell.
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -218,9 +218,8 @@
         });
         return;
     }
-    const auto peer = m_store.view().daemons.find(entry);
-    if (peer != m_store.view().daemons.end()) {
-        m_port->send({peer->second.ip, peer->second.port}, {m_settings.node, m_store.incarnation(), answer});
+    if (const daemon_record *peer = findPeer(m_store.view(), entry)) {
+        m_port->send({peer->ip, peer->port}, {m_settings.node, m_store.incarnation(), answer});
     }
 }
 
@@ -261,7 +260,8 @@
 
 fleet_shape daemon_impl::shape() const
 {
-    return {&m_store.view().daemons, m_store.view().servers.size()};
+    const store_view &view = m_store.view();
+    return {&view.daemons, view.servers.size(), &view.lapsed};
 }
 
 /// A beat from another failure domain, for the others here that hear of its servers.
@@ -296,9 +296,8 @@
         }
     }
     for (const std::string &node : nodes) {
-        const auto peer = m_store.view().daemons.find(node);
-        if (peer != m_store.view().daemons.end()) {
-            m_port->send({peer->second.ip, peer->second.port}, datagram);
+        if (const daemon_record *peer = findPeer(m_store.view(), node)) {
+            m_port->send({peer->ip, peer->port}, datagram);
         }
     }
 }
@@ -319,14 +318,14 @@
 void daemon_impl::fetchNews(
     const std::string &node, std::int64_t after, std::function<void(std::optional<store_news>)> done)
 {
-    const auto peer = m_store.view().daemons.find(node);
-    if (peer == m_store.view().daemons.end()) {
+    const daemon_record *peer = findPeer(m_store.view(), node);
+    if (peer == nullptr) {
         done(std::nullopt);
         return;
     }
     const std::string call =
         "GET " + newsPath + std::to_string(after) + " HTTP/1.1\r\nHost: " + node + "\r\n\r\n";
-    callServer(m_loop, m_pool, {peer->second.ip, peer->second.port}, call, newsTimeout,
+    callServer(m_loop, m_pool, {peer->ip, peer->port}, call, newsTimeout,
         [done = std::move(done)](const call_result &result) {
             error why;
             done(result.how == send_end::Whole ? decodeNews(result.body, why) : std::nullopt);
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -160,9 +160,8 @@
         });
         return;
     }
-    const auto peer = m_store.view().daemons.find(orderer);
-    if (peer != m_store.view().daemons.end()) {
-        m_port->send({peer->second.ip, peer->second.port}, {m_settings.node, m_store.incarnation(), message});
+    if (const daemon_record *peer = findPeer(m_store.view(), orderer)) {
+        m_port->send({peer->ip, peer->port}, {m_settings.node, m_store.incarnation(), message});
     }
 }
 
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -65,6 +65,16 @@
 
 }
 
+const daemon_record *findPeer(const store_view &view, const std::string &node)
+{
+    for (const daemon_map *known : {&view.daemons, &view.lapsed}) {
+        if (const auto found = known->find(node); found != known->end()) {
+            return &found->second;
+        }
+    }
+    return nullptr;
+}
+
 store_task::store_task(loop &eventLoop, bus &messages, metadata_store &store, const record_codec &codec,
     const node_settings &settings, std::uint64_t incarnation, decision_log &log)
     : m_loop(eventLoop)
@@ -268,6 +278,11 @@
         news.fetch = true;
     }
     std::vector<std::string> others = domainPeers();
+    for (const auto &[node, record] : m_view.lapsed) {
+        if (record.failureDomain == m_settings.failureDomain) {
+            others.push_back(node);
+        }
+    }
     std::erase(others, m_settings.node);
     if (!others.empty()) {
         m_fleet.send(others, news);
@@ -604,7 +619,11 @@
                 m_log.important("peer.up").add("peer", node).add("revision", item.revision);
             }
             m_view.daemons[node] = *record;
-        } else if (m_view.daemons.erase(node) > 0) {
+            m_view.lapsed.erase(node);
+        } else if (const auto gone = m_view.daemons.find(node); gone != m_view.daemons.end()) {
+            m_view.lapsed[node] = gone->second;
+            m_lapsedAt[node] = bootNow();
+            m_view.daemons.erase(gone);
             m_log.important("peer.down").add("peer", node).add("revision", item.revision);
         }
     } else if (isUnder(item.key, ordererPrefix)) {
@@ -626,6 +645,18 @@
     }
 }
 
+/// A machine that is gone for good is told of nothing any more.
+void store_task::dropLapsed()
+{
+    std::erase_if(m_lapsedAt, [this](const auto &each) {
+        const bool over = bootNow() - each.second > lapsedLife;
+        if (over) {
+            m_view.lapsed.erase(each.first);
+        }
+        return over;
+    });
+}
+
 void store_task::grantLease()
 {
     if (m_leaseCalling || m_leaving) {
@@ -667,6 +698,7 @@
 
 void store_task::keepLease()
 {
+    dropLapsed();
     if (m_leaving) {
         return;
     }
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -33,7 +33,10 @@
     std::shared_ptr<const serving_config> config; ///< null before the first
     std::map<std::string, backend_server> servers; ///< by id
     std::map<std::string, std::int64_t> versions; ///< by MODEL/ADAPTER
-    std::map<std::string, daemon_record> daemons; ///< by node; this one is among them
+    daemon_map daemons; ///< this one is among them
+    /// Whose record went lately. Most of them are cut off from the store or end, not from the others, and
+    /// have callers: they are told and answered all the same.
+    daemon_map lapsed;
     std::map<std::string, orderer_entry> orderers; ///< by server id
     millis registeredAt; ///< when this daemon's record was last put there
     millis lastAnswer; ///< of the store
@@ -41,6 +44,9 @@
     bool reachable = false;
 };
 
+/// A daemon that may be reached; null where nothing is known of it.
+const daemon_record *findPeer(const store_view &view, const std::string &node);
+
 /// A daemon is found dead after its lease; the shortest that bears a lost renewal or two.
 constexpr millis leaseTime{2'500};
 
@@ -108,6 +114,7 @@
     void takeOwn(const stored_item &item);
     void dropMissing(const std::set<std::string> &present, view_changed &change);
     void dropLate();
+    void dropLapsed();
     void heard(bool answered, const char *call);
     void keepLease();
     void grantLease();
@@ -142,6 +149,7 @@
     millis m_regained; ///< when the store answered again after an outage
     std::set<std::string> m_missing; ///< servers whose entries lapsed during an outage
     std::set<std::string> m_claiming;
+    std::map<std::string, millis> m_lapsedAt; ///< by node
     std::set<std::string> m_unreadable; ///< keys whose item was told of as unreadable
     std::shared_ptr<void> m_watchTimer;
     std::shared_ptr<void> m_leaseTimer;
--- a/tests/serving/beat_cells_test.cpp
+++ b/tests/serving/beat_cells_test.cpp
@@ -13,7 +13,7 @@
 
 struct fleet
 {
-    std::map<std::string, daemon_record> daemons;
+    daemon_map daemons;
     std::vector<std::string> servers;
 
     fleet_shape shape() const
