Replace a holder that is silent, and send callers elsewhere who hears nobody

Cause: a daemon that is cut off from the others but not from the store keeps its lease, and with it the records of its servers: nobody can ask it for places, and it can ask nobody. Ruled out: - Change: peer_hearing: who hears most of the holders replaces one that was silent for 1.5 s, one candidate after the other, under a higher token, where servers check tokens. A daemon that stood still, or hears nobody though beats are due, orders nothing; the latter says it is not ready, closes connections after answers, and refuses requests for models at once, but for servers that it orders itself.

--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -89,6 +89,7 @@
     void onReadyQuestion(front_reply &reply) const;
     std::string figures() const;
     void measureLag();
+    void lookWhetherAlone();
     void beginEnd();
     void checkEnd();
     void rereadSettings(const char *cause);
@@ -113,6 +114,8 @@
     millis m_lagFrom = bootNow();
     millis m_started = bootNow();
     millis m_endBegan;
+    millis m_heardPeerAt; ///< when another daemon's datagram came last
+    bool m_alone = false; ///< cut off from the other daemons
     bool m_ending = false;
     bool m_handedOver = false; ///< others give the orders of its servers
     bool m_closed = false; ///< takes nothing any more
@@ -225,6 +228,7 @@
 
 void daemon_impl::onDatagram(const fleet_datagram &datagram)
 {
+    m_heardPeerAt = bootNow();
     std::visit(
         [&](const auto &body) {
             using body_type = std::decay_t<decltype(body)>;
@@ -274,8 +278,27 @@
     }
 }
 
+/// Guards against: this daemon is cut off from all others, but callers reach it. It shows as requests for
+/// models that wait for places until they are given up. Holds because the balancer is told to send callers
+/// elsewhere, and those who come are sent there at once. Where the others are gone rather than cut off, the
+/// store drops their records after a lease, and no beats are due any more.
+void daemon_impl::lookWhetherAlone()
+{
+    const bool silent = m_heardPeerAt.count != 0 && bootNow() - m_heardPeerAt >= aloneAfter;
+    const bool alone = silent && m_orderer.expectsBeats();
+    if (alone == m_alone) {
+        return;
+    }
+    m_alone = alone;
+    m_log.important(alone ? "peers.lost" : "peers.heard").add("silent_ms", bootNow() - m_heardPeerAt);
+    m_front.setAlone(alone);
+    m_orderer.setAlone(alone);
+    m_callers->setClosing(alone || m_ending);
+}
+
 void daemon_impl::beat()
 {
+    lookWhetherAlone();
     const fleet_beat now = m_orderer.beat();
     m_front.onBeat(m_settings.node, now);
     ++m_beats;
@@ -336,7 +359,7 @@
 {
     const store_view &view = m_store.view();
     const bool heard = m_front.hearsOrderers() || bootNow() - m_started > readyWithoutOrderers;
-    return !m_ending && view.config && !view.servers.empty() && heard;
+    return !m_ending && !m_alone && view.config && !view.servers.empty() && heard;
 }
 
 void daemon_impl::onReadyQuestion(front_reply &reply) const
@@ -345,6 +368,7 @@
     reply.respond(ready ? 200 : 503, {},
         ready          ? "ready\n"
             : m_ending ? "ending\n"
+            : m_alone  ? "cut off from the other daemons\n"
                        : "no configuration yet\n");
 }
 
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -68,6 +68,8 @@
             candidate.excluded = unheardOrderer(id).empty();
         }
         candidate.excluded = candidate.excluded || server.draining || one.excluded.count(id) != 0;
+        const bool own = heard != m_heard.end() && heard->second.orderer == m_settings.node;
+        candidate.excluded = candidate.excluded || (m_alone && !own);
         candidate.sameDomain = server.failureDomain == m_settings.failureDomain;
         const auto record = m_records.find(id);
         candidate.failures = record == m_records.end() ? 0 : failuresNow(record->second, now);
@@ -89,6 +91,10 @@
     }
     const prompt_shape prompt = shapeOf(answers, one->request.promptTokens, one->request.outputTokens);
     const auto chosen = chooseModelServer(candidates, prompt);
+    if (!chosen && m_alone) {
+        refuse(one, "cut off from the other daemons", comeBackElsewhere);
+        return;
+    }
     const bool unheard = !chosen && one->excluded.empty() && !one->mayHaveRun;
     if (unheard && bootNow() - one->arrived < startPatience) {
         // No server's orderer has spoken yet: after a start, or after the death of those nearby.
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Another instance takes it right away.
-constexpr millis comeBackElsewhere{50};
 constexpr millis comeBackNotReady{1'000};
 constexpr double msPerSecond = 1'000;
 
@@ -89,6 +87,11 @@
     m_taking = false;
 }
 
+void front_task::setAlone(bool alone)
+{
+    m_alone = alone;
+}
+
 void front_task::onRequest(front_request raw, std::shared_ptr<front_reply> reply)
 {
     error why;
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -50,6 +50,8 @@
 
     /// From now on new requests are refused, since the process ends before they could be answered.
     void stopTaking();
+    /// Other daemons can't be asked for places: only servers that this one gives orders to are used.
+    void setAlone(bool alone);
     void onRequest(front_request raw, std::shared_ptr<front_reply> reply);
     void onAnswer(const place_answer &answer);
     void onBeat(const std::string &node, const fleet_beat &beat);
@@ -114,6 +116,7 @@
     std::uint64_t m_lastWork = 0;
     std::size_t m_cells = 1; ///< of this daemon's failure domain
     bool m_taking = true;
+    bool m_alone = false;
 };
 
 }
--- a/packages/serving/front_work.h
+++ b/packages/serving/front_work.h
@@ -7,6 +7,8 @@
 
 /// Of a refusal whose cause passes in an unknown, short time.
 constexpr millis comeBackSoon{300};
+/// Another instance takes it right away.
+constexpr millis comeBackElsewhere{50};
 /// How long a request waits for what a start or a takeover brings, and how often it looks.
 constexpr millis startPatience{600};
 constexpr millis retryStep{40};
--- a/packages/serving/orderer_task.cpp
+++ b/packages/serving/orderer_task.cpp
@@ -1,6 +1,7 @@
 #include "serving/orderer_task.h"
 
 #include "coordination/rendezvous.h"
+#include "serving/beat_cells.h"
 #include "serving/heard_server.h"
 #include "transport/backend_call.h"
 
@@ -34,6 +35,14 @@
 /// Beats from another failure domain come every 450 ms: by then a former holder that renewed its lease right
 /// before its records went has said so.
 constexpr millis beatWait{500};
+/// A holder that is cut off stops ordering after `aloneAfter`; with this its last order and the next holder's
+/// first keep apart far enough that a third holder's can't come within the time of the two.
+constexpr millis replacedWait{1'000};
+/// Without a beat for so long the daemon stood still, or nearly; the news of the time reach it within the
+/// pause after it.
+constexpr millis stillMost{1'000};
+constexpr millis stillPause{700};
+
 }
 
 orderer_task::orderer_task(loop &eventLoop, bus &messages, store_task &store, backend_pool &pool,
@@ -54,6 +63,7 @@
     });
     m_claimTimer = m_loop.timer(claimEvery, claimEvery, [this] {
         claimOrphans();
+        replaceSilent();
     });
 }
 
@@ -131,6 +141,9 @@
         noteHeard(m_pace, static_cast<double>(beat.loadsAtOnce));
     }
     for (const server_beat &each : beat.servers) {
+        if (node != m_settings.node) {
+            m_heardHolders[each.server] = {node, now};
+        }
         const auto loading =
             std::count_if(each.adapters.begin(), each.adapters.end(), [](const beat_adapter &adapter) {
                 return adapter.loading;
@@ -187,6 +200,59 @@
     }
 }
 
+bool orderer_task::expectsBeats() const
+{
+    const store_view &view = m_store.view();
+    const std::size_t cells = cellsIn({&view.daemons, view.servers.size()}, m_settings.failureDomain);
+    const std::size_t own = cellOf(m_settings.node, cells);
+    return std::any_of(view.orderers.begin(), view.orderers.end(), [&](const auto &each) {
+        const std::string &holder = each.second.record.node;
+        return holder != m_settings.node && view.daemons.count(holder) != 0
+            && view.servers.count(each.first) != 0 && cellOf(each.first, cells) == own;
+    });
+}
+
+/// Guards against: a holder that can't be asked, since it is cut off from the other daemons or stands still,
+/// while its lease in the store lives on. It shows as requests that wait for places nobody grants, and as
+/// servers that nobody loads. Holds because another daemon takes the record with a higher fencing token,
+/// which the server goes by: what the former holder still orders is refused. Servers that check no tokens are
+/// left to their holder until its records are gone.
+void orderer_task::replaceSilent()
+{
+    const store_view &view = m_store.view();
+    const millis now = bootNow();
+    std::erase_if(m_heardHolders, [&](const auto &each) {
+        const auto entry = view.orderers.find(each.first);
+        return entry == view.orderers.end() || entry->second.record.node != each.second.node;
+    });
+    if (m_stopped || !m_settings.serversCheckTokens || !hearsMost(m_heardHolders, now)) {
+        return;
+    }
+    for (const auto &[id, holder] : m_heardHolders) {
+        const backend_server *server = serverOf(id);
+        if (now - holder.at < silentAfter || server == nullptr || server->draining) {
+            continue;
+        }
+        const std::size_t cells = cellsIn({&view.daemons, view.servers.size()}, server->failureDomain);
+        std::vector<std::string> all;
+        std::vector<std::string> near;
+        for (const auto &[node, record] : view.daemons) {
+            all.push_back(node);
+            if (record.failureDomain == server->failureDomain && cellOf(node, cells) == cellOf(id, cells)) {
+                near.push_back(node);
+            }
+        }
+        if (mayReplace(holder, replacersOf(id, holder.node, near, all), m_settings.node, now)) {
+            m_log.important("orderer.replaced")
+                .add("server", id)
+                .add("holder", holder.node)
+                .add("silent_ms", now - holder.at);
+            m_replaced.insert(id);
+            m_store.claim(id, true);
+        }
+    }
+}
+
 void orderer_task::begin(const std::string &id, const orderer_entry &entry)
 {
     const backend_server *server = serverOf(id);
@@ -262,6 +328,8 @@
     if (m_settings.serversCheckTokens) {
         return from;
     }
+    // Of a holder that is gone this is the time that it may have ordered for since it was last heard,
+    // whatever its lease: that of servers that check tokens only ends later.
     const millis length = std::max(leaseTime, m_settings.leaseMin);
     const store_view &view = m_store.view();
     if (const auto left = m_vacated.find(id); left != m_vacated.end()) {
@@ -271,7 +339,7 @@
         // No holder was ever seen: one may have been there shortly before this daemon first read the store.
         from = std::max(from, view.firstRead + length);
     }
-    return std::max(from, bootNow() + beatWait);
+    return std::max(from, bootNow() + (m_replaced.erase(id) != 0 ? replacedWait : beatWait));
 }
 
 void orderer_task::drop(const std::string &id, const char *why)
@@ -334,6 +402,11 @@
     }
 }
 
+void orderer_task::setAlone(bool alone)
+{
+    m_alone = alone;
+}
+
 void orderer_task::stop()
 {
     m_stopped = true;
@@ -446,12 +519,13 @@
 bool orderer_task::mayOrder(const std::string &id, const server_state &one) const
 {
     const millis now = bootNow();
-    if (one.fenced || now < one.mayOrderFrom) {
+    if (one.fenced || now < one.mayOrderFrom || now < m_pausedUntil) {
         return false;
     }
-    return m_settings.serversCheckTokens
-        || (m_store.holdsRecord(id) && now >= one.rivalUntil
-            && now + leastOrderTime <= m_store.provenUntil());
+    if (m_settings.serversCheckTokens) {
+        return !m_alone;
+    }
+    return m_store.holdsRecord(id) && now >= one.rivalUntil && now + leastOrderTime <= m_store.provenUntil();
 }
 
 void orderer_task::askReport(const std::string &id, server_state &one, const backend_server &server)
@@ -564,8 +638,16 @@
     pump(id);
 }
 
-fleet_beat orderer_task::beat() const
+fleet_beat orderer_task::beat()
 {
+    const millis now = bootNow();
+    if (m_lastBeat.count != 0 && now - m_lastBeat > stillMost) {
+        // Others may have replaced it meanwhile. The store's news say so within this time; an order before
+        // would be one more change of hands.
+        m_pausedUntil = now + stillPause;
+        m_log.important("orderer.stood_still").add("ms", now - m_lastBeat);
+    }
+    m_lastBeat = now;
     fleet_beat out;
     out.orderingMs = std::max<std::int64_t>((m_store.provenUntil() - bootNow()).count, 0);
     out.loadsAtOnce = std::llround(toPassOn(m_pace, bootNow()));
--- a/packages/serving/orderer_task.h
+++ b/packages/serving/orderer_task.h
@@ -5,6 +5,7 @@
 #include "serving/fleet_port.h"
 #include "serving/node_settings.h"
 #include "serving/order_right.h"
+#include "serving/peer_hearing.h"
 #include "serving/place_desk.h"
 #include "serving/store_task.h"
 #include "transport/backend_pool.h"
@@ -46,9 +47,14 @@
     void take(const std::string &entry, const place_running &run);
     /// What another daemon says of the servers that it gives orders to.
     void hear(const std::string &node, const fleet_beat &beat);
+    /// This daemon is cut off from the others, which replace it at servers that check tokens: it orders
+    /// nothing there, so that orders don't change hands back and forth.
+    void setAlone(bool alone);
     /// Gives no orders any more: the records are about to be given up.
     void stop();
-    fleet_beat beat() const;
+    fleet_beat beat();
+    /// Whether other daemons' beats are due here: they give orders to servers of this daemon's cell.
+    bool expectsBeats() const;
     const orderer_counters &counters() const;
 
 private:
@@ -76,6 +82,7 @@
     std::optional<millis> vacatedUntil(const std::string &id) const;
     millis firstOrder(const std::string &id);
     void claimOrphans();
+    void replaceSilent();
     void begin(const std::string &id, const orderer_entry &entry);
     void drop(const std::string &id, const char *why);
     void startAgain(const std::string &id, std::int64_t born);
@@ -105,6 +112,7 @@
     answer_call m_answer;
     orderer_counters m_counters;
     bool m_stopped = false;
+    bool m_alone = false;
     millis m_lastModelLoad;
     load_pace m_pace;
     std::map<std::string, heard_loads> m_heardLoads; ///< by server
@@ -112,9 +120,13 @@
     std::map<std::string, millis> m_released; ///< servers given up by another daemon, and when that was seen
     std::map<std::string, std::string> m_holders; ///< other daemons that hold a server's record
     std::map<std::string, vacancy> m_vacated; ///< servers whose record went under another daemon
+    std::set<std::string> m_replaced; ///< servers taken from a silent holder
     std::set<std::string> m_ownBefore; ///< servers whose record this instance's earlier process left
     std::map<std::string, heard_right> m_heardRights; ///< by daemon
     std::map<std::string, millis> m_lastOrders; ///< to servers that others hold the record of since
+    heard_holders m_heardHolders;
+    millis m_lastBeat;
+    millis m_pausedUntil; ///< after it stood still nothing is ordered until then
     std::shared_ptr<void> m_timer;
     std::shared_ptr<void> m_claimTimer;
 };
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -727,7 +727,7 @@
     });
 }
 
-void store_task::claim(const std::string &server)
+void store_task::claim(const std::string &server, bool replace)
 {
     if (m_lease == 0 || m_leaving || m_claiming.count(server) != 0) {
         return;
@@ -735,7 +735,7 @@
     const auto known = m_view.orderers.find(server);
     const bool others = known != m_view.orderers.end() && !known->second.record.node.empty()
         && known->second.record.node != m_settings.node;
-    if (others) {
+    if (others && !replace) {
         return;
     }
     const std::int64_t revision = known == m_view.orderers.end() ? 0 : known->second.revision;
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -90,8 +90,9 @@
     bool holdsRecord(const std::string &server) const;
     /// Whether this daemon follows the store itself.
     bool isReader() const;
-    /// Claims the right to give a server's orders if nobody else has it. The view tells how it ended.
-    void claim(const std::string &server);
+    /// Claims the right to give a server's orders if nobody else has it, or also from one that has it. The
+    /// view tells how it ended.
+    void claim(const std::string &server, bool replace = false);
     /// Gives up all of this daemon's records, for a shutdown.
     void leave();
 
--- a/packages/transport/front_server.cpp
+++ b/packages/transport/front_server.cpp
@@ -143,6 +143,10 @@
         m_closing = true;
         m_limits.idleTime = idle;
     }
+    void setClosing(bool closing) override
+    {
+        m_closing = closing;
+    }
     void stopListening() override
     {
         // Closing the listener resets what still waits in its queue, so that is taken first.
--- a/packages/transport/front_server.h
+++ b/packages/transport/front_server.h
@@ -65,6 +65,8 @@
     virtual void setLimits(const front_limits &limits) = 0;
     /// From now on each answer closes its connection, and idle connections are closed after `idle`.
     virtual void closeAfterAnswers(millis idle) = 0;
+    /// While set, each answer closes its connection: its caller is to come back to another daemon.
+    virtual void setClosing(bool closing) = 0;
     /// Takes no further connections; those that wait to be taken are taken first.
     virtual void stopListening() = 0;
     /// Requests that are being worked on.
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -11,6 +11,8 @@
 
 #include <gtest/gtest.h>
 
+#include <variant>
+
 namespace briarhead {
 
 namespace {
@@ -107,6 +109,16 @@
         }));
         return seen;
     }
+    std::string readiness()
+    {
+        const auto balancer = raw_socket::connectTo(m_settings.ready.port);
+        balancer->send("GET /v1/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        std::string seen;
+        EXPECT_TRUE(runUntil([&] {
+            return !balancer->receive(seen);
+        }));
+        return seen.substr(9, 3);
+    }
     std::size_t ranOn(const std::vector<std::unique_ptr<backend_standin>> &servers) const
     {
         std::size_t sum = 0;
@@ -123,6 +135,57 @@
     }
 };
 
+/// Another daemon, as far as this one hears of it: it lives by the store, holds the record of a server, and
+/// is heard when it beats.
+class other_daemon
+{
+public:
+    other_daemon(fake_store &store, loop &eventLoop, const peer_address &to, const std::string &node,
+        const std::string &server)
+        : m_to(to)
+        , m_node(node)
+    {
+        const peer_address own{http_testing::loopback, freePort()};
+        store.put("briarhead/daemon/" + node, encode(daemon_record{node, own.ip, own.port, "z", 1}));
+        m_beat.server = server;
+        m_beat.held = true;
+        m_beat.fence = static_cast<std::uint64_t>(
+            store.put("briarhead/orderer/" + server, encode(orderer_record{node, 1, 1'000})));
+        error why;
+        m_port = fleet_port::open(
+            eventLoop, own,
+            [this](const fleet_datagram &datagram, const peer_address &) {
+                beatsHeard += std::holds_alternative<fleet_beat>(datagram.body) ? 1 : 0;
+                answersHeard += std::holds_alternative<place_answer>(datagram.body) ? 1 : 0;
+            },
+            why);
+    }
+    void beat()
+    {
+        m_port->send(m_to, {m_node, 1, fleet_beat{false, {m_beat}}});
+    }
+    void ask(const std::string &server)
+    {
+        place_ask ask;
+        ask.id = "x";
+        ask.server = server;
+        ask.model = "m0";
+        ask.promptTokens = 100;
+        ask.waitMs = 500;
+        ask.deadlineMs = 1'000;
+        ask.targetMs = 1'000;
+        m_port->send(m_to, {m_node, 1, ask});
+    }
+    int beatsHeard = 0;
+    int answersHeard = 0;
+
+private:
+    peer_address m_to;
+    std::string m_node;
+    server_beat m_beat;
+    std::unique_ptr<fleet_port> m_port;
+};
+
 std::string statusOf(const std::string &answer)
 {
     return answer.substr(9, 3);
@@ -283,6 +346,69 @@
     }
 }
 
+// A daemon is cut off from the store, not from the others: its lease ends and its record goes. Its users
+// would be served nothing, since nobody told it of servers any more or answered what it asked.
+TEST_F(edge_test, ADaemonWhoseRecordLapsedIsToldAndAnswered)
+{
+    start();
+    other_daemon cut(m_store, m_loop, m_settings.peers, "n2", "m-2");
+    runRounds(800);
+    m_store.remove("briarhead/daemon/n2");
+    runRounds(1'500); // until this is known
+    cut.beatsHeard = 0;
+    cut.ask("m-1");
+    EXPECT_TRUE(runUntil([&] {
+        return cut.beatsHeard >= 3 && cut.answersHeard >= 1;
+    }));
+}
+
+// A machine is cut off from the others with the record of a server, while its lease in the store lives on.
+// Its users elsewhere would wait for places that nobody grants; a daemon that hears the others takes the
+// server.
+TEST_F(edge_test, ASilentHolderIsReplaced)
+{
+    start();
+    other_daemon silent(m_store, m_loop, m_settings.peers, "n2", "m-1");
+    other_daemon heard(m_store, m_loop, m_settings.peers, "n3", "m-2");
+    silent.beat();
+    const auto holderOf = [this](const std::string &server) {
+        error why;
+        const auto record = decodeOrderer(m_store.items.at("briarhead/orderer/" + server).value, why);
+        return record ? record->node : std::string();
+    };
+    EXPECT_TRUE(runUntil([&] {
+        heard.beat();
+        return holderOf("m-1") == "n1";
+    }));
+    EXPECT_EQ(holderOf("m-2"), "n3");
+}
+
+// The machine itself is cut off from the others. Its users would wait for places until they are given up: the
+// balancer is told to send them elsewhere, and those who come are sent there at once. Plain requests need no
+// place and are served.
+TEST_F(edge_test, WhoHearsNobodySendsItsCallersElsewhere)
+{
+    start();
+    other_daemon first(m_store, m_loop, m_settings.peers, "n2", "m-1");
+    other_daemon second(m_store, m_loop, m_settings.peers, "n3", "m-2");
+    first.beat();
+    second.beat();
+    runRounds(1'400);
+    EXPECT_EQ(readiness(), "503");
+    const millis before = bootNow();
+    const std::string answer = answerTo("/gen/x", "a1");
+    EXPECT_EQ(statusOf(answer), "503");
+    EXPECT_NE(answer.find("Retry-After: 0.05"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+    EXPECT_LT((bootNow() - before).count, 400);
+    EXPECT_EQ(statusOf(answerTo("/safe/x")), "200");
+    first.beat();
+    second.beat();
+    runRounds(300);
+    first.beat();
+    EXPECT_EQ(readiness(), "200");
+}
+
 // One server runs a request and loses its answer, the others are gone. "Not run" would be a lie.
 TEST_F(edge_test, AfterASendThatMayHaveRunNothingIsCalledNotRun)
 {
