--- a/tests/serving/store_task_test.cpp
+++ b/tests/serving/store_task_test.cpp
@@ -21,12 +21,12 @@
     decision_log log;
     store_task task;
 
-    follower(
-        fake_store &store, const std::string &node, const std::string &domain, bool bootstrap = false)
+    follower(fake_store &store, const std::string &node, const std::string &domain, bool bootstrap = false)
         : messages(store.events)
         , client(store)
         , log(-1, node)
-        , task(store.events, messages, client, platform::recordCodec(), settingsOf(node, domain, bootstrap), 1, log)
+        , task(store.events, messages, client, platform::recordCodec(), settingsOf(node, domain, bootstrap),
+              1, log)
     {
     }
     static node_settings settingsOf(const std::string &node, const std::string &domain, bool bootstrap)
@@ -318,8 +318,9 @@
 
 }
 
-// The whole system starts, and servers write their heartbeats. A daemon that reads the store before the others
-// have registered takes itself for a reader; the platform would be asked several times a second by each.
+// The whole system starts, and servers write their heartbeats. A daemon that reads the store before the
+// others have registered takes itself for a reader; the platform would be asked several times a second by
+// each.
 TEST_F(store_task_test, AtTheFirstStartOnlyTheReadersFollowTheStore)
 {
     putConfig(1);
