--- a/tests/serving/peer_hearing_test.cpp
+++ b/tests/serving/peer_hearing_test.cpp
@@ -11,6 +11,7 @@
 std::vector<std::string> names(int count)
 {
     std::vector<std::string> nodes;
+    nodes.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         nodes.push_back("n" + std::to_string(i));
     }
