--- a/packages/serving/place_desk.cpp
+++ b/packages/serving/place_desk.cpp
@@ -31,7 +31,8 @@
 /// somebody has; it shows as loads at their limit and callers refused for seconds, though arrivals are as
 /// before. Holds because nothing is loaded any more than what will be there in time, so the weight store's
 /// crowd goes down until loads are useful again. In the test of that load 300 servers are asked for three
-/// times what the weight store delivers, and twice as many callers are served as without the guard.
+/// times what the weight store delivers: 118 callers of 128 that it could serve are, and without the guard
+/// none.
 bool comesTooLate(const server_ledger &ledger, const waiting_prompt &prompt, millis now)
 {
     return now + adapterWait(ledger, prompt.model, prompt.adapter, now) > prompt.startBy;
--- a/packages/serving/server_ledger.cpp
+++ b/packages/serving/server_ledger.cpp
@@ -21,18 +21,13 @@
     }
 }
 
-double &loadTimeOf(server_ledger &ledger, const adapter_place &place)
-{
-    return place.known ? ledger.knownMs : ledger.loadMs;
-}
-
 void measureLoad(server_ledger &ledger, const adapter_place &place, millis now)
 {
-    double &expected = loadTimeOf(ledger, place);
-    const auto took = static_cast<double>((now - place.since).count);
-    expected += loadTimeWeight * (took - expected);
-    if (!place.known && place.ordered) {
-        ledger.loadsSeen.push_back({now - place.since, (place.crowd + ledger.crowd) / 2});
+    const millis took = now - place.since;
+    if (place.known) {
+        ledger.knownMs += loadTimeWeight * (static_cast<double>(took.count) - ledger.knownMs);
+    } else if (place.ordered) {
+        ledger.loadsSeen.push_back({took, (place.crowd + ledger.crowd) / 2});
     }
 }
 
--- a/packages/serving/server_ledger.h
+++ b/packages/serving/server_ledger.h
@@ -45,8 +45,8 @@
 constexpr millis heatHalfLife{8'000};
 /// Adapters that a server had lately stay in its memory and are back in a tenth of the time.
 constexpr std::size_t rememberedAdapters = 30;
-/// From order to use of an adapter that the server remembers, in ms. Where each ledger starts, as with
-/// `firstLoadMs`; what its loads take moves them, at the given weight a load.
+/// From order to use of an adapter that the server remembers, in ms. Where each ledger starts; what such
+/// loads take moves it, at the given weight a load.
 constexpr double knownLoadMs = 25;
 constexpr double loadTimeWeight = 0.2;
 /// Whether an adapter is in is first asked after this share of the quickest time, then at a pause that grows
@@ -91,7 +91,6 @@
     std::optional<server_order> ghost;
     millis ghostUntil; ///< of one that an earlier start of the server was sent; 0: of this start
     millis notBefore; ///< no order or report until then
-    double loadMs = firstLoadMs; ///< as measured, also when many loads slow the weight store down
     double knownMs = knownLoadMs;
     double storeMs = firstLoadMs; ///< what a load from the weight store would take now; the task's to fill in
     double crowd = 0; ///< adapters on their way over all servers; the task's to fill in
--- /dev/null
+++ b/packages/serving/store_keys.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+// Keys of this project's own records in the platform's store.
+namespace briarhead::detail {
+
+inline const std::string ownPrefix = "briarhead/";
+/// Followed by a daemon's node name; under its lease.
+inline const std::string daemonPrefix = ownPrefix + "daemon/";
+/// Followed by a server's id: who gives its orders.
+inline const std::string ordererPrefix = ownPrefix + "orderer/";
+
+}
--- a/tests/load_model/load_model.cpp
+++ b/tests/load_model/load_model.cpp
@@ -152,7 +152,6 @@
         server.desk.ledger.server = server.id;
         server.desk.ledger.places = plan.places;
         server.desk.ledger.weightsMb = 1;
-        server.desk.ledger.loadMs = plan.loadMs;
         server.desk.ledger.proved = true;
         server.desk.ledger.models = {baseModel};
         server.desk.queue.slots = plan.engine.slots;
--- a/tests/serving/server_ledger_test.cpp
+++ b/tests/serving/server_ledger_test.cpp
@@ -198,6 +198,9 @@
 {
     server_ledger ledger = emptyLedger(4);
     takeReport(ledger, reportWith(0, {}), {1'000});
+    load_pace pace;
+    pace.crowd = 400;
+    ledger.crowd = pace.crowd;
     millis now{1'000};
     for (int i = 0; i < 30; ++i) {
         const auto load = nextOrder(ledger, want({"a" + std::to_string(i)}), limitsNow(), now);
@@ -211,9 +214,12 @@
         const auto ask = nextOrder(ledger, {}, limitsNow(), now);
         ASSERT_TRUE(ask);
         takeAnswer(ledger, *ask, order_answer::Holds, now);
+        for (const load_seen &seen : std::exchange(ledger.loadsSeen, {})) {
+            noteLoad(pace, seen.took, seen.crowd, now);
+        }
     }
-    EXPECT_GT(ledger.loadMs, 700);
-    EXPECT_LT(ledger.loadMs, 810);
+    EXPECT_GT(loadMsNow(pace), 700);
+    EXPECT_LT(loadMsNow(pace), 810);
 }
 
 // A user would see a stream cut or restarted: an adapter whose requests still run must not go.
