Wait for the daemon's own registration before counting changes

Ruled out: the news themselves: one configuration was passed on in each run. Change: the test waits until the daemon is registered; what it expects is as before.

--- a/tests/serving/store_task_test.cpp
+++ b/tests/serving/store_task_test.cpp
@@ -448,7 +448,8 @@
     putConfig(1);
     follower one(store, "n1", "z");
     ASSERT_TRUE(until([&] {
-        return one.version() == 1;
+        return one.version() == 1
+            && one.task.view().daemons.count("n1") == 1; // its own record is a change too
     }));
     const std::int64_t before = store.revision;
     for (std::uint64_t version = 2; version < 30; ++version) {
