Bring about a request that crashes each server that runs it

Cause: one caller's request, sent again under new ids, ends server after server; nothing counts ends by request. Ruled out: - Change: tests on three real processes for streams, resumable streams, idempotent and non-idempotent requests, also with all daemons killed at once; the stand-in server ends under one body; the soak has a caller who goes on with it, drawn apart from the faults so that a seed's faults stay what they were.

--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -10,6 +10,8 @@
 using json = nlohmann::json;
 
 constexpr int streamEvents = 4;
+/// From the start of a run that ends the server to that end.
+constexpr millis fatalAfter{60};
 
 std::string valueOf(const front_request &request, const char *name)
 {
@@ -138,6 +140,10 @@
         return;
     }
     ran.push_back(request);
+    if (!fatalBody.empty() && request.body == fatalBody) {
+        runFatal(requestId, reply, !model.empty());
+        return;
+    }
     const std::string after = valueOf(request, "last-event-id");
     const int first = after.empty() ? 1 : std::stoi(after) + 1;
     switch (now) {
@@ -181,6 +187,21 @@
     answerWhole(reply, fields, requestId, model.empty() ? 0 : first);
 }
 
+void backend_standin::runFatal(
+    const std::string &requestId, const std::shared_ptr<front_reply> &reply, bool stream)
+{
+    if (stream) {
+        answerStream(reply, requestId, 1, 0); // the head alone
+    }
+    m_held.emplace_back(requestId, reply);
+    m_timers.push_back(m_loop.timer(fatalAfter, {}, [this, requestId] {
+        // Posted, since the call ends this stand-in and with it this timer.
+        m_loop.post([call = onFatal, requestId] {
+            call(requestId);
+        });
+    }));
+}
+
 void backend_standin::answerWhole(const std::shared_ptr<front_reply> &reply,
     const std::vector<http_field> &fields, const std::string &requestId, int firstEvent)
 {
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -57,11 +57,15 @@
     std::uint16_t port = 0;
     std::uint16_t advertised = 0; ///< in its entry, where daemons reach it by another port
     std::size_t mostAdapters = 0; ///< held at a time
+    std::string fatalBody; ///< a request with this body ends the server once it runs; empty: none does
+    /// Told of such a run, by the request's id, a moment after it began; whoever set it ends the stand-in.
+    std::function<void(const std::string &requestId)> onFatal;
 
 private:
     void onRequest(const front_request &request, const std::shared_ptr<front_reply> &reply);
     void onOrder(const front_request &request, front_reply &reply);
     void run(const front_request &request, const std::shared_ptr<front_reply> &reply);
+    void runFatal(const std::string &requestId, const std::shared_ptr<front_reply> &reply, bool stream);
     /// A stream from `firstEvent` on; 0: a plain answer.
     void answerWhole(const std::shared_ptr<front_reply> &reply, const std::vector<http_field> &fields,
         const std::string &requestId, int firstEvent);
--- /dev/null
+++ b/tests/soak/crashing_request_test.cpp
@@ -0,0 +1,251 @@
+#include "serving/backend_standin.h"
+#include "serving/store_standin.h"
+#include "soak/daemon_process.h"
+#include "unit/http_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+// What users saw: a server ended about once a second, and with each the answers of all its callers. One
+// caller sent the same bytes again and again, each attempt under a new id and at whatever daemon came next. A
+// server that began to run them crashed, and the next attempt went to the next server, for as long as servers
+// were left. Cause: a daemon that lost a server in the middle of an answer put it down to the server alone;
+// nothing that it learned of the request outlived the attempt, or reached another daemon. Proved by the
+// fingerprint of what was sent: of all requests cut off, one alone was there at each end.
+namespace briarhead::soak {
+
+namespace {
+
+using http_testing::raw_socket;
+
+/// A request may have ended so many servers before it must be known for it.
+constexpr std::size_t endsAllowed = 3;
+/// From then on, and once the daemons have had time to tell each other, so many further sends are allowed.
+constexpr std::size_t sendsAllowed = 3;
+constexpr millis contact{3'000};
+/// A server that crashed is back after this long, as another one; its entry stays for longer.
+constexpr millis serverBack{300};
+constexpr millis entryStays{900};
+const std::string fatalBody = "fatal";
+
+struct kind_of_request
+{
+    const char *name;
+    const char *path;
+    bool model;
+};
+
+void PrintTo(const kind_of_request &kind, std::ostream *out)
+{
+    *out << kind.path;
+}
+
+class crashing_request_test : public http_testing::http_fixture,
+                              public testing::WithParamInterface<kind_of_request>
+{
+protected:
+    fake_store m_store{m_loop};
+    store_standin m_storeServer{m_store};
+    std::map<std::string, std::unique_ptr<backend_standin>> m_servers; ///< by id
+    std::vector<daemon_process> m_daemons;
+    std::vector<std::shared_ptr<void>> m_timers;
+    std::filesystem::path m_folder;
+    std::size_t m_fatalRuns = 0;
+    int m_starts = 0;
+    int m_lastId = 0;
+
+    void SetUp() override
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "briarhead-crash-XXXXXX").string();
+        ASSERT_NE(mkdtemp(name.data()), nullptr);
+        m_folder = name;
+        putConfig();
+        for (int i = 0; i < 5; ++i) {
+            startServer("llm");
+            startServer("app");
+        }
+        for (const char *node : {"n0", "n1", "n2"}) {
+            m_daemons.push_back(makeDaemon(node, node, m_storeServer.port(), m_folder));
+        }
+        startDaemons();
+    }
+    void TearDown() override
+    {
+        for (daemon_process &daemon : m_daemons) {
+            stop(daemon);
+        }
+        std::filesystem::remove_all(m_folder);
+    }
+    void putConfig()
+    {
+        const auto route = [](const char *prefix, const char *kind, const char *service, bool resumable) {
+            return nlohmann::json{{"name", prefix}, {"host", "h"}, {"prefix", prefix}, {"routeType", kind},
+                {"timeoutMs", 4'000}, {"targetLatencyMs", 1'000}, {"maxAttempts", 2}, {"service", service},
+                {"resumable", resumable}};
+        };
+        const nlohmann::json engine{{"slots", 4}, {"kvTokens", 10'000}, {"weightsMb", 1'000},
+            {"adapterSlots", 2}, {"loadsPerS", 50},
+            {"models", {{{"name", "m0"}, {"weightsMb", 900}, {"loadS", 0.1}, {"adapterMb", 1}}}}};
+        m_store.put("op/config",
+            nlohmann::json{{"version", 1},
+                {"routes",
+                    {route("/once/", "non_idempotent", "app", false),
+                        route("/safe/", "idempotent", "app", false),
+                        route("/gen/", "streaming", "llm", false),
+                        route("/resume/", "streaming", "llm", true)}},
+                {"services", {{{"name", "llm"}, {"engine", engine}}, {{"name", "app"}}}}}
+                .dump());
+    }
+    void startServer(const std::string &service)
+    {
+        const std::string id = service + '.' + std::to_string(++m_starts);
+        auto server = std::make_unique<backend_standin>(m_loop, id, service);
+        server->adapters = {"a1"};
+        server->fatalBody = fatalBody;
+        server->onFatal = [this, id, service](const std::string &) {
+            crash(id, service);
+        };
+        m_store.put("servers/" + id, server->entry());
+        m_servers[id] = std::move(server);
+    }
+    void crash(const std::string &id, const std::string &service)
+    {
+        ++m_fatalRuns;
+        m_servers.erase(id);
+        after(serverBack, [this, service] {
+            startServer(service);
+        });
+        after(entryStays, [this, id] {
+            m_store.remove("servers/" + id);
+        });
+    }
+    void after(millis span, std::function<void()> call)
+    {
+        m_timers.push_back(m_loop.timer(span, {}, std::move(call)));
+    }
+    void runFor(millis span)
+    {
+        bool over = false;
+        after(span, [&over] {
+            over = true;
+        });
+        EXPECT_TRUE(runUntil([&over] {
+            return over;
+        }));
+    }
+    void startDaemons()
+    {
+        for (daemon_process &daemon : m_daemons) {
+            start(daemon, BRIARHEAD_EDGE);
+        }
+        for (const daemon_process &daemon : m_daemons) {
+            const millis end = bootNow() + http_testing::patience;
+            bool ready = false;
+            while (!ready && bootNow() < end) {
+                runRounds(20);
+                ready = isReady(daemon);
+            }
+            ASSERT_TRUE(ready) << logOf(daemon);
+        }
+    }
+    void restartDaemons()
+    {
+        for (daemon_process &daemon : m_daemons) {
+            stop(daemon);
+        }
+        startDaemons();
+    }
+    bool isReady(const daemon_process &daemon)
+    {
+        const raw_socket probe(socket(AF_INET, SOCK_STREAM, 0));
+        const sockaddr_in address = http_testing::loopbackAddress(daemon.readyPort);
+        if (connect(probe.fd(), reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
+            return false;
+        }
+        probe.send("GET /v1/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        std::string seen;
+        EXPECT_TRUE(runUntil([&] {
+            return !probe.receive(seen);
+        }));
+        return seen.starts_with("HTTP/1.1 200");
+    }
+    /// The whole answer, as far as it came.
+    std::string answerTo(const daemon_process &daemon, const std::string &body)
+    {
+        const auto caller = raw_socket::connectTo(daemon.frontPort);
+        std::string text = std::string("POST ") + GetParam().path
+            + "x HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: id" + std::to_string(++m_lastId)
+            + "\r\nX-Briarhead-Deadline-Ms: 4000\r\n";
+        text += GetParam().model ? "X-Briarhead-Model: m0/a1\r\nX-Briarhead-Token-Count: 500,50\r\n" : "";
+        caller->send(
+            text + "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        std::string seen;
+        EXPECT_TRUE(runUntil([&] {
+            return !caller->receive(seen);
+        })) << logOf(daemon);
+        return seen;
+    }
+    void crashServers(std::size_t count)
+    {
+        const millis end = bootNow() + http_testing::patience;
+        for (std::size_t i = 0; m_fatalRuns < count && bootNow() < end; ++i) {
+            answerTo(m_daemons[i % m_daemons.size()], fatalBody);
+        }
+        ASSERT_GE(m_fatalRuns, count);
+    }
+    /// Two attempts at each daemon; all are to be refused for good.
+    void expectRefused()
+    {
+        for (std::size_t i = 0; i < 2 * m_daemons.size(); ++i) {
+            const daemon_process &daemon = m_daemons[i % m_daemons.size()];
+            const std::string answer = answerTo(daemon, fatalBody);
+            EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << daemon.name << ": " << answer;
+            EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+        }
+    }
+    static std::string logOf(const daemon_process &daemon)
+    {
+        std::ostringstream text;
+        text << std::ifstream(daemon.log).rdbuf();
+        return text.str();
+    }
+};
+
+}
+
+TEST_P(crashing_request_test, ReachesHardlyAServerOnceThreeHaveEndedUnderIt)
+{
+    crashServers(endsAllowed);
+    runFor(contact);
+    const std::size_t before = m_fatalRuns;
+    expectRefused();
+    EXPECT_LE(m_fatalRuns - before, sendsAllowed);
+    for (const daemon_process &daemon : m_daemons) {
+        EXPECT_TRUE(answerTo(daemon, "another").starts_with("HTTP/1.1 200")) << logOf(daemon);
+    }
+}
+
+// The same while all daemons are killed at once and start anew: they keep nothing themselves.
+TEST_P(crashing_request_test, IsStillKnownAfterAllDaemonsHaveBeenKilled)
+{
+    crashServers(endsAllowed);
+    runFor(contact);
+    const std::size_t before = m_fatalRuns;
+    restartDaemons();
+    expectRefused();
+    EXPECT_LE(m_fatalRuns - before, sendsAllowed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, crashing_request_test,
+    testing::Values(kind_of_request{"Stream", "/gen/", true},
+        kind_of_request{"ResumableStream", "/resume/", true}, kind_of_request{"Idempotent", "/safe/", false},
+        kind_of_request{"NonIdempotent", "/once/", false}),
+    [](const testing::TestParamInfo<kind_of_request> &each) {
+        return each.param.name;
+    });
+
+}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -34,6 +34,11 @@
 constexpr int adapters = 6;
 constexpr int places = 2;
 constexpr int requestsAfter = 40;
+/// A server that crashed under a request is back this long after; its entry goes later.
+constexpr millis serverBack{400};
+constexpr millis entryStays{1'200};
+const std::string fatalBody = "fatal";
+constexpr const char *paths[] = {"/once/x", "/safe/x", "/gen/x", "/resume/x"};
 constexpr std::size_t servedAfterAtLeast = 38;
 
 /// One backend server and the proxy that all daemons reach it through.
@@ -46,6 +51,21 @@
     std::unique_ptr<fault_proxy> proxy;
 };
 
+/// A server that has ended is in no mood, and no bytes get to it.
+void setMood(served_server &server, mood value)
+{
+    if (server.standin) {
+        server.standin->now = value;
+    }
+}
+
+void setLink(served_server &server, link_fault value)
+{
+    if (server.proxy) {
+        server.proxy->setFault(value);
+    }
+}
+
 class soak_run
 {
 public:
@@ -62,7 +82,12 @@
     void checkConfig(int version, millis changed);
     void heal();
     void look();
+    std::size_t below(std::size_t bound);
     void sendOne();
+    void send(std::size_t kind, const std::string &body);
+    void sendFatal();
+    bool isCalm(const std::string &name) const;
+    void crashUnder(served_server &server, const std::string &requestId);
     void collect(served_server &server);
     bool runUntil(millis bound, const std::function<bool()> &condition);
     void runFor(millis span);
@@ -87,6 +112,7 @@
     int m_storeTroubles = 0;
     millis m_storeDisturbed; ///< when the store's last trouble ended
     millis m_begin;
+    fatal_spell m_fatal;
     bool m_healed = false;
 };
 
@@ -94,6 +120,7 @@
     : m_options(options)
     , m_random(options.seed * 7 + 1)
 {
+    m_servers.reserve(options.modelServers + options.plainServers); // callbacks refer to them
     for (std::size_t i = 0; i < options.modelServers + options.plainServers; ++i) {
         const bool model = i < options.modelServers;
         m_servers.push_back({(model ? "m-" : "p-") + std::to_string(i), model ? "llm" : "app", 0, {}, {}});
@@ -113,6 +140,10 @@
     server.standin = std::make_unique<backend_standin>(m_loop, id, server.service);
     server.proxy = std::make_unique<fault_proxy>(m_loop, server.standin->port);
     server.standin->advertised = server.proxy->port();
+    server.standin->fatalBody = fatalBody;
+    server.standin->onFatal = [this, &server](const std::string &requestId) {
+        crashUnder(server, requestId);
+    };
     m_store.put("servers/" + id, server.standin->entry());
 }
 
@@ -163,6 +194,10 @@
     auto traffic = m_loop.timer(pause, pause, [this] {
         sendOne();
     });
+    m_fatal = drawFatalSpell(m_options.seed, m_options.length);
+    const auto fatal = m_loop.timer(m_fatal.every, m_fatal.every, [this] {
+        sendFatal();
+    });
     for (const fault &each :
         drawFaults(m_options.seed, m_options.length, m_daemons.size(), m_servers.size())) {
         after(each.at, [this, each] {
@@ -293,19 +328,22 @@
         return;
     }
     case fault_kind::ServerLink:
-        m_servers[what.target].proxy->setFault(links[what.variant % std::size(links)]);
+        setLink(m_servers[what.target], links[what.variant % std::size(links)]);
         after(what.lasts, [this, what] {
-            m_servers[what.target].proxy->setFault(link_fault::None);
+            setLink(m_servers[what.target], link_fault::None);
         });
         return;
     case fault_kind::ServerMood:
-        m_servers[what.target].standin->now = moods[what.variant % std::size(moods)];
+        setMood(m_servers[what.target], moods[what.variant % std::size(moods)]);
         after(what.lasts, [this, what] {
-            m_servers[what.target].standin->now = mood::Serves;
+            setMood(m_servers[what.target], mood::Serves);
         });
         return;
     case fault_kind::CrashServer: {
         served_server &server = m_servers[what.target];
+        if (!server.standin) {
+            return; // it is down already
+        }
         collect(server);
         m_store.remove("servers/" + server.standin->id);
         server.proxy.reset();
@@ -420,8 +458,8 @@
         link->setFault(link_fault::None);
     }
     for (served_server &server : m_servers) {
-        server.proxy->setFault(link_fault::None);
-        server.standin->now = mood::Serves;
+        setLink(server, link_fault::None);
+        setMood(server, mood::Serves);
     }
     for (daemon_process &daemon : m_daemons) {
         signal(daemon, SIGCONT);
@@ -431,10 +469,59 @@
 /// What a server saw, before it is gone.
 void soak_run::collect(served_server &server)
 {
-    m_witness.saw(*server.standin, places);
+    if (server.standin) {
+        m_witness.saw(*server.standin, places);
+    }
+}
+
+std::size_t soak_run::below(std::size_t bound)
+{
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
 }
 
 void soak_run::sendOne()
+{
+    send(below(std::size(paths)), "hi");
+}
+
+/// An attempt at the request that ends servers, as long as its caller goes on with it.
+void soak_run::sendFatal()
+{
+    const millis now = bootNow() - m_begin;
+    if (now >= m_fatal.from && now < m_fatal.until) {
+        send(m_fatal.route, fatalBody);
+    }
+}
+
+/// Whether the daemon and the store were undisturbed for as long as news between daemons may take.
+bool soak_run::isCalm(const std::string &name) const
+{
+    const millis since = bootNow() - calmAfter;
+    const auto daemon = std::find_if(m_daemons.begin(), m_daemons.end(), [&name](const daemon_process &each) {
+        return each.name == name;
+    });
+    return daemon->disturbedUntil < since && m_storeTroubles == 0 && m_storeDisturbed < since;
+}
+
+/// The server ends in the middle of all its answers. Its entry stays for a while, and it is back as another.
+void soak_run::crashUnder(served_server &server, const std::string &requestId)
+{
+    const std::string id = server.standin->id;
+    m_witness.endedUnder(id, bootNow(), isCalm(m_witness.daemonOf(requestId)));
+    collect(server);
+    server.proxy.reset();
+    server.standin.reset();
+    after(entryStays, [this, id] {
+        m_store.remove("servers/" + id);
+    });
+    after(serverBack, [this, &server] {
+        if (!server.standin) {
+            startServer(server);
+        }
+    });
+}
+
+void soak_run::send(std::size_t kind, const std::string &body)
 {
     std::vector<daemon_process *> open;
     for (daemon_process &daemon : m_daemons) {
@@ -445,17 +532,13 @@
     if (open.empty()) {
         return;
     }
-    const auto below = [this](std::size_t bound) {
-        return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
-    };
     daemon_process &daemon = *open[below(open.size())];
-    static constexpr const char *paths[] = {"/once/x", "/safe/x", "/gen/x", "/resume/x"};
-    const std::size_t kind = below(std::size(paths));
     const bool model = kind >= 2;
     const bool repeatable = kind == 1 || kind == 3;
     const std::string id = "r" + std::to_string(++m_lastId);
     std::string text = std::string("POST ") + paths[kind] + " HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: "
-        + id + "\r\nX-Briarhead-Deadline-Ms: " + std::to_string(deadline.count) + "\r\nContent-Length: 2\r\n";
+        + id + "\r\nX-Briarhead-Deadline-Ms: " + std::to_string(deadline.count)
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
     text += model ? "X-Briarhead-Model: m0/a" + std::to_string(below(adapters))
             + "\r\nX-Briarhead-Token-Count: 500,50\r\n"
                   : "";
@@ -478,7 +561,7 @@
         m_witness.answered({id, model, how, answer->head, answer->body}, bootNow(),
             bootNow() - deadline - overdue > daemon.disturbedUntil);
     };
-    m_pool.start({"127.0.0.1", daemon.frontPort}, text + "\r\nhi", false, std::move(calls));
+    m_pool.start({"127.0.0.1", daemon.frontPort}, text + "\r\n" + body, false, std::move(calls));
     after(deadline + overdue, [this, id, &daemon] {
         m_witness.due(id, daemon.disturbedUntil);
     });
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -14,6 +14,10 @@
 constexpr std::int64_t longestMs = 2'500;
 constexpr double seriesShare = 0.33;
 constexpr std::size_t variants = 8;
+constexpr std::int64_t shortestFatalMs = 150;
+constexpr std::int64_t fatalRoutes = 4;
+/// Servers that ended are back before the recovery is looked at.
+constexpr millis fatalCalmEnd{1'500};
 
 struct weighted_kind
 {
@@ -75,4 +79,18 @@
     return faults;
 }
 
+fatal_spell drawFatalSpell(std::uint64_t seed, millis length)
+{
+    std::mt19937_64 random(seed * 31 + 17);
+    const auto below = [&random](std::int64_t bound) {
+        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
+    };
+    fatal_spell spell;
+    spell.from = {calmStartMs / 2 + below(calmStartMs)};
+    spell.until = length - fatalCalmEnd;
+    spell.every = {shortestFatalMs + below(shortestFatalMs)};
+    spell.route = static_cast<std::size_t>(below(fatalRoutes));
+    return spell;
+}
+
 }
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -40,4 +40,16 @@
 /// Faults of `length`, about one each 700 ms, a third of them in a series on the same target. They overlap.
 std::vector<fault> drawFaults(std::uint64_t seed, millis length, std::size_t daemons, std::size_t servers);
 
+/// A caller sends one request again and again that ends each server that runs it.
+struct fatal_spell
+{
+    millis from; ///< since the start of traffic
+    millis until;
+    millis every;
+    std::size_t route = 0; ///< the kind of request it is, counted as the soak's routes are
+};
+
+/// Drawn apart from the faults, which stay what a seed has always drawn.
+fatal_spell drawFatalSpell(std::uint64_t seed, millis length);
+
 }
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -48,4 +48,11 @@
     expectNoViolation(11, {8'000});
 }
 
+// The same for long enough that a caller who sends one request again and again, each server that runs it
+// ending, meets daemons that had time to hear of it: servers went on ending until the caller stopped.
+TEST(Soak, ARequestThatEndsServersIsStoppedUnderASeedsFaults)
+{
+    expectNoViolation(1, {12'000});
+}
+
 }
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -11,6 +11,9 @@
 /// Planned work alone must cut nothing; other faults count up to this long before.
 constexpr millis calmBefore{3'000};
 constexpr std::size_t violationsTold = 20;
+/// A request may end so many servers before all daemons must know it, and be sent on so many times after.
+constexpr std::size_t endsAllowed = 3;
+constexpr std::size_t sendsAllowed = 3;
 
 bool promisesNotRun(int status)
 {
@@ -104,6 +107,22 @@
     }
 }
 
+const std::string &witness::daemonOf(const std::string &id) const
+{
+    return m_requests.at(id).daemon;
+}
+
+void witness::endedUnder(const std::string &server, millis at, bool calm)
+{
+    const bool known = m_ends.size() >= endsAllowed && at > m_ends[endsAllowed - 1] + calmBefore;
+    m_ends.push_back(at);
+    m_sentOn += known && calm ? 1 : 0;
+    if (known && calm && m_sentOn > sendsAllowed) {
+        wrong("BUDGET " + server + " is ended by a request under which " + std::to_string(m_ends.size() - 1)
+            + " had ended");
+    }
+}
+
 void witness::due(const std::string &id, millis disturbedUntil)
 {
     const sent_request &request = m_requests.at(id);
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -33,6 +33,10 @@
     /// A request's time is over; it must have been answered unless its daemon was disturbed since it was
     /// sent.
     void due(const std::string &id, millis disturbedUntil);
+    /// A server ended because it ran the one request that ends servers. `calm`: sent by a daemon that was
+    /// undisturbed for long enough to have been told of it.
+    void endedUnder(const std::string &server, millis at, bool calm);
+    const std::string &daemonOf(const std::string &id) const;
     /// Something goes wrong somewhere until then.
     void disturbed(millis until);
     /// What a server ran and was ordered, up to now.
@@ -56,6 +60,8 @@
     void wrong(const std::string &what);
 
     std::map<std::string, sent_request> m_requests;
+    std::vector<millis> m_ends; ///< of servers, under the one request that ends them
+    std::size_t m_sentOn = 0; ///< by calm daemons, long after the third end
     std::vector<std::string> m_violations;
     millis m_disturbedUntil;
     std::size_t m_served = 0;
