Send a request under which three servers have ended to no further one

Cause: a daemon that lost an answer put it down to the server alone. What it had learned of the request ended with the attempt and reached no other daemon, so each attempt met daemons that knew nothing. Ruled out: the daemons' own repeats (the reported route allows none); dead servers that are still listed (no byte reached them). Change: crash_book counts starts of servers that ended under a request, known by its fingerprint. A daemon whose answer broke off asks with one connection whether the server is gone, and tells the two daemons that rendezvous hashing proposes for the request. From two ends on they keep the count in the store, where all read it, also after a start; at three they tell all besides, since the store may be away. start() and send() refuse what is blocked: 503, not run, and when to come back. A whole answer anywhere clears the request.

--- /dev/null
+++ b/packages/coordination/crash_book.cpp
@@ -0,0 +1,83 @@
+#include "coordination/crash_book.h"
+
+#include <algorithm>
+
+namespace briarhead {
+
+namespace {
+
+/// Makes room for one more by what was seen longest ago among those that are not blocked, or among all.
+void makeRoom(crash_book &book)
+{
+    const auto goesFirst = [](const auto &a, const auto &b) {
+        const bool blockedA = a.second.servers.size() >= endsToBlock;
+        const bool blockedB = b.second.servers.size() >= endsToBlock;
+        return blockedA != blockedB ? blockedB : a.second.seen < b.second.seen;
+    };
+    if (book.requests.size() >= crashesRemembered) {
+        book.requests.erase(std::min_element(book.requests.begin(), book.requests.end(), goesFirst));
+    }
+}
+
+}
+
+bool addEnds(
+    crash_book &book, const std::string &fingerprint, const std::vector<std::string> &servers, millis now)
+{
+    if (servers.empty()) {
+        return false;
+    }
+    if (book.requests.count(fingerprint) == 0) {
+        makeRoom(book);
+    }
+    crash_entry &entry = book.requests[fingerprint];
+    entry.seen = now;
+    bool isNew = false;
+    for (const std::string &server : servers) {
+        if (entry.servers.size() < endsToBlock) {
+            isNew = entry.servers.insert(server).second || isNew;
+        }
+    }
+    return isNew;
+}
+
+std::vector<std::string> endsOf(const crash_book &book, const std::string &fingerprint)
+{
+    const auto found = book.requests.find(fingerprint);
+    if (found == book.requests.end()) {
+        return {};
+    }
+    return {found->second.servers.begin(), found->second.servers.end()};
+}
+
+bool isBlocked(const crash_book &book, const std::string &fingerprint)
+{
+    const auto found = book.requests.find(fingerprint);
+    return found != book.requests.end() && found->second.servers.size() >= endsToBlock;
+}
+
+void seeAgain(crash_book &book, const std::string &fingerprint, millis now)
+{
+    const auto found = book.requests.find(fingerprint);
+    if (found != book.requests.end()) {
+        found->second.seen = now;
+    }
+}
+
+void forget(crash_book &book, const std::string &fingerprint)
+{
+    book.requests.erase(fingerprint);
+}
+
+std::vector<std::string> outdated(const crash_book &book, millis now)
+{
+    std::vector<std::string> old;
+    for (const auto &[fingerprint, entry] : book.requests) {
+        if (now - entry.seen >= crashMemory) {
+            old.push_back(fingerprint);
+        }
+    }
+    return old;
+}
+
+}
--- a/packages/coordination/request_fingerprint.h
+++ b/packages/coordination/request_fingerprint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -16,7 +17,9 @@
     std::string_view body;
 };
 
-/// 32 hexadecimal digits of a 128-bit hash: the same for each attempt at a request, on every daemon. At
+constexpr std::size_t fingerprintDigits = 32;
+
+/// Hexadecimal digits of a 128-bit hash: the same for each attempt at a request, on every daemon. At
 /// 41,000 requests a second two different ones share it once in far more than the age of any fleet.
 std::string fingerprintOf(const repeated_content &content);
 
--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -378,6 +378,11 @@
     return encodeAny(record);
 }
 
+std::string encode(const crash_record &record)
+{
+    return encodeAny(record);
+}
+
 std::optional<fleet_datagram> decodeFleet(std::string_view bytes, error &why)
 {
     return decodeAny<fleet_datagram>(bytes, why);
@@ -416,6 +421,11 @@
     return decodeAny<orderer_record>(bytes, why);
 }
 
+std::optional<crash_record> decodeCrash(std::string_view bytes, error &why)
+{
+    return decodeAny<crash_record>(bytes, why);
+}
+
 std::optional<peer_message> decodeMessage(std::string_view bytes, error &why)
 {
     return decodeAny<peer_message>(bytes, why);
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/codec.h"
 #include "serving/beat_cells.h"
+#include "serving/crash_task.h"
 #include "serving/edge_metrics.h"
 #include "serving/fleet_port.h"
 #include "serving/front_task.h"
@@ -62,7 +63,8 @@
         , m_pool(eventLoop)
         , m_store(eventLoop, m_bus, *parts.store, parts.records, settings,
               static_cast<std::uint64_t>(wallNow().count), log)
-        , m_front(eventLoop, m_bus, m_store, m_pool, m_parts.requests, settings, log)
+        , m_crashes(eventLoop, m_bus, m_store, settings, log)
+        , m_front(eventLoop, m_bus, m_store, m_crashes, m_pool, m_parts.requests, settings, log)
         , m_orderer(eventLoop, m_bus, m_store, m_pool, m_parts.requests, settings, log,
               [this](const std::string &entry, const place_answer &answer) {
                   answerEntry(entry, answer);
@@ -101,6 +103,7 @@
     bus m_bus;
     backend_pool m_pool;
     store_task m_store;
+    crash_task m_crashes;
     front_task m_front;
     orderer_task m_orderer;
     std::unique_ptr<fleet_port> m_port;
@@ -134,6 +137,7 @@
         return false;
     }
     m_front.setPort(*m_port);
+    m_crashes.setPort(*m_port);
     m_peers = front_server::listen(
         m_loop, m_settings.peers.ip, m_settings.peers.port,
         [this](const front_request &request, const std::shared_ptr<front_reply> &reply) {
@@ -243,6 +247,8 @@
                 }
             } else if constexpr (std::is_same_v<body_type, store_news>) {
                 m_store.onNews(datagram.from, body);
+            } else if constexpr (std::is_same_v<body_type, crash_news>) {
+                m_crashes.hear(body);
             } else if constexpr (std::is_same_v<body_type, fleet_beat>) {
                 m_front.onBeat(datagram.from, body);
                 m_orderer.hear(datagram.from, body);
@@ -375,9 +381,9 @@
 std::string daemon_impl::figures() const
 {
     const store_view &view = m_store.view();
-    const std::string text = metricsText({&m_front.counters(), &m_orderer.counters(), &m_pool.counters(),
-        &m_port->counters(), &m_loopLag, m_front.active(), m_callers->connections(), m_log.dropped(),
-        view.config ? view.config->version : 0});
+    const std::string text = metricsText({&m_front.counters(), &m_crashes.counters(), &m_orderer.counters(),
+        &m_pool.counters(), &m_port->counters(), &m_loopLag, m_front.active(), m_callers->connections(),
+        m_log.dropped(), view.config ? view.config->version : 0});
     return m_parts.storeMetrics ? text + m_parts.storeMetrics() : text;
 }
 
--- a/packages/serving/edge_metrics.cpp
+++ b/packages/serving/edge_metrics.cpp
@@ -61,6 +61,9 @@
 {
     std::ostringstream out;
     putFront(out, *figures.front);
+    put(out, "server_ends_total", figures.crashes->ends);
+    put(out, "requests_blocked_total", figures.crashes->blocked);
+    put(out, "requests_cleared_total", figures.crashes->cleared);
     putOrders(out, *figures.orders);
     put(out, "connections_opened_total", figures.pool->opened);
     put(out, "connections_reused_total", figures.pool->reused);
--- a/packages/serving/edge_metrics.h
+++ b/packages/serving/edge_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/crash_task.h"
 #include "serving/fleet_port.h"
 #include "serving/front_task.h"
 #include "serving/orderer_task.h"
@@ -15,6 +16,7 @@
 struct edge_figures
 {
     const front_counters *front = nullptr;
+    const crash_counters *crashes = nullptr;
     const orderer_counters *orders = nullptr;
     const pool_counters *pool = nullptr;
     const fleet_counters *fleet = nullptr;
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -23,7 +23,14 @@
 
 void front_task::send(const work_ptr &one, const backend_server &server)
 {
+    // Every way to a server leads through here: what became known while the request waited still counts.
+    if (m_crashes.isBlocked(one->fingerprint)) {
+        note(*one, place_event::Ended);
+        refuseBlocked(one);
+        return;
+    }
     one->server = server.id;
+    one->target = server;
     one->sentTo.insert(server.id);
     one->head = {};
     one->meta = {};
@@ -159,6 +166,9 @@
         return;
     }
     if (answered) {
+        if (!notRun) {
+            m_crashes.onAnswered(one->fingerprint);
+        }
         one->mayHaveRun = one->mayHaveRun || !notRun;
         const bool notHeld = notRun && one->model && one->granted;
         note(*one, notHeld ? place_event::NotHeld : place_event::Ended);
@@ -166,6 +176,9 @@
         return;
     }
     one->mayHaveRun = true;
+    if (how == send_end::Broken) {
+        m_crashes.onBroken(one->fingerprint, one->target);
+    }
     note(*one, place_event::Failed);
     m_log.important("request.broken")
         .add("id", one->request.id)
@@ -198,6 +211,10 @@
     if (!serversLeft(*one) || left(*one).count <= 0) {
         return false;
     }
+    if (ran && m_crashes.mayBeFatal(one->fingerprint)) {
+        m_log.important("repeat.denied").add("id", one->request.id).add("why", "servers ended under it");
+        return false;
+    }
     const std::size_t daemons = m_store.view().daemons.size();
     if (!takeRepeat(m_budget, one->service, m_settings.repeats, daemons, bootNow())) {
         ++m_counters.repeatsDenied;
@@ -275,6 +292,7 @@
         m_pool.cancel(*one->sending);
         one->sending.reset();
         --m_inFlight[one->server];
+        m_crashes.onGivenUp(one->fingerprint, one->target);
         const bool silent = one->head.status == 0 && bootNow() - one->lastEvent > quietLeast;
         if (silent) {
             recordAnswer(m_records[one->server], true, bootNow());
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -24,10 +24,11 @@
 
 }
 
-front_task::front_task(loop &eventLoop, bus &messages, store_task &store, backend_pool &pool,
-    const request_codec &codec, const node_settings &settings, decision_log &log)
+front_task::front_task(loop &eventLoop, bus &messages, store_task &store, crash_task &crashes,
+    backend_pool &pool, const request_codec &codec, const node_settings &settings, decision_log &log)
     : m_loop(eventLoop)
     , m_store(store)
+    , m_crashes(crashes)
     , m_pool(pool)
     , m_codec(codec)
     , m_settings(settings)
@@ -36,6 +37,9 @@
     messages.on<view_changed>([this](const view_changed &change) {
         followView(change);
     });
+    messages.on<request_blocked>([this](const request_blocked &news) {
+        onBlocked(news);
+    });
 }
 
 void front_task::setOrderer(orderer_task &orderer)
@@ -187,13 +191,38 @@
 
 void front_task::start(const work_ptr &one)
 {
-    if (one->model) {
+    if (m_crashes.isBlocked(one->fingerprint)) {
+        refuseBlocked(one);
+    } else if (one->model) {
         startModel(one);
     } else {
         startPlain(one);
     }
 }
 
+/// Coming back before it is forgotten helps nobody: it would be refused again, and be remembered for longer.
+void front_task::refuseBlocked(const work_ptr &one)
+{
+    m_crashes.onRefused(one->fingerprint);
+    refuse(one, "servers ended under this request", crashMemory);
+}
+
+/// What waits for a server is refused at once. What a server is at work on is left there: a whole answer
+/// would clear it.
+void front_task::onBlocked(const request_blocked &news)
+{
+    std::vector<work_ptr> waiting;
+    for (const auto &[number, one] : m_work) {
+        if (one->fingerprint == news.fingerprint && !one->sending) {
+            waiting.push_back(one);
+        }
+    }
+    for (const work_ptr &one : waiting) {
+        note(*one, place_event::Ended);
+        refuseBlocked(one);
+    }
+}
+
 void front_task::waitAndRetry(const work_ptr &one, void (front_task::*step)(const work_ptr &))
 {
     one->askTimer = m_loop.timer(retryStep, {}, [this, step, weak = std::weak_ptr<work>(one)] {
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -2,6 +2,7 @@
 
 #include "serving/beat_cells.h"
 #include "serving/client_request.h"
+#include "serving/crash_task.h"
 #include "serving/decision_log.h"
 #include "serving/event_stream.h"
 #include "serving/fleet_port.h"
@@ -41,7 +42,7 @@
 class front_task
 {
 public:
-    front_task(loop &eventLoop, bus &messages, store_task &store, backend_pool &pool,
+    front_task(loop &eventLoop, bus &messages, store_task &store, crash_task &crashes, backend_pool &pool,
         const request_codec &codec, const node_settings &settings, decision_log &log);
 
     void setOrderer(orderer_task &orderer);
@@ -65,6 +66,8 @@
     using work_ptr = std::shared_ptr<work>;
 
     void followView(const view_changed &change);
+    void onBlocked(const request_blocked &news);
+    void refuseBlocked(const work_ptr &one);
     void findWay(const work_ptr &one);
     void waitAndRetry(const work_ptr &one, void (front_task::*step)(const work_ptr &));
     void start(const work_ptr &one);
@@ -99,6 +102,7 @@
 
     loop &m_loop;
     store_task &m_store;
+    crash_task &m_crashes;
     backend_pool &m_pool;
     const request_codec &m_codec;
     node_settings m_settings;
--- a/packages/serving/store_keys.h
+++ b/packages/serving/store_keys.h
@@ -10,5 +10,8 @@
 inline const std::string daemonPrefix = ownPrefix + "daemon/";
 /// Followed by a server's id: who gives its orders.
 inline const std::string ordererPrefix = ownPrefix + "orderer/";
+/// Followed by a request's fingerprint: the servers that ended under it. Under no lease, since leases can run
+/// out while the store is away.
+inline const std::string crashPrefix = ownPrefix + "crash/";
 
 }
--- a/packages/serving/store_take.cpp
+++ b/packages/serving/store_take.cpp
@@ -53,6 +53,9 @@
     for (const auto &[id, entry] : m_view.orderers) {
         keys.push_back(detail::ordererPrefix + id);
     }
+    for (const auto &[fingerprint, crash] : m_view.crashes) {
+        keys.push_back(detail::crashPrefix + fingerprint);
+    }
     for (const std::string &key : keys) {
         if (present.count(key) == 0) {
             stored_item gone;
@@ -95,7 +98,7 @@
             }
         }
     } else if (isUnder(item.key, detail::ownPrefix)) {
-        takeOwn(item);
+        takeOwn(item, change);
     }
     return true;
 }
@@ -146,6 +149,9 @@
             m_log.important("server.entry_lapsed").add("server", id);
             return true;
         }
+        if (!known->second.draining) {
+            change.endedServers.push_back(id);
+        }
         m_view.servers.erase(known);
         m_missing.erase(id);
         change.goneServers.push_back(id);
@@ -170,6 +176,9 @@
     }
     if (again) {
         change.goneServers.push_back(id);
+        if (!known->second.draining) {
+            change.endedServers.push_back(id);
+        }
         m_log.important("server.started_again").add("server", id).add("revision", item.revision);
     }
     const bool wasMissing = m_missing.erase(id) > 0;
@@ -209,46 +218,77 @@
     publish(change);
 }
 
-void store_task::takeOwn(const stored_item &item)
+void store_task::takeOwn(const stored_item &item, view_changed &change)
 {
-    error why;
     if (isUnder(item.key, detail::daemonPrefix)) {
-        const std::string node = item.key.substr(detail::daemonPrefix.size());
-        auto record = item.removed ? std::nullopt : decodeDaemon(item.value, why);
-        if (!item.removed && (!record || record->node != node)) {
-            tellUnreadable(item, why);
-            record.reset();
-        }
-        if (record) {
-            const auto known = m_view.daemons.find(node);
-            if (known == m_view.daemons.end() || known->second.incarnation != record->incarnation) {
-                m_log.important("peer.up").add("peer", node).add("revision", item.revision);
-            }
-            m_view.daemons[node] = *record;
-            m_view.lapsed.erase(node);
-        } else if (const auto gone = m_view.daemons.find(node); gone != m_view.daemons.end()) {
-            m_view.lapsed[node] = gone->second;
-            m_lapsedAt[node] = bootNow();
-            m_view.daemons.erase(gone);
-            m_log.important("peer.down").add("peer", node).add("revision", item.revision);
-        }
+        takeDaemon(item);
     } else if (isUnder(item.key, detail::ordererPrefix)) {
-        const std::string server = item.key.substr(detail::ordererPrefix.size());
-        auto record = item.removed ? std::nullopt : decodeOrderer(item.value, why);
-        if (!item.removed && !record) {
-            // Of another writer: to be replaced by whoever is proposed, at the revision it has.
-            tellUnreadable(item, why);
-            record = orderer_record{};
-        }
-        if (record) {
-            auto &entry = m_view.orderers[server];
-            if (item.revision >= entry.revision) {
-                entry = {*record, item.revision};
-            }
-        } else {
-            m_view.orderers.erase(server);
+        takeOrderer(item);
+    } else if (isUnder(item.key, detail::crashPrefix)) {
+        takeCrash(item, change);
+    }
+}
+
+void store_task::takeDaemon(const stored_item &item)
+{
+    error why;
+    const std::string node = item.key.substr(detail::daemonPrefix.size());
+    auto record = item.removed ? std::nullopt : decodeDaemon(item.value, why);
+    if (!item.removed && (!record || record->node != node)) {
+        tellUnreadable(item, why);
+        record.reset();
+    }
+    if (record) {
+        const auto known = m_view.daemons.find(node);
+        if (known == m_view.daemons.end() || known->second.incarnation != record->incarnation) {
+            m_log.important("peer.up").add("peer", node).add("revision", item.revision);
         }
+        m_view.daemons[node] = *record;
+        m_view.lapsed.erase(node);
+    } else if (const auto gone = m_view.daemons.find(node); gone != m_view.daemons.end()) {
+        m_view.lapsed[node] = gone->second;
+        m_lapsedAt[node] = bootNow();
+        m_view.daemons.erase(gone);
+        m_log.important("peer.down").add("peer", node).add("revision", item.revision);
+    }
+}
+
+void store_task::takeOrderer(const stored_item &item)
+{
+    error why;
+    const std::string server = item.key.substr(detail::ordererPrefix.size());
+    auto record = item.removed ? std::nullopt : decodeOrderer(item.value, why);
+    if (!item.removed && !record) {
+        // Of another writer: to be replaced by whoever is proposed, at the revision it has.
+        tellUnreadable(item, why);
+        record = orderer_record{};
+    }
+    if (!record) {
+        m_view.orderers.erase(server);
+        return;
+    }
+    auto &entry = m_view.orderers[server];
+    if (item.revision >= entry.revision) {
+        entry = {*record, item.revision};
+    }
+}
+
+void store_task::takeCrash(const stored_item &item, view_changed &change)
+{
+    error why;
+    const std::string fingerprint = item.key.substr(detail::crashPrefix.size());
+    auto record = item.removed ? std::nullopt : decodeCrash(item.value, why);
+    if (!item.removed && !record) {
+        // Of another writer: it says nothing, and is replaced at the revision it has.
+        tellUnreadable(item, why);
+        record = crash_record{};
+    }
+    if (record) {
+        m_view.crashes[fingerprint] = {*record, item.revision};
+    } else {
+        m_view.crashes.erase(fingerprint);
     }
+    change.crashes.push_back(fingerprint);
 }
 
 }
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -27,6 +27,12 @@
     std::int64_t revision = 0;
 };
 
+struct stored_crash
+{
+    crash_record record;
+    std::int64_t revision = 0;
+};
+
 /// What this daemon knows from the store. Read by the other tasks, changed by store_task alone.
 struct store_view
 {
@@ -38,6 +44,7 @@
     /// have callers: they are told and answered all the same.
     daemon_map lapsed;
     std::map<std::string, orderer_entry> orderers; ///< by server id
+    std::map<std::string, stored_crash> crashes; ///< by fingerprint
     millis registeredAt; ///< when this daemon's record was last put there
     millis lastAnswer; ///< of the store
     millis firstRead; ///< when all keys were read first
@@ -61,6 +68,8 @@
 {
     bool config = false;
     std::vector<std::string> goneServers; ///< also one that has started again under its id: it holds nothing
+    std::vector<std::string> endedServers; ///< of these, those that had not said that they leave
+    std::vector<std::string> crashes; ///< fingerprints whose record is new or gone
 };
 
 /// Follows the store with one watch over all its keys, and keeps this daemon's lease and record there.
@@ -99,6 +108,10 @@
     /// Claims the right to give a server's orders if nobody else has it, or also from one that has it. The
     /// view tells how it ended.
     void claim(const std::string &server, bool replace = false);
+    /// Writes which servers ended under a request, in place of the record that the view has, or of none;
+    /// nothing is done if another daemon was faster. The view tells how it ended.
+    void keepCrash(const std::string &fingerprint, const crash_record &record);
+    void dropCrash(const std::string &fingerprint);
     /// Gives up all of this daemon's records, for a shutdown.
     void leave();
 
@@ -119,7 +132,11 @@
     void takeConfig(const stored_item &item, view_changed &change);
     bool takeServer(const stored_item &item, view_changed &change);
     void tellUnreadable(const stored_item &item, const error &why);
-    void takeOwn(const stored_item &item);
+    void takeOwn(const stored_item &item, view_changed &change);
+    void takeDaemon(const stored_item &item);
+    void takeOrderer(const stored_item &item);
+    void takeCrash(const stored_item &item, view_changed &change);
+    void changeCrash(const std::string &fingerprint, store_change change);
     void dropMissing(const std::set<std::string> &present, view_changed &change);
     void dropLate();
     void dropLapsed();
@@ -160,6 +177,7 @@
     millis m_regained; ///< when the store answered again after an outage
     std::set<std::string> m_missing; ///< servers whose entries lapsed during an outage
     std::set<std::string> m_claiming;
+    std::set<std::string> m_changingCrash; ///< fingerprints whose record is being written
     std::map<std::string, millis> m_lapsedAt; ///< by node
     std::set<std::string> m_unreadable; ///< keys whose item was told of as unreadable
     std::shared_ptr<void> m_watchTimer;
