Take test ports from below those that connections get, by one function

Cause: one run of a test beside others: the port found free was taken by another test's connection before the daemon bound it ('Address already in use', exit 3). Traced from that line. Ruled out: the daemon: it never listened. Change: the function that the fleet of processes had for this moves to tests/unit/free_port.h; all use it.

--- a/tests/failure/fleet.cpp
+++ b/tests/failure/fleet.cpp
@@ -1,6 +1,7 @@
 #include "failure/fleet.h"
 
 #include "state/key_hash.h"
+#include "unit/free_port.h"
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
@@ -28,10 +29,6 @@
 
 constexpr int pollMs = 20;
 constexpr std::size_t logTail = 1'500;
-constexpr std::uint32_t firstPort = 10'000;
-constexpr std::uint32_t portCount = 20'000;
-/// Fleets of processes with neighbouring ids begin this far apart.
-constexpr std::uint32_t portStride = 37;
 constexpr const char *peerKey = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
 std::size_t takeBody(char *data, std::size_t size, std::size_t count, void *into)
@@ -56,31 +53,6 @@
     return size * count;
 }
 
-/// A port that is free now, for both TCP and UDP on loopback. It lies below the range that the kernel gives
-/// to outgoing connections: one of those may else take it before the daemon listens on it, and the fleet
-/// would not come up.
-std::uint16_t freePort()
-{
-    static std::uint32_t next = static_cast<std::uint32_t>(getpid()) * portStride;
-    for (int tries = 0; tries < 1'000; ++tries) {
-        const auto port = static_cast<std::uint16_t>(firstPort + next++ % portCount);
-        sockaddr_in at{};
-        at.sin_family = AF_INET;
-        at.sin_port = htons(port);
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        const int tcp = socket(AF_INET, SOCK_STREAM, 0);
-        const int udp = socket(AF_INET, SOCK_DGRAM, 0);
-        const bool free = bind(tcp, reinterpret_cast<sockaddr *>(&at), sizeof at) == 0
-            && bind(udp, reinterpret_cast<sockaddr *>(&at), sizeof at) == 0;
-        close(tcp);
-        close(udp);
-        if (free) {
-            return port;
-        }
-    }
-    throw std::runtime_error("no free port");
-}
-
 pid_t spawn(const std::vector<std::string> &arguments, int output, const std::string &errors)
 {
     std::vector<char *> raw;
@@ -188,8 +160,9 @@
     for (std::size_t i = 0; i < options.daemons; ++i) {
         process one;
         const auto counted = static_cast<std::uint16_t>(options.firstPort + 2 * i);
-        one.callerPort = options.firstPort == 0 ? freePort() : counted;
-        one.peerPort = options.firstPort == 0 ? freePort() : static_cast<std::uint16_t>(counted + 1);
+        one.callerPort = options.firstPort == 0 ? http_testing::freePort() : counted;
+        one.peerPort =
+            options.firstPort == 0 ? http_testing::freePort() : static_cast<std::uint16_t>(counted + 1);
         m_daemons.push_back(one);
     }
     try {
--- a/tests/unit/http_fixture.h
+++ b/tests/unit/http_fixture.h
@@ -2,6 +2,7 @@
 
 #include "transport/http_client.h"
 #include "transport/http_server.h"
+#include "unit/free_port.h"
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
@@ -108,14 +109,6 @@
     int m_fd;
 };
 
-/// A port that nobody listens on now.
-inline std::uint16_t freePort()
-{
-    std::uint16_t port = 0;
-    raw_socket::listening(port);
-    return port;
-}
-
 /// A client on a loop of its own and, after listen(), a server on a free port of the loopback.
 class http_fixture : public testing::Test
 {
