Test how ends of servers are counted, lost, cleared and told

Cause: the mend had its failing test; its parts had none of their own. One fault found by them: an entry that did not come back after the store's return was no end for those who had lost answers there; it is one now.

--- a/packages/serving/crash_task.cpp
+++ b/packages/serving/crash_task.cpp
@@ -62,6 +62,11 @@
     return briarhead::isBlocked(m_book, fingerprint);
 }
 
+std::vector<std::string> crash_task::counted(const std::string &fingerprint) const
+{
+    return endsOf(m_book, fingerprint);
+}
+
 bool crash_task::mayBeFatal(const std::string &fingerprint) const
 {
     const std::vector<std::string> known = endsOf(m_book, fingerprint);
--- a/packages/serving/crash_task.h
+++ b/packages/serving/crash_task.h
@@ -52,6 +52,8 @@
 
     /// Whether a request goes to no server any more.
     bool isBlocked(const std::string &fingerprint) const;
+    /// The servers that are known here to have ended under it.
+    std::vector<std::string> counted(const std::string &fingerprint) const;
     /// Whether it would be blocked if the servers of which it isn't known yet have ended. It isn't sent a
     /// further time then by this daemon itself.
     bool mayBeFatal(const std::string &fingerprint) const;
--- a/packages/serving/store_take.cpp
+++ b/packages/serving/store_take.cpp
@@ -212,6 +212,7 @@
     for (const std::string &id : m_missing) {
         m_view.servers.erase(id);
         change.goneServers.push_back(id);
+        change.endedServers.push_back(id);
         m_log.important("server.gone").add("server", id).add("why", "its entry did not come back");
     }
     m_missing.clear();
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -1,3 +1,4 @@
+#include "coordination/request_fingerprint.h"
 #include "platform/platform_records.h"
 #include "platform/platform_requests.h"
 #include "protocol/codec.h"
@@ -176,6 +177,10 @@
         ask.targetMs = 1'000;
         m_port->send(m_to, {m_node, 1, ask});
     }
+    void tell(const crash_news &news)
+    {
+        m_port->send(m_to, {m_node, 1, news});
+    }
     int beatsHeard = 0;
     int answersHeard = 0;
 
@@ -658,4 +663,30 @@
     EXPECT_EQ(ranOn(m_plain), 0U);
 }
 
+// A request waits for a place while, elsewhere, the third server ends under its like. It is refused at once
+// and not held towards its deadline; that it has not run is true.
+TEST_F(edge_test, ARequestThatWaitsIsRefusedOnceServersAreKnownToHaveEndedUnderIt)
+{
+    start();
+    other_daemon first(m_store, m_loop, m_settings.peers, "n2", "m-1");
+    other_daemon second(m_store, m_loop, m_settings.peers, "n3", "m-2");
+    const auto beats = m_loop.timer({100}, {100}, [&] {
+        first.beat();
+        second.beat();
+    });
+    runRounds(300);
+    const auto caller = ask("/gen/x", "a1"); // neither of them answers
+    runRounds(60);
+    const crash_news news{fingerprintOf({{}, "POST", "h", "/gen/x", "hi"}), {"s1", "s2", "s3"}};
+    first.tell(news);
+    std::string seen;
+    EXPECT_TRUE(runUntil([&] {
+        return !caller->receive(seen);
+    }));
+    EXPECT_EQ(statusOf(seen), "503") << seen;
+    EXPECT_NE(seen.find("servers ended under this request"), std::string::npos) << seen;
+    EXPECT_NE(seen.find("Retry-After: 3600"), std::string::npos) << seen;
+    EXPECT_EQ(ranOn(m_models), 0U);
+}
+
 }
