Make the counting of ends one task for both daemon programs

Cause: crash_task was tied to the users' platform; the other daemon sends requests to servers too and needs the same. Ruled out: a second copy for it. Change: crash_task moves to packages/coordination and is given its ways to daemons, store and log; serving/crash_store.cpp holds those of the users' platform. From two ends on all daemons are told directly besides the store.

--- a/packages/serving/crash_task.h
+++ b/packages/coordination/crash_task.h
@@ -1,22 +1,19 @@
 #pragma once
 
 #include "coordination/crash_book.h"
-#include "protocol/fleet_messages.h"
-#include "serving/backend_server.h"
-#include "serving/decision_log.h"
-#include "serving/fleet_port.h"
-#include "serving/node_settings.h"
-#include "serving/store_task.h"
+#include "protocol/crash_messages.h"
 #include "transport/bus.h"
 #include "transport/connect_probe.h"
 #include "transport/loop.h"
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace briarhead {
@@ -31,6 +28,49 @@
     std::string fingerprint;
 };
 
+/// The server that a request was sent to.
+struct crash_target
+{
+    std::string server; ///< its name in the platform's list
+    std::string start; ///< which start of it: another one after each restart
+    peer_address address;
+};
+
+enum class crash_event : std::uint8_t
+{
+    Counted, ///< a server ended under it
+    Blocked, ///< it goes to no server from now on
+    Cleared, ///< a server ran it to an end
+};
+
+/// "counted", ...
+std::string_view nameOf(crash_event value);
+
+/// What the task tells the log.
+struct crash_note
+{
+    crash_event event = crash_event::Counted;
+    std::string fingerprint;
+    std::string server; ///< the one that ended last
+    std::size_t ends = 0;
+    std::string_view source; ///< how it became known here
+};
+
+/// The task's ways to the other daemons, to the store and to the log; each daemon program has its own.
+struct crash_links
+{
+    std::string self;
+    /// All that may count for a request, `self` among them.
+    std::function<std::vector<std::string>()> daemons;
+    std::function<void(const std::string &daemon, const crash_news &news)> tell;
+    /// The record of a request as last read; empty: none.
+    std::function<std::vector<std::string>(const std::string &fingerprint)> stored;
+    std::function<std::size_t()> records;
+    std::function<void(const std::string &fingerprint, const crash_record &record)> keep;
+    std::function<void(const std::string &fingerprint)> drop;
+    std::function<void(const crash_note &note)> log;
+};
+
 struct crash_counters
 {
     std::uint64_t ends = 0; ///< of servers, under requests that this daemon had sent there
@@ -40,15 +80,13 @@
 
 /// Guards against: a request that crashes each server that runs it, sent again and again by its caller. It
 /// shows as servers that end one after the other, each with the answers of all its callers. Holds because the
-/// daemon that loses an answer finds out whether the server has ended, tells the daemons that count for that
-/// request, and these write what they know into the store, where every daemon reads it, also after a start.
+/// daemon that loses an answer finds out whether the server has ended, and tells the daemons that count for
+/// that request; from two ends on these tell all others, and keep it in the store for those that start later.
 /// Of all that a server ran when it ended, only what ends further servers is counted on.
 class crash_task
 {
 public:
-    crash_task(
-        loop &eventLoop, bus &messages, store_task &store, const node_settings &settings, decision_log &log);
-    void setPort(fleet_port &port);
+    crash_task(loop &eventLoop, bus &messages, crash_links links);
 
     /// Whether a request goes to no server any more.
     bool isBlocked(const std::string &fingerprint) const;
@@ -58,15 +96,19 @@
     /// further time then by this daemon itself.
     bool mayBeFatal(const std::string &fingerprint) const;
 
-    /// A server's answer broke off.
-    void onBroken(const std::string &fingerprint, const backend_server &server);
+    /// The answer of a server that doesn't leave broke off.
+    void onBroken(const std::string &fingerprint, const crash_target &target);
     /// A send was given up here while the server was at work on it.
-    void onGivenUp(const std::string &fingerprint, const backend_server &server);
+    void onGivenUp(const std::string &fingerprint, const crash_target &target);
     /// A server ran it to an end and is still there.
     void onAnswered(const std::string &fingerprint);
     /// It was refused because it is blocked: whoever asks for it keeps it remembered.
     void onRefused(const std::string &fingerprint);
+    /// A server has ended, or started again, without having said that it would leave.
+    void onServerEnded(const std::string &server);
     void hear(const crash_news &news);
+    /// What was read in the store; without servers: its record has gone.
+    void onStored(const std::string &fingerprint, const std::vector<std::string> &servers);
     const crash_counters &counters() const;
 
 private:
@@ -74,37 +116,36 @@
     struct suspicion
     {
         std::string fingerprint;
-        std::string server; ///< its id
-        std::string start; ///< which start of it
+        crash_target target;
         millis at;
         bool probing = false;
     };
 
-    void suspect(const std::string &fingerprint, const backend_server &server, bool probing);
-    void probe(const backend_server &server, const std::string &start);
+    void suspect(const std::string &fingerprint, const crash_target &target, bool probing);
+    void probe(const crash_target &target);
     void onProbed(const std::string &start, reach result);
+    std::vector<suspicion> takeSuspicions(const std::function<bool(const suspicion &)> &which);
     void count(const std::vector<suspicion> &ended);
-    bool take(const std::string &fingerprint, const std::vector<std::string> &servers, const char *source);
-    void followView(const view_changed &change);
+    bool take(
+        const std::string &fingerprint, const std::vector<std::string> &servers, std::string_view source);
+    void clear(const std::string &fingerprint);
     void tick();
     void share(const std::string &fingerprint);
+    void spread(const std::string &fingerprint);
     void keep(const std::string &fingerprint);
-    void tellAll(const std::string &fingerprint);
-    void send(const std::string &node, const std::string &fingerprint);
+    void tellAll(const crash_news &news);
     std::vector<std::string> homesOf(const std::string &fingerprint) const;
     bool isHome(const std::string &fingerprint) const;
 
     loop &m_loop;
     bus &m_bus;
-    store_task &m_store;
-    node_settings m_settings;
-    decision_log &m_log;
-    fleet_port *m_port = nullptr;
+    crash_links m_links;
     crash_book m_book;
     crash_counters m_counters;
     std::deque<suspicion> m_suspicions; ///< oldest first
     std::map<std::string, std::shared_ptr<void>> m_probes; ///< by start of a server
-    std::set<std::string> m_shareAgain; ///< fingerprints told once, by datagrams that may be lost
+    std::set<std::string> m_shareAgain; ///< fingerprints told once, by messages that may be lost
+    std::set<std::string> m_toDrop; ///< cleared, and perhaps still in the store
     std::map<std::string, millis> m_keptAlive; ///< when the homes were last told that it is asked for
     std::shared_ptr<void> m_timer;
 };
--- /dev/null
+++ b/packages/protocol/crash_messages.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+// What daemons tell each other, and keep in the platform's store, of requests that end backend servers.
+namespace briarhead {
+
+/// Starts of servers that ended under one request: from whoever saw it to the daemons that count for that
+/// request, and from these to all. Without any: a server has run it to an end after all.
+struct crash_news
+{
+    std::string fingerprint; ///< see request_fingerprint.h
+    std::vector<std::string> servers;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(fingerprint, servers);
+    }
+};
+
+/// Kept in the platform's store, by fingerprint: the starts of servers that ended under a request.
+struct crash_record
+{
+    std::vector<std::string> servers;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(servers);
+    }
+};
+
+}
--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "protocol/crash_messages.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -207,20 +209,6 @@
     }
 };
 
-/// Starts of servers that ended under one request: entry -> the daemons that count for that request, and from
-/// these to all once it goes to no server any more.
-struct crash_news
-{
-    std::string fingerprint; ///< see request_fingerprint.h
-    std::vector<std::string> servers;
-
-    template <class Archive>
-    void serialize(Archive &archive)
-    {
-        archive(fingerprint, servers);
-    }
-};
-
 struct fleet_datagram
 {
     std::string from; ///< the sender's node name
@@ -254,18 +242,6 @@
 
 using daemon_map = std::map<std::string, daemon_record>; ///< by node
 
-/// Kept in the platform's store, by fingerprint: the starts of servers that ended under a request.
-struct crash_record
-{
-    std::vector<std::string> servers;
-
-    template <class Archive>
-    void serialize(Archive &archive)
-    {
-        archive(servers);
-    }
-};
-
 /// Kept in the platform's store: who gives a server's orders. The fencing token is the record's revision.
 struct orderer_record
 {
--- /dev/null
+++ b/packages/serving/crash_store.cpp
@@ -0,0 +1,88 @@
+#include "serving/crash_store.h"
+
+namespace briarhead {
+
+namespace {
+
+std::vector<std::string> storedEnds(const store_view &view, const std::string &fingerprint)
+{
+    const auto found = view.crashes.find(fingerprint);
+    return found == view.crashes.end() ? std::vector<std::string>{} : found->second.record.servers;
+}
+
+std::vector<std::string> daemonsOf(const store_view &view)
+{
+    std::vector<std::string> nodes;
+    for (const auto &[node, record] : view.daemons) {
+        nodes.push_back(node);
+    }
+    return nodes;
+}
+
+}
+
+crash_links crashLinks(store_task &store, const std::unique_ptr<fleet_port> &port,
+    const node_settings &settings, decision_log &log)
+{
+    crash_links links;
+    links.self = settings.node;
+    links.daemons = [&store] {
+        return daemonsOf(store.view());
+    };
+    links.tell = [&store, &port, self = settings.node](const std::string &node, const crash_news &news) {
+        if (const daemon_record *peer = findPeer(store.view(), node)) {
+            port->send({peer->ip, peer->port}, {self, store.incarnation(), news});
+        }
+    };
+    links.stored = [&store](const std::string &fingerprint) {
+        return storedEnds(store.view(), fingerprint);
+    };
+    links.records = [&store] {
+        return store.view().crashes.size();
+    };
+    links.keep = [&store](const std::string &fingerprint, const crash_record &record) {
+        store.keepCrash(fingerprint, record);
+    };
+    links.drop = [&store](const std::string &fingerprint) {
+        store.dropCrash(fingerprint);
+    };
+    links.log = [&log](const crash_note &note) {
+        log.important("crash." + std::string(nameOf(note.event)))
+            .add("fingerprint", note.fingerprint)
+            .add("server", note.server)
+            .add("ends", static_cast<std::int64_t>(note.ends))
+            .add("source", note.source);
+    };
+    return links;
+}
+
+void followStore(bus &messages, const store_task &store, crash_task &crashes)
+{
+    messages.on<view_changed>([&store, &crashes](const view_changed &change) {
+        for (const std::string &server : change.endedServers) {
+            crashes.onServerEnded(server);
+        }
+        for (const std::string &fingerprint : change.crashes) {
+            const std::vector<std::string> servers = storedEnds(store.view(), fingerprint);
+            const bool gone = store.view().crashes.count(fingerprint) == 0;
+            if (gone || !servers.empty()) { // else another writer's, which says nothing
+                crashes.onStored(fingerprint, servers);
+            }
+        }
+    });
+}
+
+crash_target targetOf(const backend_server &server)
+{
+    // A restart may keep the server's id.
+    const std::string start = server.born == 0 ? server.id : server.id + '@' + std::to_string(server.born);
+    return {server.id, start, server.address};
+}
+
+bool isStaying(const store_view &view, const std::string &server)
+{
+    const auto listed = view.servers.find(server);
+    return listed != view.servers.end() && !listed->second.draining;
+}
+
+}
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -2,7 +2,7 @@
 
 #include "protocol/codec.h"
 #include "serving/beat_cells.h"
-#include "serving/crash_task.h"
+#include "serving/crash_store.h"
 #include "serving/edge_metrics.h"
 #include "serving/fleet_port.h"
 #include "serving/front_task.h"
@@ -63,7 +63,7 @@
         , m_pool(eventLoop)
         , m_store(eventLoop, m_bus, *parts.store, parts.records, settings,
               static_cast<std::uint64_t>(wallNow().count), log)
-        , m_crashes(eventLoop, m_bus, m_store, settings, log)
+        , m_crashes(eventLoop, m_bus, crashLinks(m_store, m_port, m_settings, log))
         , m_front(eventLoop, m_bus, m_store, m_crashes, m_pool, m_parts.requests, settings, log)
         , m_orderer(eventLoop, m_bus, m_store, m_pool, m_parts.requests, settings, log,
               [this](const std::string &entry, const place_answer &answer) {
@@ -137,7 +137,7 @@
         return false;
     }
     m_front.setPort(*m_port);
-    m_crashes.setPort(*m_port);
+    followStore(m_bus, m_store, m_crashes);
     m_peers = front_server::listen(
         m_loop, m_settings.peers.ip, m_settings.peers.port,
         [this](const front_request &request, const std::shared_ptr<front_reply> &reply) {
--- a/packages/serving/edge_metrics.h
+++ b/packages/serving/edge_metrics.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serving/crash_task.h"
+#include "coordination/crash_task.h"
 #include "serving/fleet_port.h"
 #include "serving/front_task.h"
 #include "serving/orderer_task.h"
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -30,7 +30,7 @@
         return;
     }
     one->server = server.id;
-    one->target = server;
+    one->target = targetOf(server);
     one->sentTo.insert(server.id);
     one->head = {};
     one->meta = {};
@@ -176,7 +176,7 @@
         return;
     }
     one->mayHaveRun = true;
-    if (how == send_end::Broken) {
+    if (how == send_end::Broken && isStaying(m_store.view(), server)) {
         m_crashes.onBroken(one->fingerprint, one->target);
     }
     note(*one, place_event::Failed);
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -2,7 +2,7 @@
 
 #include "serving/beat_cells.h"
 #include "serving/client_request.h"
-#include "serving/crash_task.h"
+#include "serving/crash_store.h"
 #include "serving/decision_log.h"
 #include "serving/event_stream.h"
 #include "serving/fleet_port.h"
--- a/packages/serving/front_work.h
+++ b/packages/serving/front_work.h
@@ -39,7 +39,7 @@
     int unsent = 0;
     int placesTried = 0;
     std::string server; ///< asked, or sent to
-    backend_server target; ///< sent to last, as it was then
+    crash_target target; ///< sent to last
     std::string orderer; ///< node that was asked; empty: none
     int asks = 0;
     bool granted = false;
--- a/tests/serving/crash_task_test.cpp
+++ b/tests/serving/crash_task_test.cpp
@@ -2,7 +2,7 @@
 #include "coordination/request_fingerprint.h"
 #include "platform/platform_records.h"
 #include "protocol/codec.h"
-#include "serving/crash_task.h"
+#include "serving/crash_store.h"
 #include "serving/fake_store.h"
 #include "unit/http_fixture.h"
 
@@ -25,8 +25,8 @@
     fake_store_client client;
     decision_log log;
     store_task store;
-    crash_task crashes;
     std::unique_ptr<fleet_port> port;
+    crash_task crashes;
     int blockedTold = 0;
 
     counting_daemon(fake_store &shared, const std::string &node)
@@ -35,7 +35,7 @@
         , client(shared)
         , log(-1, node)
         , store(shared.events, messages, client, platform::recordCodec(), settings, 1, log)
-        , crashes(shared.events, messages, store, settings, log)
+        , crashes(shared.events, messages, crashLinks(store, port, settings, log))
     {
         error why;
         port = fleet_port::open(
@@ -46,7 +46,7 @@
                 }
             },
             why);
-        crashes.setPort(*port);
+        followStore(messages, store, crashes);
         messages.on<request_blocked>([this](const request_blocked &) {
             ++blockedTold;
         });
@@ -112,7 +112,9 @@
         if (ends) {
             m_ports.erase(server);
         }
-        one.crashes.onBroken(fingerprint, one.store.view().servers.at(server));
+        if (isStaying(one.store.view(), server)) {
+            one.crashes.onBroken(fingerprint, targetOf(one.store.view().servers.at(server)));
+        }
     }
     void blockEverywhere()
     {
@@ -175,7 +177,7 @@
 TEST_F(crash_task_test, AServerThatVanishesFromTheStoreAfterASendWasGivenUpCounts)
 {
     for (const char *server : {"s1", "s2", "s3"}) {
-        m_daemons[0]->crashes.onGivenUp(fingerprint, m_daemons[0]->store.view().servers.at(server));
+        m_daemons[0]->crashes.onGivenUp(fingerprint, targetOf(m_daemons[0]->store.view().servers.at(server)));
         m_store.remove(std::string("servers/") + server);
     }
     EXPECT_TRUE(allDaemons(blocks));
