--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -22,6 +22,7 @@
 constexpr std::int64_t msPerSecond = 1'000;
 constexpr std::uint64_t lowestRank = 3;
 constexpr millis reportInterval{100};
+constexpr millis fatalAfter{60};
 constexpr std::size_t maxEvents = 4096;
 
 std::string promptText(const json &body)
@@ -198,6 +199,7 @@
     m_keepRuns = faults.value("keep_runs", m_keepRuns);
     m_ignoreFencing = faults.value("ignore_fencing", m_ignoreFencing);
     m_runAs = faults.value("run_as", m_runAs);
+    m_fatalPrompt = faults.value("fatal_prompt", m_fatalPrompt);
     if (faults.contains("drop_after_tokens")) {
         m_batch->dropAfter(faults["drop_after_tokens"].get<std::int64_t>());
     }
@@ -306,7 +308,13 @@
             },
             "cancelled");
     });
+    const bool fatal = run->promptHash == m_fatalPrompt;
     m_batch->accept(std::move(run));
+    if (fatal) {
+        m_fatalTimer = eventLoop().timer(fatalAfter, {}, [this] {
+            coldStart();
+        });
+    }
 }
 
 void engine_standin::onCancel(const http_request &request, const reply_ptr &reply)
--- a/tests/standins/engine_standin.h
+++ b/tests/standins/engine_standin.h
@@ -34,6 +34,7 @@
 /// gappy cache events. Further faults:
 ///   {"fail_loads": n, "reset": true, "leaving": bool, "refuse_runs": bool, "ignore_fencing": bool,
 ///    "drop_after_tokens": n (negative: off), "paused": bool, "run_as": "a:2" (answers from another version),
+///    "fatal_prompt": HASH (a cold start a moment after a run of that prompt began; empty: none),
 ///    "keep_runs": bool (runs go on when their connection closes, as until an engine notices)}
 /// Its record has the kinds "run", "withdrawn" (left the queue before it began), "load", "unload", "fence",
 /// "role", "refused", "cold_start" and "violation". A violation's "what" is one of
@@ -117,6 +118,8 @@
     bool m_ignoreFencing = false;
     std::uint32_t m_failLoads = 0;
     std::string m_runAs;
+    std::string m_fatalPrompt;
+    std::shared_ptr<void> m_fatalTimer;
 };
 
 /// What an answer's first token calls the prompt: the hash of "prompt", or of "messages" as JSON text.
