Hand a request under which three engines have ended to no further one

Cause: an owner that lost a run looked at its engine anew and forgot the run, and each entry judged an attempt alone. Ruled out: - Change: the owner, which has the connection, tells crash_task of lost and given up runs and of engines that started anew; the entry sends the fingerprint of what its caller sent along and refuses before each hand-over, the owner before each run; what waits is refused at once (ends_servers, not run, and when to come back). Plain services are counted by the entry.

--- a/packages/coordination/owner_task.cpp
+++ b/packages/coordination/owner_task.cpp
@@ -28,11 +28,13 @@
 
 }
 
-owner_task::owner_task(bus &messages, loop &eventLoop, http_client &runs, http_client &guarded, options given)
+owner_task::owner_task(bus &messages, loop &eventLoop, http_client &runs, http_client &guarded,
+    crash_task &crashes, options given)
     : m_bus(messages)
     , m_loop(eventLoop)
     , m_runs(runs)
     , m_guarded(guarded)
+    , m_crashes(crashes)
     , m_options(std::move(given))
     , m_random(std::random_device{}())
 {
@@ -113,6 +115,9 @@
             onCancel({id});
         }
     });
+    m_bus.on<request_blocked>([this](const request_blocked &news) {
+        refuseWaitingLike(news.fingerprint);
+    });
     m_bus.on<drain_began>([this](const drain_began &) {
         m_leavingSoon = true;
     });
@@ -387,10 +392,40 @@
     wantLoads(server);
 }
 
+void owner_task::refuseBlocked(const job &one)
+{
+    answerEnd(one,
+        {one.request.id, outcome::NotRun, error_kind::EndsServers, "servers ended under this request",
+            crashMemory.count});
+    m_jobs.erase(one.request.id);
+}
+
+/// Waiting for an engine that it won't be handed to would only cost its caller time.
+void owner_task::refuseWaitingLike(const std::string &fingerprint)
+{
+    std::vector<request_id> waiting;
+    for (const auto &[id, one] : m_jobs) {
+        if (one.startedAt == millis{} && one.request.fingerprint == fingerprint) {
+            waiting.push_back(id);
+        }
+    }
+    for (const request_id &id : waiting) {
+        const job one = m_jobs.at(id);
+        dequeue(m_servers.at(one.request.server), one);
+        refuseBlocked(one);
+    }
+}
+
 void owner_task::start(owned &server, job &one)
 {
     const millis now = bootNow();
     dequeue(server, one);
+    if (m_crashes.isBlocked(one.request.fingerprint)) { // since it was admitted, or its entry hadn't heard
+        refuseBlocked(one);
+        return;
+    }
+    one.target = {server.where.name, server.where.name + '@' + server.incarnation,
+        {server.where.address, server.where.port}};
     slot &where = server.adapters[one.request.adapter];
     one.startedAt = now;
     one.stall =
@@ -439,6 +474,27 @@
         });
 }
 
+/// Whether the engine may have ended under a run: its answer broke off, or the run was given up.
+void owner_task::tellCrashes(const job &one, const owned &server, const engine_run_end &how)
+{
+    const std::string &fingerprint = one.request.fingerprint;
+    if (how.result == outcome::Done) {
+        m_crashes.onAnswered(fingerprint);
+    }
+    if (how.result != outcome::Unknown || server.leaving) {
+        return;
+    }
+    if (how.why.kind == error_kind::ConnectionLost) {
+        m_crashes.onBroken(fingerprint, one.target);
+    } else {
+        m_crashes.onGivenUp(fingerprint, one.target);
+    }
+    const bool restarted = one.target.start != server.where.name + '@' + server.incarnation;
+    if (restarted) { // seen by the poll before the connection broke
+        m_crashes.onServerEnded(server.where.name);
+    }
+}
+
 void owner_task::end(const request_id &id, const engine_run_end &how)
 {
     const auto found = m_jobs.find(id);
@@ -451,6 +507,7 @@
     if (server == nullptr) {
         return;
     }
+    tellCrashes(one, *server, how);
     slot &where = server->adapters[one.request.adapter];
     if (how.result == outcome::Unknown) {
         linger(one);
@@ -755,6 +812,7 @@
         // or loaded there until our number stands on it anew.
         server.unclaimed = server.checksFencing;
         m_bus.post(engine_restarted{server.where.name});
+        m_crashes.onServerEnded(server.where.name);
         server.baseOrdered = false;
         // Nothing of before the restart runs there any more.
         std::vector<request_id> ended;
--- a/packages/coordination/owner_task.h
+++ b/packages/coordination/owner_task.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/admission.h"
+#include "coordination/crash_task.h"
 #include "coordination/events.h"
 #include "coordination/eviction.h"
 #include "coordination/load_order.h"
@@ -35,7 +36,8 @@
 
     /// `runs` carries requests and harmless orders, `guarded` the orders that must not leave after the
     /// lease's end on engines that don't check fencing; its sockets are under the fence.
-    owner_task(bus &messages, loop &eventLoop, http_client &runs, http_client &guarded, options given);
+    owner_task(bus &messages, loop &eventLoop, http_client &runs, http_client &guarded, crash_task &crashes,
+        options given);
 
     /// The state of each owned server, for metrics.
     std::vector<server_hint> hints() const;
@@ -53,6 +55,7 @@
         bool waitedForLoad = false;
         http_client::call_id call = 0;
         bool cancelled = false;
+        crash_target target; ///< the start of the engine that it was handed to
     };
 
     /// One adapter slot or an adapter wanted on a server.
@@ -135,6 +138,9 @@
     void pump(owned &server);
     job *nextJob(owned &server);
     void start(owned &server, job &one);
+    void refuseBlocked(const job &one);
+    void refuseWaitingLike(const std::string &fingerprint);
+    void tellCrashes(const job &one, const owned &server, const engine_run_end &how);
     void cancelJob(job &one);
     void linger(const job &one);
     void lingered(const request_id &id);
@@ -172,6 +178,7 @@
     loop &m_loop;
     http_client &m_runs;
     http_client &m_guarded;
+    crash_task &m_crashes;
     options m_options;
     std::map<std::string, owned> m_servers;
     std::map<request_id, job> m_jobs;
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -2,11 +2,13 @@
 
 #include "coordination/budget_task.h"
 #include "coordination/config_task.h"
+#include "coordination/crash_task.h"
 #include "coordination/key_task.h"
 #include "coordination/membership_task.h"
 #include "coordination/owner_task.h"
 #include "coordination/ownership_task.h"
 #include "daemon/admin_task.h"
+#include "daemon/crash_records.h"
 #include "daemon/entry_task.h"
 #include "daemon/metrics.h"
 #include "daemon/peer_router.h"
@@ -41,6 +43,8 @@
         , m_kv(m_loop, given.kvUrls, given.kvTimeout)
         , m_liveList(m_loop, m_platform, given.liveListUrl, given.region)
         , m_router(m_bus, given.instance, m_incarnation)
+        , m_crashRecords(m_bus, m_loop, m_kv, given.instance)
+        , m_crashes(m_loop, m_bus, m_crashRecords.links())
     {
     }
 
@@ -66,6 +70,7 @@
             }
         });
         startTasks();
+        m_crashRecords.start(m_crashes);
         m_server = http_server::listen(
             m_loop, m_settings.callerAddress, m_settings.callerPort, m_settings.bodyLimitBytes,
             [this](const http_request &request, std::shared_ptr<http_reply> reply) {
@@ -117,8 +122,8 @@
         self.incarnation = m_incarnation;
         m_keys = std::make_unique<key_task>(m_bus, m_loop, m_settings.instance);
         m_budget = std::make_unique<budget_task>(m_bus, m_loop);
-        m_owner = std::make_unique<owner_task>(
-            m_bus, m_loop, m_runs, m_guarded, owner_task::options{m_settings.instance, m_settings.routing});
+        m_owner = std::make_unique<owner_task>(m_bus, m_loop, m_runs, m_guarded, m_crashes,
+            owner_task::options{m_settings.instance, m_settings.routing});
         m_ownership = std::make_unique<ownership_task>(m_bus, m_loop, m_kv, m_runs, m_fence,
             ownership_task::options{m_settings.instance, m_incarnation, m_settings.leaseTtl});
         entry_task::options entry;
@@ -126,7 +131,7 @@
         entry.incarnation = m_incarnation;
         entry.failureDomain = m_settings.failureDomain;
         entry.routing = routingKindOf(m_settings.routing).value_or(routing_kind::Briarhead);
-        m_entry = std::make_unique<entry_task>(m_bus, m_loop, m_runs, m_metrics, entry);
+        m_entry = std::make_unique<entry_task>(m_bus, m_loop, m_runs, m_crashes, m_metrics, entry);
         config_task::options configuration;
         configuration.self = m_settings.instance;
         configuration.failureDomain = m_settings.failureDomain;
@@ -156,6 +161,8 @@
         exportServers(m_metrics, m_owner->hints(), m_exported);
         setGauge(m_metrics, "config_version",
             m_configuration->current() ? static_cast<double>(m_configuration->current()->version) : 0);
+        setGauge(m_metrics, "requests_blocked", static_cast<double>(m_crashes.counters().blocked));
+        setGauge(m_metrics, "requests_cleared", static_cast<double>(m_crashes.counters().cleared));
         setGauge(m_metrics, "open_requests", static_cast<double>(m_entry->open()));
         return prometheusText(m_metrics);
     }
@@ -208,6 +215,8 @@
     metrics m_metrics;
     std::set<std::string> m_exported; ///< servers with gauges
     peer_router m_router;
+    crash_records m_crashRecords;
+    crash_task m_crashes;
     std::unique_ptr<peer_link> m_link;
     std::unique_ptr<key_task> m_keys;
     std::unique_ptr<budget_task> m_budget;
--- a/packages/daemon/entry_admit.cpp
+++ b/packages/daemon/entry_admit.cpp
@@ -1,5 +1,6 @@
 // How the entry task takes a request in: who it is from, what it asks for, and whether it may.
 #include "coordination/rendezvous.h"
+#include "coordination/request_fingerprint.h"
 #include "daemon/answers.h"
 #include "daemon/entry_task.h"
 #include "state/key_hash.h"
@@ -247,6 +248,7 @@
     if (!applyRule(*one, findAdapterRule(*one->config, one->caller, name), name)) {
         return;
     }
+    one->fingerprint = fingerprintOf({one->caller, one->method, {}, one->path, request.body});
     one->chat = request.path == "/v1/chat/completions";
     one->stream = body.contains("stream") && body["stream"].is_boolean() && body["stream"].get<bool>();
     one->answerType = one->stream ? "text/event-stream" : "application/json";
@@ -282,6 +284,7 @@
     const bool safeMethod = request.method == "GET" || request.method == "HEAD";
     one->idempotent = one->idempotent && (safeMethod || service.idempotent);
     one->path = urlPath(request);
+    one->fingerprint = fingerprintOf({one->caller, one->method, {}, one->path, one->body});
     one->reply->onClosed([this, weak = std::weak_ptr<pending>(one)] {
         if (const auto still = weak.lock()) {
             closed(still);
@@ -423,6 +426,9 @@
 
 void entry_task::routeService(const pending_ptr &one)
 {
+    if (refuseBlocked(one)) {
+        return;
+    }
     const millis now = bootNow();
     std::vector<std::string> fit;
     std::uint32_t least = 0;
@@ -484,6 +490,7 @@
     one->call = 0;
     const auto server = m_serviceServers.find(one->server);
     if (result.complete) {
+        m_crashes.onAnswered(one->fingerprint);
         const auto type = result.headers.find("content-type");
         one->answerType = type == result.headers.end() ? "application/octet-stream" : type->second;
         if (server != m_serviceServers.end()) {
@@ -500,6 +507,11 @@
     }
     if (server != m_serviceServers.end()) {
         breakerFailure(server->second.health, bootNow());
+        if (result.sent && !server->second.where.leaving) {
+            // The list tells no starts of plain services: one that ends twice under its name counts once.
+            m_crashes.onBroken(one->fingerprint,
+                {one->server, one->server, {server->second.where.address, server->second.where.port}});
+        }
     }
     attempt_end end;
     end.result = result.sent ? outcome::Unknown : outcome::NotRun;
--- a/packages/daemon/entry_task.cpp
+++ b/packages/daemon/entry_task.cpp
@@ -28,10 +28,12 @@
 
 }
 
-entry_task::entry_task(bus &messages, loop &eventLoop, http_client &services, metrics &counts, options given)
+entry_task::entry_task(bus &messages, loop &eventLoop, http_client &services, crash_task &crashes,
+    metrics &counts, options given)
     : m_bus(messages)
     , m_loop(eventLoop)
     , m_services(services)
+    , m_crashes(crashes)
     , m_metrics(counts)
     , m_options(std::move(given))
     , m_random(std::random_device{}())
@@ -80,14 +82,18 @@
 void entry_task::onLiveList(const live_view &view)
 {
     m_listHeard = true;
-    const auto keep = [&view](std::map<std::string, server_state> &servers, instance_kind kind) {
+    const auto keep = [this, &view](std::map<std::string, server_state> &servers, instance_kind kind) {
         for (const auto &[name, instance] : view.instances) {
             if (instance.kind == kind) {
                 servers[name].where = instance;
             }
         }
         for (auto entry = servers.begin(); entry != servers.end();) {
-            entry = view.instances.count(entry->first) == 0 ? servers.erase(entry) : std::next(entry);
+            const bool gone = view.instances.count(entry->first) == 0;
+            if (gone && !entry->second.where.leaving) {
+                m_crashes.onServerEnded(entry->first);
+            }
+            entry = gone ? servers.erase(entry) : std::next(entry);
         }
     };
     keep(m_servers, instance_kind::Engine);
@@ -132,8 +138,24 @@
     return list;
 }
 
+/// Before each hand-over, first or repeated: a request under which servers ended goes to no further one.
+bool entry_task::refuseBlocked(const pending_ptr &one)
+{
+    if (!m_crashes.isBlocked(one->fingerprint)) {
+        return false;
+    }
+    m_crashes.onRefused(one->fingerprint);
+    answer(one,
+        {outcome::NotRun, {error_kind::EndsServers, one->path, "servers ended under this request"},
+            crashMemory});
+    return true;
+}
+
 void entry_task::route(const pending_ptr &one)
 {
+    if (refuseBlocked(one)) {
+        return;
+    }
     const millis now = bootNow();
     route_query query;
     query.adapter = one->adapter;
@@ -193,6 +215,7 @@
     request.prefix = one->prefix;
     request.path = one->path;
     request.body = one->body;
+    request.fingerprint = one->fingerprint;
     m_bus.post(send_to{owner, std::move(request)});
 }
 
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/admission.h"
+#include "coordination/crash_task.h"
 #include "coordination/events.h"
 #include "coordination/key_journal.h"
 #include "coordination/retry.h"
@@ -35,7 +36,8 @@
         routing_kind routing = routing_kind::Briarhead;
     };
 
-    entry_task(bus &messages, loop &eventLoop, http_client &services, metrics &counts, options given);
+    entry_task(bus &messages, loop &eventLoop, http_client &services, crash_task &crashes, metrics &counts,
+        options given);
 
     /// A caller's request; anything under a path that is neither /v1/ nor a service's prefix gets 404.
     void onRequest(const http_request &request, std::shared_ptr<http_reply> reply);
@@ -51,6 +53,7 @@
         std::shared_ptr<http_reply> reply;
         config_ptr config; ///< the version it was admitted under
         std::string caller;
+        std::string fingerprint; ///< of what the caller sends again with each attempt
         std::string path;
         std::string method;
         std::string body;
@@ -144,6 +147,7 @@
     void release(pending &one);
     pending_ptr take(const request_id &id);
 
+    bool refuseBlocked(const pending_ptr &one);
     void answerDone(const pending_ptr &one);
     void answer(const pending_ptr &one, const verdict &end);
     void record(const pending &one, outcome result, error_kind why);
@@ -154,6 +158,7 @@
     bus &m_bus;
     loop &m_loop;
     http_client &m_services;
+    crash_task &m_crashes;
     metrics &m_metrics;
     options m_options;
     config_ptr m_config;
--- a/packages/protocol/messages.h
+++ b/packages/protocol/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/crash_messages.h"
 #include "state/clock.h"
 #include "state/config.h"
 #include "state/error.h"
@@ -30,12 +31,13 @@
     std::uint64_t prefix = 0; ///< hash of the prompt's head, for prefix affinity
     std::string path;
     std::string body;
+    std::string fingerprint; ///< of what its caller sent, see request_fingerprint.h
 
     template <class Archive>
     void serialize(Archive &archive)
     {
         archive(id, server, adapter, configVersion, caller, rank, deadlineMs, idempotent, mayLoad, prefix,
-            path, body);
+            path, body, fingerprint);
     }
 };
 
@@ -293,7 +295,7 @@
 /// Everything that goes over a TCP link between two daemons.
 using peer_message = std::variant<run_request, run_started, run_bytes, run_end, run_cancel, key_begin,
     key_verdict, key_finish, config_ask, config_answer, load_ask, load_grant, load_release, status_ask,
-    status_answer, drain_order, owner_news>;
+    status_answer, drain_order, owner_news, crash_news>;
 
 /// How a peer is seen. Order matters: with equal incarnations the higher state wins.
 enum class peer_state : std::uint8_t
--- a/tests/failure/owner_guard_test.cpp
+++ b/tests/failure/owner_guard_test.cpp
@@ -1,5 +1,6 @@
 #include "coordination/events.h"
 #include "coordination/owner_task.h"
+#include "coordination/request_fingerprint.h"
 #include "standins/engine_standin.h"
 #include "standins/run_until.h"
 #include "transport/http_client.h"
@@ -24,6 +25,33 @@
 const std::string entry = "entry-2";
 const std::string unloadPath = "/v1/unload_lora_adapter";
 
+std::string fingerprintNumber(std::uint64_t sequence)
+{
+    const std::string number = std::to_string(sequence);
+    return std::string(fingerprintDigits - number.size(), '0') + number;
+}
+
+/// Of a daemon without others and without a store.
+crash_links aloneLinks()
+{
+    crash_links links;
+    links.self = "entry-1";
+    links.daemons = [] {
+        return std::vector<std::string>{"entry-1"};
+    };
+    links.tell = [](const std::string &, const crash_news &) {};
+    links.stored = [](const std::string &) {
+        return std::vector<std::string>{};
+    };
+    links.records = [] {
+        return std::size_t{0};
+    };
+    links.keep = [](const std::string &, const crash_record &) {};
+    links.drop = [](const std::string &) {};
+    links.log = [](const crash_note &) {};
+    return links;
+}
+
 /// The owner task alone, against one engine, with the rest of the daemon played by the test. An engine's
 /// faults can so be set between two orders, which is a matter of luck against a real process.
 class owner_guard_test : public testing::Test
@@ -33,6 +61,7 @@
     bus m_bus{m_loop};
     http_client m_runs{m_loop};
     http_client m_guarded{m_loop};
+    crash_task m_crashes{m_loop, m_bus, aloneLinks()};
     std::unique_ptr<engine_standin> m_engine;
     std::unique_ptr<owner_task> m_owner;
     live_instance m_where;
@@ -64,7 +93,7 @@
             m_releases.push_back(answer);
         });
         m_owner = std::make_unique<owner_task>(
-            m_bus, m_loop, m_runs, m_guarded, owner_task::options{"entry-1", "rendezvous_lru"});
+            m_bus, m_loop, m_runs, m_guarded, m_crashes, owner_task::options{"entry-1", "rendezvous_lru"});
         m_bus.post(lease_confirmed{bootNow() + farAhead});
         live_view view;
         view.instances["e1"] = m_where;
@@ -97,6 +126,7 @@
         request.adapter = {adapter, 1};
         request.caller = "tester";
         request.deadlineMs = deadlineMs;
+        request.fingerprint = fingerprintNumber(m_sequence);
         request.path = "/v1/completions";
         request.body = nlohmann::json{{"model", adapter + ":1"}, {"stream", true}, {"prompt", "x"},
             {"max_tokens",
@@ -158,6 +188,26 @@
     EXPECT_EQ(violations("unload_while_serving"), 0U);
 }
 
+// A request waits for a place while, on other engines, the third one ends under its like. It is refused at
+// once and truthfully, though its entry had not heard of it.
+TEST_F(owner_guard_test, AWaitingRequestIsNotHandedOverOnceEnginesAreKnownToHaveEndedUnderIt)
+{
+    startEngine(true);
+    gain(true);
+    const auto stream = ask("a0", 300);
+    ASSERT_TRUE(started(stream));
+    const auto waits = ask("a1", 2);
+    settleFor(settle);
+    m_crashes.hear({fingerprintNumber(waits), {"e2@1", "e3@1", "e4@1"}});
+    ASSERT_TRUE(ended(waits));
+    EXPECT_EQ(m_ends.count(stream), 0U) << "not held until the place is free";
+    EXPECT_EQ(m_ends[waits].result, outcome::NotRun);
+    EXPECT_EQ(m_ends[waits].why, error_kind::EndsServers);
+    EXPECT_GT(m_ends[waits].retryAfterMs, 0);
+    ASSERT_TRUE(ended(stream));
+    EXPECT_EQ(m_engine->recorded("run").size(), 1U);
+}
+
 // The live list says that a server is leaving, or the engine says so first. A stream in progress goes on to
 // its end; a request that comes now, from an entry that has not heard of it, is not run there.
 TEST_F(owner_guard_test, ALeavingServerFinishesItsStreamsAndTakesNoNewWork)
