Try a blocked request again after a while, by one daemon

Cause: an outage that ends three servers at once blocks for an hour whatever many callers ask for, since each server ran it; after the block nothing is sent, so nothing could clear it. Ruled out: counting ends within a second once: a quick caller ends more than three servers meanwhile. Retry-After is the rest of the wait. An attempt that is answered clears the request for all.

--- a/packages/coordination/crash_book.cpp
+++ b/packages/coordination/crash_book.cpp
@@ -32,12 +32,16 @@
     }
     crash_entry &entry = book.requests[fingerprint];
     entry.seen = now;
-    bool isNew = false;
+    const std::size_t before = entry.servers.size();
     for (const std::string &server : servers) {
         if (entry.servers.size() < endsToBlock) {
-            isNew = entry.servers.insert(server).second || isNew;
+            entry.servers.insert(server);
         }
     }
+    const bool isNew = entry.servers.size() > before;
+    if (isNew && entry.servers.size() >= endsToBlock) {
+        entry.waitsFrom = now;
+    }
     return isNew;
 }
 
@@ -56,6 +60,30 @@
     return found != book.requests.end() && found->second.servers.size() >= endsToBlock;
 }
 
+void noteTrials(crash_book &book, const std::string &fingerprint, std::uint32_t trials, millis now)
+{
+    const auto found = book.requests.find(fingerprint);
+    if (found != book.requests.end() && trials > found->second.trials) {
+        found->second.trials = trials;
+        found->second.waitsFrom = now;
+    }
+}
+
+std::uint32_t trialsOf(const crash_book &book, const std::string &fingerprint)
+{
+    const auto found = book.requests.find(fingerprint);
+    return found == book.requests.end() ? 0 : found->second.trials;
+}
+
+millis untilTrial(const crash_book &book, const std::string &fingerprint, millis now)
+{
+    const auto found = book.requests.find(fingerprint);
+    if (found == book.requests.end() || found->second.trials >= book.waits.size()) {
+        return crashMemory;
+    }
+    return found->second.waitsFrom + book.waits[found->second.trials] - now;
+}
+
 void seeAgain(crash_book &book, const std::string &fingerprint, millis now)
 {
     const auto found = book.requests.find(fingerprint);
--- a/packages/coordination/crash_task.cpp
+++ b/packages/coordination/crash_task.cpp
@@ -27,15 +27,16 @@
 
 std::string_view nameOf(crash_event value)
 {
-    static constexpr std::array<std::string_view, 3> names{"counted", "blocked", "cleared"};
+    static constexpr std::array<std::string_view, 4> names{"counted", "blocked", "tried", "cleared"};
     return names[static_cast<std::size_t>(value)];
 }
 
-crash_task::crash_task(loop &eventLoop, bus &messages, crash_links links)
+crash_task::crash_task(loop &eventLoop, bus &messages, crash_links links, const trial_waits &waits)
     : m_loop(eventLoop)
     , m_bus(messages)
     , m_links(std::move(links))
 {
+    m_book.waits = waits;
     m_timer = m_loop.timer(tickEvery, tickEvery, [this] {
         tick();
     });
@@ -180,10 +181,37 @@
     clear(fingerprint);
     m_toDrop.insert(fingerprint);
     m_links.drop(fingerprint);
-    tellAll({fingerprint, {}});
+    tellAll({fingerprint, {}, 0});
 }
 
-void crash_task::onRefused(const std::string &fingerprint)
+void crash_task::askTrial(const std::string &fingerprint, std::function<void(bool)> done)
+{
+    remember(fingerprint);
+    if (comeBackAfter(fingerprint) > millis{}) {
+        m_loop.post([done = std::move(done)] {
+            done(false);
+        });
+        return;
+    }
+    const std::uint32_t trials = trialsOf(m_book, fingerprint) + 1;
+    m_links.keep(fingerprint, {counted(fingerprint), trials},
+        [this, fingerprint, trials, done = std::move(done)](bool stands) {
+            if (stands) {
+                noteTrials(m_book, fingerprint, trials, bootNow());
+                m_links.log(
+                    {crash_event::Tried, fingerprint, {}, counted(fingerprint).size(), "its wait is over"});
+                tellAll(newsOf(fingerprint));
+            }
+            done(stands);
+        });
+}
+
+millis crash_task::comeBackAfter(const std::string &fingerprint) const
+{
+    return untilTrial(m_book, fingerprint, bootNow());
+}
+
+void crash_task::remember(const std::string &fingerprint)
 {
     const millis now = bootNow();
     seeAgain(m_book, fingerprint, now);
@@ -216,10 +244,15 @@
     }
 }
 
+crash_news crash_task::newsOf(const std::string &fingerprint) const
+{
+    return {fingerprint, counted(fingerprint), trialsOf(m_book, fingerprint)};
+}
+
 /// What this daemon saw goes to the homes.
 void crash_task::share(const std::string &fingerprint)
 {
-    const crash_news news{fingerprint, counted(fingerprint)};
+    const crash_news news = newsOf(fingerprint);
     for (const std::string &home : homesOf(fingerprint)) {
         if (home == m_links.self) {
             spread(fingerprint);
@@ -232,7 +265,7 @@
 /// A home's part: from two ends on all daemons are told, and the store keeps it.
 void crash_task::spread(const std::string &fingerprint)
 {
-    const crash_news news{fingerprint, counted(fingerprint)};
+    const crash_news news = newsOf(fingerprint);
     if (news.servers.size() >= endsToShare) {
         tellAll(news);
         keep(fingerprint);
@@ -242,10 +275,11 @@
 void crash_task::keep(const std::string &fingerprint)
 {
     const std::vector<std::string> servers = counted(fingerprint);
-    const std::vector<std::string> stored = m_links.stored(fingerprint);
-    const bool full = stored.empty() && m_links.records() >= mostRecords;
-    if (servers.size() >= endsToShare && servers.size() > stored.size() && !full) {
-        m_links.keep(fingerprint, {servers});
+    const crash_record stored = m_links.stored(fingerprint);
+    const bool full = stored.servers.empty() && m_links.records() >= mostRecords;
+    if (servers.size() >= endsToShare && servers.size() > stored.servers.size() && !full) {
+        // Whether it stands shows at the next look.
+        m_links.keep(fingerprint, {servers, trialsOf(m_book, fingerprint)}, [](bool) {});
     }
 }
 
@@ -259,19 +293,21 @@
         return;
     }
     const bool isNew = take(news.fingerprint, news.servers, "told by a daemon");
+    noteTrials(m_book, news.fingerprint, news.trials, bootNow());
     seeAgain(m_book, news.fingerprint, bootNow());
     if (isNew && isHome(news.fingerprint)) {
         spread(news.fingerprint);
     }
 }
 
-void crash_task::onStored(const std::string &fingerprint, const std::vector<std::string> &servers)
+void crash_task::onStored(const std::string &fingerprint, const crash_record &record)
 {
-    if (servers.empty()) {
+    if (record.servers.empty()) {
         m_toDrop.erase(fingerprint);
         clear(fingerprint);
     } else if (m_toDrop.count(fingerprint) == 0) {
-        take(fingerprint, servers, "read in the store");
+        take(fingerprint, record.servers, "read in the store");
+        noteTrials(m_book, fingerprint, record.trials, bootNow());
     }
 }
 
@@ -285,7 +321,7 @@
         share(fingerprint);
     }
     for (const std::string &fingerprint : m_toDrop) {
-        if (!m_links.stored(fingerprint).empty()) {
+        if (!m_links.stored(fingerprint).servers.empty()) {
             m_links.drop(fingerprint); // an earlier try may have failed
         }
     }
@@ -295,7 +331,7 @@
         }
     }
     for (const std::string &fingerprint : outdated(m_book, now)) {
-        if (m_links.stored(fingerprint).empty()) {
+        if (m_links.stored(fingerprint).servers.empty()) {
             clear(fingerprint);
         } else if (isHome(fingerprint)) {
             m_links.drop(fingerprint);
--- a/packages/coordination/crash_task.h
+++ b/packages/coordination/crash_task.h
@@ -40,6 +40,7 @@
 {
     Counted, ///< a server ended under it
     Blocked, ///< it goes to no server from now on
+    Tried, ///< it goes to one server more
     Cleared, ///< a server ran it to an end
 };
 
@@ -63,10 +64,14 @@
     /// All that may count for a request, `self` among them.
     std::function<std::vector<std::string>()> daemons;
     std::function<void(const std::string &daemon, const crash_news &news)> tell;
-    /// The record of a request as last read; empty: none.
-    std::function<std::vector<std::string>(const std::string &fingerprint)> stored;
+    /// The record of a request as last read; without servers: none.
+    std::function<crash_record(const std::string &fingerprint)> stored;
     std::function<std::size_t()> records;
-    std::function<void(const std::string &fingerprint, const crash_record &record)> keep;
+    /// Writes a record in place of the one last read; `done`, never from inside, says whether it stands. Of
+    /// several daemons that do so at once one succeeds.
+    std::function<void(
+        const std::string &fingerprint, const crash_record &record, std::function<void(bool)> done)>
+        keep;
     std::function<void(const std::string &fingerprint)> drop;
     std::function<void(const crash_note &note)> log;
 };
@@ -86,7 +91,7 @@
 class crash_task
 {
 public:
-    crash_task(loop &eventLoop, bus &messages, crash_links links);
+    crash_task(loop &eventLoop, bus &messages, crash_links links, const trial_waits &waits = trialWaits);
 
     /// Whether a request goes to no server any more.
     bool isBlocked(const std::string &fingerprint) const;
@@ -102,13 +107,16 @@
     void onGivenUp(const std::string &fingerprint, const crash_target &target);
     /// A server ran it to an end and is still there.
     void onAnswered(const std::string &fingerprint);
-    /// It was refused because it is blocked: whoever asks for it keeps it remembered.
-    void onRefused(const std::string &fingerprint);
+    /// A blocked request is asked for, which keeps it remembered. `done`, never from inside, gets whether it
+    /// is tried: sent to a server, by the caller of this and no other daemon.
+    void askTrial(const std::string &fingerprint, std::function<void(bool)> done);
+    /// When to come back with a blocked request: when it is tried again, or forgotten.
+    millis comeBackAfter(const std::string &fingerprint) const;
     /// A server has ended, or started again, without having said that it would leave.
     void onServerEnded(const std::string &server);
     void hear(const crash_news &news);
     /// What was read in the store; without servers: its record has gone.
-    void onStored(const std::string &fingerprint, const std::vector<std::string> &servers);
+    void onStored(const std::string &fingerprint, const crash_record &record);
     const crash_counters &counters() const;
 
 private:
@@ -128,6 +136,8 @@
     void count(const std::vector<suspicion> &ended);
     bool take(
         const std::string &fingerprint, const std::vector<std::string> &servers, std::string_view source);
+    void remember(const std::string &fingerprint);
+    crash_news newsOf(const std::string &fingerprint) const;
     void clear(const std::string &fingerprint);
     void tick();
     void share(const std::string &fingerprint);
--- a/packages/coordination/owner_task.cpp
+++ b/packages/coordination/owner_task.cpp
@@ -396,7 +396,7 @@
 {
     answerEnd(one,
         {one.request.id, outcome::NotRun, error_kind::EndsServers, "servers ended under this request",
-            crashMemory.count});
+            m_crashes.comeBackAfter(one.request.fingerprint).count});
     m_jobs.erase(one.request.id);
 }
 
@@ -405,7 +405,8 @@
 {
     std::vector<request_id> waiting;
     for (const auto &[id, one] : m_jobs) {
-        if (one.startedAt == millis{} && one.request.fingerprint == fingerprint) {
+        const bool waits = one.startedAt == millis{} && !one.request.trial;
+        if (waits && one.request.fingerprint == fingerprint) {
             waiting.push_back(id);
         }
     }
@@ -420,7 +421,8 @@
 {
     const millis now = bootNow();
     dequeue(server, one);
-    if (m_crashes.isBlocked(one.request.fingerprint)) { // since it was admitted, or its entry hadn't heard
+    if (!one.request.trial
+        && m_crashes.isBlocked(one.request.fingerprint)) { // since it was admitted, or its entry hadn't heard
         refuseBlocked(one);
         return;
     }
--- a/packages/daemon/crash_records.cpp
+++ b/packages/daemon/crash_records.cpp
@@ -49,13 +49,14 @@
         m_bus.post(send_to{daemon, news});
     };
     links.stored = [this](const std::string &fingerprint) {
-        return servers(fingerprint);
+        return stored(fingerprint);
     };
     links.records = [this] {
         return m_records.size();
     };
-    links.keep = [this](const std::string &fingerprint, const crash_record &record) {
-        keep(fingerprint, record);
+    links.keep = [this](const std::string &fingerprint, const crash_record &record,
+                     std::function<void(bool)> done) {
+        keep(fingerprint, record, std::move(done));
     };
     links.drop = [this](const std::string &fingerprint) {
         drop(fingerprint);
@@ -73,10 +74,10 @@
     read();
 }
 
-std::vector<std::string> crash_records::servers(const std::string &fingerprint) const
+crash_record crash_records::stored(const std::string &fingerprint) const
 {
     const auto found = m_records.find(fingerprint);
-    return found == m_records.end() ? std::vector<std::string>{} : found->second.servers;
+    return found == m_records.end() ? crash_record{} : found->second.record;
 }
 
 void crash_records::read()
@@ -119,27 +120,29 @@
     error why;
     const auto record = decodeCrash(entry.value, why);
     stored_record &known = m_records[fingerprint];
-    known = {record ? record->servers : std::vector<std::string>{}, entry.modRevision};
+    known = {record.value_or(crash_record{}), entry.modRevision};
     if (!record || record->servers.empty()) {
         spdlog::warn("crash: {} can't be read: {}", entry.key, message(why));
         return;
     }
-    m_crashes->onStored(fingerprint, record->servers);
+    m_crashes->onStored(fingerprint, *record);
 }
 
-void crash_records::keep(const std::string &fingerprint, const crash_record &record)
+void crash_records::keep(
+    const std::string &fingerprint, const crash_record &record, std::function<void(bool)> done)
 {
     const auto known = m_records.find(fingerprint);
     const std::int64_t revision = known == m_records.end() ? 0 : known->second.revision;
     m_store.compareAndSwap(recordPrefix + fingerprint, revision, encode(record), 0,
-        [this, fingerprint, record](const kv_write &write) {
+        [this, fingerprint, record, done = std::move(done)](const kv_write &write) {
             if (write.status == kv_status::Ok) {
-                m_records[fingerprint] = {record.servers, write.revision};
+                m_records[fingerprint] = {record, write.revision};
             } else if (write.status == kv_status::Conflict && write.current.modRevision == 0) {
                 m_records.erase(fingerprint); // dropped by another daemon
             } else if (write.status == kv_status::Conflict) {
                 takeRecord(write.current); // another home was faster; the next look adds what is missing
             }
+            done(write.status == kv_status::Ok);
         });
 }
 
--- a/packages/daemon/crash_records.h
+++ b/packages/daemon/crash_records.h
@@ -5,6 +5,7 @@
 #include "transport/bus.h"
 #include "transport/kv_client.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,16 +26,16 @@
 private:
     struct stored_record
     {
-        std::vector<std::string> servers;
+        crash_record record;
         std::int64_t revision = 0;
     };
 
     void read();
     void onRead(const kv_read &read);
     void takeRecord(const kv_entry &entry);
-    void keep(const std::string &fingerprint, const crash_record &record);
+    void keep(const std::string &fingerprint, const crash_record &record, std::function<void(bool)> done);
     void drop(const std::string &fingerprint);
-    std::vector<std::string> servers(const std::string &fingerprint) const;
+    crash_record stored(const std::string &fingerprint) const;
 
     bus &m_bus;
     loop &m_loop;
--- a/packages/daemon/entry_admit.cpp
+++ b/packages/daemon/entry_admit.cpp
@@ -426,7 +426,7 @@
 
 void entry_task::routeService(const pending_ptr &one)
 {
-    if (refuseBlocked(one)) {
+    if (holdBlocked(one)) {
         return;
     }
     const millis now = bootNow();
--- a/packages/daemon/entry_task.cpp
+++ b/packages/daemon/entry_task.cpp
@@ -138,22 +138,44 @@
     return list;
 }
 
-/// Before each hand-over, first or repeated: a request under which servers ended goes to no further one.
-bool entry_task::refuseBlocked(const pending_ptr &one)
+/// Before each hand-over, first or repeated: a request under which servers ended goes to no further one,
+/// unless its wait is over and this daemon is the one that tries it. Whether it is held for that answer, or
+/// refused.
+bool entry_task::holdBlocked(const pending_ptr &one)
 {
-    if (!m_crashes.isBlocked(one->fingerprint)) {
+    if (one->trial || !m_crashes.isBlocked(one->fingerprint)) {
         return false;
     }
-    m_crashes.onRefused(one->fingerprint);
-    answer(one,
-        {outcome::NotRun, {error_kind::EndsServers, one->path, "servers ended under this request"},
-            crashMemory});
+    // Kept in the table, so that a deadline or a closed connection finds it meanwhile.
+    one->id = {m_options.self, m_options.incarnation, ++m_sequence};
+    m_pending[one->id] = one;
+    m_crashes.askTrial(one->fingerprint, [this, id = one->id](bool granted) {
+        onTrial(id, granted);
+    });
     return true;
 }
 
+void entry_task::onTrial(const request_id &id, bool granted)
+{
+    const pending_ptr one = take(id);
+    if (!one) {
+        return;
+    }
+    one->trial = granted;
+    if (!granted) {
+        answer(one,
+            {outcome::NotRun, {error_kind::EndsServers, one->path, "servers ended under this request"},
+                m_crashes.comeBackAfter(one->fingerprint)});
+    } else if (one->service.empty()) {
+        route(one);
+    } else {
+        routeService(one);
+    }
+}
+
 void entry_task::route(const pending_ptr &one)
 {
-    if (refuseBlocked(one)) {
+    if (holdBlocked(one)) {
         return;
     }
     const millis now = bootNow();
@@ -216,6 +238,7 @@
     request.path = one->path;
     request.body = one->body;
     request.fingerprint = one->fingerprint;
+    request.trial = one->trial;
     m_bus.post(send_to{owner, std::move(request)});
 }
 
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -86,6 +86,7 @@
         std::uint32_t redirects = 0;
         std::uint64_t prefix = 0;
         bool begun = false; ///< the status line went out
+        bool trial = false; ///< handed over though it is blocked
         bool mayHaveRun = false; ///< an attempt before the one under way ended unknown
         bool running = false; ///< the engine began on the attempt under way
         std::string collected; ///< SSE text of a plain answer, or all of it for the key's home
@@ -147,7 +148,8 @@
     void release(pending &one);
     pending_ptr take(const request_id &id);
 
-    bool refuseBlocked(const pending_ptr &one);
+    bool holdBlocked(const pending_ptr &one);
+    void onTrial(const request_id &id, bool granted);
     void answerDone(const pending_ptr &one);
     void answer(const pending_ptr &one, const verdict &end);
     void record(const pending &one, outcome result, error_kind why);
--- a/packages/protocol/crash_messages.h
+++ b/packages/protocol/crash_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -12,11 +13,12 @@
 {
     std::string fingerprint; ///< see request_fingerprint.h
     std::vector<std::string> servers;
+    std::uint32_t trials = 0; ///< tries of it since it goes to no server
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(fingerprint, servers);
+        archive(fingerprint, servers, trials);
     }
 };
 
@@ -24,11 +26,12 @@
 struct crash_record
 {
     std::vector<std::string> servers;
+    std::uint32_t trials = 0;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(servers);
+        archive(servers, trials);
     }
 };
 
--- a/packages/protocol/messages.h
+++ b/packages/protocol/messages.h
@@ -32,12 +32,13 @@
     std::string path;
     std::string body;
     std::string fingerprint; ///< of what its caller sent, see request_fingerprint.h
+    bool trial = false; ///< runs though servers ended under it, to find out whether they still do
 
     template <class Archive>
     void serialize(Archive &archive)
     {
         archive(id, server, adapter, configVersion, caller, rank, deadlineMs, idempotent, mayLoad, prefix,
-            path, body, fingerprint);
+            path, body, fingerprint, trial);
     }
 };
 
--- a/packages/serving/crash_store.cpp
+++ b/packages/serving/crash_store.cpp
@@ -1,13 +1,15 @@
 #include "serving/crash_store.h"
 
+#include <utility>
+
 namespace briarhead {
 
 namespace {
 
-std::vector<std::string> storedEnds(const store_view &view, const std::string &fingerprint)
+crash_record storedRecord(const store_view &view, const std::string &fingerprint)
 {
     const auto found = view.crashes.find(fingerprint);
-    return found == view.crashes.end() ? std::vector<std::string>{} : found->second.record.servers;
+    return found == view.crashes.end() ? crash_record{} : found->second.record;
 }
 
 std::vector<std::string> daemonsOf(const store_view &view)
@@ -35,13 +37,14 @@
         }
     };
     links.stored = [&store](const std::string &fingerprint) {
-        return storedEnds(store.view(), fingerprint);
+        return storedRecord(store.view(), fingerprint);
     };
     links.records = [&store] {
         return store.view().crashes.size();
     };
-    links.keep = [&store](const std::string &fingerprint, const crash_record &record) {
-        store.keepCrash(fingerprint, record);
+    links.keep = [&store](const std::string &fingerprint, const crash_record &record,
+                     std::function<void(bool)> done) {
+        store.keepCrash(fingerprint, record, std::move(done));
     };
     links.drop = [&store](const std::string &fingerprint) {
         store.dropCrash(fingerprint);
@@ -63,10 +66,10 @@
             crashes.onServerEnded(server);
         }
         for (const std::string &fingerprint : change.crashes) {
-            const std::vector<std::string> servers = storedEnds(store.view(), fingerprint);
+            const crash_record record = storedRecord(store.view(), fingerprint);
             const bool gone = store.view().crashes.count(fingerprint) == 0;
-            if (gone || !servers.empty()) { // else another writer's, which says nothing
-                crashes.onStored(fingerprint, servers);
+            if (gone || !record.servers.empty()) { // else another writer's, which says nothing
+                crashes.onStored(fingerprint, record);
             }
         }
     });
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -24,7 +24,7 @@
 void front_task::send(const work_ptr &one, const backend_server &server)
 {
     // Every way to a server leads through here: what became known while the request waited still counts.
-    if (m_crashes.isBlocked(one->fingerprint)) {
+    if (isBlocked(*one)) {
         note(*one, place_event::Ended);
         refuseBlocked(one);
         return;
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -191,8 +191,8 @@
 
 void front_task::start(const work_ptr &one)
 {
-    if (m_crashes.isBlocked(one->fingerprint)) {
-        refuseBlocked(one);
+    if (isBlocked(*one)) {
+        tryBlocked(one);
     } else if (one->model) {
         startModel(one);
     } else {
@@ -200,11 +200,33 @@
     }
 }
 
-/// Coming back before it is forgotten helps nobody: it would be refused again, and be remembered for longer.
+bool front_task::isBlocked(const work &one) const
+{
+    return !one.trial && m_crashes.isBlocked(one.fingerprint);
+}
+
 void front_task::refuseBlocked(const work_ptr &one)
 {
-    m_crashes.onRefused(one->fingerprint);
-    refuse(one, "servers ended under this request", crashMemory);
+    // Its wait is over and another daemon tries it: how that ends is known soon.
+    const millis wait = std::max(m_crashes.comeBackAfter(one->fingerprint), comeBackSoon);
+    refuse(one, "servers ended under this request", wait);
+}
+
+/// Refused, unless its wait is over and this daemon is the one that tries it.
+void front_task::tryBlocked(const work_ptr &one)
+{
+    m_crashes.askTrial(one->fingerprint, [this, weak = std::weak_ptr<work>(one)](bool granted) {
+        const auto same = weak.lock();
+        if (!same) {
+            return;
+        }
+        same->trial = granted;
+        if (granted) {
+            start(same);
+        } else {
+            refuseBlocked(same);
+        }
+    });
 }
 
 /// What waits for a server is refused at once. What a server is at work on is left there: a whole answer
@@ -213,7 +235,7 @@
 {
     std::vector<work_ptr> waiting;
     for (const auto &[number, one] : m_work) {
-        if (one->fingerprint == news.fingerprint && !one->sending) {
+        if (one->fingerprint == news.fingerprint && !one->sending && !one->trial) {
             waiting.push_back(one);
         }
     }
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -67,7 +67,9 @@
 
     void followView(const view_changed &change);
     void onBlocked(const request_blocked &news);
+    bool isBlocked(const work &one) const;
     void refuseBlocked(const work_ptr &one);
+    void tryBlocked(const work_ptr &one);
     void findWay(const work_ptr &one);
     void waitAndRetry(const work_ptr &one, void (front_task::*step)(const work_ptr &));
     void start(const work_ptr &one);
--- a/packages/serving/front_work.h
+++ b/packages/serving/front_work.h
@@ -49,6 +49,7 @@
 
     std::optional<backend_pool::send_id> sending;
     bool mayHaveRun = false;
+    bool trial = false; ///< goes to a server though it is blocked, to find out whether it still ends them
     http_head head; ///< of the answer in progress
     answer_meta meta;
     std::string body;
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -271,11 +271,12 @@
     });
 }
 
-void store_task::keepCrash(const std::string &fingerprint, const crash_record &record)
+void store_task::keepCrash(
+    const std::string &fingerprint, const crash_record &record, std::function<void(bool)> done)
 {
     store_change change;
     change.puts.push_back({detail::crashPrefix + fingerprint, encode(record), 0});
-    changeCrash(fingerprint, std::move(change));
+    changeCrash(fingerprint, std::move(change), std::move(done));
 }
 
 void store_task::dropCrash(const std::string &fingerprint)
@@ -285,27 +286,32 @@
     }
     store_change change;
     change.removes.push_back(detail::crashPrefix + fingerprint);
-    changeCrash(fingerprint, std::move(change));
+    changeCrash(fingerprint, std::move(change), [](bool) {});
 }
 
 /// One change at a time, made to the record as it is known here: what another daemon added meanwhile isn't
 /// overwritten.
-void store_task::changeCrash(const std::string &fingerprint, store_change change)
+void store_task::changeCrash(
+    const std::string &fingerprint, store_change change, std::function<void(bool)> done)
 {
     if (m_leaving || !m_changingCrash.insert(fingerprint).second) {
+        m_loop.post([done = std::move(done)] {
+            done(false);
+        });
         return;
     }
     const auto known = m_view.crashes.find(fingerprint);
     const std::int64_t revision = known == m_view.crashes.end() ? 0 : known->second.revision;
     change.expected.emplace_back(detail::crashPrefix + fingerprint, revision);
     const bool removes = !change.removes.empty();
-    m_store.change(change, [this, fingerprint, removes](store_status status, std::int64_t changed) {
+    m_store.change(change, [this, fingerprint, removes, done](store_status status, std::int64_t changed) {
         m_changingCrash.erase(fingerprint);
         heard(status == store_status::Ok || status == store_status::Conflict, "crash");
         m_log.important(removes ? "crash.dropped" : "crash.kept")
             .add("fingerprint", fingerprint)
             .add("outcome", status == store_status::Ok ? "done" : "not done")
             .add("revision", changed);
+        done(status == store_status::Ok);
     });
 }
 
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -109,8 +109,9 @@
     /// view tells how it ended.
     void claim(const std::string &server, bool replace = false);
     /// Writes which servers ended under a request, in place of the record that the view has, or of none;
-    /// nothing is done if another daemon was faster. The view tells how it ended.
-    void keepCrash(const std::string &fingerprint, const crash_record &record);
+    /// nothing is done if another daemon was faster. `done`, never from inside, says whether it stands.
+    void keepCrash(
+        const std::string &fingerprint, const crash_record &record, std::function<void(bool)> done);
     void dropCrash(const std::string &fingerprint);
     /// Gives up all of this daemon's records, for a shutdown.
     void leave();
@@ -136,7 +137,7 @@
     void takeDaemon(const stored_item &item);
     void takeOrderer(const stored_item &item);
     void takeCrash(const stored_item &item, view_changed &change);
-    void changeCrash(const std::string &fingerprint, store_change change);
+    void changeCrash(const std::string &fingerprint, store_change change, std::function<void(bool)> done);
     void dropMissing(const std::set<std::string> &present, view_changed &change);
     void dropLate();
     void dropLapsed();
--- a/tests/unit/crash_book_test.cpp
+++ b/tests/unit/crash_book_test.cpp
@@ -42,6 +42,7 @@
         rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5)));
     for (const std::vector<int> &group : groups) {
         std::vector<std::string> servers;
+        servers.reserve(group.size());
         for (const int each : group) {
             servers.push_back(startNumber(each));
         }
@@ -63,6 +64,23 @@
     EXPECT_FALSE(isBlocked(book, "f"));
 }
 
+// Three servers ended at once, and a request that many callers send was running on each. It must be tried
+// again soon, and only a request that goes on ending servers is left alone for long.
+TEST(CrashBook, ABlockedRequestIsTriedAfterEachWaitAndThenNoMore)
+{
+    crash_book book;
+    addEnds(book, "f", {"server-1", "server-2", "server-3"}, now);
+    EXPECT_EQ(untilTrial(book, "f", now), trialWaits[0]);
+    EXPECT_EQ(untilTrial(book, "f", now + trialWaits[0]), millis{});
+    const millis first = now + trialWaits[0] + millis{5};
+    noteTrials(book, "f", 1, first);
+    EXPECT_EQ(untilTrial(book, "f", first), trialWaits[1]);
+    noteTrials(book, "f", 1, first + millis{50}); // heard again
+    EXPECT_EQ(untilTrial(book, "f", first + trialWaits[1]), millis{});
+    noteTrials(book, "f", 2, first + trialWaits[1]);
+    EXPECT_EQ(untilTrial(book, "f", first + trialWaits[1] + trialWaits[1]), crashMemory);
+}
+
 TEST(CrashBook, RemembersAsLongAsItIsAskedFor)
 {
     crash_book book;
