--- a/packages/daemon/crash_records.cpp
+++ b/packages/daemon/crash_records.cpp
@@ -14,8 +14,9 @@
 
 const std::string recordPrefix = "briarhead/crash/";
 /// Daemons tell each other at once; reading again finds what was told while this one started. 1,200 daemons
-/// make 20 reads a second of the two thousand that the service takes.
-constexpr millis readEvery{60'000};
+/// make 4 reads a second of the two thousand that the service takes, and as many records as there may be
+/// 0.5 KB a second at each of the 2 it may spend.
+constexpr millis readEvery{300'000};
 /// After a reading that failed: without the records a new daemon would let through what all others refuse.
 constexpr millis readAgain{500};
 
