--- a/packages/coordination/owner_task.h
+++ b/packages/coordination/owner_task.h
@@ -23,6 +23,9 @@
 
 namespace briarhead {
 
+/// An engine that starts is looked at this often, and callers are told to come back after as long.
+constexpr std::int64_t startingPollMs = 500;
+
 /// The task that runs this daemon's own backend servers: it alone admits requests to them, loads and unloads
 /// their adapters, and so knows their slots, in-flight counts and batch fill first-hand.
 class owner_task
