Count a request anew that was cleared before

Cause: a daemon that had cleared a request went on dropping its record from the store, also one written later, and believed no record of it. Found by reading the diff; the test shows it. Ruled out: - Change: what is dropped is the record as it was when the request was cleared.

--- a/packages/coordination/crash_task.cpp
+++ b/packages/coordination/crash_task.cpp
@@ -179,8 +179,10 @@
     ++m_counters.cleared;
     m_links.log({crash_event::Cleared, fingerprint, {}, counted(fingerprint).size(), "answered whole"});
     clear(fingerprint);
-    m_toDrop.insert(fingerprint);
-    m_links.drop(fingerprint);
+    if (const crash_record record = m_links.stored(fingerprint); !record.servers.empty()) {
+        m_toDrop[fingerprint] = record;
+        m_links.drop(fingerprint);
+    }
     tellAll({fingerprint, {}, 0});
 }
 
@@ -272,14 +274,20 @@
     }
 }
 
+/// Whether the store lacks ends that it is to keep.
+bool crash_task::isMissing(const std::string &fingerprint) const
+{
+    const std::size_t ends = counted(fingerprint).size();
+    const std::size_t stored = m_links.stored(fingerprint).servers.size();
+    const bool full = stored == 0 && m_links.records() >= mostRecords;
+    return ends >= endsToShare && ends > stored && !full;
+}
+
 void crash_task::keep(const std::string &fingerprint)
 {
-    const std::vector<std::string> servers = counted(fingerprint);
-    const crash_record stored = m_links.stored(fingerprint);
-    const bool full = stored.servers.empty() && m_links.records() >= mostRecords;
-    if (servers.size() >= endsToShare && servers.size() > stored.servers.size() && !full) {
+    if (isMissing(fingerprint)) {
         // Whether it stands shows at the next look.
-        m_links.keep(fingerprint, {servers, trialsOf(m_book, fingerprint)}, [](bool) {});
+        m_links.keep(fingerprint, {counted(fingerprint), trialsOf(m_book, fingerprint)}, [](bool) {});
     }
 }
 
@@ -302,15 +310,29 @@
 
 void crash_task::onStored(const std::string &fingerprint, const crash_record &record)
 {
+    const auto cleared = m_toDrop.find(fingerprint);
+    const bool isOld = cleared != m_toDrop.end() && cleared->second.servers == record.servers;
     if (record.servers.empty()) {
         m_toDrop.erase(fingerprint);
         clear(fingerprint);
-    } else if (m_toDrop.count(fingerprint) == 0) {
+    } else if (!isOld) { // written since it was cleared: counted anew
+        m_toDrop.erase(fingerprint);
         take(fingerprint, record.servers, "read in the store");
         noteTrials(m_book, fingerprint, record.trials, bootNow());
     }
 }
 
+/// An earlier try may have failed. What was written since then is another matter.
+void crash_task::dropCleared()
+{
+    std::erase_if(m_toDrop, [this](const auto &each) {
+        return m_links.stored(each.first).servers != each.second.servers;
+    });
+    for (const auto &[fingerprint, record] : m_toDrop) {
+        m_links.drop(fingerprint);
+    }
+}
+
 void crash_task::tick()
 {
     const millis now = bootNow();
@@ -320,14 +342,10 @@
     for (const std::string &fingerprint : std::exchange(m_shareAgain, {})) {
         share(fingerprint);
     }
-    for (const std::string &fingerprint : m_toDrop) {
-        if (!m_links.stored(fingerprint).servers.empty()) {
-            m_links.drop(fingerprint); // an earlier try may have failed
-        }
-    }
+    dropCleared();
     for (const auto &[fingerprint, entry] : m_book.requests) {
-        if (entry.servers.size() >= endsToShare && isHome(fingerprint)) {
-            keep(fingerprint); // the same
+        if (isMissing(fingerprint) && isHome(fingerprint)) {
+            keep(fingerprint); // an earlier write may have failed
         }
     }
     for (const std::string &fingerprint : outdated(m_book, now)) {
--- a/packages/coordination/crash_task.h
+++ b/packages/coordination/crash_task.h
@@ -139,6 +139,8 @@
     void remember(const std::string &fingerprint);
     crash_news newsOf(const std::string &fingerprint) const;
     void clear(const std::string &fingerprint);
+    void dropCleared();
+    bool isMissing(const std::string &fingerprint) const;
     void tick();
     void share(const std::string &fingerprint);
     void spread(const std::string &fingerprint);
@@ -155,7 +157,7 @@
     std::deque<suspicion> m_suspicions; ///< oldest first
     std::map<std::string, std::shared_ptr<void>> m_probes; ///< by start of a server
     std::set<std::string> m_shareAgain; ///< fingerprints told once, by messages that may be lost
-    std::set<std::string> m_toDrop; ///< cleared, and perhaps still in the store
+    std::map<std::string, crash_record> m_toDrop; ///< cleared, and still in the store as it was then
     std::map<std::string, millis> m_keptAlive; ///< when the homes were last told that it is asked for
     std::shared_ptr<void> m_timer;
 };
--- a/tests/serving/crash_task_test.cpp
+++ b/tests/serving/crash_task_test.cpp
@@ -215,6 +215,24 @@
     EXPECT_FALSE(blocks(*m_daemons[2]));
 }
 
+// A request that ended one server was answered later, and after a change of the servers it ends two. Word of
+// that is lost on its way to the daemon that had cleared it, which must then believe the store and leave the
+// record.
+TEST_F(crash_task_test, ARequestThatWasClearedIsCountedAnew)
+{
+    loseAnswer(0, "s1", true);
+    ASSERT_TRUE(runUntil([this] {
+        return m_daemons[0]->crashes.counted(fingerprint).size() == 1;
+    }));
+    m_daemons[0]->crashes.onAnswered(fingerprint);
+    m_store.put("briarhead/crash/" + fingerprint, encode(crash_record{{"s2", "s3"}, 0}));
+    EXPECT_TRUE(runUntil([this] {
+        return m_daemons[0]->crashes.counted(fingerprint).size() == 2;
+    }));
+    runRounds(2'500);
+    EXPECT_EQ(stored().servers.size(), 2U);
+}
+
 // The store is away when the third server ends. The daemons hear it from each other, and the store has it
 // once it is back.
 TEST_F(crash_task_test, WithoutTheStoreTheDaemonsTellEachOther)
