--- a/tests/soak/crashing_request_test.cpp
+++ b/tests/soak/crashing_request_test.cpp
@@ -11,13 +11,13 @@
 #include <fstream>
 #include <sstream>
 
-// What users saw: a server ended about once a second, and with each the answers of all its callers. One caller
-// sent the same bytes again and again, each attempt under a new id and at whatever daemon came next. A server
-// that began to run them crashed, and the next attempt went to the next server, for as long as servers were
-// left. Cause: a daemon that lost a server in the middle of an answer put it down to the server alone; nothing
-// that it learned of the request outlived the attempt, or reached another daemon. What pointed there: at each
-// end one stream had its head and no event yet, always of the same route, adapter and length, and no daemon had
-// repeated it. What proves it: the ends stop once its like is refused.
+// What users saw: a server ended about once a second, and with each the answers of all its callers. One
+// caller sent the same bytes again and again, each attempt under a new id and at whatever daemon came next. A
+// server that began to run them crashed, and the next attempt went to the next server, for as long as servers
+// were left. Cause: a daemon that lost a server in the middle of an answer put it down to the server alone;
+// nothing that it learned of the request outlived the attempt, or reached another daemon. What pointed there:
+// at each end one stream had its head and no event yet, always of the same route, adapter and length, and no
+// daemon had repeated it. What proves it: the ends stop once its like is refused.
 namespace briarhead::soak {
 
 namespace {
