--- a/packages/serving/orderer_task.cpp
+++ b/packages/serving/orderer_task.cpp
@@ -556,7 +556,10 @@
         }
         const std::int64_t before = state.desk.ledger.sequence;
         takeReport(state.desk, *report, now);
-        if (!mayOrder(id, state)) {
+        // Guards against: a load of weights, seconds long, is asked after at the speed of the net. It showed
+        // as a hundred reports a second of each server that loads. A report says all there is to know; the
+        // next one is due when something can have changed.
+        if (!mayOrder(id, state) || !state.desk.ledger.modelComing.empty()) {
             state.desk.ledger.notBefore = now + reportPause;
         }
         m_log.ordinary("server.report")
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -58,11 +58,16 @@
     } else if (request.head.target == "/v1/order") {
         onOrder(request, *reply);
     } else if (request.head.target == "/v1/report") {
+        ++reports;
+        if (m_modelHeldFrom && bootNow() >= *m_modelHeldFrom) {
+            holdsModel = true;
+            m_modelHeldFrom.reset();
+        }
         json models = json::array();
         if (holdsModel) {
             models.push_back({{"name", "m0"}, {"version", 1}, {"adapters", adapters}});
         }
-        json report{{"seq", sequence}, {"busy", false}, {"models", models}};
+        json report{{"seq", sequence}, {"busy", m_modelHeldFrom.has_value()}, {"models", models}};
         if (born != 0) {
             report["born"] = born;
         }
@@ -91,6 +96,11 @@
         return;
     }
     ++sequence;
+    if (adapter.empty() && order.at("opcode") == "load") {
+        m_modelHeldFrom = bootNow() + modelLoadTime;
+        reply.respond(202, {}, "");
+        return;
+    }
     if (order.at("opcode") == "load") {
         adapters.insert(adapter);
         mostAdapters = std::max(mostAdapters, adapters.size());
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,6 +48,8 @@
     std::int64_t born = 0; ///< told where it isn't 0
     std::set<std::string> adapters; ///< held
     bool holdsModel = true;
+    millis modelLoadTime; ///< a load of the base model is under way for so long
+    std::size_t reports = 0; ///< asked for
     std::int64_t sequence = 0;
     std::uint64_t fence = 0;
     std::vector<front_request> ran;
@@ -71,6 +74,7 @@
         const std::string &requestId, int firstEvent);
 
     loop &m_loop;
+    std::optional<millis> m_modelHeldFrom; ///< a load of the base model ends then
     std::string m_service;
     std::unique_ptr<front_server> m_server;
     std::vector<std::pair<std::string, std::shared_ptr<front_reply>>> m_held; ///< by request id
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -1,15 +1,10 @@
 #include "coordination/crash_book.h"
 #include "coordination/request_fingerprint.h"
-#include "platform/platform_records.h"
-#include "platform/platform_requests.h"
 #include "protocol/codec.h"
-#include "serving/backend_standin.h"
 #include "serving/beat_cells.h"
-#include "serving/edge_daemon.h"
-#include "serving/fake_store.h"
+#include "serving/edge_fixture.h"
 #include "serving/fleet_port.h"
 #include "serving/heard_server.h"
-#include "unit/http_fixture.h"
 
 #include <gtest/gtest.h>
 
@@ -24,120 +19,6 @@
 using http_testing::raw_socket;
 using mood = backend_standin::mood;
 
-/// One daemon in this process, two model servers and two plain ones, and a store in memory.
-class edge_test : public http_testing::http_fixture
-{
-protected:
-    fake_store m_store{m_loop};
-    fake_store_client m_client{m_store};
-    decision_log m_log{-1, "n1"};
-    node_settings m_settings;
-    edge_parts m_parts;
-    std::vector<std::unique_ptr<backend_standin>> m_models;
-    std::vector<std::unique_ptr<backend_standin>> m_plain;
-    std::unique_ptr<edge_daemon> m_daemon;
-    int m_timeoutMs = 4'000;
-    int m_places = 2;
-    int m_promptTokens = 500;
-    int m_lastId = 0;
-    std::map<std::string, std::set<std::string>> m_heldAtStart; ///< adapters, by model server
-
-    void start()
-    {
-        for (const char *id : {"m-1", "m-2"}) {
-            m_models.push_back(std::make_unique<backend_standin>(m_loop, id, "llm"));
-            m_models.back()->adapters = m_heldAtStart[id];
-            m_store.put("servers/" + m_models.back()->id, m_models.back()->entry());
-        }
-        for (const char *id : {"p-1", "p-2"}) {
-            m_plain.push_back(std::make_unique<backend_standin>(m_loop, id, "app"));
-            m_store.put("servers/" + m_plain.back()->id, m_plain.back()->entry());
-        }
-        putConfig(1);
-        m_settings.node = "n1";
-        m_settings.failureDomain = "z";
-        m_settings.front = {http_testing::loopback, freePort()};
-        m_settings.ready = {http_testing::loopback, freePort()};
-        m_settings.peers = {http_testing::loopback, freePort()};
-        m_settings.metrics = {http_testing::loopback, freePort()};
-        m_parts = {&m_client, platform::recordCodec(), platform::requestCodec(),
-            [this](error &) {
-                return std::optional<node_settings>(m_settings);
-            },
-            {}};
-        error why;
-        m_daemon = edge_daemon::start(m_loop, m_settings, m_parts, m_log, why);
-        ASSERT_TRUE(m_daemon) << message(why);
-        ASSERT_TRUE(runUntil([this] {
-            return m_store.items.count("briarhead/orderer/m-1") == 1
-                && m_store.items.count("briarhead/orderer/m-2") == 1;
-        }));
-        runRounds(500); // its beat, and the wait for others' running requests
-    }
-    void putConfig(int version)
-    {
-        const auto route = [this](const char *prefix, const char *kind, const char *service, bool resumable) {
-            return nlohmann::json{{"name", prefix}, {"host", "h"}, {"prefix", prefix}, {"routeType", kind},
-                {"timeoutMs", m_timeoutMs}, {"targetLatencyMs", 1'000}, {"maxAttempts", 2},
-                {"service", service}, {"resumable", resumable}};
-        };
-        const nlohmann::json engine{{"slots", 4}, {"kvTokens", 10'000}, {"weightsMb", 1'000},
-            {"adapterSlots", m_places}, {"loadsPerS", 5},
-            {"models", {{{"name", "m0"}, {"weightsMb", 900}, {"loadS", 0.1}, {"adapterMb", 1}}}}};
-        const nlohmann::json config{{"version", version},
-            {"routes",
-                {route("/once/", "non_idempotent", "app", false), route("/safe/", "idempotent", "app", false),
-                    route("/gen/", "streaming", "llm", false), route("/resume/", "streaming", "llm", true)}},
-            {"services", {{{"name", "llm"}, {"engine", engine}}, {{"name", "app"}}}}};
-        m_store.put("op/config", config.dump());
-    }
-    std::unique_ptr<raw_socket> ask(const std::string &path, const std::string &adapter = "")
-    {
-        auto caller = raw_socket::connectTo(m_settings.front.port);
-        std::string text = "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: id"
-            + std::to_string(++m_lastId) + "\r\nX-Briarhead-Deadline-Ms: 4000\r\n";
-        if (!adapter.empty()) {
-            text += "X-Briarhead-Model: m0/" + adapter
-                + "\r\nX-Briarhead-Token-Count: " + std::to_string(m_promptTokens) + ",50\r\n";
-        }
-        caller->send(text + "Connection: close\r\nContent-Length: 2\r\n\r\nhi");
-        return caller;
-    }
-    std::string answerTo(const std::string &path, const std::string &adapter = "")
-    {
-        const auto caller = ask(path, adapter);
-        std::string seen;
-        EXPECT_TRUE(runUntil([&] {
-            return !caller->receive(seen);
-        }));
-        return seen;
-    }
-    std::string readiness()
-    {
-        const auto balancer = raw_socket::connectTo(m_settings.ready.port);
-        balancer->send("GET /v1/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-        std::string seen;
-        EXPECT_TRUE(runUntil([&] {
-            return !balancer->receive(seen);
-        }));
-        return seen.substr(9, 3);
-    }
-    std::size_t ranOn(const std::vector<std::unique_ptr<backend_standin>> &servers) const
-    {
-        std::size_t sum = 0;
-        for (const auto &server : servers) {
-            sum += server->ran.size();
-        }
-        return sum;
-    }
-    void setAll(std::vector<std::unique_ptr<backend_standin>> &servers, mood how)
-    {
-        for (const auto &server : servers) {
-            server->now = how;
-        }
-    }
-};
-
 /// Another daemon, as far as this one hears of it: it lives by the store, holds the record of a server, and
 /// is heard when it beats.
 class other_daemon
@@ -695,4 +576,27 @@
     EXPECT_EQ(ranOn(m_models), 0U);
 }
 
+// A load of the base model takes seconds. Asking its server all the while whether it is done costs processor
+// time on both sides, and health checks have a price: the number of reports goes by the load's length, not by
+// the speed of the net.
+TEST_F(edge_test, ALoadIsAskedAfterAFewTimesASecondHoweverLongItTakes)
+{
+    start();
+    for (const int loadMs : {700, 3'900}) {
+        backend_standin &server = *m_models[0];
+        server.holdsModel = false;
+        server.adapters.clear();
+        server.modelLoadTime = millis{loadMs};
+        ++server.born; // it starts again, and holds nothing
+        ++server.sequence;
+        m_store.put("servers/" + server.id, server.entry());
+        const std::size_t before = server.reports;
+        runUntil([&] {
+            return server.holdsModel;
+        });
+        EXPECT_TRUE(server.holdsModel);
+        EXPECT_LE(server.reports - before, static_cast<std::size_t>(loadMs) / 250 + 8) << loadMs;
+    }
+}
+
 }
