Share an account's limit by parts that daemons hold and a home that gives the rest

A part counts at the home until a later ask says that it is held no more, it has run out by the daemon's own clock, or the daemon's process has ended; so the sum never exceeds the limit.

--- /dev/null
+++ b/packages/coordination/quota_home.cpp
@@ -0,0 +1,324 @@
+#include "coordination/quota_home.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarhead {
+
+namespace {
+
+/// Cut-off daemons are counted anew so often. A daemon that becomes one in between is counted ahead of time.
+constexpr millis surveyEvery{100};
+constexpr millis surveyMargin{250};
+/// An answer may be acknowledged by any of the next asks.
+constexpr std::size_t roundsKept = 4;
+constexpr std::size_t endedKept = 8;
+/// The home keeps so much to give, however much is wanted as parts.
+constexpr double leastGiven = 0.1;
+constexpr millis noRoomUsual{500};
+/// By then each daemon that lives has been heard.
+constexpr millis learning{1'500};
+constexpr double msPerSecond = 1'000;
+
+/// A former home may give until its lease has ended, and two must not give at once.
+millis givesFrom(const quota_home &home, const quota_plan &plan)
+{
+    return home.handedOver ? home.since : home.since + plan.takeoverWait;
+}
+
+/// What a daemon that is cut off for long may use of each limit.
+double equalPart(const quota_home &home)
+{
+    return 1.0 / static_cast<double>(std::max<std::size_t>(home.fleet.size(), 1));
+}
+
+bool isSilent(const quota_member &member, const quota_plan &plan, millis now)
+{
+    return !member.contact || now + surveyMargin >= *member.contact + plan.partLife;
+}
+
+/// Counts anew which daemons are cut off, and which weren't heard yet: those may still hold what a former
+/// home gave. Says whether either changed.
+bool survey(quota_home &home, const quota_plan &plan, millis now)
+{
+    if (home.surveyed.count != 0 && now - home.surveyed < surveyEvery) {
+        return false;
+    }
+    home.surveyed = now;
+    const double silentBefore = std::exchange(home.silent, 0);
+    const std::size_t unheardBefore = std::exchange(home.unheard, 0);
+    const double equal = equalPart(home);
+    for (const std::string &node : home.fleet) {
+        const auto found = home.members.find(node);
+        if (found == home.members.end()) {
+            ++home.unheard;
+            home.silent += equal;
+        } else if (isSilent(found->second, plan, now)) {
+            home.silent += found->second.alone;
+        }
+    }
+    if (home.silent < silentBefore || home.unheard < unheardBefore) {
+        home.loosened = now;
+    }
+    return home.silent != silentBefore || home.unheard != unheardBefore;
+}
+
+/// Parts that daemons not heard yet may hold from a former home. They have run out a part's life after the
+/// last one that it can have given.
+double unlearned(const quota_home &home, const quota_plan &plan, const home_account &account, millis now)
+{
+    if (now >= givesFrom(home, plan) + plan.partLife) {
+        return 0;
+    }
+    const double most = static_cast<double>(home.unheard) * plan.heldByOne;
+    return std::max(0.0, std::min(plan.held - account.learned, most));
+}
+
+double heldBy(const home_account &account, millis now)
+{
+    double held = 0;
+    for (const auto &[node, holding] : account.holdings) {
+        held += holding.until > now ? holding.part : 0;
+    }
+    return held;
+}
+
+double homeShare(const quota_home &home, const quota_plan &plan, const home_account &account, millis now)
+{
+    const double taken = home.silent + unlearned(home, plan, account, now) + heldBy(account, now);
+    return std::max(0.0, 1 - taken);
+}
+
+bool mayGive(const quota_home &home, const quota_plan &plan, millis now)
+{
+    return now >= givesFrom(home, plan);
+}
+
+/// What flows into an account's bucket from now on.
+void setShare(const quota_home &home, const quota_plan &plan, home_account &account, const quota_limit &limit,
+    millis now)
+{
+    account.share = mayGive(home, plan, now) ? homeShare(home, plan, account, now) : 0;
+    fill(account.bucket, 0, account.share * limit.burst, now);
+}
+
+void fillAccount(home_account &account, const quota_limit &limit, millis now)
+{
+    fill(account.bucket, account.share * limit.rate, account.share * limit.burst, now);
+}
+
+/// Whether the ask is a new one of a process that lives. Notes from when on the daemon has been in contact:
+/// an ask was sent after the answer that it acknowledges, and that answer left here at a known time.
+bool hearRound(quota_home &home, const quota_asker &asker, const quota_ask &ask, bool &first, millis now)
+{
+    const auto [at, isNew] = home.members.try_emplace(asker.node);
+    quota_member &member = at->second;
+    first = isNew;
+    if (member.incarnation != asker.incarnation) {
+        if (member.ended.count(asker.incarnation) != 0) {
+            return false;
+        }
+        if (!isNew) {
+            // One daemon runs under a name at a time: what the one before held went with it.
+            member.ended.insert(member.incarnation);
+            for (auto &[hash, account] : home.accounts) {
+                account.holdings.erase(asker.node);
+            }
+        }
+        while (member.ended.size() > endedKept) {
+            member.ended.erase(member.ended.begin());
+        }
+        member.incarnation = asker.incarnation;
+        member.rounds.clear();
+        member.contact.reset();
+    }
+    if (!member.rounds.empty() && ask.round <= member.rounds.back().round) {
+        return false;
+    }
+    quota_member::heard_round heard{ask.round, now, std::nullopt};
+    for (const auto &before : member.rounds) {
+        if (before.round == ask.answered) {
+            heard.sentFrom = before.heard;
+            member.contact = std::max(member.contact, before.sentFrom);
+        }
+    }
+    member.rounds.push_back(heard);
+    while (member.rounds.size() > roundsKept) {
+        member.rounds.pop_front();
+    }
+    member.alone = std::max(fromPpm(ask.alonePpm), equalPart(home));
+    return true;
+}
+
+/// The part that a daemon gets, in place of what it holds: by its demand among all, and no more than is free.
+/// All that may be held is dealt out, so that daemons bear a home's end with room to spare.
+double partFor(const quota_home &home, const quota_plan &plan, const home_account &account,
+    const quota_limit &limit, const std::string &node, const quota_want &want, millis now)
+{
+    const double held = fromPpm(want.heldPpm);
+    if (!mayGive(home, plan, now)) {
+        return held; // what is given back now couldn't be dealt out again
+    }
+    const double available = std::max(0.0, std::min(plan.held, 1 - home.silent - leastGiven));
+    double demand = 0;
+    double others = 0;
+    for (const auto &[holder, holding] : account.holdings) {
+        if (holding.until > now) {
+            demand += holding.demand;
+            others += holder == node ? 0 : holding.part;
+        }
+    }
+    const double own = fromMilli(want.demandMilli);
+    const double target = demand > 0 ? std::min(available * own / demand, plan.heldByOne) : 0;
+    const double free = available - unlearned(home, plan, account, now) - others - held;
+    const double part = std::min(target, held + std::max(0.0, free));
+    if (now < givesFrom(home, plan) + learning) {
+        return std::max(part, held); // who else there is, is not known yet
+    }
+    const bool holdsRequest = part * limit.burst >= fromMilli(want.costMilli);
+    return holdsRequest ? part : 0; // a bucket that never holds one is of no use
+}
+
+/// Takes what callers wait for out of the home's bucket, or says when there may be some.
+void giveUnits(const quota_plan &plan, const quota_rules &rules, const quota_limit &limit,
+    home_account &account, const quota_want &want, quota_give &give)
+{
+    const double moved = fromMilli(give.unitsMilli);
+    const double need = std::max(0.0, fromMilli(want.needMilli) - moved);
+    if (need <= 0) {
+        return;
+    }
+    const double first = std::min(std::max(0.0, fromMilli(want.firstMilli) - moved), need);
+    const double debt = mostDebt(limit, rules);
+    const double room = account.bucket.level >= 0 ? account.bucket.level + debt : 0;
+    if (account.share > 0 && room >= first) {
+        const std::int64_t given = toMilli(std::min(need, room));
+        give.unitsMilli += given;
+        account.bucket.level -= fromMilli(given);
+        return;
+    }
+    const double lacks = std::max(-account.bucket.level, first - debt - account.bucket.level);
+    const double rate = account.share * limit.rate;
+    give.roomMs = rate > 0 ? static_cast<std::int64_t>(
+                      std::min(lacks * msPerSecond / rate, static_cast<double>(plan.partLife.count)))
+                           : noRoomUsual.count;
+}
+
+/// An account that is asked for the first time had nothing given here since this is its home, so that its
+/// burst is there; but not for times at which daemons may have used more of it than now.
+home_account &accountOf(
+    quota_home &home, const quota_plan &plan, const quota_limit &limit, std::uint64_t hash, millis now)
+{
+    const auto [at, isNew] = home.accounts.try_emplace(hash);
+    home_account &account = at->second;
+    if (isNew) {
+        const millis learned = givesFrom(home, plan) + (home.unheard > 0 ? plan.partLife : millis{});
+        account.bucket.filled = std::min(now, std::max({home.loosened, givesFrom(home, plan), learned}));
+        setShare(home, plan, account, limit, now);
+    }
+    return account;
+}
+
+/// A part brings along what it takes off the bucket here, so that dealing a limit out loses nothing of a
+/// burst.
+void moveLevel(home_account &account, const quota_limit &limit, double growth, quota_give &give)
+{
+    const double above = account.bucket.level - account.share * limit.burst;
+    const double moved = std::min(above, growth * limit.burst);
+    if (moved > 0) {
+        give.unitsMilli += toMilli(moved);
+        account.bucket.level -= moved;
+    }
+}
+
+quota_give answerWant(quota_home &home, const quota_plan &plan, const quota_rules &rules,
+    const quota_limit &limit, const std::string &node, const quota_want &want, bool first, millis now)
+{
+    home_account &account = accountOf(home, plan, limit, want.account, now);
+    fillAccount(account, limit, now);
+    const double held = fromPpm(want.heldPpm);
+    account.learned += first ? held : 0;
+    quota_holding &holding = account.holdings[node];
+    holding.demand = fromMilli(want.demandMilli);
+    holding.part = held;
+    holding.until = now + plan.partLife;
+    quota_give give{want.account, 0, 0, 0};
+    give.partPpm = toPpm(partFor(home, plan, account, limit, node, want, now));
+    holding.part = std::max(held, fromPpm(give.partPpm));
+    account.bucket.level += fromMilli(want.unusedMilli);
+    const double growth = holding.part - held;
+    account.share = mayGive(home, plan, now) ? homeShare(home, plan, account, now) : 0;
+    moveLevel(account, limit, growth, give);
+    fill(account.bucket, 0, account.share * limit.burst, now);
+    giveUnits(plan, rules, limit, account, want, give);
+    return give;
+}
+
+/// Lets what daemons that are cut off use flow into no bucket here, and what they don't use any more.
+void refillAll(quota_home &home, const quota_plan &plan, const limit_lookup &limitOf, millis now)
+{
+    for (auto &[hash, account] : home.accounts) {
+        if (const auto limit = limitOf(hash); limit && isLimited(*limit)) {
+            fillAccount(account, *limit, now);
+            setShare(home, plan, account, *limit, now);
+        }
+    }
+}
+
+void dropOver(home_account &account, millis now)
+{
+    std::erase_if(account.holdings, [now](const auto &each) {
+        return each.second.until <= now;
+    });
+}
+
+}
+
+quota_home beginHome(millis now, bool handedOver)
+{
+    quota_home home;
+    home.since = now;
+    home.handedOver = handedOver;
+    return home;
+}
+
+void setFleet(quota_home &home, std::vector<std::string> fleet)
+{
+    home.fleet = std::move(fleet);
+}
+
+std::optional<quota_answer> answerAsk(quota_home &home, const quota_plan &plan, const quota_rules &rules,
+    const limit_lookup &limitOf, const quota_asker &asker, const quota_ask &ask, millis now)
+{
+    bool first = false;
+    if (!hearRound(home, asker, ask, first, now)) {
+        return std::nullopt;
+    }
+    if (first) {
+        home.surveyed = {}; // one daemon less that is unknown
+    }
+    if (survey(home, plan, now)) {
+        refillAll(home, plan, limitOf, now);
+    }
+    quota_answer answer{ask.shard, ask.round, toPpm(equalPart(home)), {}};
+    for (const quota_want &want : ask.wants) {
+        const auto limit = limitOf(want.account);
+        if (!limit || !isLimited(*limit)) {
+            answer.gives.push_back({want.account, 0, 0, noRoomUsual.count});
+            continue;
+        }
+        answer.gives.push_back(answerWant(home, plan, rules, *limit, asker.node, want, first, now));
+        dropOver(home.accounts[want.account], now);
+    }
+    return answer;
+}
+
+void forgetAccounts(quota_home &home, const limit_lookup &limitOf)
+{
+    std::erase_if(home.accounts, [&limitOf](const auto &each) {
+        const auto limit = limitOf(each.first);
+        return !limit || !isLimited(*limit);
+    });
+}
+
+}
--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/crash_messages.h"
+#include "protocol/quota_messages.h"
 
 #include <cstdint>
 #include <map>
@@ -214,7 +215,7 @@
     std::string from; ///< the sender's node name
     std::uint64_t incarnation = 0;
     std::variant<place_ask, place_answer, place_note, place_running, fleet_beat, store_news, packed_news,
-        crash_news>
+        crash_news, quota_ask, quota_answer, quota_release>
         body;
 
     template <class Archive>
--- /dev/null
+++ b/tests/unit/quota_test.cpp
@@ -0,0 +1,263 @@
+#include "quota_sim.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace briarhead {
+
+namespace {
+
+constexpr millis second{1'000};
+
+millis seconds(int count)
+{
+    return {second.count * count};
+}
+
+double shareOf(const quota_sim &sim, const quota_limit &limit, millis from, millis to)
+{
+    return sim.used(from, to) / (limit.rate * static_cast<double>((to - from).count) / 1'000.0);
+}
+
+/// One thing that goes wrong, out of those that are known to.
+void disturb(quota_sim &sim, std::mt19937 &random, int daemons)
+{
+    const auto any = [&random](int below) {
+        return std::uniform_int_distribution<int>(0, below - 1)(random);
+    };
+    const int one = any(daemons);
+    switch (any(9)) {
+    case 0:
+        sim.kill(one);
+        break;
+    case 1:
+    case 2:
+        sim.restart(one);
+        if (sim.home() == one && any(2) == 0) {
+            sim.moveHome(one, true); // it takes its former record
+        }
+        break;
+    case 3:
+        sim.freeze(one, millis{100 + any(6'000)});
+        break;
+    case 4:
+        sim.setGroup(one, any(2));
+        break;
+    case 5:
+        sim.moveHome(one, false);
+        break;
+    case 6:
+        for (int i = 0; i < daemons; ++i) {
+            sim.restart(i);
+        }
+        sim.moveHome(sim.home(), true);
+        break;
+    case 7:
+        sim.setDemand(one, 40'000.0 * any(3));
+        break;
+    default:
+        for (int i = 0; i < daemons; ++i) {
+            sim.setGroup(i, 0);
+        }
+        break;
+    }
+}
+
+}
+
+// Callers of one account send several times what it may use, over daemons that die, start again, stand still,
+// are cut off from their home, and change it, over a net that loses, doubles and delays messages. Whatever
+// happens, in no window more runs than the limit allows with the stated overage.
+RC_GTEST_PROP(Quota, NoWindowHoldsMoreThanTheLimitWhateverFails, ())
+{
+    quota_sim_options options;
+    options.seed = *rc::gen::inRange(1U, 1'000'000U);
+    options.limit.rate = *rc::gen::element(4'200.0, 30'000.0, 200'000.0);
+    options.limit.burst = options.limit.rate;
+    options.loss = *rc::gen::element(0.0, 0.1, 0.4);
+    options.doubled = *rc::gen::element(0.0, 0.2);
+    options.delayMost = *rc::gen::element(4, 200, 2'000);
+    options.placeWaitMost = *rc::gen::element(0, 400, 1'500);
+    quota_sim sim(options);
+    std::mt19937 random(options.seed);
+    for (int i = 0; i < options.daemons; ++i) {
+        sim.setDemand(i, 3 * options.limit.rate / options.daemons);
+    }
+    for (int i = 0; i < 30; ++i) {
+        sim.run(millis{std::uniform_int_distribution<int>(50, 3'000)(random)});
+        disturb(sim, random, options.daemons);
+    }
+    sim.run(seconds(25));
+    RC_ASSERT(sim.worstWindow() <= 1.0);
+}
+
+// The balancer hashes clients, so nearly all callers of an account come to two daemons of many, and ask for
+// more than its limit. What lies within the limit is to be served all the same.
+TEST(Quota, UnevenDemandUsesTheWholeLimit)
+{
+    quota_sim_options options;
+    options.limit = {100'000, 100'000};
+    quota_sim sim(options);
+    sim.setDemand(1, 120'000);
+    sim.setDemand(2, 60'000);
+    sim.setDemand(3, 5'000);
+    sim.run(seconds(10));
+    const millis from = sim.now();
+    sim.run(seconds(20));
+    EXPECT_GE(shareOf(sim, options.limit, from, sim.now()), 0.97);
+    EXPECT_LE(sim.worstWindow(), 1.0);
+}
+
+// An account's callers move from some daemons to others every few seconds, with more than its limit in all.
+TEST(Quota, DemandThatMovesFindsTheLimitWhereItGoes)
+{
+    quota_sim_options options;
+    options.limit = {100'000, 100'000};
+    quota_sim sim(options);
+    const millis from = sim.now() + seconds(4);
+    for (int round = 0; round < 6; ++round) {
+        for (int i = 0; i < options.daemons; ++i) {
+            sim.setDemand(i, i % 3 == round % 3 ? 40'000 : 0);
+        }
+        sim.run(seconds(4));
+    }
+    EXPECT_GE(shareOf(sim, options.limit, from, sim.now()), 0.85);
+    EXPECT_LE(sim.worstWindow(), 1.0);
+}
+
+// An account well within its limit loses its home for good. Its callers notice nothing: the daemons hold
+// parts that last until the successor gives.
+TEST(Quota, AnAccountWithinItsLimitDoesNotFeelTheEndOfItsHome)
+{
+    quota_sim_options options;
+    options.limit = {200'000, 200'000};
+    quota_sim sim(options);
+    for (int i = 0; i < options.daemons; ++i) {
+        sim.setDemand(i, 9'000);
+    }
+    sim.run(seconds(8));
+    const millis from = sim.now();
+    sim.setDemand(0, 0);
+    sim.kill(0);
+    sim.run(seconds(6));
+    sim.moveHome(4, false);
+    sim.run(seconds(16));
+    EXPECT_GE(sim.used(from, sim.now()) / sim.asked(from, sim.now()), 0.95);
+}
+
+// A limit is smaller than one request of each daemon in a second. It is usable all the same, by whoever asks.
+TEST(Quota, ALimitSmallerThanOneRequestADaemonIsUsable)
+{
+    quota_sim_options options;
+    options.daemons = 70;
+    options.limit = {4'200, 4'200};
+    quota_sim sim(options);
+    for (int i = 0; i < options.daemons; ++i) {
+        sim.setDemand(i, 120);
+    }
+    sim.run(seconds(10));
+    const millis from = sim.now();
+    sim.run(seconds(40));
+    EXPECT_GE(shareOf(sim, options.limit, from, sim.now()), 0.9);
+    EXPECT_LE(sim.worstWindow(), 1.0);
+}
+
+// A daemon is cut off from all others for half a minute. It goes on with what it held, and then with an equal
+// part; the others get no more than what that leaves, so that the limit holds.
+TEST(Quota, ADaemonThatIsCutOffServesItsPartAndNoMore)
+{
+    quota_sim_options options;
+    options.limit = {100'000, 100'000};
+    quota_sim sim(options);
+    for (int i = 0; i < options.daemons; ++i) {
+        sim.setDemand(i, 30'000);
+    }
+    sim.run(seconds(8));
+    sim.setGroup(5, 1);
+    sim.run(seconds(30));
+    const millis from = sim.now();
+    sim.run(seconds(10));
+    const double equal = options.limit.rate / options.daemons * 10;
+    EXPECT_GE(sim.usedBy(5, from, sim.now()), 0.7 * equal);
+    EXPECT_LE(sim.usedBy(5, from, sim.now()), 1.3 * equal);
+    EXPECT_LE(sim.worstWindow(), 1.0);
+}
+
+// All daemons are killed at once and start again, home and all. None brings a full bucket with it, and after
+// a second or two the account is served as before.
+TEST(Quota, AfterAllWereKilledTheLimitIsUsedAgainSoonAndNotExceeded)
+{
+    quota_sim_options options;
+    options.limit = {100'000, 100'000};
+    quota_sim sim(options);
+    for (int i = 0; i < options.daemons; ++i) {
+        sim.setDemand(i, 15'000);
+    }
+    sim.run(seconds(8));
+    for (int round = 0; round < 5; ++round) {
+        for (int i = 0; i < options.daemons; ++i) {
+            sim.restart(i);
+        }
+        sim.moveHome(0, true);
+        sim.run(millis{400});
+    }
+    sim.run(seconds(2));
+    const millis from = sim.now();
+    sim.run(seconds(6));
+    EXPECT_GE(shareOf(sim, options.limit, from, sim.now()), 0.9);
+    EXPECT_LE(sim.worstWindow(), 1.0);
+}
+
+// The operator lowers a limit far below what the account sends, and raises it again. The lower one holds one
+// window later, the higher one is used within two seconds.
+TEST(Quota, ALoweredAndARaisedLimitAreFollowed)
+{
+    quota_sim_options options;
+    options.limit = {100'000, 100'000};
+    quota_sim sim(options);
+    for (int i = 0; i < options.daemons; ++i) {
+        sim.setDemand(i, 15'000);
+    }
+    sim.run(seconds(8));
+    const quota_limit low{10'000, 10'000};
+    sim.setLimit(low);
+    sim.run(seconds(8));
+    const millis lowered = sim.now();
+    sim.run(seconds(8));
+    EXPECT_LE(sim.used(lowered, sim.now()), (10'000 * 8 + 10'000) * 1.1 + 17'000);
+    EXPECT_GE(sim.used(lowered, sim.now()), 0.9 * 10'000 * 8);
+    sim.setLimit(options.limit);
+    sim.run(seconds(2));
+    const millis raised = sim.now();
+    sim.run(seconds(5));
+    EXPECT_GE(shareOf(sim, options.limit, raised, sim.now()), 0.9);
+}
+
+TEST(Quota, ARequestLargerThanItsAccountMayEverUseIsRefusedForGood)
+{
+    quota_desk desk;
+    const quota_limit limit{100, 100};
+    EXPECT_EQ(takeUnits(desk, 1, limit, 1, 1'000'000'000, millis{1'000}).verdict, quota_verdict::TooLarge);
+}
+
+// A request took its units and found no place. They are there for the next one, and once only.
+TEST(Quota, UnitsOfARequestThatDidNotRunAreUsableAgainOnce)
+{
+    quota_desk desk;
+    desk.plan = usualQuotaPlan;
+    const std::uint64_t account = accountHash("ana");
+    const quota_limit limit{1'000, 1'000};
+    desk_shard &shard = desk.shards[shardOf(account)];
+    shard.contact = millis{100'000} - desk.plan.partLife;
+    shard.alone = 1;
+    millis now{100'500}; // half a second's units are here
+    ASSERT_NE(takeUnits(desk, account, limit, 1, 1'000, now).verdict, quota_verdict::Granted);
+    now = now + second;
+    dropWaiter(desk, account, 1);
+    ASSERT_EQ(takeUnits(desk, account, limit, 2, 1'000, now).verdict, quota_verdict::Granted);
+    returnUnits(desk, account, 1'000, now);
+    EXPECT_EQ(takeUnits(desk, account, limit, 3, 1'000, now).verdict, quota_verdict::Granted);
+    EXPECT_NE(takeUnits(desk, account, limit, 4, 1'000, now).verdict, quota_verdict::Granted);
+}
+
+}
