Ask callers for their account's key, and keep accounts within their limits

Configurations are kept and passed on with hashes in place of keys. An account's priority goes before its route's; the fingerprint of a request has its account. A daemon that can't know of withdrawn keys refuses them where the operator asks for it. Homes are records in the store under the daemon's lease; a proof of their own guards them.

--- /dev/null
+++ b/packages/serving/account_check.cpp
@@ -0,0 +1,76 @@
+#include "serving/account_check.h"
+
+#include <array>
+
+namespace briarhead {
+
+namespace {
+
+struct verdict_name
+{
+    caller_verdict verdict;
+    std::string_view name;
+};
+
+constexpr std::array verdictNames{verdict_name{caller_verdict::Accepted, "accepted"},
+    verdict_name{caller_verdict::Missing, "no key"}, verdict_name{caller_verdict::Unknown, "unknown key"}};
+
+}
+
+std::string_view nameOf(caller_verdict value)
+{
+    for (const verdict_name &each : verdictNames) {
+        if (each.verdict == value) {
+            return each.name;
+        }
+    }
+    return "unknown";
+}
+
+bool wantsKeys(const serving_config &config)
+{
+    return !config.accounts.empty();
+}
+
+caller_standing standingOf(const serving_config &config, const route &way, const std::string &keyHash)
+{
+    const auto found = keyHash.empty() ? config.accountOfKey.end() : config.accountOfKey.find(keyHash);
+    if (found != config.accountOfKey.end()) {
+        return {caller_verdict::Accepted, &config.accounts[found->second]};
+    }
+    if (way.open || !wantsKeys(config)) {
+        return {};
+    }
+    return {keyHash.empty() ? caller_verdict::Missing : caller_verdict::Unknown, nullptr};
+}
+
+double costOf(const client_account &account, const client_request &request)
+{
+    if (!account.countsTokens) {
+        return 1;
+    }
+    const std::int64_t tokens =
+        request.countsTokens ? request.promptTokens + request.outputTokens : account.plainTokens;
+    return static_cast<double>(tokens);
+}
+
+void indexAccounts(serving_config &config)
+{
+    for (std::size_t i = 0; i < config.accounts.size(); ++i) {
+        config.accountOfHash.emplace(accountHash(config.accounts[i].name), i);
+    }
+}
+
+std::optional<quota_limit> limitOf(const serving_config &config, std::uint64_t account)
+{
+    const auto found = config.accountOfHash.find(account);
+    return found == config.accountOfHash.end() ? std::nullopt
+                                               : std::optional(config.accounts[found->second].limit);
+}
+
+int rankOf(const route &way, const client_account *account)
+{
+    return account == nullptr ? way.rank : account->rank.value_or(way.rank);
+}
+
+}
--- a/packages/serving/client_request.h
+++ b/packages/serving/client_request.h
@@ -23,6 +23,9 @@
     std::string adapter; ///< empty: the base model alone
     std::int64_t promptTokens = 0;
     std::int64_t outputTokens = 0; ///< at most
+    bool countsTokens = false; ///< it says how many tokens it has
+    std::string
+        keyHash; ///< keyHash() of the caller's key; empty: it sent none. The key itself is in no field
     std::optional<millis> deadline; ///< how long the caller waits, from arrival
     std::string lastEvent; ///< the caller resumes a stream after this event
     http_head head;
@@ -36,6 +39,7 @@
     std::optional<millis> left; ///< time that is left for the answer
     std::int64_t adapterVersion = 0; ///< another version is refused; 0: any
     std::string lastEvent; ///< go on after this event; empty: as the caller said
+    std::string account; ///< that the caller's key belongs to; empty: none
 };
 
 /// What a server's answer says besides its status.
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -7,6 +7,7 @@
 #include "serving/fleet_port.h"
 #include "serving/front_task.h"
 #include "serving/orderer_task.h"
+#include "serving/quota_store.h"
 #include "serving/store_task.h"
 #include "transport/backend_call.h"
 #include "transport/backend_pool.h"
@@ -64,7 +65,10 @@
         , m_store(eventLoop, m_bus, *parts.store, parts.records, settings,
               static_cast<std::uint64_t>(wallNow().count), log)
         , m_crashes(eventLoop, m_bus, crashLinks(m_store, m_port, m_settings, log))
-        , m_front(eventLoop, m_bus, m_store, m_crashes, m_pool, m_parts.requests, settings, log)
+        , m_quota(std::make_unique<quota_task>(eventLoop,
+              quotaLinks(eventLoop, m_store, m_port, m_settings, log, m_quota), usualQuotaPlan,
+              settings.quota))
+        , m_front(eventLoop, m_bus, m_store, m_crashes, *m_quota, m_pool, m_parts.requests, settings, log)
         , m_orderer(eventLoop, m_bus, m_store, m_pool, m_parts.requests, settings, log,
               [this](const std::string &entry, const place_answer &answer) {
                   answerEntry(entry, answer);
@@ -104,6 +108,7 @@
     backend_pool m_pool;
     store_task m_store;
     crash_task m_crashes;
+    std::unique_ptr<quota_task> m_quota; ///< its links to itself go by this pointer
     front_task m_front;
     orderer_task m_orderer;
     std::unique_ptr<fleet_port> m_port;
@@ -138,6 +143,7 @@
     }
     m_front.setPort(*m_port);
     followStore(m_bus, m_store, m_crashes);
+    followStore(m_bus, m_store, *m_quota);
     m_peers = front_server::listen(
         m_loop, m_settings.peers.ip, m_settings.peers.port,
         [this](const front_request &request, const std::shared_ptr<front_reply> &reply) {
@@ -249,6 +255,11 @@
                 m_store.onNews(datagram.from, body);
             } else if constexpr (std::is_same_v<body_type, crash_news>) {
                 m_crashes.hear(body);
+            } else if constexpr (std::is_same_v<body_type, quota_ask>) {
+                m_quota->hear({datagram.from, datagram.incarnation}, body);
+            } else if constexpr (std::is_same_v<body_type,
+                                     quota_answer> || std::is_same_v<body_type, quota_release>) {
+                m_quota->hear(body);
             } else if constexpr (std::is_same_v<body_type, fleet_beat>) {
                 m_front.onBeat(datagram.from, body);
                 m_orderer.hear(datagram.from, body);
@@ -381,9 +392,10 @@
 std::string daemon_impl::figures() const
 {
     const store_view &view = m_store.view();
-    const std::string text = metricsText({&m_front.counters(), &m_crashes.counters(), &m_orderer.counters(),
-        &m_pool.counters(), &m_port->counters(), &m_loopLag, m_front.active(), m_callers->connections(),
-        m_log.dropped(), view.config ? view.config->version : 0});
+    const std::string text =
+        metricsText({&m_front.counters(), &m_crashes.counters(), &m_orderer.counters(), &m_pool.counters(),
+            &m_port->counters(), &m_loopLag, m_front.active(), m_callers->connections(), m_log.dropped(),
+            view.config ? view.config->version : 0, m_store.configKnownAt(), &m_quota->counters()});
     return m_parts.storeMetrics ? text + m_parts.storeMetrics() : text;
 }
 
@@ -417,6 +429,7 @@
     if (since > handOver && !m_handedOver) {
         m_handedOver = true;
         m_orderer.stop();
+        m_quota->stop();
         m_store.leave();
     }
     if (since > lastTaking && !m_closed) {
--- a/packages/serving/edge_metrics.cpp
+++ b/packages/serving/edge_metrics.cpp
@@ -34,6 +34,12 @@
     for (const auto &[why, count] : front.refused) {
         out << "briarhead_requests_refused_total{why=\"" << why << "\"} " << count << '\n';
     }
+    for (const auto &[name, account] : front.accounts) {
+        const std::string label = "{account=\"" + (name.empty() ? "others" : name) + "\"} ";
+        out << "briarhead_account_accepted_total" << label << account.accepted << '\n'
+            << "briarhead_account_over_limit_total" << label << account.overLimit << '\n'
+            << "briarhead_account_units_total" << label << account.units << '\n';
+    }
     put(out, "first_answer", front.first);
     put(out, "event_gap", front.gap);
     put(out, "whole_answer", front.whole);
@@ -76,6 +82,11 @@
     put(out, "loop_lag", *figures.loopLag);
     put(out, "log_lines_dropped_total", figures.linesDropped);
     put(out, "config_version", figures.configVersion);
+    if (figures.configKnownAt) {
+        put(out, "config_age_ms", (bootNow() - *figures.configKnownAt).count);
+    }
+    put(out, "quota_asks_total", figures.quota->asks);
+    put(out, "quota_answers_total", figures.quota->answers);
     rusage usage{};
     if (getrusage(RUSAGE_SELF, &usage) == 0) {
         put(out, "peak_memory_bytes", usage.ru_maxrss * bytesPerKilobyte);
--- a/packages/serving/edge_metrics.h
+++ b/packages/serving/edge_metrics.h
@@ -8,6 +8,7 @@
 #include "transport/backend_pool.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace briarhead {
@@ -25,6 +26,8 @@
     std::size_t callerConnections = 0;
     std::uint64_t linesDropped = 0;
     std::uint64_t configVersion = 0; ///< 0: none
+    std::optional<millis> configKnownAt; ///< when it was last known to be the newest
+    const quota_counters *quota = nullptr;
 };
 
 /// In Prometheus' text format. Latencies as quantiles since the start, and their counts.
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -181,8 +181,9 @@
     const millis waited = bootNow() - one->arrived;
     const std::int64_t wait = (patienceOf(one->way->target) - waited).count;
     const place_ask message{one->request.id, one->server, one->request.model, one->request.adapter,
-        one->request.promptTokens, one->request.outputTokens, one->way->rank, std::max<std::int64_t>(wait, 0),
-        std::max<std::int64_t>(left(*one).count, 0), (one->way->target - waited).count};
+        one->request.promptTokens, one->request.outputTokens, rankOf(*one->way, one->account),
+        std::max<std::int64_t>(wait, 0), std::max<std::int64_t>(left(*one).count, 0),
+        (one->way->target - waited).count};
     one->askTimer = m_loop.timer(askAgainAfter, {}, [this, weak = std::weak_ptr<work>(one)] {
         if (const auto same = weak.lock()) {
             askAgain(same);
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -30,6 +30,14 @@
         return;
     }
     one->server = server.id;
+    if (!holdsUnits(*one)) {
+        sendOnceCounted(one);
+        return;
+    }
+    one->unitsSpent = std::exchange(one->unitsHeld, 0);
+    if (one->account != nullptr) {
+        countersOf(*one->account).units += one->unitsSpent;
+    }
     one->target = targetOf(server);
     one->sentTo.insert(server.id);
     one->head = {};
@@ -40,6 +48,7 @@
     ++m_counters.sends;
     send_terms terms;
     terms.server = server.id;
+    terms.account = one->account == nullptr ? std::string() : one->account->name;
     if (one->request.deadline) {
         terms.left = left(*one);
     }
@@ -149,6 +158,9 @@
     if (full || !notRun) {
         recordAnswer(m_records[server], failed || full, bootNow());
     }
+    if (how == send_end::Unsent || notRun) {
+        one->unitsHeld = std::exchange(one->unitsSpent, 0); // nothing ran for them
+    }
     if (how == send_end::Unsent) {
         ++one->unsent;
         note(*one, place_event::Failed);
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -25,10 +25,12 @@
 }
 
 front_task::front_task(loop &eventLoop, bus &messages, store_task &store, crash_task &crashes,
-    backend_pool &pool, const request_codec &codec, const node_settings &settings, decision_log &log)
+    quota_task &quota, backend_pool &pool, const request_codec &codec, const node_settings &settings,
+    decision_log &log)
     : m_loop(eventLoop)
     , m_store(store)
     , m_crashes(crashes)
+    , m_quota(quota)
     , m_pool(pool)
     , m_codec(codec)
     , m_settings(settings)
@@ -111,9 +113,6 @@
     auto one = std::make_shared<work>();
     one->number = std::to_string(++m_lastWork);
     one->request = std::move(*request);
-    // Callers have no account here: whoever sends the same bytes sends the same request.
-    one->fingerprint = fingerprintOf(
-        {{}, one->request.head.method, one->request.host, one->request.head.target, one->request.body});
     one->reply = std::move(reply);
     one->arrived = bootNow();
     m_work.emplace(one->number, one);
@@ -149,6 +148,11 @@
         fail(one, 404, "no route");
         return;
     }
+    if (!admitCaller(one)) {
+        return;
+    }
+    one->fingerprint = fingerprintOf({one->account == nullptr ? std::string_view() : one->account->name,
+        one->request.head.method, one->request.host, one->request.head.target, one->request.body});
     one->service = pickService(*one->way, one->request.id);
     one->model = !one->request.model.empty() && engineOf(*one->config, one->service) != nullptr;
     one->endBy =
@@ -162,6 +166,8 @@
         .add("id", one->request.id)
         .add("fingerprint", one->fingerprint)
         .add("route", one->way->name)
+        .add("account", one->account == nullptr ? std::string() : one->account->name)
+        .add("units", one->cost)
         .add("service", one->service)
         .add("kind", nameOf(one->way->kind))
         .add("config", one->config->version)
@@ -169,7 +175,11 @@
         .add("left_ms", one->endBy - one->arrived)
         .add("waited_ms", bootNow() - one->arrived);
     countRequest(m_budget, one->service, m_settings.repeats, one->arrived);
-    start(one);
+    takeQuota(one, [this, weak = std::weak_ptr<work>(one)] {
+        if (const auto same = weak.lock()) {
+            start(same);
+        }
+    });
 }
 
 millis front_task::left(const work &one) const
@@ -268,7 +278,7 @@
     }
 }
 
-void front_task::refuse(const work_ptr &one, const char *why, millis comeBack)
+void front_task::refuse(const work_ptr &one, const char *why, millis comeBack, int status)
 {
     // A refusal promises that nothing ran and nothing will. Where an earlier send may have, only a failure is
     // true; a caller would else repeat what may have been done.
@@ -284,11 +294,12 @@
     ++m_counters.refused[why];
     m_log.important("request.refused")
         .add("id", one->request.id)
+        .add("account", one->account == nullptr ? std::string() : one->account->name)
         .add("why", why)
-        .add("status", 503)
+        .add("status", status)
         .add("come_back_ms", comeBack)
         .add("held_ms", bootNow() - one->arrived);
-    one->reply->respond(503, {{"Retry-After", secondsText(comeBack)}}, std::string(why) + "\n");
+    one->reply->respond(status, {{"Retry-After", secondsText(comeBack)}}, std::string(why) + "\n");
     finish(one, "refused");
 }
 
@@ -321,6 +332,7 @@
         .add("read_ms", one->readTime)
         .add("pause_ms", one->longestPause)
         .add("ms", bootNow() - one->arrived);
+    giveUnitsBack(*one);
     one->deadlineTimer.reset();
     one->askTimer.reset();
     one->quietTimer.reset();
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "coordination/quota_task.h"
+#include "serving/account_check.h"
 #include "serving/beat_cells.h"
 #include "serving/client_request.h"
 #include "serving/crash_store.h"
@@ -24,8 +26,21 @@
 
 namespace briarhead {
 
+/// Of an account's requests, for metrics.
+struct account_counters
+{
+    std::uint64_t accepted = 0; ///< within its limit
+    std::uint64_t overLimit = 0;
+    double units = 0; ///< sent to servers
+};
+
+/// Accounts with counters of their own; the others share one set.
+constexpr std::size_t accountsCounted = 64;
+
 struct front_counters
 {
+    std::map<std::string, account_counters> accounts; ///< by name; empty: all beyond accountsCounted
+
     std::map<std::pair<std::string, std::string>, std::uint64_t> ended; ///< requests by kind and outcome
     std::map<std::string, std::uint64_t> refused; ///< by reason
     std::uint64_t sends = 0;
@@ -42,8 +57,8 @@
 class front_task
 {
 public:
-    front_task(loop &eventLoop, bus &messages, store_task &store, crash_task &crashes, backend_pool &pool,
-        const request_codec &codec, const node_settings &settings, decision_log &log);
+    front_task(loop &eventLoop, bus &messages, store_task &store, crash_task &crashes, quota_task &quota,
+        backend_pool &pool, const request_codec &codec, const node_settings &settings, decision_log &log);
 
     void setOrderer(orderer_task &orderer);
     void setPort(fleet_port &port);
@@ -71,6 +86,13 @@
     void refuseBlocked(const work_ptr &one);
     void tryBlocked(const work_ptr &one);
     void findWay(const work_ptr &one);
+    bool admitCaller(const work_ptr &one);
+    void takeQuota(const work_ptr &one, std::function<void()> go);
+    void onQuota(const work_ptr &one, const quota_decision &decision, const std::function<void()> &go);
+    bool holdsUnits(const work &one) const;
+    void giveUnitsBack(work &one);
+    void sendOnceCounted(const work_ptr &one);
+    account_counters &countersOf(const client_account &account);
     void waitAndRetry(const work_ptr &one, void (front_task::*step)(const work_ptr &));
     void start(const work_ptr &one);
     void startPlain(const work_ptr &one);
@@ -90,7 +112,7 @@
     void onDeadline(const work_ptr &one);
     bool tryElsewhere(const work_ptr &one, bool ran, const char *why);
     void passAnswer(const work_ptr &one);
-    void refuse(const work_ptr &one, const char *why, millis comeBack);
+    void refuse(const work_ptr &one, const char *why, millis comeBack, int status = 503);
     void fail(const work_ptr &one, int status, const char *why);
     void finish(const work_ptr &one, const std::string &outcome);
     void leaveServer(const work_ptr &one, place_event event);
@@ -105,6 +127,7 @@
     loop &m_loop;
     store_task &m_store;
     crash_task &m_crashes;
+    quota_task &m_quota;
     backend_pool &m_pool;
     const request_codec &m_codec;
     node_settings m_settings;
--- a/packages/serving/front_work.h
+++ b/packages/serving/front_work.h
@@ -29,6 +29,13 @@
     std::shared_ptr<front_reply> reply;
     std::shared_ptr<const serving_config> config; ///< in force at arrival
     const route *way = nullptr;
+    const client_account *account = nullptr; ///< of the configuration above; null: none
+    std::uint64_t accountId = 0; ///< accountHash() of its name
+    double cost = 0; ///< units of the account's limit; 0: it has none
+    double unitsHeld = 0; ///< taken, and not yet spent by a send
+    double unitsSpent = 0; ///< by the latest send
+    millis unitsTakenAt;
+    std::uint64_t unitsWaiting = 0; ///< while the account's home is asked; 0: it isn't
     std::string service;
     bool model = false; ///< goes to a model server, by a place
     millis arrived;
--- a/packages/serving/order_right.cpp
+++ b/packages/serving/order_right.cpp
@@ -9,9 +9,9 @@
     proof = {length, asked, asked, false, {}};
 }
 
-void renewed(lease_proof &proof, millis asked)
+void renewed(lease_proof &proof, millis asked, millis gapMost)
 {
-    if (asked - proof.renewed > renewalGapMost) {
+    if (asked - proof.renewed > gapMost) {
         doubted(proof, asked);
     }
     proof.renewed = std::max(proof.renewed, asked);
--- a/packages/serving/order_right.h
+++ b/packages/serving/order_right.h
@@ -35,7 +35,7 @@
 
 void granted(lease_proof &proof, millis asked, millis length);
 /// A renewal that was sent at `asked` succeeded. It counts only without a doubt.
-void renewed(lease_proof &proof, millis asked);
+void renewed(lease_proof &proof, millis asked, millis gapMost = renewalGapMost);
 /// Guards against: a store that turns this daemon away may remove its records at once, while the lease lives
 /// on. It shows as a failed call and nothing else; a renewal that succeeds later would prove records that
 /// another daemon has claimed meanwhile. After a failed call, or a gap between renewals, they count only once
--- /dev/null
+++ b/packages/serving/quota_store.cpp
@@ -0,0 +1,117 @@
+#include "serving/quota_store.h"
+
+#include "serving/account_check.h"
+
+#include <algorithm>
+
+namespace briarhead {
+
+namespace {
+
+std::vector<std::string> fleetOf(const store_view &view)
+{
+    std::vector<std::string> nodes;
+    for (const daemon_map *known : {&view.daemons, &view.lapsed}) {
+        for (const auto &[node, record] : *known) {
+            nodes.push_back(node);
+        }
+    }
+    return nodes;
+}
+
+std::optional<home_record> homeOf(const store_task &store, std::uint32_t shard)
+{
+    const auto found = store.view().quotaHomes.find(std::to_string(shard));
+    if (found == store.view().quotaHomes.end()) {
+        return std::nullopt;
+    }
+    const orderer_record &record = found->second.record;
+    const bool own = store.isOwn(record) && store.isUnderLease(record);
+    return home_record{record.node, found->second.revision, own};
+}
+
+/// To another daemon by datagram; to this one never from inside.
+template <class message_type, class take_type>
+void tell(loop &eventLoop, const store_task &store, const std::unique_ptr<fleet_port> &port,
+    const std::string &self, const std::string &node, const message_type &message, take_type take)
+{
+    if (node == self) {
+        eventLoop.post([take, message] {
+            take(message);
+        });
+        return;
+    }
+    if (const daemon_record *peer = findPeer(store.view(), node)) {
+        port->send({peer->ip, peer->port}, {self, store.incarnation(), message});
+    }
+}
+
+}
+
+quota_links quotaLinks(loop &eventLoop, store_task &store, const std::unique_ptr<fleet_port> &port,
+    const node_settings &settings, decision_log &log, const std::unique_ptr<quota_task> &self)
+{
+    quota_links links;
+    links.self = settings.node;
+    links.incarnation = store.incarnation();
+    links.fleet = [&store] {
+        return fleetOf(store.view());
+    };
+    links.ask = [&eventLoop, &store, &port, &self, node = settings.node](
+                    const std::string &daemon, const quota_ask &ask) {
+        tell(eventLoop, store, port, node, daemon, ask, [&self, &store, node](const quota_ask &own) {
+            self->hear({node, store.incarnation()}, own);
+        });
+    };
+    links.answer = [&eventLoop, &store, &port, &self, node = settings.node](
+                       const std::string &daemon, const quota_answer &answer) {
+        tell(eventLoop, store, port, node, daemon, answer, [&self](const quota_answer &own) {
+            self->hear(own);
+        });
+    };
+    links.homeOf = [&store](std::uint32_t shard) {
+        return homeOf(store, shard);
+    };
+    links.release = [&store, &port, node = settings.node](
+                        const std::string &daemon, const quota_release &release) {
+        if (const daemon_record *peer = findPeer(store.view(), daemon)) {
+            port->send({peer->ip, peer->port}, {node, store.incarnation(), release});
+        }
+    };
+    links.claim = [&store](std::uint32_t shard, bool released) {
+        store.claimQuotaHome(std::to_string(shard), released);
+    };
+    links.cutFromRecords = [&store] {
+        return store.isCutOffAlone();
+    };
+    links.provenUntil = [&store] {
+        return store.quotaHomesProvenUntil();
+    };
+    links.limitOf = [&store](std::uint64_t account) {
+        const auto &config = store.view().config;
+        return config ? limitOf(*config, account) : std::nullopt;
+    };
+    links.log = [&log](const quota_note &note) {
+        log.important("quota." + std::string(nameOf(note.event)))
+            .add("shard", static_cast<std::int64_t>(note.shard))
+            .add("home", note.home)
+            .add("term", note.term)
+            .add("handed_over", note.handedOver ? 1 : 0);
+    };
+    return links;
+}
+
+void followStore(bus &messages, const store_task &store, quota_task &quota)
+{
+    messages.on<view_changed>([&store, &quota](const view_changed &change) {
+        if (change.config) {
+            const auto &accounts = store.view().config->accounts;
+            quota.onLimits(std::any_of(accounts.begin(), accounts.end(), [](const client_account &account) {
+                return isLimited(account.limit);
+            }));
+        }
+        quota.onRecords();
+    });
+}
+
+}
--- a/packages/serving/serving_config.h
+++ b/packages/serving/serving_config.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/clock.h"
+#include "state/quota_limit.h"
 #include "transport/front_server.h"
 
 #include <cstdint>
@@ -42,6 +43,7 @@
     int rank = 0; ///< 0 is the most urgent
     int maxServers = 1; ///< on which one attempt may be tried
     bool resumable = false;
+    bool open = false; ///< callers need no key
     std::vector<service_share> services; ///< at least one
 };
 
@@ -71,12 +73,26 @@
     std::optional<engine_spec> engine; ///< of services that run models
 };
 
+/// A client account. Its keys are not here, only their hashes in serving_config.
+struct client_account
+{
+    std::string name;
+    std::optional<int> rank; ///< of all its requests, in place of their routes'
+    quota_limit limit;
+    bool countsTokens = false; ///< else each request is one unit
+    std::int64_t plainTokens = 1; ///< of a request that doesn't say how many
+};
+
 struct serving_config
 {
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::map<std::string, service_spec> services;
     front_limits limits;
+    std::vector<client_account> accounts; ///< none: callers need no keys
+    std::unordered_map<std::string, std::size_t> accountOfKey; ///< index into `accounts` by keyHash()
+    std::unordered_map<std::uint64_t, std::size_t> accountOfHash; ///< by accountHash(); see indexAccounts()
+    std::vector<std::string> remarks; ///< what an operator should mend, though it can be read
 
     /// Indices into `routes` by host, longest prefix first; filled by indexRoutes().
     std::unordered_map<std::string, std::vector<std::size_t>> byHost;
--- a/packages/serving/store_follow.cpp
+++ b/packages/serving/store_follow.cpp
@@ -63,6 +63,8 @@
             takeAll(read);
         }
         confirmed(m_proof, asked);
+        confirmed(m_quotaProof, asked);
+        m_configKnownAt = bootNow();
         follow();
     });
 }
@@ -99,7 +101,11 @@
     std::set<std::string> present;
     for (const stored_item &item : read.items) {
         present.insert(item.key);
-        takeItem(item, change);
+        if (item.key == m_codec.configKey) {
+            takeItem(withoutKeys(item), change);
+        } else {
+            takeItem(item, change);
+        }
     }
     dropMissing(present, change);
     m_revision = read.revision;
@@ -187,6 +193,7 @@
     }
     if (news.to == m_revision) {
         m_newsAt = bootNow();
+        m_configKnownAt = m_newsAt;
         return;
     }
     if (news.fetch || news.from > m_revision) {
@@ -201,6 +208,7 @@
         }
     }
     m_newsAt = bootNow();
+    m_configKnownAt = m_newsAt;
     takeEvents(read);
 }
 
@@ -220,6 +228,7 @@
             return;
         }
         m_newsAt = bootNow();
+        m_configKnownAt = m_newsAt;
         store_read read;
         read.status = store_status::Ok;
         read.revision = news->to;
@@ -267,6 +276,7 @@
         }
         switch (read.status) {
         case store_status::Ok:
+            m_configKnownAt = bootNow();
             takeEvents(read);
             m_watchTimer = m_loop.timer(watchPause, {}, [this] {
                 follow();
@@ -289,9 +299,13 @@
     view_changed change;
     const std::int64_t from = m_revision;
     std::vector<stored_item> items;
-    for (const stored_item &item : latestOf(read.items)) {
+    std::vector<stored_item> latest = latestOf(read.items);
+    for (stored_item &item : latest) {
+        if (item.key == m_codec.configKey) {
+            item = withoutKeys(item);
+        }
         if (takeItem(item, change)) {
-            items.push_back(item);
+            items.push_back(std::move(item));
         }
     }
     m_revision = std::max(m_revision, read.revision);
--- a/packages/serving/store_keys.h
+++ b/packages/serving/store_keys.h
@@ -14,4 +14,7 @@
 /// out while the store is away.
 inline const std::string crashPrefix = ownPrefix + "crash/";
 
+/// Followed by the number of a shard of client accounts: who is its home. Under that daemon's lease.
+inline const std::string quotaPrefix = ownPrefix + "quota/";
+
 }
--- a/packages/serving/store_records.h
+++ b/packages/serving/store_records.h
@@ -28,6 +28,9 @@
     std::function<std::optional<backend_server>(const std::string &id, const std::string &, error &)>
         readServer;
     std::function<std::optional<adapter_version>(const std::string &, error &)> readVersion;
+    /// A configuration's text with hashes in place of its keys, which readConfig reads alike: what daemons
+    /// keep and pass on.
+    std::function<std::string(const std::string &)> hideKeys;
 };
 
 }
--- a/packages/serving/store_take.cpp
+++ b/packages/serving/store_take.cpp
@@ -53,6 +53,9 @@
     for (const auto &[id, entry] : m_view.orderers) {
         keys.push_back(detail::ordererPrefix + id);
     }
+    for (const auto &[shard, entry] : m_view.quotaHomes) {
+        keys.push_back(detail::quotaPrefix + shard);
+    }
     for (const auto &[fingerprint, crash] : m_view.crashes) {
         keys.push_back(detail::crashPrefix + fingerprint);
     }
@@ -66,6 +69,16 @@
     }
 }
 
+/// Callers' keys go no further than this: neither into what is kept, nor into what other daemons are told.
+stored_item store_task::withoutKeys(const stored_item &item) const
+{
+    stored_item out = item;
+    if (item.key == m_codec.configKey && !item.removed && m_codec.hideKeys) {
+        out.value = m_codec.hideKeys(item.value);
+    }
+    return out;
+}
+
 /// Whether the item tells something new, for this daemon and those it passes news on to.
 bool store_task::takeItem(const stored_item &item, view_changed &change)
 {
@@ -126,7 +139,11 @@
     m_log.important("config.in_force")
         .add("version", m_view.config->version)
         .add("revision", item.revision)
-        .add("routes", static_cast<std::int64_t>(m_view.config->routes.size()));
+        .add("routes", static_cast<std::int64_t>(m_view.config->routes.size()))
+        .add("accounts", static_cast<std::int64_t>(m_view.config->accounts.size()));
+    for (const std::string &remark : m_view.config->remarks) {
+        m_log.important("config.remark").add("version", m_view.config->version).add("what", remark);
+    }
 }
 
 /// Whether it says something that daemons go by. Each server writes its entry at every heartbeat, mostly with
@@ -224,7 +241,9 @@
     if (isUnder(item.key, detail::daemonPrefix)) {
         takeDaemon(item);
     } else if (isUnder(item.key, detail::ordererPrefix)) {
-        takeOrderer(item);
+        takeRight(item, detail::ordererPrefix, m_view.orderers);
+    } else if (isUnder(item.key, detail::quotaPrefix)) {
+        takeRight(item, detail::quotaPrefix, m_view.quotaHomes);
     } else if (isUnder(item.key, detail::crashPrefix)) {
         takeCrash(item, change);
     }
@@ -254,10 +273,11 @@
     }
 }
 
-void store_task::takeOrderer(const stored_item &item)
+void store_task::takeRight(
+    const stored_item &item, const std::string &prefix, std::map<std::string, orderer_entry> &rights)
 {
     error why;
-    const std::string server = item.key.substr(detail::ordererPrefix.size());
+    const std::string name = item.key.substr(prefix.size());
     auto record = item.removed ? std::nullopt : decodeOrderer(item.value, why);
     if (!item.removed && !record) {
         // Of another writer: to be replaced by whoever is proposed, at the revision it has.
@@ -265,10 +285,10 @@
         record = orderer_record{};
     }
     if (!record) {
-        m_view.orderers.erase(server);
+        rights.erase(name);
         return;
     }
-    auto &entry = m_view.orderers[server];
+    auto &entry = rights[name];
     if (item.revision >= entry.revision) {
         entry = {*record, item.revision};
     }
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -3,6 +3,7 @@
 #include "protocol/codec.h"
 #include "serving/store_keys.h"
 
+#include <algorithm>
 #include <utility>
 
 // This daemon's own place in the store: its lease, its record, and the servers it claims.
@@ -105,9 +106,21 @@
         && isUnderLease(found->second.record);
 }
 
-std::string store_task::orderersKey(const std::string &server) const
+bool store_task::holdsQuotaHome() const
 {
-    return detail::ordererPrefix + server;
+    return std::any_of(m_view.quotaHomes.begin(), m_view.quotaHomes.end(), [this](const auto &each) {
+        return isOwn(each.second.record);
+    });
+}
+
+millis store_task::quotaHomesProvenUntil() const
+{
+    return m_lease == 0 ? millis{} : briarhead::provenUntil(m_quotaProof);
+}
+
+std::optional<millis> store_task::configKnownAt() const
+{
+    return m_configKnownAt;
 }
 
 void store_task::heard(bool answered, const char *call)
@@ -116,6 +129,7 @@
     const bool again = std::exchange(m_lastFailed, !answered);
     if (!answered) {
         doubted(m_proof, now);
+        doubted(m_quotaProof, now);
         if (again && m_view.reachable && now - m_view.lastAnswer > awayAfter) {
             m_view.reachable = false;
             m_log.important("store.lost").add("call", call).add("silent_ms", now - m_view.lastAnswer);
@@ -174,6 +188,7 @@
         }
         m_lease = lease;
         granted(m_proof, asked, length);
+        granted(m_quotaProof, asked, length);
         store_change change;
         const daemon_record record{m_settings.node, m_settings.peers.ip, m_settings.peers.port,
             m_settings.failureDomain, m_incarnation};
@@ -218,6 +233,10 @@
         heard(status == store_status::Ok || status == store_status::Missing, "keep");
         if (status == store_status::Ok) {
             renewed(m_proof, asked);
+            renewed(m_quotaProof, asked, m_renewEvery + renewalGapMost);
+            if (m_quotaProof.doubted && holdsQuotaHome()) {
+                proveQuotaHomes();
+            }
             // Whether the records still stand; servers that check tokens tell themselves.
             if (m_proof.doubted && !m_reading && !m_settings.serversCheckTokens) {
                 readAll();
@@ -232,26 +251,46 @@
 
 void store_task::claim(const std::string &server, bool replace)
 {
-    if (m_lease == 0 || m_leaving || m_claiming.count(server) != 0 || bootNow() < m_claimAfter) {
+    claimRight(detail::ordererPrefix, m_view.orderers, server, replace);
+}
+
+void store_task::claimQuotaHome(const std::string &shard, bool replace)
+{
+    claimRight(detail::quotaPrefix, m_view.quotaHomes, shard, replace);
+}
+
+bool store_task::isCutOffAlone() const
+{
+    const bool silent = m_lastFailed && bootNow() - m_view.lastAnswer > awayAfter;
+    return silent && newsFresh() && m_newsAt > m_view.lastAnswer + newsLife;
+}
+
+/// `rights` is a part of the view, as long as this task.
+void store_task::claimRight(const std::string &prefix, std::map<std::string, orderer_entry> &rights,
+    const std::string &name, bool replace)
+{
+    const std::string key = prefix + name;
+    if (m_lease == 0 || m_leaving || m_claiming.count(key) != 0 || bootNow() < m_claimAfter) {
         return;
     }
-    const auto known = m_view.orderers.find(server);
-    const bool others = known != m_view.orderers.end() && !known->second.record.node.empty()
+    const auto known = rights.find(name);
+    const bool others = known != rights.end() && !known->second.record.node.empty()
         && known->second.record.node != m_settings.node;
     if (others && !replace) {
         return;
     }
-    const std::int64_t revision = known == m_view.orderers.end() ? 0 : known->second.revision;
+    const std::int64_t revision = known == rights.end() ? 0 : known->second.revision;
     store_change change;
-    change.expected.emplace_back(orderersKey(server), revision);
+    change.expected.emplace_back(key, revision);
     const orderer_record record{m_settings.node, m_incarnation, m_lease};
-    change.puts.push_back({orderersKey(server), encode(record), m_lease});
-    m_claiming.insert(server);
-    m_store.change(change, [this, server, record](store_status status, std::int64_t changed) {
-        m_claiming.erase(server);
+    change.puts.push_back({key, encode(record), m_lease});
+    m_claiming.insert(key);
+    m_store.change(change, [this, key, name, record, &rights](store_status status, std::int64_t changed) {
+        m_claiming.erase(key);
         heard(status == store_status::Ok || status == store_status::Conflict, "claim");
-        m_log.important("orderer.claim")
-            .add("server", server)
+        const bool server = &rights == &m_view.orderers;
+        m_log.important(server ? "orderer.claim" : "quota.claim")
+            .add(server ? "server" : "shard", name)
             .add("outcome", status == store_status::Ok ? "taken" : "not taken")
             .add("fence", changed);
         if (status == store_status::Missing) {
@@ -263,7 +302,7 @@
         if (status != store_status::Ok) {
             return; // without an answer the watch tells how it ended
         }
-        auto &entry = m_view.orderers[server];
+        auto &entry = rights[name];
         if (changed > entry.revision) {
             entry = {record, changed};
         }
@@ -271,6 +310,33 @@
     });
 }
 
+/// Reads the records of quota homes, after a call to the store that failed: they may have been removed.
+void store_task::proveQuotaHomes()
+{
+    if (m_provingQuota) {
+        return;
+    }
+    m_provingQuota = true;
+    m_store.list(detail::quotaPrefix, [this, asked = bootNow()](const store_read &read) {
+        m_provingQuota = false;
+        heard(read.status == store_status::Ok, "quota homes");
+        if (read.status != store_status::Ok || m_leaving) {
+            return;
+        }
+        std::map<std::string, std::int64_t> present; // the rest is for the watch to tell, and to pass on
+        for (const stored_item &item : read.items) {
+            present[item.key] = item.revision;
+        }
+        std::erase_if(m_view.quotaHomes, [&](const auto &each) {
+            const auto found = present.find(detail::quotaPrefix + each.first);
+            const bool stands = found != present.end() && found->second == each.second.revision;
+            return !stands && isOwn(each.second.record) && each.second.revision <= read.revision;
+        });
+        confirmed(m_quotaProof, asked);
+        publish({});
+    });
+}
+
 void store_task::keepCrash(
     const std::string &fingerprint, const crash_record &record, std::function<void(bool)> done)
 {
@@ -321,12 +387,16 @@
     store_change change;
     change.removes.push_back(detail::daemonPrefix + m_settings.node);
     constexpr std::size_t maxEntries = 30; // of the store's 32 in one change
-    for (const auto &[server, entry] : m_view.orderers) {
-        if (isOwn(entry.record) && change.puts.size() + change.expected.size() < maxEntries) {
-            change.expected.emplace_back(orderersKey(server), entry.revision);
-            change.puts.push_back({orderersKey(server), encode(orderer_record{}), 0});
+    const auto giveUp = [&](const std::string &prefix, const std::map<std::string, orderer_entry> &rights) {
+        for (const auto &[name, entry] : rights) {
+            if (isOwn(entry.record) && change.puts.size() + change.expected.size() < maxEntries) {
+                change.expected.emplace_back(prefix + name, entry.revision);
+                change.puts.push_back({prefix + name, encode(orderer_record{}), 0});
+            }
         }
-    }
+    };
+    giveUp(detail::quotaPrefix, m_view.quotaHomes);
+    giveUp(detail::ordererPrefix, m_view.orderers);
     m_store.change(change, [this](store_status status, std::int64_t revision) {
         m_log.important("records.given_up")
             .add("outcome", status == store_status::Ok ? "done" : "not done")
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -21,6 +21,7 @@
 
 namespace briarhead {
 
+/// A right that one daemon at a time has, under its lease.
 struct orderer_entry
 {
     orderer_record record;
@@ -44,6 +45,7 @@
     /// have callers: they are told and answered all the same.
     daemon_map lapsed;
     std::map<std::string, orderer_entry> orderers; ///< by server id
+    std::map<std::string, orderer_entry> quotaHomes; ///< by number of a shard of client accounts, as text
     std::map<std::string, stored_crash> crashes; ///< by fingerprint
     millis registeredAt; ///< when this daemon's record was last put there
     millis lastAnswer; ///< of the store
@@ -108,6 +110,15 @@
     /// Claims the right to give a server's orders if nobody else has it, or also from one that has it. The
     /// view tells how it ended.
     void claim(const std::string &server, bool replace = false);
+    /// The same for the home of a shard of client accounts.
+    void claimQuotaHome(const std::string &shard, bool replace = false);
+    /// Whether the store fails this daemon's calls while others reach it: a reader speaks of it.
+    bool isCutOffAlone() const;
+    /// Until when this daemon can prove that its records of quota homes stand. Unlike orders, what a home
+    /// gives is checked by nobody else, so that a doubt ends the proof until a reading has shown the records.
+    millis quotaHomesProvenUntil() const;
+    /// When this daemon last knew that its configuration is the newest; nothing: it never did.
+    std::optional<millis> configKnownAt() const;
     /// Writes which servers ended under a request, in place of the record that the view has, or of none;
     /// nothing is done if another daemon was faster. `done`, never from inside, says whether it stands.
     void keepCrash(
@@ -129,13 +140,18 @@
     bool newsFresh() const;
     void watchOn();
     void takeEvents(const store_read &read);
+    stored_item withoutKeys(const stored_item &item) const;
     bool takeItem(const stored_item &item, view_changed &change);
     void takeConfig(const stored_item &item, view_changed &change);
     bool takeServer(const stored_item &item, view_changed &change);
     void tellUnreadable(const stored_item &item, const error &why);
     void takeOwn(const stored_item &item, view_changed &change);
     void takeDaemon(const stored_item &item);
-    void takeOrderer(const stored_item &item);
+    void takeRight(
+        const stored_item &item, const std::string &prefix, std::map<std::string, orderer_entry> &rights);
+    void claimRight(const std::string &prefix, std::map<std::string, orderer_entry> &rights,
+        const std::string &name, bool replace);
+    void proveQuotaHomes();
     void takeCrash(const stored_item &item, view_changed &change);
     void changeCrash(const std::string &fingerprint, store_change change, std::function<void(bool)> done);
     void dropMissing(const std::set<std::string> &present, view_changed &change);
@@ -145,7 +161,7 @@
     void keepLease();
     void grantLease();
     void publish(const view_changed &change);
-    std::string orderersKey(const std::string &server) const;
+    bool holdsQuotaHome() const;
 
     loop &m_loop;
     bus &m_bus;
@@ -174,6 +190,9 @@
     std::shared_ptr<void> m_fetchTimer;
     std::uint64_t m_watchRound = 0; ///< number of the watch that counts; others are outdated
     lease_proof m_proof;
+    lease_proof m_quotaProof; ///< that the records of quota homes stand
+    bool m_provingQuota = false;
+    std::optional<millis> m_configKnownAt;
     bool m_reading = false; ///< a reading of all keys is on its way
     millis m_regained; ///< when the store answered again after an outage
     std::set<std::string> m_missing; ///< servers whose entries lapsed during an outage
--- a/scripts/check-wire-names.sh
+++ b/scripts/check-wire-names.sh
@@ -4,10 +4,10 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 names=(
-  'X-Briarhead-(Request-Id|Deadline-Ms|Model|Token-Count|Prompt-Prefix|Expect|Server-Stamp|Not-Executed|Instance-Id|Hold|Pin-Ms|Kv-Backup)' 'Kv-From' 'Kv-Fetch' 'BRIARHEAD_NODE_FILE'
+  'X-Briarhead-(Credential|Tenant|Request-Id|Deadline-Ms|Model|Token-Count|Prompt-Prefix|Expect|Server-Stamp|Not-Executed|Instance-Id|Hold|Pin-Ms|Kv-Backup)' 'Kv-From' 'Kv-Fetch' 'BRIARHEAD_NODE_FILE'
   'expectedRev' 'fenceToken' 'opcode' 'kv-key' 'kv-range' 'kv-watch' 'kv-txn' 'kv-lease' 'kv-keep'
   'currentRev' 'createdRev' 'allowStale' 'routeType' 'targetLatencyMs' 'targetGapMs' 'maxAttempts"' 'trafficSplit'
-  'coldRemainingMs' 'adapterSlots' 'adapterMb"' 'weightsMb"' 'kvTokens' 'loadsPerS"' 'headerTimeoutMs' 'idleTimeoutMs'
+  'coldRemainingMs' 'adapterSlots' 'adapterMb"' 'weightsMb"' 'kvTokens' 'apiKeys' '"tenants"' 'ratePerS' 'plainTokens"' 'allowAnonymous' 'strictRevoke' 'quotaWindowS' 'loadsPerS"' 'headerTimeoutMs' 'idleTimeoutMs'
   'op/config' 'op/version' '"servers/' '/v1/order' 'internalPorts' 'graceS' 'drainMs"' 'budgetSlack'
 )
 pattern=$(printf '%s|' "${names[@]}")
