Test each guard of the shared limits by itself, and count what their messages cost

Cause: four guards could be taken out without a test that fails; and nothing said what the messages cost Change: tests for a part that has run out, a late answer, a late message of an ended process, a home that stood still.

--- a/packages/coordination/quota_desk.cpp
+++ b/packages/coordination/quota_desk.cpp
@@ -168,6 +168,7 @@
     account.demandTold = demandNow(account, now);
     want.demandMilli = toMilli(account.demandTold);
     want.costMilli = toMilli(account.cost);
+    account.heldTold = account.part;
     want.heldPpm = toPpm(account.part);
     want.unusedMilli = toMilli(std::exchange(account.unused, 0));
     account.needAsked = !account.waiting.empty();
@@ -208,8 +209,8 @@
         if (answered && account.waiting.empty() && demandNow(account, now) == 0) {
             leavePart(account); // at once, not a round later
         }
-        const bool tells = account.part > 0 || account.demandTold > 0 || account.unused >= 1
-            || wantsPart(desk, account, now);
+        const bool left = account.heldTold > 0 && account.part == 0;
+        const bool tells = account.part > 0 || left || account.unused >= 1 || wantsPart(desk, account, now);
         if (!isWanted(account) && !(all && tells)) {
             continue;
         }
--- a/packages/coordination/quota_desk.h
+++ b/packages/coordination/quota_desk.h
@@ -58,6 +58,7 @@
     double demand = 0; ///< units a second, of late
     millis demandAt;
     double demandTold = 0; ///< to the home
+    double heldTold = 0; ///< the part, likewise
     double cost = 0; ///< units of a usual request
     bool needAsked = false; ///< by the latest ask
     double unused = 0; ///< units to return to the home
--- a/tests/unit/quota_test.cpp
+++ b/tests/unit/quota_test.cpp
@@ -1,5 +1,9 @@
+#include "protocol/codec.h"
 #include "quota_sim.h"
 
+#include <algorithm>
+#include <iostream>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -19,6 +23,57 @@
     return sim.used(from, to) / (limit.rate * static_cast<double>((to - from).count) / 1'000.0);
 }
 
+const std::uint64_t ana = accountHash("ana");
+
+std::optional<quota_limit> limitOfAna(std::uint64_t)
+{
+    return quota_limit{1'000, 100'000};
+}
+
+quota_home homeOf(std::vector<std::string> fleet)
+{
+    quota_home home = beginHome(millis{100'000}, true);
+    setFleet(home, std::move(fleet));
+    return home;
+}
+
+/// Of asks and answers between one daemon with callers of many accounts and its homes, both ways. Limits are
+/// as large as a fleet of that size needs, the daemon's part of them its usual one.
+double bytesASecond(int accounts, double perSecond, std::size_t daemons)
+{
+    constexpr int seconds = 30;
+    constexpr double cost = 2'400;
+    const double rate = std::max(2 * perSecond * static_cast<double>(daemons) / accounts, 2.0) * cost;
+    const limit_lookup limits = [rate](std::uint64_t) {
+        return std::optional(quota_limit{rate, rate});
+    };
+    std::mt19937 random(1);
+    quota_desk desk;
+    std::map<std::uint32_t, quota_home> homes;
+    millis now{100'000};
+    for (std::uint32_t shard = 0; shard < quotaShards; ++shard) {
+        homes[shard] = homeOf({"a"});
+        setHome(desk, shard, "home", 1, now);
+    }
+    std::size_t bytes = 0;
+    std::uint64_t id = 0;
+    for (int step = 0; step < seconds * 100; ++step) {
+        now = now + millis{10};
+        if (std::uniform_real_distribution<double>(0, 100)(random) < perSecond) {
+            const int account = std::uniform_int_distribution<int>(0, accounts - 1)(random);
+            (void)takeUnits(desk, accountHash(std::to_string(account)), *limits(0), ++id, cost, now);
+        }
+        for (const addressed_ask &each : asksDue(desk, daemons, now)) {
+            bytes += encode(fleet_datagram{"edge-zg-1", 1, each.ask}).size();
+            const auto answer =
+                answerAsk(homes[each.ask.shard], usualQuotaPlan, {}, limits, {"a", 1, true}, each.ask, now);
+            bytes += answer ? encode(fleet_datagram{"edge-zg-2", 1, *answer}).size() : 0;
+            (void)takeAnswer(desk, *answer, now);
+        }
+    }
+    return static_cast<double>(bytes) / seconds;
+}
+
 /// One thing that goes wrong, out of those that are known to.
 void disturb(quota_sim &sim, std::mt19937 &random, int daemons)
 {
@@ -267,4 +322,96 @@
     EXPECT_NE(takeUnits(desk, account, limit, 4, 1'000, now).verdict, quota_verdict::Granted);
 }
 
+// A daemon held a part, lost its home, and hears nothing for longer than the part lasts. What the home has
+// given to others meanwhile isn't used a second time here.
+TEST(Quota, APartThatHasRunOutFillsNoBucket)
+{
+    quota_desk desk;
+    const quota_limit limit{1'000, 1'000};
+    desk_account &account = desk.accounts[ana];
+    account.limit = limit;
+    account.part = 0.5;
+    account.partUntil = millis{101'000};
+    account.bucket.filled = millis{100'000};
+    EXPECT_EQ(takeUnits(desk, ana, limit, 1, 400, millis{100'900}).verdict, quota_verdict::Granted);
+    EXPECT_NE(takeUnits(desk, ana, limit, 2, 400, millis{110'000}).verdict, quota_verdict::Granted);
+}
+
+// An answer comes so late that the home may already go by the daemon's being cut off. It gives nothing and
+// renews nothing.
+TEST(Quota, ALateAnswerGivesNothing)
+{
+    for (const bool late : {false, true}) {
+        quota_desk desk;
+        const quota_limit limit{1'000, 1'000};
+        const millis asked{100'000};
+        setHome(desk, shardOf(ana), "home", 1, asked);
+        ASSERT_EQ(takeUnits(desk, ana, limit, 1, 400, asked).verdict, quota_verdict::Waits);
+        const auto asks = asksDue(desk, 2, asked);
+        const auto ask = std::find_if(asks.begin(), asks.end(), [](const addressed_ask &each) {
+            return each.ask.shard == shardOf(ana);
+        });
+        ASSERT_NE(ask, asks.end());
+        const quota_answer answer{shardOf(ana), ask->ask.round, 500'000, {{ana, 100'000, toMilli(400), 0}}};
+        const auto settled = takeAnswer(desk, answer, asked + answerLife + millis{late ? 1 : 0});
+        EXPECT_EQ(settled.size(), late ? 0U : 1U);
+        EXPECT_EQ(desk.shards[shardOf(ana)].contact.has_value(), !late);
+    }
+}
+
+// A daemon was killed and started again, and a message that its former process sent comes only now. It must
+// not make the home forget what the new process holds.
+TEST(Quota, ALateMessageOfAnEndedProcessIsPassedOver)
+{
+    quota_home home = homeOf({"a", "b"});
+    const auto askOf = [&home](std::uint64_t incarnation, std::uint64_t round, std::uint32_t heldPpm) {
+        const quota_ask ask{shardOf(ana), round, 0, 0, {{ana, 0, 0, heldPpm, 0, 0, 0}}};
+        return answerAsk(
+            home, usualQuotaPlan, {}, limitOfAna, {"a", incarnation, false}, ask, millis{101'000});
+    };
+    ASSERT_TRUE(askOf(1, 1, 0));
+    ASSERT_TRUE(askOf(2, 1, 100'000));
+    EXPECT_FALSE(askOf(1, 2, 0));
+    EXPECT_GE(home.accounts[ana].holdings["a"].part, 0.1);
+}
+
+// A home stands still for half a minute. The daemons that it doesn't answer take to their equal parts; when
+// it goes on, its bucket must not fill for that time as if they had used nothing.
+TEST(Quota, AHomeThatStoodStillGivesNothingThatOthersUsedMeanwhile)
+{
+    quota_home home = homeOf({"a", "b"});
+    millis now{101'000};
+    std::uint64_t round = 0;
+    const auto hear = [&](const std::string &node, double need) {
+        const quota_ask ask{shardOf(ana), ++round, round > 2 ? round - 2 : 0, 500'000,
+            {{ana, 0, 0, 0, toMilli(need), toMilli(need), 0}}};
+        return answerAsk(home, usualQuotaPlan, {}, limitOfAna, {node, 1, true}, ask, now);
+    };
+    for (int i = 0; i < 4; ++i) {
+        now = now + millis{100};
+        ASSERT_TRUE(hear("a", 0));
+        ASSERT_TRUE(hear("b", 0));
+    }
+    now = now + seconds(30);
+    (void)hear("a", 0);
+    EXPECT_LE(home.accounts[ana].bucket.level, 0.6 * 1'000 * 30);
+}
+
+// What a daemon and its homes tell each other must not grow with the fleet. With few accounts it has to leave
+// most of the 2 KB a second that control may take; where accounts are so many that none deserves a part, each
+// request is asked for, which nothing but the requests of a daemon drives.
+TEST(Quota, WhatADaemonAndItsHomesTellEachOtherDoesNotGrowWithTheFleet)
+{
+    constexpr double askAndAnswer = 200; // bytes
+    constexpr double perSecond = 34; // requests of a daemon at the largest size
+    for (const std::size_t daemons : {70U, 300U, 1'200U}) {
+        const double few = bytesASecond(16, perSecond, daemons);
+        const double many = bytesASecond(10'000, perSecond, daemons);
+        std::cout << daemons << " daemons: " << few << " bytes a second with 16 accounts, " << many
+                  << " with 10,000\n";
+        EXPECT_LE(few, 2'000 * 0.75);
+        EXPECT_LE(many, perSecond * askAndAnswer);
+    }
+}
+
 }
