--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -150,6 +150,7 @@
         return;
     }
     ran.push_back(request);
+    ranAt.push_back(bootNow());
     if (!fatalBody.empty() && request.body == fatalBody) {
         runFatal(requestId, reply, !model.empty());
         return;
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -53,6 +53,7 @@
     std::int64_t sequence = 0;
     std::uint64_t fence = 0;
     std::vector<front_request> ran;
+    std::vector<millis> ranAt; ///< when each of those began
     std::vector<nlohmann::json> orders;
     std::size_t left = 0; ///< callers that went away
     std::size_t turnedAway = 0; ///< requests that it did not take, Busy or Sheds
--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -34,7 +34,9 @@
                                    << "\nlisten.ready=127.0.0.1:" << daemon.readyPort
                                    << "\ninternalPorts=" << peers << ',' << peers + 1
                                    << "\nplatform.address=127.0.0.1:" << storePort
-                                   << "\nbounds.graceS=8\nmetricsPort=" << freePort() << '\n';
+                                   << "\nbounds.graceS=8\nbounds.quotaWindowS=8\nbounds.quotaOverage=0."
+                                      "1\nbounds.quotaSlack=6\nmetricsPort="
+                                   << freePort() << '\n';
     return daemon;
 }
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -9,6 +9,7 @@
 #include "transport/backend_call.h"
 
 #include <algorithm>
+#include <fstream>
 #include <random>
 #include <sstream>
 
@@ -38,6 +39,15 @@
 constexpr millis serverBack{400};
 constexpr millis entryStays{1'200};
 const std::string fatalBody = "fatal";
+/// One account without a limit, one that asks for more than its limit. Each version has a key of its own,
+/// which the next one withdraws.
+const std::string freeKey = "key-ana";
+const std::string limitedKey = "key-eva";
+constexpr std::size_t limitedOneIn = 6;
+std::string versionKey(int version)
+{
+    return "key-of-version-" + std::to_string(version);
+}
 constexpr const char *paths[] = {"/once/x", "/safe/x", "/gen/x", "/resume/x"};
 constexpr std::size_t servedAfterAtLeast = 38;
 
@@ -80,11 +90,13 @@
     void applyToStore(const fault &what);
     void changeConfig();
     void checkConfig(int version, millis changed);
+    void checkLog(const daemon_process &daemon);
+    void checkKey(daemon_process &daemon, int version, millis since);
     void heal();
     void look();
     std::size_t below(std::size_t bound);
     void sendOne();
-    void send(std::size_t kind, const std::string &body);
+    void send(std::size_t kind, const std::string &body, const std::string &key);
     void sendFatal();
     bool isCalm(const std::string &name) const;
     void crashUnder(served_server &server, const std::string &requestId);
@@ -171,7 +183,9 @@
     text
         << R"(],"services":[{"name":"llm","engine":{"slots":4,"kvTokens":10000,"weightsMb":1000,"adapterSlots":)"
         << places << R"(,"loadsPerS":5,"models":[{"name":"m0","weightsMb":900,"loadS":0.1,"adapterMb":1}]}},)"
-        << R"({"name":"app"}]})";
+        << R"({"name":"app"}],"tenants":[{"name":")" << freeAccount << R"(","apiKeys":[")" << freeKey
+        << R"(",")" << versionKey(m_version) << R"("]},{"name":")" << limitedAccount << R"(","apiKeys":[")"
+        << limitedKey << R"("],"ratePerS":)" << limitedTo.rate << R"(,"burst":)" << limitedTo.burst << "}]}";
     m_store.put("op/config", text.str());
 }
 
@@ -231,6 +245,7 @@
     for (daemon_process &daemon : m_daemons) {
         stop(daemon);
         m_report.starts += daemon.starts;
+        checkLog(daemon);
     }
     m_witness.fill(m_report);
     return m_report;
@@ -430,10 +445,12 @@
         if (daemon.disturbedUntil > since || daemon.pid == 0) {
             continue;
         }
+        checkKey(daemon, version, since);
         for (const int route : {version, version - 1}) {
             const std::string id = "c" + std::to_string(++m_lastId);
             const std::string call = "GET /v" + std::to_string(route)
-                + "/x HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: " + id + "\r\n\r\n";
+                + "/x HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: " + id
+                + "\r\nX-Briarhead-Credential: " + freeKey + "\r\n\r\n";
             m_witness.sent(id, true, daemon.name, bootNow(), {});
             callServer(m_loop, m_pool, {"127.0.0.1", daemon.frontPort}, call, probeTimeout,
                 [this, &daemon, route, version, since](const call_result &result) {
@@ -450,6 +467,35 @@
     }
 }
 
+void soak_run::checkLog(const daemon_process &daemon)
+{
+    std::ifstream log(daemon.log);
+    for (std::string line; std::getline(log, line);) {
+        if (line.find(freeKey) != std::string::npos || line.find(limitedKey) != std::string::npos) {
+            m_report.violations.push_back("KEY in the log of " + daemon.name);
+            return;
+        }
+    }
+}
+
+/// A key that the version before had must open nothing.
+void soak_run::checkKey(daemon_process &daemon, int version, millis since)
+{
+    const std::string id = "k" + std::to_string(++m_lastId);
+    const std::string call = "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: " + id
+        + "\r\nX-Briarhead-Credential: " + versionKey(version - 1) + "\r\n\r\n";
+    m_witness.sent(id, true, daemon.name, bootNow(), {});
+    callServer(m_loop, m_pool, {"127.0.0.1", daemon.frontPort}, call, probeTimeout,
+        [this, &daemon, version, since](const call_result &result) {
+            const bool wrong = result.how == send_end::Whole && result.status != 401;
+            if (wrong && daemon.disturbedUntil <= since && m_version == version) {
+                m_report.violations.push_back("CONFIG " + daemon.name + " answers "
+                    + std::to_string(result.status) + " to a key that version " + std::to_string(version)
+                    + " has withdrawn");
+            }
+        });
+}
+
 void soak_run::heal()
 {
     m_healed = true;
@@ -481,7 +527,8 @@
 
 void soak_run::sendOne()
 {
-    send(below(std::size(paths)), "hi");
+    const bool limited = !m_healed && below(limitedOneIn) == 0;
+    send(below(std::size(paths)), "hi", limited ? limitedKey : freeKey);
 }
 
 /// An attempt at the request that ends servers, as long as its caller goes on with it.
@@ -489,7 +536,7 @@
 {
     const millis now = bootNow() - m_begin;
     if (now >= m_fatal.from && now < m_fatal.until) {
-        send(m_fatal.route, fatalBody);
+        send(m_fatal.route, fatalBody, freeKey);
     }
 }
 
@@ -524,7 +571,7 @@
     });
 }
 
-void soak_run::send(std::size_t kind, const std::string &body)
+void soak_run::send(std::size_t kind, const std::string &body, const std::string &key)
 {
     std::vector<daemon_process *> open;
     for (daemon_process &daemon : m_daemons) {
@@ -539,8 +586,9 @@
     const bool model = kind >= 2;
     const bool repeatable = kind == 1 || kind == 3;
     const std::string id = "r" + std::to_string(++m_lastId);
-    std::string text = std::string("POST ") + paths[kind] + " HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: "
-        + id + "\r\nX-Briarhead-Deadline-Ms: " + std::to_string(deadline.count)
+    std::string text = std::string("POST ") + paths[kind]
+        + " HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: " + id + "\r\nX-Briarhead-Credential: " + key
+        + "\r\nX-Briarhead-Tenant: mallory\r\nX-Briarhead-Deadline-Ms: " + std::to_string(deadline.count)
         + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
     text += model ? "X-Briarhead-Model: m0/a" + std::to_string(below(adapters))
             + "\r\nX-Briarhead-Token-Count: 500,50\r\n"
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -133,7 +133,9 @@
 
 void witness::saw(const backend_standin &server, std::size_t places)
 {
-    for (const front_request &run : server.ran) {
+    for (std::size_t i = 0; i < server.ran.size(); ++i) {
+        const front_request &run = server.ran[i];
+        checkAccount(server, run, server.ranAt[i]);
         const std::string *id = findField(run.head, "x-briarhead-request-id");
         const auto found = id == nullptr ? m_requests.end() : m_requests.find(*id);
         if (found == m_requests.end()) {
@@ -157,6 +159,43 @@
     }
 }
 
+/// Servers are told the account of the caller's key, whatever the caller says of it, and never the key.
+void witness::checkAccount(const backend_standin &server, const front_request &run, millis at)
+{
+    const std::string *account = findField(run.head, "x-briarhead-tenant");
+    if (findField(run.head, "x-briarhead-credential") != nullptr) {
+        wrong("UNASKED " + server.id + " gets a caller's key");
+    }
+    if (account == nullptr || (*account != freeAccount && *account != limitedAccount)) {
+        wrong("UNASKED " + server.id + " runs a request of no account that has the key");
+    } else if (*account == limitedAccount) {
+        m_limitedRuns.push_back(at);
+    }
+}
+
+/// Over all daemons together, whatever was done to them.
+void witness::checkLimit(soak_report &report) const
+{
+    std::vector<millis> runs = m_limitedRuns;
+    std::sort(runs.begin(), runs.end());
+    constexpr double msPerSecond = 1'000;
+    const double allowed =
+        (limitedTo.rate * static_cast<double>(limitRules.window.count) / msPerSecond + limitedTo.burst)
+            * (1 + limitRules.overage)
+        + limitRules.slack;
+    std::size_t first = 0;
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+        while (runs[first] + limitRules.window <= runs[i]) {
+            ++first;
+        }
+        if (static_cast<double>(i - first + 1) > allowed) {
+            report.violations.push_back("QUOTA " + std::to_string(i - first + 1) + " requests of "
+                + limitedAccount + " ran within the window");
+            return;
+        }
+    }
+}
+
 std::size_t witness::served() const
 {
     return m_served;
@@ -170,6 +209,7 @@
     report.failed = m_failed;
     report.cut = m_cut;
     report.violations.insert(report.violations.end(), m_violations.begin(), m_violations.end());
+    checkLimit(report);
     for (const auto &[id, request] : m_requests) {
         if (request.promised && request.runs > 0) {
             report.violations.push_back(
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -3,6 +3,7 @@
 #include "serving/backend_standin.h"
 #include "soak/soak.h"
 #include "state/clock.h"
+#include "state/quota_limit.h"
 #include "transport/backend_pool.h"
 
 #include <map>
@@ -12,6 +13,11 @@
 
 namespace briarhead::soak {
 
+const std::string freeAccount = "ana";
+const std::string limitedAccount = "eva";
+constexpr quota_limit limitedTo{6, 6}; ///< requests
+constexpr quota_rules limitRules{millis{8'000}, 0.1, 6};
+
 /// What a caller got.
 struct caller_answer
 {
@@ -56,10 +62,13 @@
         bool promised = false; ///< its answer says that it has not run
         std::size_t runs = 0;
     };
+    void checkAccount(const backend_standin &server, const front_request &run, millis at);
+    void checkLimit(soak_report &report) const;
     void checkStream(const caller_answer &answer, bool whole);
     void wrong(const std::string &what);
 
     std::map<std::string, sent_request> m_requests;
+    std::vector<millis> m_limitedRuns; ///< of the account that has a limit
     std::vector<millis> m_ends; ///< of servers, under the one request that ends them
     std::size_t m_sentOn = 0; ///< by calm daemons, long after the third end
     std::vector<std::string> m_violations;
