--- a/packages/coordination/quota_task.cpp
+++ b/packages/coordination/quota_task.cpp
@@ -160,7 +160,7 @@
 
 void quota_task::sendAsks()
 {
-    for (const addressed_ask &each : asksDue(m_desk, m_links.fleet().size(), bootNow())) {
+    for (const addressed_ask &each : asksDue(m_desk, m_links.daemons(), bootNow())) {
         ++m_counters.asks;
         m_links.ask(each.home, each.ask);
     }
--- a/packages/coordination/quota_task.h
+++ b/packages/coordination/quota_task.h
@@ -49,7 +49,8 @@
 {
     std::string self;
     std::uint64_t incarnation = 0;
-    std::function<std::vector<std::string>()> live; ///< daemons that may become a home
+    std::function<std::size_t()> daemons; ///< how many there are
+    std::function<std::vector<std::string>()> live; ///< those, which may become a home
     std::function<std::vector<std::string>()> fleet; ///< those and others that may still hold a part
     std::function<void(const std::string &daemon, const quota_ask &ask)> ask;
     std::function<void(const std::string &daemon, const quota_answer &answer)> answer;
--- a/packages/serving/quota_store.cpp
+++ b/packages/serving/quota_store.cpp
@@ -50,6 +50,9 @@
     quota_links links;
     links.self = settings.node;
     links.incarnation = store.incarnation();
+    links.daemons = [&store] {
+        return store.view().daemons.size();
+    };
     links.live = [&store] {
         std::vector<std::string> nodes;
         addNodes(store.view().daemons, nodes);
