--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -38,8 +38,11 @@
     }
     const auto chosen = choosePlainServer(candidates);
     if (!chosen) {
-        if (!one->body.empty() || one->head.status != 0) {
-            passAnswer(one); // the answer there is, a failure, is better than none
+        // The answer there is, a failure, is better than none; but not a server's word that it ran nothing,
+        // which doesn't say when coming back helps.
+        const bool answered = !one->body.empty() || one->head.status != 0;
+        if (answered && !one->meta.notRun) {
+            passAnswer(one);
             return;
         }
         refuse(one, "no server", comeBackSoon);
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -576,6 +576,21 @@
     EXPECT_EQ(ranOn(m_models), 0U);
 }
 
+// One plain server has just ended, and the other one is full. The caller got that one's 503 as it was,
+// without when to come back: all servers had been tried, and the answer of the last one was passed on though
+// it had run nothing.
+TEST_F(edge_test, WhenTheLastServerIsFullTheCallerIsToldWhenToComeBack)
+{
+    start();
+    m_plain[0].reset();
+    m_plain[1]->now = mood::Sheds;
+    for (int i = 0; i < 8; ++i) {
+        const std::string seen = answerTo("/once/x");
+        EXPECT_EQ(statusOf(seen), "503");
+        EXPECT_NE(seen.find("Retry-After: "), std::string::npos) << seen;
+    }
+}
+
 // A load of the base model takes seconds. Asking its server all the while whether it is done costs processor
 // time on both sides, and health checks have a price: the number of reports goes by the load's length, not by
 // the speed of the net.
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -55,4 +55,11 @@
     expectNoViolation(1, {12'000});
 }
 
+// One plain server had ended under its callers and the other was full: they got its 503 as it was, without
+// when to come back.
+TEST(Soak, EachRefusalSaysWhenToComeBackUnderASeedsFaults)
+{
+    expectNoViolation(82013, {12'000});
+}
+
 }
