--- a/packages/coordination/quota_desk.cpp
+++ b/packages/coordination/quota_desk.cpp
@@ -58,7 +58,7 @@
 /// When a daemon that hears nothing from its home begins to use its equal part: all that it held has run out.
 std::optional<millis> aloneFrom(const quota_desk &desk, const desk_shard &shard)
 {
-    return shard.contact ? std::optional(*shard.contact + desk.plan.partLife) : std::nullopt;
+    return shard.contact ? std::optional(*shard.contact + desk.plan.aloneAfter) : std::nullopt;
 }
 
 bool isAlone(const quota_desk &desk, const desk_shard &shard, millis now)
--- a/packages/coordination/quota_home.cpp
+++ b/packages/coordination/quota_home.cpp
@@ -29,9 +29,9 @@
     return 1.0 / static_cast<double>(std::max<std::size_t>(home.fleet.size(), 1));
 }
 
-bool isSilent(const quota_member &member, const quota_plan &plan, millis now)
+bool isSilentFor(const quota_member &member, millis span, millis now)
 {
-    return !member.contact || now + surveyMargin >= *member.contact + plan.partLife;
+    return !member.contact || now + surveyMargin >= *member.contact + span;
 }
 
 /// Counts anew which daemons are cut off, and which weren't heard yet: those may still hold what a former
@@ -42,6 +42,7 @@
         return false;
     }
     home.surveyed = now;
+    home.fading = 0;
     const double silentBefore = std::exchange(home.silent, 0);
     const std::size_t unheardBefore = std::exchange(home.unheard, 0);
     const double equal = equalPart(home);
@@ -50,9 +51,12 @@
         if (found == home.members.end()) {
             ++home.unheard;
             home.silent += equal;
-        } else if (isSilent(found->second, plan, now)) {
-            home.silent += found->second.alone;
+            home.fading += equal;
+            continue;
         }
+        const quota_member &member = found->second;
+        home.silent += isSilentFor(member, plan.aloneAfter, now) ? member.alone : 0;
+        home.fading += isSilentFor(member, plan.fadingAfter, now) ? member.alone : 0;
     }
     if (home.silent < silentBefore || home.unheard < unheardBefore) {
         home.loosened = now;
@@ -152,7 +156,7 @@
     if (!mayGive(home, plan, now)) {
         return held; // what is given back now couldn't be dealt out again
     }
-    const double available = std::max(0.0, std::min(plan.held, 1 - home.silent - leastGiven));
+    const double available = std::max(0.0, std::min(plan.held, 1 - home.fading - leastGiven));
     double demand = 0;
     double others = 0;
     for (const auto &[holder, holding] : account.holdings) {
@@ -165,10 +169,11 @@
     const double fair = demand > 0 ? available * own / demand : 0;
     const double target = std::min({fair, plan.headroom * own / limit.rate, plan.heldByOne});
     const double free = available - unlearned(home, plan, account, now) - others - held;
-    const double part = std::min(target, held + std::max(0.0, free));
     if (now < givesFrom(home, plan) + learning) {
-        return std::max(part, held); // who else there is, is not known yet
+        // Who else there is, is not known yet.
+        return std::max(held, std::min(target, held + std::max(0.0, free)));
     }
+    const double part = std::max(0.0, std::min(target, held + free));
     const bool holdsRequest = part * limit.burst >= fromMilli(want.costMilli);
     return holdsRequest ? part : 0; // a bucket that never holds one is of no use
 }
--- a/packages/coordination/quota_home.h
+++ b/packages/coordination/quota_home.h
@@ -56,6 +56,7 @@
     std::unordered_map<std::uint64_t, home_account> accounts;
     std::vector<std::string> fleet; ///< all daemons that may hold something
     double silent = 0; ///< of each limit, what daemons use that are cut off
+    double fading = 0; ///< and what those will use besides that may have been cut off
     std::size_t unheard = 0; ///< daemons not heard since
     millis surveyed; ///< when the last two were worked out
     millis loosened; ///< when daemons last used less than before: since then a bucket not used has filled
--- a/packages/coordination/quota_plan.h
+++ b/packages/coordination/quota_plan.h
@@ -23,7 +23,11 @@
     double headroom = 3; ///< of a part over the demand it is for, at most: the first who ask don't get all
     /// A part holds for so long from the sending of the ask that renewed it: longer than a home's lease in
     /// the store and a successor's start, so that a home's end is not felt.
-    millis partLife{20'000};
+    millis partLife{17'000};
+    /// A daemon without an answer for so long goes over to an equal part. Parts given later than
+    /// `fadingAfter` leave room for it, and those given earlier have run out by then.
+    millis aloneAfter{30'000};
+    millis fadingAfter{13'000};
     /// A home begins with nothing to give while its predecessor may still be giving: its lease's length.
     millis takeoverWait{6'000};
 };
