--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -448,9 +448,9 @@
         checkKey(daemon, version, since);
         for (const int route : {version, version - 1}) {
             const std::string id = "c" + std::to_string(++m_lastId);
-            const std::string call = "GET /v" + std::to_string(route)
-                + "/x HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: " + id
-                + "\r\nX-Briarhead-Credential: " + freeKey + "\r\n\r\n";
+            std::string call = "GET /v" + std::to_string(route) + "/x HTTP/1.1\r\nHost: h\r\n";
+            call.append("X-Briarhead-Request-Id: ").append(id).append("\r\nX-Briarhead-Credential: ");
+            call.append(freeKey).append("\r\n\r\n");
             m_witness.sent(id, true, daemon.name, bootNow(), {});
             callServer(m_loop, m_pool, {"127.0.0.1", daemon.frontPort}, call, probeTimeout,
                 [this, &daemon, route, version, since](const call_result &result) {
@@ -482,8 +482,9 @@
 void soak_run::checkKey(daemon_process &daemon, int version, millis since)
 {
     const std::string id = "k" + std::to_string(++m_lastId);
-    const std::string call = "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: " + id
-        + "\r\nX-Briarhead-Credential: " + versionKey(version - 1) + "\r\n\r\n";
+    std::string call = "GET /safe/x HTTP/1.1\r\nHost: h\r\n";
+    call.append("X-Briarhead-Request-Id: ").append(id).append("\r\nX-Briarhead-Credential: ");
+    call.append(versionKey(version - 1)).append("\r\n\r\n");
     m_witness.sent(id, true, daemon.name, bootNow(), {});
     callServer(m_loop, m_pool, {"127.0.0.1", daemon.frontPort}, call, probeTimeout,
         [this, &daemon, version, since](const call_result &result) {
