Log the limits that servers name, and at each send the one known

Cause: the incident's logs can't show whether daemons saw the limits that servers named Ruled out: that the field was lost on the way: callers got it, it passes through with the others Change: the answers' field is read in platform/ (a decimal number, else a line says that it can't be read); a line when a daemon first hears of a limit, of another, or that it is named no more; request.sent tells the one known.

--- a/packages/serving/client_request.h
+++ b/packages/serving/client_request.h
@@ -48,6 +48,9 @@
     std::string requestId;
     bool signedByServer = false; ///< carries the server's signature; only such an answer is passed on
     bool notRun = false; ///< the server did not and will not run the request
+    std::optional<double>
+        limit; ///< requests a second that the server takes from all daemons; none: not named
+    bool limitUnreadable = false; ///< it names one that is no number of requests a second
 };
 
 /// Translates between requests and what the platform's callers and servers write. Filled by its adapter.
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -56,12 +56,14 @@
     const std::int64_t newest = named == m_store.view().versions.end() ? 0 : named->second;
     terms.adapterVersion = one->model ? std::max(one->adapterVersion, newest) : 0;
     terms.lastEvent = one->events.lastId;
+    const auto known = m_limits.find(server.id);
     m_log.ordinary("request.sent")
         .add("id", one->request.id)
         .add("server", server.id)
         .add("service", one->service)
         .add("config", one->config->version)
         .add("adapter_version", terms.adapterVersion)
+        .add("limit_per_second", known == m_limits.end() ? -1.0 : known->second.perSecond)
         .add("waited_ms", bootNow() - one->arrived);
     const std::weak_ptr<work> weak = one;
     send_handlers calls;
@@ -109,6 +111,7 @@
     one->head = head;
     one->meta = meta;
     one->lastEvent = bootNow();
+    hearLimit(*one);
     one->streaming = one->way->kind == repeat_kind::Stream && isSuccess(head.status) && meta.signedByServer;
     if (one->streaming && !one->begun) {
         one->begun = true;
@@ -118,6 +121,28 @@
     return true;
 }
 
+/// What the head of an answer says of its server's limit.
+void front_task::hearLimit(const work &one)
+{
+    if (one.meta.limitUnreadable) {
+        m_log.important("server.limit_unreadable").add("id", one.request.id).add("server", one.server);
+        return;
+    }
+    // A server that took nothing, or someone between, need not know of the limit.
+    const bool says = one.meta.limit || (one.meta.signedByServer && !one.meta.notRun);
+    if (!says) {
+        return;
+    }
+    const auto change = briarhead::hearLimit(m_limits, one.server, one.meta.limit, one.sentAt, bootNow());
+    if (change != limit_change::None) {
+        m_log.important("server.limit")
+            .add("id", one.request.id)
+            .add("server", one.server)
+            .add("change", nameOf(change))
+            .add("per_second", one.meta.limit.value_or(0));
+    }
+}
+
 void front_task::onBody(const work_ptr &one, const std::string &bytes)
 {
     const millis now = bootNow();
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -74,6 +74,7 @@
     for (const std::string &id : change.goneServers) {
         m_heard.erase(id);
         m_records.erase(id);
+        m_limits.erase(id);
         if (const auto again = m_store.view().servers.find(id); again != m_store.view().servers.end()) {
             m_pool.forget(again->second.address); // connections to its earlier start
         }
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -12,6 +12,7 @@
 #include "serving/node_settings.h"
 #include "serving/orderer_task.h"
 #include "serving/repeat_budget.h"
+#include "serving/server_limit.h"
 #include "serving/store_task.h"
 #include "state/latency.h"
 #include "transport/backend_pool.h"
@@ -105,6 +106,7 @@
     void onNoAnswer(const work_ptr &one);
     void send(const work_ptr &one, const backend_server &server);
     bool onHead(const work_ptr &one, const http_head &head);
+    void hearLimit(const work &one);
     void onBody(const work_ptr &one, const std::string &bytes);
     void onEnd(const work_ptr &one, send_end how, const error &why);
     void onWhole(const work_ptr &one);
@@ -142,6 +144,7 @@
     std::map<std::string, heard_server> m_heard; ///< by server
     std::map<std::string, int> m_inFlight; ///< this entry's, by server
     std::map<std::string, server_record> m_records; ///< by server
+    named_limits m_limits;
     std::uint64_t m_lastWork = 0;
     std::size_t m_cells = 1; ///< of this daemon's failure domain
     bool m_taking = true;
--- a/tests/serving/platform_test.cpp
+++ b/tests/serving/platform_test.cpp
@@ -140,6 +140,27 @@
     EXPECT_EQ(codec.passOn(head).size(), 2U) << "what concerns one connection stays there";
 }
 
+TEST(PlatformRequests, AnAnswerNamesItsServersLimit)
+{
+    const auto codec = requestCodec();
+    const auto limitOf = [&codec](const std::vector<std::string> &values) {
+        http_head head;
+        for (const std::string &value : values) {
+            head.fields.push_back({"server-limit", value});
+        }
+        return codec.readAnswer(head);
+    };
+    EXPECT_EQ(limitOf({"1.7"}).limit, 1.7);
+    EXPECT_EQ(limitOf({" 0 "}).limit, 0.0);
+    EXPECT_EQ(limitOf({"3", "2.5"}).limit, 2.5) << "of several the lowest counts";
+    EXPECT_EQ(limitOf({}).limit, std::nullopt);
+    EXPECT_FALSE(limitOf({}).limitUnreadable);
+    for (const char *value : {"", "-1", "nan", "inf", "1/s", "1,5", "0x10"}) {
+        EXPECT_EQ(limitOf({value}).limit, std::nullopt) << value;
+        EXPECT_TRUE(limitOf({value}).limitUnreadable) << value;
+    }
+}
+
 TEST(PlatformRequests, OrdersAndReports)
 {
     const auto codec = requestCodec();
