--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -50,6 +50,38 @@
     return object.dump();
 }
 
+void backend_standin::nameLimit(std::optional<double> perSecond)
+{
+    const millis at = bootNow();
+    if (!limits.empty() && limits.back().until.count == 0) {
+        limits.back().until = at;
+    }
+    limitText.clear();
+    if (perSecond) {
+        limits.push_back({at, {}, *perSecond});
+        limitText = std::to_string(*perSecond);
+    }
+}
+
+std::optional<std::string> backend_standin::overLimit() const
+{
+    std::vector<millis> times;
+    times.reserve(arrivals.size());
+    for (const server_arrival &each : arrivals) {
+        times.push_back(each.at);
+    }
+    return briarhead::overLimit(limits, times, bootNow());
+}
+
+/// Fields of an answer, with the limit where one is named.
+std::vector<http_field> backend_standin::withLimit(std::vector<http_field> fields) const
+{
+    if (!limitText.empty()) {
+        fields.push_back({"Server-Limit", limitText});
+    }
+    return fields;
+}
+
 void backend_standin::onRequest(const front_request &request, const std::shared_ptr<front_reply> &reply)
 {
     const std::string expected = valueOf(request, "x-briarhead-expect-instance");
@@ -59,6 +91,7 @@
         onOrder(request, *reply);
     } else if (request.head.target == "/v1/report") {
         ++reports;
+        arrivals.push_back({"", bootNow()});
         if (m_modelHeldFrom && bootNow() >= *m_modelHeldFrom) {
             holdsModel = true;
             m_modelHeldFrom.reset();
@@ -71,7 +104,7 @@
         if (born != 0) {
             report["born"] = born;
         }
-        reply->respond(200, {}, report.dump());
+        reply->respond(200, withLimit({}), report.dump());
     } else {
         run(request, reply);
     }
@@ -124,8 +157,8 @@
     const std::shared_ptr<front_reply> &reply, const std::string &requestId, int from, int to)
 {
     reply->begin(200,
-        {{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id},
-            {"Content-Type", "text/event-stream"}});
+        withLimit({{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id},
+            {"Content-Type", "text/event-stream"}}));
     for (int i = from; i <= to; ++i) {
         reply->write("id: " + std::to_string(i) + "\ndata: " + id + "\n\n");
     }
@@ -137,8 +170,9 @@
     const std::string model = valueOf(request, "x-briarhead-model");
     const std::size_t slash = model.find('/');
     const bool held = slash == std::string::npos || adapters.count(model.substr(slash + 1)) != 0;
-    const std::vector<http_field> fields{
-        {"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id}};
+    const std::vector<http_field> fields =
+        withLimit({{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id}});
+    arrivals.push_back({requestId, bootNow()});
     if (!held) {
         reply->respond(421, fields, "");
         return;
@@ -146,7 +180,7 @@
     if (now == mood::Sheds || now == mood::Busy) {
         ++turnedAway;
         reply->respond(now == mood::Sheds ? 503 : 429,
-            {{"X-Briarhead-Not-Executed", "1"}, {"X-Briarhead-Request-Id", requestId}}, "");
+            withLimit({{"X-Briarhead-Not-Executed", "1"}, {"X-Briarhead-Request-Id", requestId}}), "");
         return;
     }
     ran.push_back(request);
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/limit_watch.h"
 #include "transport/front_server.h"
 
 #include <nlohmann/json.hpp>
@@ -26,6 +27,11 @@
     void answerStream(
         const std::shared_ptr<front_reply> &reply, const std::string &requestId, int from, int to);
 
+    /// Names a limit in its answers from now on, or none.
+    void nameLimit(std::optional<double> perSecond);
+    /// Whether it got more than its limits allow, all daemons taken together; in words.
+    std::optional<std::string> overLimit() const;
+
     /// Answers the requests that were held while Silent.
     void answerHeld(const std::string &body);
 
@@ -55,6 +61,9 @@
     std::vector<front_request> ran;
     std::vector<millis> ranAt; ///< when each of those began
     std::vector<nlohmann::json> orders;
+    std::vector<server_arrival> arrivals; ///< requests and reports asked for, also those turned away
+    std::vector<limit_spell> limits; ///< that it named
+    std::string limitText; ///< named in answers; empty: none
     std::size_t left = 0; ///< callers that went away
     std::size_t turnedAway = 0; ///< requests that it did not take, Busy or Sheds
     millis slowness{700};
@@ -68,6 +77,7 @@
 private:
     void onRequest(const front_request &request, const std::shared_ptr<front_reply> &reply);
     void onOrder(const front_request &request, front_reply &reply);
+    std::vector<http_field> withLimit(std::vector<http_field> fields) const;
     void run(const front_request &request, const std::shared_ptr<front_reply> &reply);
     void runFatal(const std::string &requestId, const std::shared_ptr<front_reply> &reply, bool stream);
     /// A stream from `firstEvent` on; 0: a plain answer.
