Keep to the limits that servers name, over all daemons together

Cause: callers saw nothing; a server in need that named a limit of 1 a second went on getting 12 requests in 4 s, since no daemon read the limit, and nothing counts sends to a server over time Ruled out: daemons that each keep to it by themselves (no code did), and sends that nobody counts: the first sends of callers' requests alone made up the number seen Change: the daemon that gives a server's orders grants the turns within its limit too: every request for a model asks it for a place anyway, repeats and resumed streams included, and its own reports take turns. A plain server that names a limit gets such a holder, by the same record in the store, and requests there ask it. A holder that can't prove its record grants 0.4 of the limit, one that knows of a successor nothing; a new one begins without saved turns. Entries tell the holder what each answer says and send what they know with each ask, so that a new holder learns it; holders tell entries in beats and answers. Requests whose turn comes too late go to another server or are refused at once with the time of the next turn.

--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -27,11 +27,15 @@
     std::int64_t waitMs = 0; ///< how long it may wait for its place
     std::int64_t deadlineMs = 0; ///< left until its caller gives up
     std::int64_t targetMs = 0; ///< left until its first event is late; negative: it is late already
+    std::int64_t limitMilli =
+        -1; ///< requests a second, in thousandths, that the server names; -1: none known
+    std::int64_t limitAgeMs = 0; ///< since the entry heard of it
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, server, model, adapter, promptTokens, outputTokens, rank, waitMs, deadlineMs, targetMs);
+        archive(id, server, model, adapter, promptTokens, outputTokens, rank, waitMs, deadlineMs, targetMs,
+            limitMilli, limitAgeMs);
     }
 };
 
@@ -51,6 +55,7 @@
     ServerLeaving,
     NotHeld, ///< the base model isn't there
     LoadTooSlow, ///< its adapter would be there too late: too many are on their way from the weight store
+    Limited, ///< its turn within the limit that the server names would come too late
 };
 
 std::string_view nameOf(refusal value);
@@ -64,11 +69,12 @@
     refusal why = refusal::None;
     std::int64_t adapterVersion = 0; ///< the version that is resident; 0: not known
     std::int64_t comeBackMs = 0; ///< of a refusal
+    std::int64_t limitMilli = -1; ///< of the server, as in place_ask
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, server, verdict, why, adapterVersion, comeBackMs);
+        archive(id, server, verdict, why, adapterVersion, comeBackMs, limitMilli);
     }
 };
 
@@ -78,6 +84,7 @@
     Ended, ///< the server no longer works on it
     NotHeld, ///< the server says that the adapter isn't there
     Failed, ///< ended without an answer that counts
+    Unsent, ///< never reached the server
 };
 
 /// Entry -> orderer: what became of a grant. May be lost; a grant also ends by its deadline.
@@ -94,6 +101,21 @@
     }
 };
 
+/// Entry -> orderer: what the answer to a granted request says of its server's limit. Sent only where a limit
+/// is named, or was.
+struct limit_note
+{
+    std::string id;
+    std::string server;
+    std::int64_t limitMilli = -1; ///< as in place_ask; -1: named no more
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, server, limitMilli);
+    }
+};
+
 /// Entry -> a server's new orderer: a request that the one before let in, and that still runs there.
 struct place_running
 {
@@ -149,6 +171,20 @@
     }
 };
 
+/// A server's limit, as its orderer keeps it.
+struct limit_beat
+{
+    std::string server;
+    std::int64_t limitMilli = -1; ///< -1: named no more, since a moment ago
+    std::int64_t waitMs = 0; ///< until a further request has its turn
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(server, limitMilli, waitMs);
+    }
+};
+
 /// A daemon -> the others that hear of its servers, a few times a second.
 struct fleet_beat
 {
@@ -157,11 +193,12 @@
     std::int64_t orderingMs = 0; ///< it gives no order later than this from now unless its lease is renewed
     std::int64_t loadsAtOnce =
         0; ///< adapters the weight store delivers at full speed, as learned; 0: not lately
+    std::vector<limit_beat> limits; ///< of those servers
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(relay, servers, orderingMs, loadsAtOnce);
+        archive(relay, servers, orderingMs, loadsAtOnce, limits);
     }
 };
 
@@ -215,7 +252,7 @@
     std::string from; ///< the sender's node name
     std::uint64_t incarnation = 0;
     std::variant<place_ask, place_answer, place_note, place_running, fleet_beat, store_news, packed_news,
-        crash_news, quota_ask, quota_answer, quota_release>
+        crash_news, quota_ask, quota_answer, quota_release, limit_note>
         body;
 
     template <class Archive>
--- a/packages/serving/beat_cells.cpp
+++ b/packages/serving/beat_cells.cpp
@@ -76,6 +76,9 @@
             part.loadsAtOnce = beat.loadsAtOnce;
             part.servers.push_back(server);
         }
+        for (const limit_beat &limit : beat.limits) {
+            byCell[cellOf(limit.server, cells)].beat.limits.push_back(limit);
+        }
         for (auto &[cell, parcel] : byCell) {
             addHearers(parcel.to, daemons.live, cells, cell, from.node);
             const bool direct = own || parcel.to.size() <= directPeers;
--- a/packages/serving/choose_server.cpp
+++ b/packages/serving/choose_server.cpp
@@ -108,7 +108,8 @@
             continue;
         }
         const double load = static_cast<double>(one.mine) / std::max(one.slots, 1)
-            + (one.sameDomain ? 0 : otherDomainLoad) + failureLoad * one.failures;
+            + (one.sameDomain ? 0 : otherDomainLoad) + failureLoad * one.failures
+            + (one.limited ? limitedLoad + one.turnWait : 0);
         const bool better =
             !best || load < bestLoad || (load == bestLoad && one.tieBreak < servers[*best].tieBreak);
         if (better) {
--- a/packages/serving/choose_server.h
+++ b/packages/serving/choose_server.h
@@ -140,12 +140,16 @@
     int slots = 1;
     int mine = 0; ///< requests of this entry that run there
     double failures = 0;
+    bool limited = false; ///< it names a limit, so that a turn there has to be asked for
+    double turnWait = 0; ///< for that turn, in the request's target
     std::uint64_t tieBreak = 0;
 };
 
 /// Share of a server's slots that a way to another failure domain weighs.
 constexpr double otherDomainLoad = 0.35;
 constexpr double failureLoad = 2.0;
+/// A turn is a question to another daemon away, and may be gone.
+constexpr double limitedLoad = 0.5;
 
 std::optional<std::size_t> choosePlainServer(const std::vector<plain_candidate> &servers);
 
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -1,5 +1,6 @@
 #include "serving/front_work.h"
 
+#include "coordination/quota_plan.h"
 #include "coordination/rendezvous.h"
 
 #include <algorithm>
@@ -33,6 +34,12 @@
         const auto record = m_records.find(id);
         candidate.failures = record == m_records.end() ? 0 : failuresNow(record->second, now);
         candidate.tieBreak = rendezvousScore(one->request.id, id);
+        if (const auto wait = turnWait(id)) {
+            candidate.limited = true;
+            candidate.turnWait = static_cast<double>(wait->count)
+                / static_cast<double>(std::max<std::int64_t>(one->way->target.count, 1));
+            candidate.excluded = candidate.excluded || turnComesTooLate(*one, id);
+        }
         servers.push_back(&server);
         candidates.push_back(candidate);
     }
@@ -45,10 +52,112 @@
             passAnswer(one);
             return;
         }
-        refuse(one, "no server", comeBackSoon);
+        refuse(one, lacksTurn(*one) ? "the limits of the servers are used up" : "no server",
+            firstTurnBack(*one, comeBackSoon));
+        return;
+    }
+    const backend_server &server = *servers[*chosen];
+    if (m_limits.count(server.id) != 0) {
+        askTurn(one, server);
         return;
     }
-    send(one, *servers[*chosen]);
+    one->orderer.clear();
+    send(one, server);
+}
+
+/// How long a caller may still wait for its turn.
+millis front_task::patienceLeft(const work &one) const
+{
+    return patienceOf(one.way->target) - (bootNow() - one.arrived);
+}
+
+/// Until a further request has its turn at a server that names a limit; nothing: it names none.
+std::optional<millis> front_task::turnWait(const std::string &server) const
+{
+    const auto limit = m_limits.find(server);
+    return limit == m_limits.end() ? std::nullopt
+                                   : std::optional(std::max(limit->second.turnAt - bootNow(), millis{}));
+}
+
+bool front_task::turnComesTooLate(const work &one, const std::string &server) const
+{
+    const auto wait = turnWait(server);
+    return wait && *wait > std::max(patienceLeft(one), millis{});
+}
+
+/// Whether a server of its service is left out for its limit.
+bool front_task::lacksTurn(const work &one) const
+{
+    return std::any_of(m_limits.begin(), m_limits.end(), [&](const auto &each) {
+        const auto found = m_store.view().servers.find(each.first);
+        return found != m_store.view().servers.end() && found->second.service == one.service
+            && (turnComesTooLate(one, each.first) || one.excluded.count(each.first) != 0);
+    });
+}
+
+/// When a caller that is refused finds a turn, by what limits are known of its servers; `otherwise`: none
+/// are.
+millis front_task::firstTurnBack(const work &one, millis otherwise) const
+{
+    std::optional<millis> first;
+    if (one.shortestWait.count >= 0) {
+        first = one.shortestWait;
+    }
+    for (const auto &[server, limit] : m_limits) {
+        const auto found = m_store.view().servers.find(server);
+        if (found == m_store.view().servers.end() || found->second.service != one.service
+            || found->second.draining) {
+            continue;
+        }
+        const millis back = *turnWait(server) - patienceOf(one.way->target);
+        first = first ? std::min(*first, back) : back;
+    }
+    return first ? std::max(*first, shortestComeBack) : otherwise;
+}
+
+/// The daemon that keeps the limit of a plain server, or should take that up; empty: it doesn't answer.
+std::string front_task::limitKeeper(const backend_server &server) const
+{
+    const store_view &view = m_store.view();
+    const auto record = view.orderers.find(server.id);
+    const auto heard = m_heard.find(server.id);
+    if (record != view.orderers.end() && view.daemons.count(record->second.record.node) != 0) {
+        const std::string &node = record->second.record.node;
+        const bool silent =
+            heard != m_heard.end() && heard->second.orderer == node && !isFresh(heard->second, bootNow());
+        return silent ? std::string() : node;
+    }
+    return proposedHolder(view.daemons, server);
+}
+
+/// Asks whether a plain server's limit has a turn for the request.
+void front_task::askTurn(const work_ptr &one, const backend_server &server)
+{
+    one->server = server.id;
+    one->granted = false;
+    one->asks = 0;
+    one->askedAt = bootNow();
+    one->orderer = limitKeeper(server);
+    if (one->orderer.empty() || ++one->placesTried > placesAsked) {
+        one->excluded.insert(server.id);
+        startPlain(one);
+        return;
+    }
+    countTurn(m_limits.at(server.id), bootNow());
+    ask(one);
+}
+
+/// Tells the daemon that keeps a server's limit what an answer said of it.
+void front_task::noteLimit(const work &one)
+{
+    std::string keeper = one.orderer;
+    if (keeper.empty()) {
+        const auto server = m_store.view().servers.find(one.server);
+        keeper = server == m_store.view().servers.end() ? keeper : limitKeeper(server->second);
+    }
+    if (!keeper.empty()) {
+        tell(keeper, limit_note{one.request.id, one.server, one.meta.limit ? toMilli(*one.meta.limit) : -1});
+    }
 }
 
 std::vector<model_candidate> front_task::candidatesFor(
@@ -73,6 +182,12 @@
         candidate.excluded = candidate.excluded || server.draining || one.excluded.count(id) != 0;
         const bool own = heard != m_heard.end() && heard->second.orderer == m_settings.node;
         candidate.excluded = candidate.excluded || (m_alone && !own);
+        if (const auto wait = turnWait(id)) {
+            // Without its orderer nobody grants its turns.
+            const bool stale = heard != m_heard.end() && !isFresh(heard->second, now);
+            candidate.excluded = candidate.excluded || stale || turnComesTooLate(one, id);
+            candidate.backlogMs += static_cast<double>(wait->count);
+        }
         candidate.sameDomain = server.failureDomain == m_settings.failureDomain;
         const auto record = m_records.find(id);
         candidate.failures = record == m_records.end() ? 0 : failuresNow(record->second, now);
@@ -99,15 +214,17 @@
         refuse(one, "cut off from the other daemons", comeBackElsewhere);
         return;
     }
-    const bool unheard = !chosen && one->excluded.empty() && !one->mayHaveRun;
+    const bool unheard = !chosen && one->excluded.empty() && !one->mayHaveRun && !lacksTurn(*one);
     if (unheard && bootNow() - one->arrived < startPatience) {
         // No server's orderer has spoken yet: after a start, or after the death of those nearby.
         waitAndRetry(one, &front_task::startModel);
         return;
     }
     if (!chosen || one->placesTried >= placesAsked) {
-        const millis comeBack = one->shortestWait.count >= 0 ? one->shortestWait : comeBackSoon;
-        refuse(one, chosen ? "every server asked is full" : "no server", comeBack);
+        const char *why = chosen ? "every server asked is full"
+            : lacksTurn(*one)    ? "the limits of the servers are used up"
+                                 : "no server";
+        refuse(one, why, firstTurnBack(*one, comeBackSoon));
         return;
     }
     const backend_server &server = *servers[*chosen];
@@ -145,6 +262,9 @@
         return;
     }
     one->orderer = orderer;
+    if (const auto limit = m_limits.find(server.id); limit != m_limits.end()) {
+        countTurn(limit->second, bootNow());
+    }
     ask(one);
 }
 
@@ -182,11 +302,15 @@
     ++m_counters.asks;
     m_workOfAsk[one->request.id] = one->number;
     const millis waited = bootNow() - one->arrived;
-    const std::int64_t wait = (patienceOf(one->way->target) - waited).count;
-    const place_ask message{one->request.id, one->server, one->request.model, one->request.adapter,
+    const std::int64_t wait = patienceLeft(*one).count;
+    place_ask message{one->request.id, one->server, one->request.model, one->request.adapter,
         one->request.promptTokens, one->request.outputTokens, rankOf(*one->way, one->account),
         std::max<std::int64_t>(wait, 0), std::max<std::int64_t>(left(*one).count, 0),
-        (one->way->target - waited).count};
+        (one->way->target - waited).count, -1, 0};
+    if (const auto limit = m_limits.find(one->server); limit != m_limits.end()) {
+        message.limitMilli = toMilli(limit->second.perSecond);
+        message.limitAgeMs = (bootNow() - limit->second.heard).count;
+    }
     one->askTimer = m_loop.timer(askAgainAfter, {}, [this, weak = std::weak_ptr<work>(one)] {
         if (const auto same = weak.lock()) {
             askAgain(same);
@@ -216,11 +340,17 @@
         .add("asks", one->asks);
     note(*one, place_event::Ended);
     one->excluded.insert(one->server);
-    startModel(one);
+    start(one);
 }
 
 void front_task::onAnswer(const place_answer &answer)
 {
+    if (answer.why != refusal::NotOrderer) {
+        const bool limited = answer.verdict == place_verdict::Refused && answer.why == refusal::Limited;
+        const auto known = turnWait(answer.server);
+        const millis wait = limited ? millis{answer.comeBackMs} : known.value_or(millis{});
+        hearKept(m_limits, answer.server, limitFrom(answer.limitMilli), wait, bootNow());
+    }
     const auto number = m_workOfAsk.find(answer.id);
     const auto found = number == m_workOfAsk.end() ? m_work.end() : m_work.find(number->second);
     const bool waits = found != m_work.end() && found->second->server == answer.server
@@ -234,7 +364,7 @@
             ended.server = answer.server;
             const auto heard = m_heard.find(answer.server);
             ended.orderer = heard == m_heard.end() ? "" : heard->second.orderer;
-            note(ended, place_event::Ended);
+            note(ended, place_event::Unsent);
         }
         return;
     }
@@ -258,9 +388,9 @@
         record(m_counters.placeWait, static_cast<double>(one->placeWait.count));
         const auto server = m_store.view().servers.find(one->server);
         if (server == m_store.view().servers.end() || server->second.draining) {
-            leaveServer(one, place_event::Ended);
+            leaveServer(one, place_event::Unsent);
             one->excluded.insert(answer.server);
-            startModel(one);
+            start(one);
             return;
         }
         send(one, server->second);
@@ -277,7 +407,7 @@
             one->shortestWait = {answer.comeBackMs};
         }
         one->excluded.insert(answer.server);
-        startModel(one);
+        start(one);
         return;
     }
 }
@@ -305,6 +435,12 @@
             announce(each.server, node);
         }
     }
+    for (const limit_beat &each : beat.limits) {
+        const auto heard = m_heard.find(each.server);
+        if (heard != m_heard.end() && heard->second.orderer == node) {
+            hearKept(m_limits, each.server, limitFrom(each.limitMilli), millis{each.waitMs}, now);
+        }
+    }
 }
 
 /// Tells a server's new orderer what runs there, so that it takes no adapter in use for idle.
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -133,13 +133,17 @@
     if (!says) {
         return;
     }
+    const bool wasKnown = m_limits.count(one.server) != 0;
     const auto change = briarhead::hearLimit(m_limits, one.server, one.meta.limit, one.sentAt, bootNow());
     if (change != limit_change::None) {
         m_log.important("server.limit")
             .add("id", one.request.id)
             .add("server", one.server)
             .add("change", nameOf(change))
-            .add("per_second", one.meta.limit.value_or(0));
+            .add("per_second", one.meta.limit.value_or(-1));
+    }
+    if (one.meta.limit || wasKnown) {
+        noteLimit(one);
     }
 }
 
@@ -188,7 +192,7 @@
     }
     if (how == send_end::Unsent) {
         ++one->unsent;
-        note(*one, place_event::Failed);
+        note(*one, place_event::Unsent);
         m_log.important("request.unsent")
             .add("id", one->request.id)
             .add("server", server)
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -100,7 +100,15 @@
     void startModel(const work_ptr &one);
     std::vector<model_candidate> candidatesFor(
         const work &one, std::vector<const backend_server *> &servers) const;
+    millis patienceLeft(const work &one) const;
     std::string unheardOrderer(const std::string &server) const;
+    std::string limitKeeper(const backend_server &server) const;
+    std::optional<millis> turnWait(const std::string &server) const;
+    bool turnComesTooLate(const work &one, const std::string &server) const;
+    bool lacksTurn(const work &one) const;
+    millis firstTurnBack(const work &one, millis otherwise) const;
+    void askTurn(const work_ptr &one, const backend_server &server);
+    void noteLimit(const work &one);
     void ask(const work_ptr &one);
     void askAgain(const work_ptr &one);
     void onNoAnswer(const work_ptr &one);
--- a/packages/serving/orderer_task.cpp
+++ b/packages/serving/orderer_task.cpp
@@ -1,5 +1,6 @@
 #include "serving/orderer_task.h"
 
+#include "coordination/quota_plan.h"
 #include "coordination/rendezvous.h"
 #include "serving/beat_cells.h"
 #include "serving/heard_server.h"
@@ -7,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace briarhead {
 
@@ -45,6 +47,19 @@
 
 }
 
+std::string proposedHolder(const daemon_map &daemons, const backend_server &server)
+{
+    std::vector<std::string> all;
+    std::vector<std::string> near;
+    for (const auto &[node, record] : daemons) {
+        all.push_back(node);
+        if (record.failureDomain == server.failureDomain) {
+            near.push_back(node);
+        }
+    }
+    return rendezvousFirst(server.id, near.empty() ? all : near);
+}
+
 orderer_task::orderer_task(loop &eventLoop, bus &messages, store_task &store, backend_pool &pool,
     const request_codec &codec, const node_settings &settings, decision_log &log, answer_call onAnswer)
     : m_loop(eventLoop)
@@ -88,6 +103,7 @@
         }
         drop(id, "the server is gone");
         m_lastOrders.erase(id);
+        m_limits.erase(id);
     }
     noteHolders();
     const store_view &view = m_store.view();
@@ -159,6 +175,18 @@
             held->second.rivalUntil = std::max(held->second.rivalUntil, right.until);
         }
     }
+    for (const limit_beat &each : beat.limits) {
+        if (node != m_settings.node) {
+            hearKept(m_limits, each.server, limitFrom(each.limitMilli), millis{each.waitMs}, now);
+        }
+    }
+}
+
+/// Whether somebody has to keep the server's record: of a plain one only while it names a limit.
+bool orderer_task::isKept(const backend_server &server) const
+{
+    return engineOfServer(server) != nullptr || m_limits.count(server.id) != 0
+        || m_servers.count(server.id) != 0;
 }
 
 /// A server without a daemon that gives its orders is claimed by the one that rendezvous hashing proposes,
@@ -185,7 +213,7 @@
                                                              : entry->second.record.node == m_settings.node
                 && !(m_store.isOwn(entry->second.record) && m_store.isUnderLease(entry->second.record));
         const bool orphan = entry == view.orderers.end() || entry->second.record.node.empty() || formerSelf;
-        if (!orphan || server.draining || engineOfServer(server) == nullptr) {
+        if (!orphan || server.draining || !isKept(server)) {
             continue;
         }
         const auto near = byDomain.find(server.failureDomain);
@@ -256,8 +284,7 @@
 void orderer_task::begin(const std::string &id, const orderer_entry &entry)
 {
     const backend_server *server = serverOf(id);
-    const engine_spec *engine = server == nullptr ? nullptr : engineOfServer(*server);
-    if (engine == nullptr || m_stopped) {
+    if (server == nullptr || m_stopped || !isKept(*server)) {
         return;
     }
     const auto fence = static_cast<std::uint64_t>(entry.revision);
@@ -271,19 +298,28 @@
     one.fence = fence;
     one.mayOrderFrom = firstOrder(id);
     one.born = server->born;
-    openDesk(one.desk, *server, *engine);
+    openDesk(one.desk, *server);
+    if (const auto known = m_limits.find(id); known != m_limits.end()) {
+        nameLimit(one.desk.limit, known->second.perSecond, known->second.heard, bootNow());
+    }
     m_servers.emplace(id, std::move(one));
     m_log.important("orderer.taken").add("server", id).add("fence", fence);
     pump(id);
 }
 
-void orderer_task::openDesk(place_desk &desk, const backend_server &server, const engine_spec &engine)
+void orderer_task::openDesk(place_desk &desk, const backend_server &server) const
 {
+    const engine_spec *engine = engineOfServer(server);
     desk.ledger.server = server.id;
-    desk.ledger.places = engine.adapterPlaces;
-    desk.ledger.weightsMb = engine.weightsMb;
-    desk.queue.slots = std::min(server.slots, engine.slots);
-    desk.queue.memoryTokens = engine.memoryTokens;
+    desk.plain = engine == nullptr;
+    if (desk.plain) {
+        desk.queue.slots = std::numeric_limits<int>::max();
+        return;
+    }
+    desk.ledger.places = engine->adapterPlaces;
+    desk.ledger.weightsMb = engine->weightsMb;
+    desk.queue.slots = std::min(server.slots, engine->slots);
+    desk.queue.memoryTokens = engine->memoryTokens;
 }
 
 /// Guards against: a server that starts again under its id is taken for what it was. It would show as
@@ -294,8 +330,7 @@
 {
     const auto found = m_servers.find(id);
     const backend_server *server = serverOf(id);
-    const engine_spec *engine = server == nullptr ? nullptr : engineOfServer(*server);
-    if (found == m_servers.end() || engine == nullptr || found->second.born >= born) {
+    if (found == m_servers.end() || server == nullptr || found->second.born >= born) {
         return;
     }
     m_log.important("orderer.server_started_again").add("server", id).add("fence", found->second.fence);
@@ -305,7 +340,7 @@
     briarhead::startAgain(ledger, bootNow());
     one.desk = {};
     one.desk.ledger = std::move(ledger);
-    openDesk(one.desk, *server, *engine);
+    openDesk(one.desk, *server);
     one.born = born;
     one.reporting = false;
 }
@@ -375,6 +410,9 @@
     const auto found = m_servers.find(ask.server);
     const backend_server *server = serverOf(ask.server);
     if (found == m_servers.end() || server == nullptr) {
+        if (server != nullptr && ask.limitMilli >= 0) {
+            m_limits[ask.server] = {fromMilli(ask.limitMilli), bootNow() - millis{ask.limitAgeMs}, bootNow()};
+        }
         answer(entry, refuseAsk(ask.id, ask.server, refusal::NotOrderer, {}));
         return;
     }
@@ -382,6 +420,7 @@
         answer(entry, refuseAsk(ask.id, ask.server, refusal::ServerLeaving, {}));
         return;
     }
+    followLimit(ask.server, found->second);
     const place_answer first = askDesk(found->second.desk, entry, ask, bootNow());
     if (first.verdict != place_verdict::Queued) {
         answer(entry, first);
@@ -402,6 +441,40 @@
     }
 }
 
+void orderer_task::take(const std::string &, const limit_note &note)
+{
+    const auto found = m_servers.find(note.server);
+    if (found == m_servers.end()) {
+        if (note.limitMilli >= 0 && serverOf(note.server) != nullptr) {
+            m_limits[note.server] = {fromMilli(note.limitMilli), bootNow(), bootNow()};
+        }
+        return;
+    }
+    limit_turns &limit = found->second.desk.limit;
+    const auto before = limit.perSecond;
+    takeLimit(found->second.desk, note, bootNow());
+    if (limit.perSecond != before) {
+        m_log.important("limit.kept")
+            .add("id", note.id)
+            .add("server", note.server)
+            .add("per_second", limit.perSecond.value_or(-1))
+            .add("fence", found->second.fence)
+            .add("share", limit.share);
+    }
+}
+
+/// Guards against: two daemons grant the turns of one server, since one of them is cut off and doesn't know
+/// that it was replaced. It shows as a server that gets nearly twice its limit. Holds because only who proves
+/// its record grants the whole limit, and who knows of a successor none of it.
+void orderer_task::followLimit(const std::string &id, server_state &one)
+{
+    if (!one.desk.limit.perSecond) {
+        return;
+    }
+    const bool proven = m_store.holdsRecord(id) && bootNow() <= m_store.provenUntil();
+    setShare(one.desk.limit, one.fenced ? 0 : proven ? 1 : unprovenShare, bootNow());
+}
+
 void orderer_task::setAlone(bool alone)
 {
     m_alone = alone;
@@ -494,12 +567,17 @@
     }
     server_state &one = found->second;
     const millis now = bootNow();
+    followLimit(id, one);
     followPace(one.desk, m_pace, now);
     dropExpired(one.desk, now);
     if (server->draining) {
         answerAll(refuseWaiting(one.desk, refusal::ServerLeaving));
         return;
     }
+    if (one.desk.plain) {
+        answerAll(answersDue(one.desk, now));
+        return;
+    }
     const server_ledger &ledger = one.desk.ledger;
     // Whether a load is done is asked by the order again; who may not order now learns it from a report.
     const bool cantAsk = loadsUnderWay(ledger) > 0 && !mayOrder(id, one);
@@ -530,6 +608,10 @@
 
 void orderer_task::askReport(const std::string &id, server_state &one, const backend_server &server)
 {
+    if (turnsLeft(one.desk.limit, bootNow()) == 0) {
+        return;
+    }
+    takeTurn(one.desk.limit);
     one.reporting = true;
     ++m_counters.reports;
     const auto finish = [this, id, born = one.born](const call_result &result) {
@@ -539,6 +621,9 @@
         }
         server_state &state = found->second;
         state.reporting = false;
+        if (const auto limit = m_codec.readAnswer(result.head).limit) {
+            nameLimit(state.desk.limit, *limit, bootNow(), bootNow());
+        }
         error why;
         const auto report =
             result.how == send_end::Whole ? m_codec.readReport(result.body, why) : std::nullopt;
@@ -658,6 +743,9 @@
         server_beat server = beatOf(one.desk, mayOrder(id, one), now);
         server.fence = one.fence;
         out.servers.push_back(std::move(server));
+        if (auto limit = limitBeatOf(one.desk, now)) {
+            out.limits.push_back(std::move(*limit));
+        }
     }
     return out;
 }
--- a/packages/serving/orderer_task.h
+++ b/packages/serving/orderer_task.h
@@ -30,8 +30,13 @@
     std::uint64_t refused = 0;
 };
 
+/// The daemon that takes a server's record while nobody has it: the first by rendezvous hash, of those in its
+/// failure domain where there are any. Empty: there is no daemon.
+std::string proposedHolder(const daemon_map &daemons, const backend_server &server);
+
 /// Gives the orders of the model servers that this daemon holds the record of, and says which prompts go to
-/// them when. Only one daemon does so for a server; the others ask it.
+/// them when. Only one daemon does so for a server; the others ask it. It
+/// also grants the turns within a limit that a server names, of plain servers too.
 class orderer_task
 {
 public:
@@ -45,6 +50,7 @@
     void take(const std::string &entry, const place_ask &ask);
     void take(const std::string &entry, const place_note &note);
     void take(const std::string &entry, const place_running &run);
+    void take(const std::string &entry, const limit_note &note);
     /// What another daemon says of the servers that it gives orders to.
     void hear(const std::string &node, const fleet_beat &beat);
     /// This daemon is cut off from the others, which replace it at servers that check tokens: it orders
@@ -86,7 +92,9 @@
     void begin(const std::string &id, const orderer_entry &entry);
     void drop(const std::string &id, const char *why);
     void startAgain(const std::string &id, std::int64_t born);
-    static void openDesk(place_desk &desk, const backend_server &server, const engine_spec &engine);
+    void openDesk(place_desk &desk, const backend_server &server) const;
+    bool isKept(const backend_server &server) const;
+    void followLimit(const std::string &id, server_state &one);
     void answer(const std::string &entry, const place_answer &answer);
     void answerAll(const std::vector<desk_answer> &answers);
     void pump(const std::string &id);
@@ -117,6 +125,7 @@
     load_pace m_pace;
     std::map<std::string, heard_loads> m_heardLoads; ///< by server
     std::map<std::string, server_state> m_servers;
+    named_limits m_limits; ///< of servers that others give the orders of, or nobody
     std::map<std::string, millis> m_released; ///< servers given up by another daemon, and when that was seen
     std::map<std::string, std::string> m_holders; ///< other daemons that hold a server's record
     std::map<std::string, vacancy> m_vacated; ///< servers whose record went under another daemon
--- a/packages/serving/place_desk.cpp
+++ b/packages/serving/place_desk.cpp
@@ -1,5 +1,6 @@
 #include "serving/place_desk.h"
 
+#include "coordination/quota_plan.h"
 #include "serving/heard_server.h"
 
 #include <algorithm>
@@ -14,8 +15,12 @@
 constexpr double msPerSecond = 1'000;
 
 /// Whether the server can run the prompt now: its model and adapter are there.
-bool isHeld(const server_ledger &ledger, const waiting_prompt &prompt)
+bool isHeld(const place_desk &desk, const waiting_prompt &prompt)
 {
+    const server_ledger &ledger = desk.ledger;
+    if (desk.plain) {
+        return true;
+    }
     if (!holdsModel(ledger, prompt.model)) {
         return false;
     }
@@ -54,6 +59,11 @@
     return hopeless;
 }
 
+std::int64_t limitMilliOf(const limit_turns &limit)
+{
+    return limit.perSecond ? toMilli(*limit.perSecond) : -1;
+}
+
 place_answer grant(const server_ledger &ledger, const waiting_prompt &prompt)
 {
     const adapter_place *place = findPlace(ledger, prompt.model, prompt.adapter);
@@ -68,7 +78,9 @@
     return {id, server, place_verdict::Refused, why, 0, std::max(comeBack, shortestComeBack).count};
 }
 
-place_answer askDesk(place_desk &desk, const std::string &entry, const place_ask &ask, millis now)
+namespace {
+
+place_answer answerAsk(place_desk &desk, const std::string &entry, const place_ask &ask, millis now)
 {
     server_ledger &ledger = desk.ledger;
     noteAnswer(desk.answers, ask.outputTokens);
@@ -78,6 +90,14 @@
     if (const auto running = desk.queue.running.find(ask.id); running != desk.queue.running.end()) {
         return grant(ledger, running->second.what); // the grant was lost
     }
+    if (ask.limitMilli >= 0) {
+        nameLimit(desk.limit, fromMilli(ask.limitMilli), now - millis{ask.limitAgeMs}, now);
+    }
+    const millis turn =
+        isWaiting(desk.queue, ask.id) ? millis{} : turnAfter(desk.limit, desk.queue.waiting.size(), now);
+    if (turn > millis{ask.waitMs}) {
+        return refuseAsk(ask.id, ask.server, refusal::Limited, turn - millis{ask.waitMs});
+    }
     const bool needsPlace = !ask.adapter.empty() && findPlace(ledger, ask.model, ask.adapter) == nullptr;
     if (needsPlace && openPlaces(ledger) <= adaptersWaited(desk, ask.model, ask.adapter)) {
         return refuseAsk(ask.id, ask.server, refusal::NoPlace, placeComeBack);
@@ -95,6 +115,15 @@
     return {ask.id, ask.server, place_verdict::Queued, refusal::None, 0, 0};
 }
 
+}
+
+place_answer askDesk(place_desk &desk, const std::string &entry, const place_ask &ask, millis now)
+{
+    place_answer answer = answerAsk(desk, entry, ask, now);
+    answer.limitMilli = limitMilliOf(desk.limit);
+    return answer;
+}
+
 void takeRunning(place_desk &desk, const std::string &entry, const place_running &run, millis now)
 {
     if (desk.queue.running.count(run.id) != 0) {
@@ -114,12 +143,27 @@
     }
     if (const auto run = ended(desk.queue, note.id, now)) {
         endUse(desk.ledger, run->what.model, run->what.adapter);
+        if (note.event == place_event::Unsent) {
+            returnTurn(desk.limit);
+        }
         if (note.event == place_event::NotHeld) {
             notHeld(desk.ledger, run->what.model, run->what.adapter, now);
         }
     }
 }
 
+void takeLimit(place_desk &desk, const limit_note &note, millis now)
+{
+    if (note.limitMilli >= 0) {
+        nameLimit(desk.limit, fromMilli(note.limitMilli), now, now);
+        return;
+    }
+    const auto run = desk.queue.running.find(note.id);
+    if (run != desk.queue.running.end()) {
+        endLimit(desk.limit, run->second.granted, now);
+    }
+}
+
 void dropExpired(place_desk &desk, millis now)
 {
     for (const running_prompt &run : expired(desk.queue, now)) {
@@ -143,11 +187,14 @@
     std::vector<desk_answer> answers;
     std::vector<waiting_prompt> late = takeHopeless(desk, now);
     const auto ready = [&desk](const waiting_prompt &prompt) {
-        return isHeld(desk.ledger, prompt);
+        return isHeld(desk, prompt);
     };
-    for (const waiting_prompt &prompt : letIn(desk.queue, ready, late, now)) {
+    for (const waiting_prompt &prompt : letIn(desk.queue, ready, late, now, turnsLeft(desk.limit, now))) {
+        takeTurn(desk.limit);
         beginUse(desk.ledger, prompt.model, prompt.adapter, now);
-        answers.push_back({prompt.entry, grant(desk.ledger, prompt)});
+        place_answer granted = grant(desk.ledger, prompt);
+        granted.limitMilli = limitMilliOf(desk.limit);
+        answers.push_back({prompt.entry, granted});
     }
     for (const waiting_prompt &prompt : late) {
         answers.push_back(
@@ -209,6 +256,16 @@
     return static_cast<int>(names.size());
 }
 
+std::optional<limit_beat> limitBeatOf(const place_desk &desk, millis now)
+{
+    const bool endedLately = desk.limit.ended.count != 0 && now - desk.limit.ended < endTold;
+    if (!desk.limit.perSecond && !endedLately) {
+        return std::nullopt;
+    }
+    return limit_beat{desk.ledger.server, limitMilliOf(desk.limit),
+        turnAfter(desk.limit, desk.queue.waiting.size(), now).count};
+}
+
 server_beat beatOf(const place_desk &desk, bool mayOrder, millis now)
 {
     server_beat beat;
--- a/packages/serving/place_desk.h
+++ b/packages/serving/place_desk.h
@@ -4,14 +4,16 @@
 #include "serving/choose_server.h"
 #include "serving/place_queue.h"
 #include "serving/server_ledger.h"
+#include "serving/server_limit.h"
 #include "state/clock.h"
 
 #include <string>
 #include <vector>
 
-// One model server as the daemon runs it that gives its orders: its places, and the prompts that wait for
-// them. What is refused, who waits and who is let in is decided here, without network or clock, so that the
-// same code serves callers and the load model of the tests.
+// One server as the daemon runs it that gives its orders: its places, the prompts that wait for them, and the
+// turns within the limit that it names, which a plain server has too. What is refused, who waits and who is
+// let in is decided here, without network or clock, so that the same code serves callers and the load model
+// of the tests.
 namespace briarhead {
 
 struct place_desk
@@ -19,6 +21,8 @@
     server_ledger ledger;
     place_queue queue;
     answer_mix answers; ///< asked for here
+    limit_turns limit;
+    bool plain = false; ///< of a plain service: all that is kept of it is its limit
 };
 
 /// An answer and the entry it goes to.
@@ -41,6 +45,8 @@
 /// A request that the orderer before let in runs here.
 void takeRunning(place_desk &desk, const std::string &entry, const place_running &run, millis now);
 void takeNote(place_desk &desk, const place_note &note, millis now);
+/// What an answer said of the server's limit.
+void takeLimit(place_desk &desk, const limit_note &note, millis now);
 /// Gives up the places of requests whose time is long over.
 void dropExpired(place_desk &desk, millis now);
 /// Takes in what the server tells of itself; uses of adapters survive it by their grants.
@@ -59,6 +65,8 @@
 /// Adapters that prompts wait for and that have no place yet, other than the given one.
 int adaptersWaited(const place_desk &desk, const std::string &model, const std::string &adapter);
 /// What entries are told. `mayOrder`: nothing keeps the orderer from giving orders now.
+/// What entries are told of its limit, if it names one or lately did.
+std::optional<limit_beat> limitBeatOf(const place_desk &desk, millis now);
 server_beat beatOf(const place_desk &desk, bool mayOrder, millis now);
 
 }
--- a/packages/serving/place_queue.cpp
+++ b/packages/serving/place_queue.cpp
@@ -105,13 +105,16 @@
     return now + millis{std::llround(readMs)} + firstEventMargin <= prompt.targetAt;
 }
 
+bool isWaiting(const place_queue &queue, const std::string &id)
+{
+    return std::any_of(queue.waiting.begin(), queue.waiting.end(), [&id](const waiting_prompt &each) {
+        return each.id == id;
+    });
+}
+
 admission admit(place_queue &queue, const waiting_prompt &prompt, millis now)
 {
-    const auto sameId = [&prompt](const waiting_prompt &other) {
-        return other.id == prompt.id;
-    };
-    if (queue.running.count(prompt.id) != 0
-        || std::any_of(queue.waiting.begin(), queue.waiting.end(), sameId)) {
+    if (queue.running.count(prompt.id) != 0 || isWaiting(queue, prompt.id)) {
         return {true, true, {}};
     }
     std::int64_t ahead = readingTokens(queue);
@@ -131,7 +134,8 @@
 }
 
 std::vector<waiting_prompt> letIn(place_queue &queue,
-    const std::function<bool(const waiting_prompt &)> &ready, std::vector<waiting_prompt> &late, millis now)
+    const std::function<bool(const waiting_prompt &)> &ready, std::vector<waiting_prompt> &late, millis now,
+    std::size_t most)
 {
     std::erase_if(queue.waiting, [&](const waiting_prompt &prompt) {
         const bool over = prompt.startBy < now;
@@ -141,7 +145,11 @@
         return over;
     });
     std::vector<waiting_prompt> in;
-    while (const auto next = nextPrompt(queue, ready, now)) {
+    while (in.size() < most) {
+        const auto next = nextPrompt(queue, ready, now);
+        if (!next) {
+            break;
+        }
         const waiting_prompt prompt = queue.waiting[*next];
         if (!hasRoom(queue, prompt)) {
             break; // a smaller one behind it must not starve the largest
--- a/packages/serving/place_queue.h
+++ b/packages/serving/place_queue.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -65,6 +66,8 @@
 /// The same, with what waits.
 std::int64_t backlogTokens(const place_queue &queue);
 
+bool isWaiting(const place_queue &queue, const std::string &id);
+
 struct admission
 {
     bool taken = false;
@@ -82,10 +85,11 @@
 /// Takes a prompt into the queue unless its turn would come after `startBy`.
 admission admit(place_queue &queue, const waiting_prompt &prompt, millis now);
 
-/// Lets in what has its turn; `ready` says whether the server can run it now. Prompts whose time is over
-/// are put into `late`.
+/// Lets in what has its turn, at most `most`; `ready` says whether the server can run it now. Prompts whose
+/// time is over are put into `late`.
 std::vector<waiting_prompt> letIn(place_queue &queue,
-    const std::function<bool(const waiting_prompt &)> &ready, std::vector<waiting_prompt> &late, millis now);
+    const std::function<bool(const waiting_prompt &)> &ready, std::vector<waiting_prompt> &late, millis now,
+    std::size_t most = std::numeric_limits<std::size_t>::max());
 
 void firstToken(place_queue &queue, const std::string &id, millis now);
 /// The prompt that ended or was withdrawn, if it was running.
--- a/packages/serving/server_limit.h
+++ b/packages/serving/server_limit.h
@@ -3,6 +3,7 @@
 #include "coordination/quota_bucket.h"
 #include "state/clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -16,7 +17,8 @@
 struct named_limit
 {
     double perSecond = 0;
-    millis heard; ///< last
+    millis heard; ///< last, in an answer; or first, from another daemon
+    millis turnAt; ///< a further request has its turn then, as far as this daemon knows
 };
 
 using named_limits = std::map<std::string, named_limit>; ///< by server
@@ -36,4 +38,51 @@
 limit_change hearLimit(
     named_limits &limits, const std::string &server, std::optional<double> limit, millis sentAt, millis now);
 
+/// As messages carry it; negative: none.
+std::optional<double> limitFrom(std::int64_t milli);
+
+/// Takes in what the daemon tells that keeps the limit; none: it is named no more.
+void hearKept(
+    named_limits &limits, const std::string &server, std::optional<double> limit, millis wait, millis now);
+/// A turn was asked for: until more is heard it counts as taken.
+void countTurn(named_limit &limit, millis now);
+
+/// The turns within one server's limit, as the daemon keeps them that grants them for all others.
+struct limit_turns
+{
+    std::optional<double> perSecond; ///< none: the server names none
+    millis heard; ///< when it was last named
+    millis ended; ///< when it was last found to be named no more
+    quota_bucket turns;
+    double share = 1; ///< of the limit, that this daemon may grant now
+};
+
+/// A limit lower than this is kept as this: without any request nobody would learn that it has risen.
+constexpr double leastPerSecond = 0.1;
+/// Turns that may be saved up.
+constexpr double turnsKept = 2;
+constexpr double secondsKept = 0.1;
+/// Of the limit, for a daemon that can't prove that no other grants the server's turns by now. With another
+/// one at the whole limit both stay below one and a half of it.
+constexpr double unprovenShare = 0.4;
+
+/// How long daemons are told that a limit is named no more. One that heard it named within `limitWordLife`
+/// may know better than the daemon that keeps it.
+constexpr millis endTold{5'000};
+constexpr millis limitWordLife{1'000};
+
+/// Takes in that the limit was named, `at` or a moment before. Nothing is granted ahead under a new one.
+void nameLimit(limit_turns &turns, double perSecond, millis at, millis now);
+/// An answer names none. `grantedAt`: of the request that it answers.
+void endLimit(limit_turns &turns, millis grantedAt, millis now);
+/// From now on this daemon may grant so much of the limit.
+void setShare(limit_turns &turns, double share, millis now);
+/// How many requests may go now.
+std::size_t turnsLeft(limit_turns &turns, millis now);
+void takeTurn(limit_turns &turns);
+/// Of a request that never reached the server.
+void returnTurn(limit_turns &turns);
+/// Until a request has its turn that waits behind `ahead` others.
+millis turnAfter(const limit_turns &turns, std::size_t ahead, millis now);
+
 }
--- a/packages/transport/backend_call.cpp
+++ b/packages/transport/backend_call.cpp
@@ -34,6 +34,7 @@
     send_handlers calls;
     calls.onHead = [one](const http_head &head) {
         one->result.status = head.status;
+        one->result.head = head;
         return true;
     };
     calls.onBody = [one](const std::string &part) {
--- a/packages/transport/backend_call.h
+++ b/packages/transport/backend_call.h
@@ -12,6 +12,7 @@
 {
     send_end how = send_end::Broken;
     int status = 0;
+    http_head head;
     std::string body;
 };
 
