Take refusals with every reason off the wire, and log datagrams that can't be read

Cause: the codec's last known reason of a refusal was one of before load_too_slow. Datagrams that carried that one were dropped as unreadable, with a counter and no line, since: whoever asked waited 360 ms for three asks without an answer.

--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -164,8 +164,9 @@
     value = std::bit_cast<double>(bits);
 }
 
-// The last enumerator of each enumeration on the wire. A value past it comes from another release or
-// from corruption; taken in, it would index tables of names past their end and match no case of a switch.
+// The last enumerator of each enumeration on the wire, those of fleet_messages.h there. A value past it comes
+// from another release or from corruption; taken in, it would index tables of names past their end and match
+// no case of a switch.
 constexpr priority lastOf(priority)
 {
     return priority::Low;
@@ -190,18 +191,6 @@
 {
     return probe_kind::Join;
 }
-constexpr place_verdict lastOf(place_verdict)
-{
-    return place_verdict::Refused;
-}
-constexpr refusal lastOf(refusal)
-{
-    return refusal::NotHeld;
-}
-constexpr place_event lastOf(place_event)
-{
-    return place_event::Failed;
-}
 
 template <class enumeration>
 requires std::is_enum_v<enumeration>
--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -46,6 +46,12 @@
     Refused,
 };
 
+/// The codec takes no value beyond.
+constexpr place_verdict lastOf(place_verdict)
+{
+    return place_verdict::Refused;
+}
+
 enum class refusal : std::uint8_t
 {
     None,
@@ -58,6 +64,11 @@
     Limited, ///< its turn within the limit that the server names would come too late
 };
 
+constexpr refusal lastOf(refusal)
+{
+    return refusal::Limited;
+}
+
 std::string_view nameOf(refusal value);
 
 /// Orderer -> entry.
@@ -87,6 +98,11 @@
     Unsent, ///< never reached the server
 };
 
+constexpr place_event lastOf(place_event)
+{
+    return place_event::Unsent;
+}
+
 /// Entry -> orderer: what became of a grant. May be lost; a grant also ends by its deadline.
 struct place_note
 {
--- a/packages/protocol/messages.cpp
+++ b/packages/protocol/messages.cpp
@@ -3,6 +3,7 @@
 #include "protocol/fleet_messages.h"
 
 #include <array>
+#include <iterator>
 
 namespace briarhead {
 
@@ -32,6 +33,7 @@
 {
     static constexpr std::string_view names[] = {"none", "too_busy", "no_place", "not_orderer",
         "server_leaving", "model_not_held", "load_too_slow", "limited"};
+    static_assert(std::size(names) == static_cast<std::size_t>(lastOf(refusal{})) + 1);
     return names[static_cast<std::size_t>(value)];
 }
 
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -120,6 +120,7 @@
     int m_beats = 0;
     latency_histogram m_loopLag;
     millis m_lagFrom = bootNow();
+    std::uint64_t m_badTold = 0; ///< datagrams that couldn't be read
     millis m_started = bootNow();
     millis m_endBegan;
     millis m_heardPeerAt; ///< when another daemon's datagram came last
@@ -407,6 +408,12 @@
     const millis now = bootNow();
     record(m_loopLag, static_cast<double>((now - m_lagFrom - lagEvery).count));
     m_lagFrom = now;
+    if (m_port->counters().bad != m_badTold) {
+        m_badTold = m_port->counters().bad;
+        m_log.important("datagrams.unreadable")
+            .add("count", m_badTold)
+            .add("why", message(m_port->lastBad()));
+    }
 }
 
 void daemon_impl::beginEnd()
--- a/packages/serving/fleet_port.cpp
+++ b/packages/serving/fleet_port.cpp
@@ -72,6 +72,7 @@
         const auto datagram = decodeFleet({buffer.data(), static_cast<std::size_t>(got)}, why);
         if (!datagram) {
             ++m_counters.bad;
+            m_lastBad = why;
             continue;
         }
         ++m_counters.received;
@@ -79,6 +80,11 @@
     }
 }
 
+const error &fleet_port::lastBad() const
+{
+    return m_lastBad;
+}
+
 const fleet_counters &fleet_port::counters() const
 {
     return m_counters;
--- a/packages/serving/fleet_port.h
+++ b/packages/serving/fleet_port.h
@@ -29,6 +29,8 @@
         loop &eventLoop, const peer_address &bind, handler onDatagram, error &why);
     void send(const peer_address &to, const fleet_datagram &datagram);
     const fleet_counters &counters() const;
+    /// Why the latest undecodable datagram was one.
+    const error &lastBad() const;
 
 private:
     fleet_port(owned_fd fd, handler onDatagram);
@@ -37,6 +39,7 @@
     owned_fd m_fd;
     handler m_handler;
     fleet_counters m_counters;
+    error m_lastBad;
     std::shared_ptr<void> m_watch;
 };
 
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -30,6 +30,29 @@
         {"gpu-1", 3, 2, 8, 1}, {"gpu-1", "gpu-2"}};
 }
 
+// Refusals with a reason that came with a later release were dropped as unreadable, and whoever had asked
+// waited in vain for an answer.
+TEST(codec, takesEachReasonAndEventOfPlaces)
+{
+    using enum refusal;
+    for (const refusal each :
+        {None, TooBusy, NoPlace, NotOrderer, ServerLeaving, NotHeld, LoadTooSlow, Limited}) {
+        error why;
+        const place_answer sent{"id", "s", place_verdict::Refused, each, 3, 250, 1'500};
+        const auto got = decodeFleet(encode(fleet_datagram{"n", 1, sent}), why);
+        ASSERT_TRUE(got) << nameOf(each) << ": " << message(why);
+        EXPECT_EQ(std::get<place_answer>(got->body).why, each);
+        EXPECT_EQ(std::get<place_answer>(got->body).limitMilli, 1'500);
+    }
+    for (const place_event each : {place_event::FirstToken, place_event::Ended, place_event::NotHeld,
+             place_event::Failed, place_event::Unsent}) {
+        error why;
+        const auto got = decodeFleet(encode(fleet_datagram{"n", 1, place_note{"id", "s", each}}), why);
+        ASSERT_TRUE(got) << static_cast<int>(each) << ": " << message(why);
+        EXPECT_EQ(std::get<place_note>(got->body).event, each);
+    }
+}
+
 TEST(codec, keepsEveryFieldOfAMessage)
 {
     error why;
