Grant the whole of a server's limit while the holder's lease stands

Cause: holders granted 0.4 of the limits at all times. The proof they went by doubts each gap between renewals over 1 s; where servers check tokens leases are renewed every 2.4 s, so that it never stood Ruled out: the entries' choice: holders refused at a level that the limit would have had room for Change: the whole is granted while the lease lives by the daemon's clock and the store's latest answer came.

--- a/packages/serving/orderer_task.cpp
+++ b/packages/serving/orderer_task.cpp
@@ -450,29 +450,28 @@
         }
         return;
     }
-    limit_turns &limit = found->second.desk.limit;
-    const auto before = limit.perSecond;
     takeLimit(found->second.desk, note, bootNow());
-    if (limit.perSecond != before) {
-        m_log.important("limit.kept")
-            .add("id", note.id)
-            .add("server", note.server)
-            .add("per_second", limit.perSecond.value_or(-1))
-            .add("fence", found->second.fence)
-            .add("share", limit.share);
-    }
+    pump(note.server);
 }
 
 /// Guards against: two daemons grant the turns of one server, since one of them is cut off and doesn't know
-/// that it was replaced. It shows as a server that gets nearly twice its limit. Holds because only who proves
-/// its record grants the whole limit, and who knows of a successor none of it.
+/// that it was replaced. It shows as a server that gets nearly twice its limit. Holds because only whose
+/// lease stands grants the whole limit, and who knows of a successor none of it.
 void orderer_task::followLimit(const std::string &id, server_state &one)
 {
+    if (one.desk.limit.perSecond != one.limitTold) {
+        one.limitTold = one.desk.limit.perSecond;
+        m_log.important("limit.kept")
+            .add("server", id)
+            .add("per_second", one.limitTold.value_or(-1))
+            .add("fence", one.fence)
+            .add("share", one.desk.limit.share);
+    }
     if (!one.desk.limit.perSecond) {
         return;
     }
-    const bool proven = m_store.holdsRecord(id) && bootNow() <= m_store.provenUntil();
-    setShare(one.desk.limit, one.fenced ? 0 : proven ? 1 : unprovenShare, bootNow());
+    const bool stands = m_store.holdsRecord(id) && m_store.leaseStands();
+    setShare(one.desk.limit, one.fenced ? 0 : stands ? 1 : unprovenShare, bootNow());
 }
 
 void orderer_task::setAlone(bool alone)
--- a/packages/serving/orderer_task.h
+++ b/packages/serving/orderer_task.h
@@ -74,6 +74,7 @@
         millis lastOrder; ///< when one was sent
         bool reporting = false;
         place_desk desk;
+        std::optional<double> limitTold; ///< to the log
     };
 
     /// Adapters on their way to a server that another daemon gives orders to.
--- a/packages/serving/server_limit.h
+++ b/packages/serving/server_limit.h
@@ -62,7 +62,7 @@
 /// Turns that may be saved up.
 constexpr double turnsKept = 2;
 constexpr double secondsKept = 0.1;
-/// Of the limit, for a daemon that can't prove that no other grants the server's turns by now. With another
+/// Of the limit, for a daemon without proof that no other grants the server's turns by now. With another
 /// one at the whole limit both stay below one and a half of it.
 constexpr double unprovenShare = 0.4;
 
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -89,6 +89,11 @@
     return m_lease == 0 ? millis{} : briarhead::provenUntil(m_proof);
 }
 
+bool store_task::leaseStands() const
+{
+    return m_lease != 0 && !m_lastFailed && bootNow() <= m_proof.renewed + m_proof.length - proofMargin;
+}
+
 bool store_task::isOwn(const orderer_record &record) const
 {
     return record.node == m_settings.node && record.incarnation == m_incarnation;
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -108,6 +108,9 @@
     /// Whether the view has such a record of a server. Asked anew before each order: a lease that has been
     /// lost and granted again proves nothing of records of before.
     bool holdsRecord(const std::string &server) const;
+    /// Whether the lease lives by this daemon's clock, and the store's latest answer came. Without a reading
+    /// this proves no record: another daemon may have replaced it a moment ago.
+    bool leaseStands() const;
     /// Whether this daemon follows the store itself.
     bool isReader() const;
     /// Claims the right to give a server's orders if nobody else has it, or also from one that has it. The
