--- a/tests/serving/server_limit_test.cpp
+++ b/tests/serving/server_limit_test.cpp
@@ -1,3 +1,4 @@
+#include "protocol/codec.h"
 #include "serving/limit_watch.h"
 #include "serving/place_desk.h"
 #include "serving/server_limit.h"
@@ -199,6 +200,23 @@
     EXPECT_GT(refused, 30'000U);
 }
 
+// Limits are told to those who hear of a server anyway: a few bytes more for each server that names one,
+// whatever the number of daemons and of other servers.
+TEST(ServerLimit, CostsBytesOnlyForServersThatNameOne)
+{
+    fleet_datagram beat{"edge-zg-dubrava-1", 1, fleet_beat{}};
+    const std::size_t without = encode(beat).size();
+    std::get<fleet_beat>(beat.body).limits.push_back({"i-ef064fa758", 1'700, 580});
+    EXPECT_LE(encode(beat).size() - without, 20U);
+    const place_ask ask = askOf("9c41d07be2a35f68", {300});
+    place_ask limited = ask;
+    limited.limitMilli = 1'700;
+    limited.limitAgeMs = 120;
+    EXPECT_LE(
+        encode(fleet_datagram{"n", 1, limited}).size() - encode(fleet_datagram{"n", 1, ask}).size(), 4U);
+    EXPECT_LE(encode(fleet_datagram{"n", 1, limit_note{ask.id, "i-ef064fa758", 1'700}}).size(), 64U);
+}
+
 // A turn of a request that never reached the server was lost, and at a low limit a caller with it.
 TEST(ServerLimit, ATurnOfWhatWasNotSentIsUsableAgainOnce)
 {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -92,6 +92,7 @@
     void checkConfig(int version, millis changed);
     void checkLog(const daemon_process &daemon);
     void checkKey(daemon_process &daemon, int version, millis since);
+    void nameLimit(const limit_change_plan &change);
     void heal();
     void look();
     std::size_t below(std::size_t bound);
@@ -218,6 +219,11 @@
             apply(each);
         });
     }
+    for (const limit_change_plan &each : drawLimits(m_options.seed, m_options.length, m_servers.size())) {
+        after(each.at, [this, each] {
+            nameLimit(each);
+        });
+    }
     runFor(m_options.length);
     traffic.reset();
     heal();
@@ -337,6 +343,7 @@
     case fault_kind::StoreLink: {
         m_storeLinks[what.target]->setFault(links[what.variant % std::size(links)]);
         disturb(m_daemons[what.target], what.lasts);
+        m_witness.excuse(m_daemons[what.target].name, bootNow(), bootNow() + what.lasts);
         after(what.lasts, [this, what] {
             m_storeLinks[what.target]->setFault(link_fault::None);
         });
@@ -344,6 +351,9 @@
     }
     case fault_kind::ServerLink:
         setLink(m_servers[what.target], links[what.variant % std::size(links)]);
+        // What the link holds back comes in a bunch: the limit counts anew once that is over.
+        m_witness.heldUp(m_servers[what.target].standin ? m_servers[what.target].standin->id : "", bootNow(),
+            bootNow() + what.lasts);
         after(what.lasts, [this, what] {
             setLink(m_servers[what.target], link_fault::None);
         });
@@ -383,10 +393,12 @@
     daemon_process &daemon = m_daemons[what.target];
     switch (what.kind) {
     case fault_kind::KillDaemon:
+        m_witness.excuse(daemon.name, bootNow(), bootNow());
         disturb(daemon, {});
         signal(daemon, SIGKILL);
         return;
     case fault_kind::PauseDaemon:
+        m_witness.excuse(daemon.name, bootNow(), bootNow() + what.lasts);
         disturb(daemon, what.lasts);
         signal(daemon, SIGSTOP);
         after(what.lasts, [&daemon] {
@@ -394,6 +406,7 @@
         });
         return;
     case fault_kind::EndDaemon:
+        m_witness.excuse(daemon.name, bootNow(), bootNow() + graceBound);
         disturb(daemon, {});
         daemon.terminated = daemon.terminated.count == 0 ? bootNow() : daemon.terminated;
         signal(daemon, SIGTERM);
@@ -497,6 +510,18 @@
         });
 }
 
+void soak_run::nameLimit(const limit_change_plan &change)
+{
+    const served_server &server = m_servers[change.server];
+    if (server.standin && !m_healed) {
+        std::ostringstream line;
+        line << (bootNow() - m_begin).count << " ms: " << server.standin->id << " names a limit of "
+             << change.perSecond.value_or(-1);
+        m_report.faults.push_back(line.str());
+        server.standin->nameLimit(change.perSecond);
+    }
+}
+
 void soak_run::heal()
 {
     m_healed = true;
@@ -507,6 +532,9 @@
     for (served_server &server : m_servers) {
         setLink(server, link_fault::None);
         setMood(server, mood::Serves);
+        if (server.standin) {
+            server.standin->nameLimit({});
+        }
     }
     for (daemon_process &daemon : m_daemons) {
         signal(daemon, SIGCONT);
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -93,4 +93,28 @@
     return spell;
 }
 
+std::vector<limit_change_plan> drawLimits(std::uint64_t seed, millis length, std::size_t servers)
+{
+    std::mt19937_64 random(seed * 53 + 29);
+    const auto below = [&random](std::int64_t bound) {
+        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
+    };
+    static constexpr double limits[] = {0.1, 0.5, 1, 1.7, 4, 9};
+    std::vector<limit_change_plan> changes;
+    for (std::size_t server = 0; server < servers; ++server) {
+        if (below(2) == 0) {
+            continue;
+        }
+        const millis from{calmStartMs / 4 + below(calmStartMs)};
+        changes.push_back({from, server, limits[below(std::size(limits))]});
+        if (below(2) == 0) { // it changes in the second half
+            const millis at{length.count / 2 + below(std::max<std::int64_t>(length.count / 4, 1))};
+            const bool ends = below(3) == 0;
+            changes.push_back(
+                {at, server, ends ? std::nullopt : std::optional(limits[below(std::size(limits))])});
+        }
+    }
+    return changes;
+}
+
 }
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -52,4 +53,15 @@
 /// Drawn apart from the faults, which stay what a seed has always drawn.
 fatal_spell drawFatalSpell(std::uint64_t seed, millis length);
 
+/// A server names a limit from then on, or none.
+struct limit_change_plan
+{
+    millis at; ///< since the start of traffic
+    std::size_t server = 0;
+    std::optional<double> perSecond;
+};
+
+/// Drawn apart from the faults. Several servers name limits at once; some rise, fall or end midway.
+std::vector<limit_change_plan> drawLimits(std::uint64_t seed, millis length, std::size_t servers);
+
 }
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -14,6 +14,9 @@
 /// A request may end so many servers before all daemons must know it, and be sent on so many times after.
 constexpr std::size_t endsAllowed = 3;
 constexpr std::size_t sendsAllowed = 3;
+/// A daemon that has passed on a server's limit keeps to it from this long after.
+constexpr millis toldBefore{500};
+const std::string stampBegin = "by-";
 
 bool promisesNotRun(int status)
 {
@@ -44,6 +47,10 @@
 {
     sent_request &request = m_requests.at(answer.id);
     request.answered = true;
+    const std::string *stamp = findField(answer.head, "x-briarhead-server-stamp");
+    if (stamp != nullptr && findField(answer.head, "server-limit") != nullptr) {
+        m_told[stamp->substr(stampBegin.size())][request.daemon].push_back(at);
+    }
     const int status = answer.head.status;
     const std::string who = answer.id + " at " + request.daemon + ": ";
     if (answer.how != send_end::Whole) {
@@ -131,6 +138,65 @@
     }
 }
 
+void witness::excuse(const std::string &daemon, millis from, millis until)
+{
+    m_excused[daemon].push_back({from, until});
+}
+
+void witness::heldUp(const std::string &server, millis from, millis until)
+{
+    m_heldUp[server].push_back({from, until});
+}
+
+/// Whether a request that a daemon sent counts against the server's limit.
+bool witness::countsAt(const std::string &server, const std::string &daemon, millis at) const
+{
+    millis since;
+    if (const auto excused = m_excused.find(daemon); excused != m_excused.end()) {
+        for (const span &each : excused->second) {
+            if (each.from <= at) {
+                since = std::max(since, each.until + calmBefore);
+            }
+        }
+    }
+    const auto ofServer = m_told.find(server);
+    if (ofServer == m_told.end() || ofServer->second.count(daemon) == 0) {
+        return false;
+    }
+    const std::vector<millis> &told = ofServer->second.at(daemon);
+    return std::any_of(told.begin(), told.end(), [&](millis each) {
+        return each >= since && each + toldBefore <= at;
+    });
+}
+
+void witness::checkServerLimit(const backend_standin &server)
+{
+    std::vector<limit_spell> spells;
+    for (const limit_spell &spell : server.limits) {
+        limit_spell rest = spell;
+        for (const span &each : m_heldUp[server.id]) {
+            const bool within = each.from >= rest.from && (rest.until.count == 0 || each.from < rest.until);
+            if (within) {
+                spells.push_back({rest.from, each.from, rest.perSecond});
+                rest.from = each.until;
+            }
+        }
+        if (rest.until.count == 0 || rest.from < rest.until) {
+            spells.push_back(rest);
+        }
+    }
+    std::vector<millis> counted;
+    for (const server_arrival &each : server.arrivals) {
+        const auto sent = m_requests.find(each.id);
+        if (sent != m_requests.end() && countsAt(server.id, sent->second.daemon, each.at)) {
+            counted.push_back(each.at);
+        }
+    }
+    if (const auto over = overLimit(spells, counted, bootNow())) {
+        wrong("LIMIT " + server.id + " got " + *over);
+    }
+}
+
 void witness::saw(const backend_standin &server, std::size_t places)
 {
     for (std::size_t i = 0; i < server.ran.size(); ++i) {
@@ -144,6 +210,7 @@
             ++found->second.runs;
         }
     }
+    checkServerLimit(server);
     if (server.mostAdapters > places) {
         wrong("LIMIT " + server.id + " was ordered to hold " + std::to_string(server.mostAdapters)
             + " adapters");
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -43,6 +43,11 @@
     /// undisturbed for long enough to have been told of it.
     void endedUnder(const std::string &server, millis at, bool calm);
     const std::string &daemonOf(const std::string &id) const;
+    /// Sends of a daemon that was killed, stood still or was cut off don't count against servers' limits
+    /// until it has passed on an answer that names one again.
+    void excuse(const std::string &daemon, millis from, millis until);
+    /// A server's link holds back what is sent to it.
+    void heldUp(const std::string &server, millis from, millis until);
     /// Something goes wrong somewhere until then.
     void disturbed(millis until);
     /// What a server ran and was ordered, up to now.
@@ -64,6 +69,8 @@
     };
     void checkAccount(const backend_standin &server, const front_request &run, millis at);
     void checkLimit(soak_report &report) const;
+    void checkServerLimit(const backend_standin &server);
+    bool countsAt(const std::string &server, const std::string &daemon, millis at) const;
     void checkStream(const caller_answer &answer, bool whole);
     void wrong(const std::string &what);
 
@@ -72,6 +79,15 @@
     std::vector<millis> m_ends; ///< of servers, under the one request that ends them
     std::size_t m_sentOn = 0; ///< by calm daemons, long after the third end
     std::vector<std::string> m_violations;
+    struct span
+    {
+        millis from;
+        millis until;
+    };
+    std::map<std::string, std::vector<span>> m_excused; ///< by daemon
+    std::map<std::string, std::vector<span>> m_heldUp; ///< by server
+    /// When a daemon passed on answers that name a server's limit; by server, then daemon.
+    std::map<std::string, std::map<std::string, std::vector<millis>>> m_told;
     millis m_disturbedUntil;
     std::size_t m_served = 0;
     std::size_t m_refused = 0;
