--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -13,6 +13,9 @@
 /// Of a datagram and its answer, across failure domains and with a busy peer: then it is asked again.
 constexpr millis askAgainAfter{120};
 constexpr int asksPerServer = 3;
+/// A daemon that keeps a server's limit and doesn't answer is not asked again for so long, unless its beats
+/// come.
+constexpr millis silentKeeper{2'000};
 
 }
 
@@ -340,6 +343,9 @@
         .add("asks", one->asks);
     note(*one, place_event::Ended);
     one->excluded.insert(one->server);
+    if (const auto limit = m_limits.find(one->server); limit != m_limits.end()) {
+        limit->second.turnAt = bootNow() + silentKeeper; // the next callers are not to wait for it too
+    }
     start(one);
 }
 
