Let daemons find out that limits have ended before the soak looks at the recovery

Traced: all servers' limits end at the soak's heal, without an answer that could say so; the next turn at 0.1 a second is up to 10 s away, and the 40 requests come within 0.8 s.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -31,6 +31,7 @@
 constexpr millis graceBound{14'000}; ///< 8 s on the platform
 constexpr millis recoveryBound{20'000}; ///< 12 s on the platform
 constexpr millis startBound{20'000};
+constexpr millis longestTurn{12'000}; ///< at the lowest limit
 constexpr millis probeTimeout{2'000};
 constexpr int adapters = 6;
 constexpr int places = 2;
@@ -94,6 +95,7 @@
     void checkKey(daemon_process &daemon, int version, millis since);
     void nameLimit(const limit_change_plan &change);
     void heal();
+    bool limitsKnownToHaveEnded(millis since) const;
     void look();
     std::size_t below(std::size_t bound);
     void sendOne();
@@ -235,6 +237,11 @@
     }
     m_report.recovered = bootNow() - healed;
     runFor(calmAfter);
+    // That a server names its limit no more is known from its next answer, which may be a turn away.
+    runUntil(longestTurn, [this, healed] {
+        sendOne();
+        return limitsKnownToHaveEnded(healed);
+    });
     const std::size_t before = m_witness.served();
     for (int i = 0; i < requestsAfter; ++i) {
         sendOne();
@@ -541,6 +548,15 @@
     }
 }
 
+/// Whether each server that named a limit has answered a request since.
+bool soak_run::limitsKnownToHaveEnded(millis since) const
+{
+    return std::all_of(m_servers.begin(), m_servers.end(), [since](const served_server &each) {
+        return !each.standin || each.standin->limits.empty()
+            || (!each.standin->ranAt.empty() && each.standin->ranAt.back() >= since);
+    });
+}
+
 /// What a server saw, before it is gone.
 void soak_run::collect(served_server &server)
 {
