--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -121,32 +121,6 @@
     return true;
 }
 
-/// What the head of an answer says of its server's limit.
-void front_task::hearLimit(const work &one)
-{
-    if (one.meta.limitUnreadable) {
-        m_log.important("server.limit_unreadable").add("id", one.request.id).add("server", one.server);
-        return;
-    }
-    // A server that took nothing, or someone between, need not know of the limit.
-    const bool says = one.meta.limit || (one.meta.signedByServer && !one.meta.notRun);
-    if (!says) {
-        return;
-    }
-    const bool wasKnown = m_limits.count(one.server) != 0;
-    const auto change = briarhead::hearLimit(m_limits, one.server, one.meta.limit, one.sentAt, bootNow());
-    if (change != limit_change::None) {
-        m_log.important("server.limit")
-            .add("id", one.request.id)
-            .add("server", one.server)
-            .add("change", nameOf(change))
-            .add("per_second", one.meta.limit.value_or(-1));
-    }
-    if (one.meta.limit || wasKnown) {
-        noteLimit(one);
-    }
-}
-
 void front_task::onBody(const work_ptr &one, const std::string &bytes)
 {
     const millis now = bootNow();
--- a/packages/serving/front_work.h
+++ b/packages/serving/front_work.h
@@ -75,4 +75,19 @@
     std::shared_ptr<void> quietTimer;
 };
 
+/// To a server's orderer, which may be this daemon; then never from inside, as with a datagram.
+template <class message_type>
+void front_task::tell(const std::string &orderer, const message_type &message)
+{
+    if (orderer == m_settings.node) {
+        m_loop.post([this, message] {
+            m_orderer->take(m_settings.node, message);
+        });
+        return;
+    }
+    if (const daemon_record *peer = findPeer(m_store.view(), orderer)) {
+        m_port->send({peer->ip, peer->port}, {m_settings.node, m_store.incarnation(), message});
+    }
+}
+
 }
--- /dev/null
+++ b/packages/serving/orderer_hold.cpp
@@ -0,0 +1,354 @@
+#include "coordination/quota_plan.h"
+#include "coordination/rendezvous.h"
+#include "serving/beat_cells.h"
+#include "serving/orderer_task.h"
+
+#include <algorithm>
+#include <limits>
+
+// Which servers' records this daemon holds: claimed, taken from a silent holder, given up, and from when on
+// it may order there.
+namespace briarhead {
+
+namespace {
+
+/// When all daemons start at once the first to register would claim every server before it sees the others.
+constexpr millis settleTime{400};
+/// A daemon that ends gives orders for 2.3 s more; those it gave before its end began are then this close to
+/// the three seconds that two daemons' orders keep apart.
+constexpr millis handOverWait{800};
+/// Entries tell a new orderer at its first beat what still runs; until they have, adapters in use look idle.
+constexpr millis announceWait{250};
+/// Beats from another failure domain come every 450 ms: by then a former holder that renewed its lease right
+/// before its records went has said so.
+constexpr millis beatWait{500};
+/// A holder that is cut off stops ordering after `aloneAfter`; with this its last order and the next holder's
+/// first keep apart far enough that a third holder's can't come within the time of the two.
+constexpr millis replacedWait{1'000};
+
+}
+
+std::string proposedHolder(const daemon_map &daemons, const backend_server &server)
+{
+    std::vector<std::string> all;
+    std::vector<std::string> near;
+    for (const auto &[node, record] : daemons) {
+        all.push_back(node);
+        if (record.failureDomain == server.failureDomain) {
+            near.push_back(node);
+        }
+    }
+    return rendezvousFirst(server.id, near.empty() ? all : near);
+}
+
+void orderer_task::followView(const view_changed &change)
+{
+    for (const std::string &id : change.goneServers) {
+        if (const backend_server *server = serverOf(id); server != nullptr) {
+            startAgain(id, server->born);
+            continue;
+        }
+        drop(id, "the server is gone");
+        m_lastOrders.erase(id);
+        m_limits.erase(id);
+    }
+    noteHolders();
+    const store_view &view = m_store.view();
+    for (const auto &[id, entry] : view.orderers) {
+        const bool mine = m_store.isOwn(entry.record);
+        const auto held = m_servers.find(id);
+        const auto fence = static_cast<std::uint64_t>(entry.revision);
+        if (!mine) {
+            if (entry.record.node.empty()) {
+                m_released.try_emplace(id, bootNow());
+            }
+            if (held != m_servers.end()) {
+                drop(id, "another daemon gives its orders");
+            }
+        } else if (held == m_servers.end() || held->second.fence < fence) {
+            begin(id, entry);
+        }
+    }
+    claimOrphans();
+}
+
+/// Who holds which record, and which records went without being given up.
+void orderer_task::noteHolders()
+{
+    const store_view &view = m_store.view();
+    std::erase_if(m_holders, [&](const auto &each) {
+        if (view.orderers.count(each.first) != 0) {
+            return false;
+        }
+        const auto heard = m_heardRights.find(each.second);
+        const bool known = heard != m_heardRights.end();
+        m_vacated[each.first] = {bootNow(), known ? std::optional(heard->second) : std::nullopt};
+        return true;
+    });
+    for (const auto &[id, entry] : view.orderers) {
+        if (entry.record.node.empty() || entry.record.node == m_settings.node) {
+            m_holders.erase(id);
+        } else {
+            m_holders[id] = entry.record.node;
+            m_vacated.erase(id);
+        }
+    }
+}
+
+void orderer_task::hear(const std::string &node, const fleet_beat &beat)
+{
+    const millis now = bootNow();
+    const heard_right right{now, now + millis{beat.orderingMs}};
+    m_heardRights[node] = right;
+    if (node != m_settings.node) {
+        noteHeard(m_pace, static_cast<double>(beat.loadsAtOnce));
+    }
+    for (const server_beat &each : beat.servers) {
+        if (node != m_settings.node) {
+            m_heardHolders[each.server] = {node, now};
+        }
+        const auto loading =
+            std::count_if(each.adapters.begin(), each.adapters.end(), [](const beat_adapter &adapter) {
+                return adapter.loading;
+            });
+        m_heardLoads[each.server] = {static_cast<int>(loading), now};
+        const auto held = m_servers.find(each.server);
+        if (held == m_servers.end() || node == m_settings.node) {
+            continue;
+        }
+        if (each.fence > held->second.fence) {
+            held->second.fenced = true; // the view tells soon
+        } else {
+            held->second.rivalUntil = std::max(held->second.rivalUntil, right.until);
+        }
+    }
+    for (const limit_beat &each : beat.limits) {
+        if (node != m_settings.node) {
+            hearKept(m_limits, each.server, limitFrom(each.limitMilli), millis{each.waitMs}, now);
+        }
+    }
+}
+
+/// Whether somebody has to keep the server's record: of a plain one only while it names a limit.
+bool orderer_task::isKept(const backend_server &server) const
+{
+    return engineOfServer(server) != nullptr || m_limits.count(server.id) != 0
+        || m_servers.count(server.id) != 0;
+}
+
+/// A server without a daemon that gives its orders is claimed by the one that rendezvous hashing proposes,
+/// out of those in its failure domain where there are any.
+void orderer_task::claimOrphans()
+{
+    const store_view &view = m_store.view();
+    if (m_stopped || !view.config || view.daemons.count(m_settings.node) == 0) {
+        return;
+    }
+    // Once for all servers: after a start each of them is an orphan, and a fleet may have thousands.
+    std::map<std::string, std::vector<std::string>> byDomain;
+    std::vector<std::string> all;
+    for (const auto &[node, record] : view.daemons) {
+        all.push_back(node);
+        byDomain[record.failureDomain].push_back(node);
+    }
+    const bool settled = bootNow() - view.registeredAt >= settleTime;
+    for (const auto &[id, server] : view.servers) {
+        const auto entry = view.orderers.find(id);
+        // Its own record of before a restart, or under a lease that ran out; or one that went with the lease
+        // while nobody else took the server.
+        const bool formerSelf = entry == view.orderers.end() ? m_servers.count(id) != 0
+                                                             : entry->second.record.node == m_settings.node
+                && !(m_store.isOwn(entry->second.record) && m_store.isUnderLease(entry->second.record));
+        const bool orphan = entry == view.orderers.end() || entry->second.record.node.empty() || formerSelf;
+        if (!orphan || server.draining || !isKept(server)) {
+            continue;
+        }
+        const auto near = byDomain.find(server.failureDomain);
+        if (formerSelf && entry != view.orderers.end()) {
+            m_ownBefore.insert(id);
+        }
+        if (formerSelf
+            || (settled
+                && rendezvousFirst(id, near == byDomain.end() ? all : near->second) == m_settings.node)) {
+            m_store.claim(id);
+        }
+    }
+}
+
+bool orderer_task::expectsBeats() const
+{
+    const store_view &view = m_store.view();
+    const std::size_t cells = cellsIn({&view.daemons, view.servers.size()}, m_settings.failureDomain);
+    const std::size_t own = cellOf(m_settings.node, cells);
+    return std::any_of(view.orderers.begin(), view.orderers.end(), [&](const auto &each) {
+        const std::string &holder = each.second.record.node;
+        return holder != m_settings.node && view.daemons.count(holder) != 0
+            && view.servers.count(each.first) != 0 && cellOf(each.first, cells) == own;
+    });
+}
+
+/// Guards against: a holder that can't be asked, since it is cut off from the other daemons or stands still,
+/// while its lease in the store lives on. It shows as requests that wait for places nobody grants, and as
+/// servers that nobody loads. Holds because another daemon takes the record with a higher fencing token,
+/// which the server goes by: what the former holder still orders is refused. Servers that check no tokens are
+/// left to their holder until its records are gone.
+void orderer_task::replaceSilent()
+{
+    const store_view &view = m_store.view();
+    const millis now = bootNow();
+    std::erase_if(m_heardHolders, [&](const auto &each) {
+        const auto entry = view.orderers.find(each.first);
+        return entry == view.orderers.end() || entry->second.record.node != each.second.node;
+    });
+    if (m_stopped || !m_settings.serversCheckTokens || !hearsMost(m_heardHolders, now)) {
+        return;
+    }
+    for (const auto &[id, holder] : m_heardHolders) {
+        const backend_server *server = serverOf(id);
+        if (now - holder.at < silentAfter || server == nullptr || server->draining) {
+            continue;
+        }
+        const std::size_t cells = cellsIn({&view.daemons, view.servers.size()}, server->failureDomain);
+        std::vector<std::string> all;
+        std::vector<std::string> near;
+        for (const auto &[node, record] : view.daemons) {
+            all.push_back(node);
+            if (record.failureDomain == server->failureDomain && cellOf(node, cells) == cellOf(id, cells)) {
+                near.push_back(node);
+            }
+        }
+        if (mayReplace(holder, replacersOf(id, holder.node, near, all), m_settings.node, now)) {
+            m_log.important("orderer.replaced")
+                .add("server", id)
+                .add("holder", holder.node)
+                .add("silent_ms", now - holder.at);
+            m_replaced.insert(id);
+            m_store.claim(id, true);
+        }
+    }
+}
+
+void orderer_task::begin(const std::string &id, const orderer_entry &entry)
+{
+    const backend_server *server = serverOf(id);
+    if (server == nullptr || m_stopped || !isKept(*server)) {
+        return;
+    }
+    const auto fence = static_cast<std::uint64_t>(entry.revision);
+    if (const auto held = m_servers.find(id); held != m_servers.end()) {
+        held->second.fence = fence;
+        held->second.fenced = false;
+        held->second.desk.ledger.proved = false;
+        return;
+    }
+    server_state one;
+    one.fence = fence;
+    one.mayOrderFrom = firstOrder(id);
+    one.born = server->born;
+    openDesk(one.desk, *server);
+    if (const auto known = m_limits.find(id); known != m_limits.end()) {
+        nameLimit(one.desk.limit, known->second.perSecond, known->second.heard, bootNow());
+    }
+    m_servers.emplace(id, std::move(one));
+    m_log.important("orderer.taken").add("server", id).add("fence", fence);
+    pump(id);
+}
+
+void orderer_task::openDesk(place_desk &desk, const backend_server &server) const
+{
+    const engine_spec *engine = engineOfServer(server);
+    desk.ledger.server = server.id;
+    desk.plain = engine == nullptr;
+    if (desk.plain) {
+        desk.queue.slots = std::numeric_limits<int>::max();
+        return;
+    }
+    desk.ledger.places = engine->adapterPlaces;
+    desk.ledger.weightsMb = engine->weightsMb;
+    desk.queue.slots = std::min(server.slots, engine->slots);
+    desk.queue.memoryTokens = engine->memoryTokens;
+}
+
+/// Guards against: a server that starts again under its id is taken for what it was. It would show as
+/// requests for adapters that are not there, and as orders that the server refuses for their number. Reports,
+/// answers and entries name the start they are about; what is known ends with it, and what an earlier one
+/// said is passed over.
+void orderer_task::startAgain(const std::string &id, std::int64_t born)
+{
+    const auto found = m_servers.find(id);
+    const backend_server *server = serverOf(id);
+    if (found == m_servers.end() || server == nullptr || found->second.born >= born) {
+        return;
+    }
+    m_log.important("orderer.server_started_again").add("server", id).add("fence", found->second.fence);
+    server_state &one = found->second;
+    answerAll(refuseWaiting(one.desk, refusal::ServerLeaving));
+    server_ledger ledger = std::move(one.desk.ledger);
+    briarhead::startAgain(ledger, bootNow());
+    one.desk = {};
+    one.desk.ledger = std::move(ledger);
+    openDesk(one.desk, *server);
+    one.born = born;
+    one.reporting = false;
+}
+
+/// From when this daemon may order a server that it begins to hold.
+millis orderer_task::firstOrder(const std::string &id)
+{
+    millis from = bootNow() + announceWait;
+    if (const auto released = m_released.find(id); released != m_released.end()) {
+        // The daemon before lives and may have ordered right before it gave the server up.
+        from = std::max(from, released->second + handOverWait);
+        m_released.erase(released);
+        m_vacated.erase(id);
+    }
+    if (const auto before = m_lastOrders.find(id); before != m_lastOrders.end()) {
+        // Another daemon held it in between: orders that change hands twice in this span break the rule that
+        // one daemon at a time gives them.
+        from = std::max(from, before->second + m_settings.orderLease);
+    }
+    if (m_settings.serversCheckTokens) {
+        return from;
+    }
+    // Of a holder that is gone this is the time that it may have ordered for since it was last heard,
+    // whatever its lease: that of servers that check tokens only ends later.
+    const millis length = std::max(leaseTime, m_settings.leaseMin);
+    const store_view &view = m_store.view();
+    if (const auto left = m_vacated.find(id); left != m_vacated.end()) {
+        from = std::max(from, firstOrderAt(left->second, length));
+        m_vacated.erase(left);
+    } else if (m_ownBefore.count(id) == 0) {
+        // No holder was ever seen: one may have been there shortly before this daemon first read the store.
+        from = std::max(from, view.firstRead + length);
+    }
+    return std::max(from, bootNow() + (m_replaced.erase(id) != 0 ? replacedWait : beatWait));
+}
+
+void orderer_task::drop(const std::string &id, const char *why)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return;
+    }
+    m_log.important("orderer.dropped").add("server", id).add("fence", found->second.fence).add("why", why);
+    answerAll(refuseWaiting(found->second.desk, refusal::NotOrderer));
+    if (found->second.lastOrder.count != 0) {
+        m_lastOrders[id] = found->second.lastOrder;
+    }
+    m_servers.erase(found);
+}
+
+void orderer_task::setAlone(bool alone)
+{
+    m_alone = alone;
+}
+
+void orderer_task::stop()
+{
+    m_stopped = true;
+    while (!m_servers.empty()) {
+        drop(m_servers.begin()->first, "this instance is ending");
+    }
+}
+
+}
