--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 test: build
 	@cat KNOWN-RED.txt
-	@ctest --test-dir $(BUILD) --output-on-failure -j 4 -E "$$(scripts/known-red.sh)"
+	@ctest --test-dir $(BUILD) --output-on-failure -j 6 -E "$$(scripts/known-red.sh)"
 
 # The core protocol's models and their mutants, checked by spin.
 model: deps
--- a/packages/serving/front_limit.cpp
+++ b/packages/serving/front_limit.cpp
@@ -79,12 +79,15 @@
     one->asks = 0;
     one->askedAt = bootNow();
     one->orderer = limitKeeper(server);
-    if (one->orderer.empty() || ++one->placesTried > placesAsked) {
+    ++one->placesTried;
+    named_limit &limit = m_limits.at(server.id);
+    if (one->orderer.empty()) {
+        limit.turnAt = bootNow() + silentKeeper;
         one->excluded.insert(server.id);
         startPlain(one);
         return;
     }
-    countTurn(m_limits.at(server.id), bootNow());
+    countTurn(limit, bootNow());
     ask(one);
 }
 
@@ -106,10 +109,10 @@
 {
     if (one.meta.limitUnreadable) {
         m_log.important("server.limit_unreadable").add("id", one.request.id).add("server", one.server);
-        return;
     }
     // A server that took nothing, or someone between, need not know of the limit.
-    const bool says = one.meta.limit || (one.meta.signedByServer && !one.meta.notRun);
+    const bool says =
+        one.meta.limit || (one.meta.signedByServer && !one.meta.notRun && !one.meta.limitUnreadable);
     if (!says) {
         return;
     }
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -13,9 +13,6 @@
 /// Of a datagram and its answer, across failure domains and with a busy peer: then it is asked again.
 constexpr millis askAgainAfter{120};
 constexpr int asksPerServer = 3;
-/// A daemon that keeps a server's limit and doesn't answer is not asked again for so long, unless its beats
-/// come.
-constexpr millis silentKeeper{2'000};
 
 }
 
@@ -41,7 +38,8 @@
             candidate.limited = true;
             candidate.turnWait = static_cast<double>(wait->count)
                 / static_cast<double>(std::max<std::int64_t>(one->way->target.count, 1));
-            candidate.excluded = candidate.excluded || turnComesTooLate(*one, id);
+            candidate.excluded =
+                candidate.excluded || one->placesTried >= placesAsked || turnComesTooLate(*one, id);
         }
         servers.push_back(&server);
         candidates.push_back(candidate);
--- a/packages/serving/front_work.h
+++ b/packages/serving/front_work.h
@@ -12,6 +12,9 @@
 /// How long a request waits for what a start or a takeover brings, and how often it looks.
 constexpr millis startPatience{600};
 constexpr millis retryStep{40};
+/// A daemon that keeps a server's limit and doesn't answer is not asked again for so long, unless its beats
+/// come.
+constexpr millis silentKeeper{2'000};
 /// A server that is silent for less is never given up.
 constexpr millis quietLeast{1'000};
 
