Name a server's limit in each answer of its holder

Cause: read in the diff: a refusal that came from the holder's queue, late, and those of a leaving server carried no limit, which the daemon that asked took for its end. Until the next beat it sent to a plain server without asking Change: answers from the queue carry it; where the holder can't know, the answer says nothing.

--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -80,7 +80,8 @@
     refusal why = refusal::None;
     std::int64_t adapterVersion = 0; ///< the version that is resident; 0: not known
     std::int64_t comeBackMs = 0; ///< of a refusal
-    std::int64_t limitMilli = -1; ///< of the server, as in place_ask
+    /// Of the server, as in place_ask. Says nothing where `why` is NotOrderer or ServerLeaving.
+    std::int64_t limitMilli = -1;
 
     template <class Archive>
     void serialize(Archive &archive)
--- a/packages/serving/front_limit.cpp
+++ b/packages/serving/front_limit.cpp
@@ -57,7 +57,7 @@
 }
 
 /// The daemon that keeps the limit of a plain server, or should take that up; empty: it doesn't answer.
-std::string front_task::limitKeeper(const backend_server &server) const
+std::string front_task::limitHolder(const backend_server &server) const
 {
     const store_view &view = m_store.view();
     const auto record = view.orderers.find(server.id);
@@ -78,11 +78,11 @@
     one->granted = false;
     one->asks = 0;
     one->askedAt = bootNow();
-    one->orderer = limitKeeper(server);
+    one->orderer = limitHolder(server);
     ++one->placesTried;
     named_limit &limit = m_limits.at(server.id);
     if (one->orderer.empty()) {
-        limit.turnAt = bootNow() + silentKeeper;
+        limit.turnAt = bootNow() + silentHolder;
         one->excluded.insert(server.id);
         startPlain(one);
         return;
@@ -94,13 +94,13 @@
 /// Tells the daemon that keeps a server's limit what an answer said of it.
 void front_task::noteLimit(const work &one)
 {
-    std::string keeper = one.orderer;
-    if (keeper.empty()) {
+    std::string holder = one.orderer;
+    if (holder.empty()) {
         const auto server = m_store.view().servers.find(one.server);
-        keeper = server == m_store.view().servers.end() ? keeper : limitKeeper(server->second);
+        holder = server == m_store.view().servers.end() ? holder : limitHolder(server->second);
     }
-    if (!keeper.empty()) {
-        tell(keeper, limit_note{one.request.id, one.server, one.meta.limit ? toMilli(*one.meta.limit) : -1});
+    if (!holder.empty()) {
+        tell(holder, limit_note{one.request.id, one.server, one.meta.limit ? toMilli(*one.meta.limit) : -1});
     }
 }
 
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -232,14 +232,15 @@
     note(*one, place_event::Ended);
     one->excluded.insert(one->server);
     if (const auto limit = m_limits.find(one->server); limit != m_limits.end()) {
-        limit->second.turnAt = bootNow() + silentKeeper; // the next callers are not to wait for it too
+        limit->second.turnAt = bootNow() + silentHolder; // the next callers are not to wait for it too
     }
     start(one);
 }
 
 void front_task::onAnswer(const place_answer &answer)
 {
-    if (answer.why != refusal::NotOrderer) {
+    const bool knowsLimit = answer.why != refusal::NotOrderer && answer.why != refusal::ServerLeaving;
+    if (knowsLimit) {
         const bool limited = answer.verdict == place_verdict::Refused && answer.why == refusal::Limited;
         const auto known = turnWait(answer.server);
         const millis wait = limited ? millis{answer.comeBackMs} : known.value_or(millis{});
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -102,7 +102,7 @@
         const work &one, std::vector<const backend_server *> &servers) const;
     millis patienceLeft(const work &one) const;
     std::string unheardOrderer(const std::string &server) const;
-    std::string limitKeeper(const backend_server &server) const;
+    std::string limitHolder(const backend_server &server) const;
     std::optional<millis> turnWait(const std::string &server) const;
     bool turnComesTooLate(const work &one, const std::string &server) const;
     bool lacksTurn(const work &one) const;
--- a/packages/serving/front_work.h
+++ b/packages/serving/front_work.h
@@ -14,7 +14,7 @@
 constexpr millis retryStep{40};
 /// A daemon that keeps a server's limit and doesn't answer is not asked again for so long, unless its beats
 /// come.
-constexpr millis silentKeeper{2'000};
+constexpr millis silentHolder{2'000};
 /// A server that is silent for less is never given up.
 constexpr millis quietLeast{1'000};
 
--- a/packages/serving/place_desk.cpp
+++ b/packages/serving/place_desk.cpp
@@ -192,14 +192,15 @@
     for (const waiting_prompt &prompt : letIn(desk.queue, ready, late, now, turnsLeft(desk.limit, now))) {
         takeTurn(desk.limit);
         beginUse(desk.ledger, prompt.model, prompt.adapter, now);
-        place_answer granted = grant(desk.ledger, prompt);
-        granted.limitMilli = limitMilliOf(desk.limit);
-        answers.push_back({prompt.entry, granted});
+        answers.push_back({prompt.entry, grant(desk.ledger, prompt)});
     }
     for (const waiting_prompt &prompt : late) {
         answers.push_back(
             {prompt.entry, refuseAsk(prompt.id, desk.ledger.server, refusal::TooBusy, shortestComeBack)});
     }
+    for (desk_answer &each : answers) {
+        each.answer.limitMilli = limitMilliOf(desk.limit);
+    }
     return answers;
 }
 
--- a/tests/serving/server_limit_test.cpp
+++ b/tests/serving/server_limit_test.cpp
@@ -232,6 +232,23 @@
     EXPECT_EQ(askDesk(desk, "n", askOf("c", {300}), now).verdict, place_verdict::Refused);
 }
 
+// A refusal that came from the queue didn't name the limit, and the daemon that got it took it for ended.
+TEST(ServerLimit, EachAnswerOfItsHolderNamesIt)
+{
+    place_desk desk = plainDesk(1, begin);
+    EXPECT_EQ(askDesk(desk, "n", askOf("a", {1'000}), begin).limitMilli, 1'000); // queued
+    EXPECT_EQ(askDesk(desk, "n", askOf("b", {300}), begin).limitMilli, 1'000); // refused
+    const auto late = answersDue(desk, begin + millis{5'000});
+    ASSERT_EQ(late.size(), 1U);
+    EXPECT_EQ(late[0].answer.why, refusal::TooBusy);
+    EXPECT_EQ(late[0].answer.limitMilli, 1'000);
+    EXPECT_EQ(askDesk(desk, "n", askOf("c", {300}), begin + millis{5'000}).limitMilli, 1'000);
+    const auto granted = answersDue(desk, begin + millis{5'000});
+    ASSERT_EQ(granted.size(), 1U);
+    EXPECT_EQ(granted[0].answer.verdict, place_verdict::Granted);
+    EXPECT_EQ(granted[0].answer.limitMilli, 1'000);
+}
+
 // A holder that begins doesn't know of limits that daemons were told of; what they know comes with their
 // asks.
 TEST(ServerLimit, AnAskTellsANewHolder)
