Propose the holder of a server's record by one function

Behaviour as it was Measured: the tests of the edge, of claims, rights and limits pass; nothing else measured Conclusion: kept

--- a/packages/serving/front_limit.cpp
+++ b/packages/serving/front_limit.cpp
@@ -68,7 +68,7 @@
             heard != m_heard.end() && heard->second.orderer == node && !isFresh(heard->second, bootNow());
         return silent ? std::string() : node;
     }
-    return proposedHolder(view.daemons, server);
+    return proposedHolder(holderChoice(view.daemons), server);
 }
 
 /// Asks whether a plain server's limit has a turn for the request.
--- a/packages/serving/orderer_hold.cpp
+++ b/packages/serving/orderer_hold.cpp
@@ -28,17 +28,20 @@
 
 }
 
-std::string proposedHolder(const daemon_map &daemons, const backend_server &server)
+holder_choice holderChoice(const daemon_map &daemons)
 {
-    std::vector<std::string> all;
-    std::vector<std::string> near;
+    holder_choice choice;
     for (const auto &[node, record] : daemons) {
-        all.push_back(node);
-        if (record.failureDomain == server.failureDomain) {
-            near.push_back(node);
-        }
+        choice.all.push_back(node);
+        choice.byDomain[record.failureDomain].push_back(node);
     }
-    return rendezvousFirst(server.id, near.empty() ? all : near);
+    return choice;
+}
+
+std::string proposedHolder(const holder_choice &choice, const backend_server &server)
+{
+    const auto near = choice.byDomain.find(server.failureDomain);
+    return rendezvousFirst(server.id, near == choice.byDomain.end() ? choice.all : near->second);
 }
 
 void orderer_task::followView(const view_changed &change)
@@ -145,12 +148,7 @@
         return;
     }
     // Once for all servers: after a start each of them is an orphan, and a fleet may have thousands.
-    std::map<std::string, std::vector<std::string>> byDomain;
-    std::vector<std::string> all;
-    for (const auto &[node, record] : view.daemons) {
-        all.push_back(node);
-        byDomain[record.failureDomain].push_back(node);
-    }
+    const holder_choice choice = holderChoice(view.daemons);
     const bool settled = bootNow() - view.registeredAt >= settleTime;
     for (const auto &[id, server] : view.servers) {
         const auto entry = view.orderers.find(id);
@@ -163,13 +161,10 @@
         if (!orphan || server.draining || !isKept(server)) {
             continue;
         }
-        const auto near = byDomain.find(server.failureDomain);
         if (formerSelf && entry != view.orderers.end()) {
             m_ownBefore.insert(id);
         }
-        if (formerSelf
-            || (settled
-                && rendezvousFirst(id, near == byDomain.end() ? all : near->second) == m_settings.node)) {
+        if (formerSelf || (settled && proposedHolder(choice, server) == m_settings.node)) {
             m_store.claim(id);
         }
     }
--- a/packages/serving/orderer_send.cpp
+++ b/packages/serving/orderer_send.cpp
@@ -11,8 +11,7 @@
 namespace {
 
 /// An order is answered in some ms; without an answer for so long it counts as unknown, and a report tells
-/// what became of it. Nothing else is ordered there meanwhile: where a third of the orders goes unanswered,
-/// 600 ms earn 0.3% less of a day's worth (less than its spread), 80 ms the same.
+/// what became of it. Nothing else is ordered there meanwhile.
 constexpr millis orderTimeout{150};
 constexpr millis reportTimeout{700};
 constexpr millis reportPause{250};
--- a/packages/serving/orderer_task.h
+++ b/packages/serving/orderer_task.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace briarhead {
 
@@ -30,9 +31,17 @@
     std::uint64_t refused = 0;
 };
 
+/// Daemons by name, and those of each failure domain.
+struct holder_choice
+{
+    std::vector<std::string> all;
+    std::map<std::string, std::vector<std::string>> byDomain;
+};
+
+holder_choice holderChoice(const daemon_map &daemons);
 /// The daemon that takes a server's record while nobody has it: the first by rendezvous hash, of those in its
 /// failure domain where there are any. Empty: there is no daemon.
-std::string proposedHolder(const daemon_map &daemons, const backend_server &server);
+std::string proposedHolder(const holder_choice &choice, const backend_server &server);
 
 /// Gives the orders of the model servers that this daemon holds the record of, and says which prompts go to
 /// them when. Only one daemon does so for a server; the others ask it. It
