--- a/packages/serving/orderer_task.cpp
+++ b/packages/serving/orderer_task.cpp
@@ -73,7 +73,8 @@
     const backend_server *server = serverOf(ask.server);
     if (found == m_servers.end() || server == nullptr) {
         if (server != nullptr && ask.limitMilli >= 0) {
-            m_limits[ask.server] = {fromMilli(ask.limitMilli), bootNow() - millis{ask.limitAgeMs}, bootNow()};
+            m_limits[ask.server] = {
+                fromMilli(ask.limitMilli), heardBefore(ask.limitAgeMs, bootNow()), bootNow()};
         }
         answer(entry, refuseAsk(ask.id, ask.server, refusal::NotOrderer, {}));
         return;
--- a/packages/serving/place_desk.cpp
+++ b/packages/serving/place_desk.cpp
@@ -91,7 +91,7 @@
         return grant(ledger, running->second.what); // the grant was lost
     }
     if (ask.limitMilli >= 0) {
-        nameLimit(desk.limit, fromMilli(ask.limitMilli), now - millis{ask.limitAgeMs}, now);
+        nameLimit(desk.limit, fromMilli(ask.limitMilli), heardBefore(ask.limitAgeMs, now), now);
     }
     const millis turn =
         isWaiting(desk.queue, ask.id) ? millis{} : turnAfter(desk.limit, desk.queue.waiting.size(), now);
--- a/packages/serving/server_limit.cpp
+++ b/packages/serving/server_limit.cpp
@@ -14,6 +14,7 @@
 constexpr double rounding = 1e-9;
 /// No limit makes a request wait for longer; also where nothing is granted at all.
 constexpr double longestTurnMs = 60'000;
+constexpr std::int64_t oldestHeardMs = 24LL * 3'600 * 1'000;
 
 /// Requests a second that this daemon grants.
 double rateOf(const limit_turns &turns)
@@ -60,6 +61,11 @@
     return milli < 0 ? std::nullopt : std::optional(fromMilli(milli));
 }
 
+millis heardBefore(std::int64_t ageMs, millis now)
+{
+    return std::max(now - millis{std::clamp<std::int64_t>(ageMs, 0, oldestHeardMs)}, millis{});
+}
+
 void hearKept(
     named_limits &limits, const std::string &server, std::optional<double> limit, millis wait, millis now)
 {
--- a/packages/serving/server_limit.h
+++ b/packages/serving/server_limit.h
@@ -40,6 +40,9 @@
 
 /// As messages carry it; negative: none.
 std::optional<double> limitFrom(std::int64_t milli);
+/// When another daemon heard of a limit, by the age that its message gives; an absurd one is cut to the
+/// bounds.
+millis heardBefore(std::int64_t ageMs, millis now);
 
 /// Takes in what the daemon tells that keeps the limit; none: it is named no more.
 void hearKept(
--- a/tests/serving/server_limit_test.cpp
+++ b/tests/serving/server_limit_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <limits>
 #include <vector>
 
 namespace briarhead {
@@ -249,6 +250,25 @@
     EXPECT_EQ(granted[0].answer.limitMilli, 1'000);
 }
 
+// An age from the future, as a corrupted or foreign message may give it, kept a limit from ever ending.
+TEST(ServerLimit, AnAbsurdAgeInAnAskDoesNotKeepItForEver)
+{
+    place_desk desk;
+    desk.plain = true;
+    desk.queue.slots = 10;
+    for (const std::int64_t age : {std::numeric_limits<std::int64_t>::min(), std::int64_t{-60'000},
+             std::numeric_limits<std::int64_t>::max()}) {
+        desk.limit = {};
+        place_ask ask = askOf("a", {300});
+        ask.limitMilli = 500;
+        ask.limitAgeMs = age;
+        askDesk(desk, "n", ask, begin);
+        ASSERT_TRUE(desk.limit.perSecond) << age;
+        endLimit(desk.limit, begin + millis{10}, begin + millis{20});
+        EXPECT_FALSE(desk.limit.perSecond) << age;
+    }
+}
+
 // A holder that begins doesn't know of limits that daemons were told of; what they know comes with their
 // asks.
 TEST(ServerLimit, AnAskTellsANewHolder)
