--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -2,9 +2,8 @@
 #include "coordination/request_fingerprint.h"
 #include "protocol/codec.h"
 #include "serving/beat_cells.h"
-#include "serving/edge_fixture.h"
-#include "serving/fleet_port.h"
 #include "serving/heard_server.h"
+#include "serving/other_daemon.h"
 
 #include <gtest/gtest.h>
 
@@ -19,66 +18,6 @@
 using http_testing::raw_socket;
 using mood = backend_standin::mood;
 
-/// Another daemon, as far as this one hears of it: it lives by the store, holds the record of a server, and
-/// is heard when it beats.
-class other_daemon
-{
-public:
-    other_daemon(fake_store &store, loop &eventLoop, const peer_address &to, const std::string &node,
-        const std::string &server)
-        : m_to(to)
-        , m_node(node)
-    {
-        const peer_address own{http_testing::loopback, freePort()};
-        store.put("briarhead/daemon/" + node, encode(daemon_record{node, own.ip, own.port, "z", 1}));
-        m_beat.server = server;
-        m_beat.held = true;
-        m_beat.fence = static_cast<std::uint64_t>(
-            store.put("briarhead/orderer/" + server, encode(orderer_record{node, 1, 1'000})));
-        error why;
-        m_port = fleet_port::open(
-            eventLoop, own,
-            [this](const fleet_datagram &datagram, const peer_address &) {
-                beatsHeard += std::holds_alternative<fleet_beat>(datagram.body) ? 1 : 0;
-                answersHeard += std::holds_alternative<place_answer>(datagram.body) ? 1 : 0;
-            },
-            why);
-    }
-    void beat()
-    {
-        m_port->send(m_to, {m_node, 1, fleet_beat{false, {m_beat}}});
-    }
-    void ask(const std::string &server)
-    {
-        place_ask ask;
-        ask.id = "x";
-        ask.server = server;
-        ask.model = "m0";
-        ask.promptTokens = 100;
-        ask.waitMs = 500;
-        ask.deadlineMs = 1'000;
-        ask.targetMs = 1'000;
-        m_port->send(m_to, {m_node, 1, ask});
-    }
-    void tell(const crash_news &news)
-    {
-        m_port->send(m_to, {m_node, 1, news});
-    }
-    int beatsHeard = 0;
-    int answersHeard = 0;
-
-private:
-    peer_address m_to;
-    std::string m_node;
-    server_beat m_beat;
-    std::unique_ptr<fleet_port> m_port;
-};
-
-std::string statusOf(const std::string &answer)
-{
-    return answer.substr(9, 3);
-}
-
 }
 
 TEST_F(edge_test, APlainRequestIsServedWithTheServersSignature)
--- /dev/null
+++ b/tests/serving/other_daemon.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "protocol/codec.h"
+#include "serving/edge_fixture.h"
+#include "serving/fleet_port.h"
+#include "serving/heard_server.h"
+
+#include <limits>
+#include <variant>
+#include <vector>
+
+namespace briarhead {
+
+/// Another daemon, as far as this one hears of it: it lives by the store, holds the record of a server, and
+/// is heard when it beats.
+class other_daemon
+{
+public:
+    other_daemon(fake_store &store, loop &eventLoop, const peer_address &to, const std::string &node,
+        const std::string &server)
+        : m_to(to)
+        , m_node(node)
+    {
+        const peer_address own{http_testing::loopback, http_testing::freePort()};
+        store.put("briarhead/daemon/" + node, encode(daemon_record{node, own.ip, own.port, "z", 1}));
+        m_beat.server = server;
+        m_beat.held = true;
+        m_beat.fence = static_cast<std::uint64_t>(
+            store.put("briarhead/orderer/" + server, encode(orderer_record{node, 1, 1'000})));
+        error why;
+        m_port = fleet_port::open(
+            eventLoop, own,
+            [this](const fleet_datagram &datagram, const peer_address &) {
+                hear(datagram);
+            },
+            why);
+    }
+    void beat()
+    {
+        fleet_beat beat{false, {m_beat}};
+        beat.limits = limits;
+        m_port->send(m_to, {m_node, 1, beat});
+    }
+    /// As the daemon that took a server's record later than any other.
+    void beatAsSuccessor(const std::string &server)
+    {
+        server_beat beat = m_beat;
+        beat.server = server;
+        beat.fence = std::numeric_limits<std::uint32_t>::max();
+        m_port->send(m_to, {m_node, 1, fleet_beat{false, {beat}}});
+    }
+    void setResident(const std::string &adapter)
+    {
+        m_beat.adapters = {{adapterHash(adapter), false, 0}};
+    }
+    void ask(const std::string &server)
+    {
+        askAs("x", server);
+    }
+    void askAs(const std::string &id, const std::string &server)
+    {
+        place_ask ask;
+        ask.id = id;
+        ask.server = server;
+        ask.model = "m0";
+        ask.promptTokens = 100;
+        ask.waitMs = 500;
+        ask.deadlineMs = 1'000;
+        ask.targetMs = 1'000;
+        m_port->send(m_to, {m_node, 1, ask});
+    }
+    void tell(const crash_news &news)
+    {
+        m_port->send(m_to, {m_node, 1, news});
+    }
+    int beatsHeard = 0;
+    int answersHeard = 0;
+    std::vector<limit_beat> limits; ///< that its beats tell of
+    std::vector<limit_beat> limitsHeard; ///< in the latest beat that told of any
+    std::vector<place_ask> asksHeard;
+    std::vector<limit_note> notesHeard;
+    place_answer lastAnswer;
+
+private:
+    void hear(const fleet_datagram &datagram)
+    {
+        if (const auto *beat = std::get_if<fleet_beat>(&datagram.body)) {
+            ++beatsHeard;
+            limitsHeard = beat->limits.empty() ? limitsHeard : beat->limits;
+        } else if (const auto *answer = std::get_if<place_answer>(&datagram.body)) {
+            ++answersHeard;
+            lastAnswer = *answer;
+        } else if (const auto *ask = std::get_if<place_ask>(&datagram.body)) {
+            asksHeard.push_back(*ask);
+        } else if (const auto *note = std::get_if<limit_note>(&datagram.body)) {
+            notesHeard.push_back(*note);
+        }
+    }
+
+    peer_address m_to;
+    std::string m_node;
+    server_beat m_beat;
+    std::unique_ptr<fleet_port> m_port;
+};
+
+inline std::string statusOf(const std::string &answer)
+{
+    return answer.substr(9, 3);
+}
+
+}
