--- a/tests/serving/beat_cells_test.cpp
+++ b/tests/serving/beat_cells_test.cpp
@@ -72,6 +72,30 @@
     return heard;
 }
 
+/// What daemons send for a server in a round, in bytes. `limited`: each server names a limit.
+double bytesOf(std::size_t daemons, std::size_t domains, std::size_t servers, bool limited = false)
+{
+    const fleet of = fleetOf(daemons, domains, servers);
+    double bytes = 0;
+    std::size_t next = 0;
+    for (const auto &[node, record] : of.daemons) {
+        for (std::size_t i = 0; i * daemons < servers; ++i) {
+            const std::string &server = of.servers[next++ % servers];
+            fleet_beat beat = beatOf({server});
+            if (limited) {
+                beat.limits.push_back({server, 1'700, 580});
+            }
+            for (int round = 1; round <= relayedRounds; ++round) {
+                for (const beat_parcel &parcel : dealBeats(of.shape(), record, beat, round)) {
+                    bytes += static_cast<double>(encode(fleet_datagram{node, 1, parcel.beat}).size())
+                        * static_cast<double>(parcel.to.size());
+                }
+            }
+        }
+    }
+    return bytes / static_cast<double>(next * relayedRounds);
+}
+
 }
 
 // On a small deployment everyone hears of every server, once a round.
@@ -112,23 +136,6 @@
 // many at 1,200 daemons as at 80.
 TEST(BeatCells, ADaemonsBytesDoNotGrowWithTheFleet)
 {
-    const auto bytesOf = [](std::size_t daemons, std::size_t domains, std::size_t servers) {
-        const fleet of = fleetOf(daemons, domains, servers);
-        double bytes = 0;
-        std::size_t next = 0;
-        for (const auto &[node, record] : of.daemons) {
-            for (std::size_t i = 0; i * daemons < servers; ++i) {
-                const fleet_beat beat = beatOf({of.servers[next++ % servers]});
-                for (int round = 1; round <= relayedRounds; ++round) {
-                    for (const beat_parcel &parcel : dealBeats(of.shape(), record, beat, round)) {
-                        bytes += static_cast<double>(encode(fleet_datagram{node, 1, parcel.beat}).size())
-                            * static_cast<double>(parcel.to.size());
-                    }
-                }
-            }
-        }
-        return bytes / static_cast<double>(next * relayedRounds);
-    };
     const double today = bytesOf(80, 4, 94);
     const double larger = bytesOf(300, 4, 300);
     const double whole = bytesOf(1'200, 8, 4'100);
@@ -137,6 +144,22 @@
     EXPECT_LT(whole, 1.2 * today);
 }
 
+// What limits of servers add must not grow with the fleet either, though each server names one.
+TEST(BeatCells, LimitsAddBytesThatDoNotGrowWithTheFleet)
+{
+    const auto added = [](std::size_t daemons, std::size_t domains, std::size_t servers) {
+        return bytesOf(daemons, domains, servers, true) - bytesOf(daemons, domains, servers);
+    };
+    const double today = added(80, 4, 94);
+    const double larger = added(200, 4, 680);
+    const double whole = added(1'200, 8, 4'100);
+    std::printf(
+        "bytes that a limit adds to a server's beats and round: 80 daemons %.0f, 200 %.0f, 1,200 %.0f\n",
+        today, larger, whole);
+    EXPECT_LT(larger, 1.2 * today);
+    EXPECT_LT(whole, 1.2 * today);
+}
+
 // An adapter is nowhere in the own cell. Its first server by rendezvous, in another cell, may have it, so it
 // is asked although nothing is known of it; servers of other cells further down the order are not.
 TEST(BeatCells, AnAdaptersFirstServersAreAskedUnheard)
