--- a/packages/serving/crash_store.cpp
+++ b/packages/serving/crash_store.cpp
@@ -1,5 +1,7 @@
 #include "serving/crash_store.h"
 
+#include "serving/fleet_send.h"
+
 #include <utility>
 
 namespace briarhead {
@@ -12,15 +14,6 @@
     return found == view.crashes.end() ? crash_record{} : found->second.record;
 }
 
-std::vector<std::string> daemonsOf(const store_view &view)
-{
-    std::vector<std::string> nodes;
-    for (const auto &[node, record] : view.daemons) {
-        nodes.push_back(node);
-    }
-    return nodes;
-}
-
 }
 
 crash_links crashLinks(store_task &store, const std::unique_ptr<fleet_port> &port,
@@ -29,12 +22,10 @@
     crash_links links;
     links.self = settings.node;
     links.daemons = [&store] {
-        return daemonsOf(store.view());
+        return nodesOf(store.view().daemons);
     };
     links.tell = [&store, &port, self = settings.node](const std::string &node, const crash_news &news) {
-        if (const daemon_record *peer = findPeer(store.view(), node)) {
-            port->send({peer->ip, peer->port}, {self, store.incarnation(), news});
-        }
+        sendToNode(*port, store, self, node, news);
     };
     links.stored = [&store](const std::string &fingerprint) {
         return storedRecord(store.view(), fingerprint);
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -5,6 +5,7 @@
 #include "serving/crash_store.h"
 #include "serving/edge_metrics.h"
 #include "serving/fleet_port.h"
+#include "serving/fleet_send.h"
 #include "serving/front_task.h"
 #include "serving/orderer_task.h"
 #include "serving/quota_store.h"
@@ -226,15 +227,9 @@
 
 void daemon_impl::answerEntry(const std::string &entry, const place_answer &answer)
 {
-    if (entry == m_settings.node) {
-        m_loop.post([this, answer] {
-            m_front.onAnswer(answer);
-        });
-        return;
-    }
-    if (const daemon_record *peer = findPeer(m_store.view(), entry)) {
-        m_port->send({peer->ip, peer->port}, {m_settings.node, m_store.incarnation(), answer});
-    }
+    deliverToNode(m_loop, *m_port, m_store, m_settings.node, entry, answer, [this](const place_answer &own) {
+        m_front.onAnswer(own);
+    });
 }
 
 void daemon_impl::onDatagram(const fleet_datagram &datagram)
--- a/packages/serving/front_work.h
+++ b/packages/serving/front_work.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/fleet_send.h"
 #include "serving/front_task.h"
 
 // Shared by the sources of front_task alone: a request's state, and what more than one of them waits for.
@@ -78,19 +79,14 @@
     std::shared_ptr<void> quietTimer;
 };
 
-/// To a server's orderer, which may be this daemon; then never from inside, as with a datagram.
+/// To a server's orderer, which may be this daemon.
 template <class message_type>
 void front_task::tell(const std::string &orderer, const message_type &message)
 {
-    if (orderer == m_settings.node) {
-        m_loop.post([this, message] {
-            m_orderer->take(m_settings.node, message);
+    deliverToNode(
+        m_loop, *m_port, m_store, m_settings.node, orderer, message, [this](const message_type &own) {
+            m_orderer->take(m_settings.node, own);
         });
-        return;
-    }
-    if (const daemon_record *peer = findPeer(m_store.view(), orderer)) {
-        m_port->send({peer->ip, peer->port}, {m_settings.node, m_store.incarnation(), message});
-    }
 }
 
 }
--- a/packages/serving/orderer_hold.cpp
+++ b/packages/serving/orderer_hold.cpp
@@ -30,9 +30,8 @@
 
 holder_choice holderChoice(const daemon_map &daemons)
 {
-    holder_choice choice;
+    holder_choice choice{nodesOf(daemons), {}};
     for (const auto &[node, record] : daemons) {
-        choice.all.push_back(node);
         choice.byDomain[record.failureDomain].push_back(node);
     }
     return choice;
--- a/packages/serving/quota_store.cpp
+++ b/packages/serving/quota_store.cpp
@@ -1,6 +1,7 @@
 #include "serving/quota_store.h"
 
 #include "serving/account_check.h"
+#include "serving/fleet_send.h"
 
 #include <algorithm>
 
@@ -8,13 +9,6 @@
 
 namespace {
 
-void addNodes(const daemon_map &daemons, std::vector<std::string> &to)
-{
-    for (const auto &[node, record] : daemons) {
-        to.push_back(node);
-    }
-}
-
 std::optional<home_record> homeOf(const store_task &store, std::uint32_t shard)
 {
     const auto found = store.view().quotaHomes.find(std::to_string(shard));
@@ -26,22 +20,6 @@
     return home_record{record.node, found->second.revision, own, found->second.settled};
 }
 
-/// To another daemon by datagram; to this one never from inside.
-template <class message_type, class take_type>
-void tell(loop &eventLoop, const store_task &store, const std::unique_ptr<fleet_port> &port,
-    const std::string &self, const std::string &node, const message_type &message, take_type take)
-{
-    if (node == self) {
-        eventLoop.post([take, message] {
-            take(message);
-        });
-        return;
-    }
-    if (const daemon_record *peer = findPeer(store.view(), node)) {
-        port->send({peer->ip, peer->port}, {self, store.incarnation(), message});
-    }
-}
-
 }
 
 quota_links quotaLinks(loop &eventLoop, store_task &store, const std::unique_ptr<fleet_port> &port,
@@ -54,25 +32,24 @@
         return store.view().daemons.size();
     };
     links.live = [&store] {
-        std::vector<std::string> nodes;
-        addNodes(store.view().daemons, nodes);
-        return nodes;
+        return nodesOf(store.view().daemons);
     };
     links.fleet = [&store] {
-        std::vector<std::string> nodes;
-        addNodes(store.view().daemons, nodes);
-        addNodes(store.view().lapsed, nodes);
+        std::vector<std::string> nodes = nodesOf(store.view().daemons);
+        const std::vector<std::string> lapsed = nodesOf(store.view().lapsed);
+        nodes.insert(nodes.end(), lapsed.begin(), lapsed.end());
         return nodes;
     };
     links.ask = [&eventLoop, &store, &port, &self, node = settings.node](
                     const std::string &daemon, const quota_ask &ask) {
-        tell(eventLoop, store, port, node, daemon, ask, [&self, &store, node](const quota_ask &own) {
-            self->hear({node, store.incarnation(), true}, own);
-        });
+        deliverToNode(
+            eventLoop, *port, store, node, daemon, ask, [&self, &store, node](const quota_ask &own) {
+                self->hear({node, store.incarnation(), true}, own);
+            });
     };
     links.answer = [&eventLoop, &store, &port, &self, node = settings.node](
                        const std::string &daemon, const quota_answer &answer) {
-        tell(eventLoop, store, port, node, daemon, answer, [&self](const quota_answer &own) {
+        deliverToNode(eventLoop, *port, store, node, daemon, answer, [&self](const quota_answer &own) {
             self->hear(own);
         });
     };
@@ -81,9 +58,7 @@
     };
     links.release = [&store, &port, node = settings.node](
                         const std::string &daemon, const quota_release &release) {
-        if (const daemon_record *peer = findPeer(store.view(), daemon)) {
-            port->send({peer->ip, peer->port}, {node, store.incarnation(), release});
-        }
+        sendToNode(*port, store, node, daemon, release);
     };
     links.claim = [&store](std::uint32_t shard, bool released) {
         store.claimQuotaHome(std::to_string(shard), released);
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -35,6 +35,16 @@
 
 }
 
+std::vector<std::string> nodesOf(const daemon_map &daemons)
+{
+    std::vector<std::string> nodes;
+    nodes.reserve(daemons.size());
+    for (const auto &[node, record] : daemons) {
+        nodes.push_back(node);
+    }
+    return nodes;
+}
+
 const daemon_record *findPeer(const store_view &view, const std::string &node)
 {
     for (const daemon_map *known : {&view.daemons, &view.lapsed}) {
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -56,6 +56,7 @@
     bool reachable = false;
 };
 
+std::vector<std::string> nodesOf(const daemon_map &daemons);
 /// A daemon that may be reached; null where nothing is known of it.
 const daemon_record *findPeer(const store_view &view, const std::string &node);
 
