--- a/packages/coordination/quota_desk.cpp
+++ b/packages/coordination/quota_desk.cpp
@@ -45,16 +45,6 @@
 constexpr double unitsLeast = 1e-6; ///< rounding
 constexpr double msPerSecond = 1'000;
 
-struct verdict_name
-{
-    quota_verdict verdict;
-    std::string_view name;
-};
-
-constexpr std::array verdictNames{verdict_name{quota_verdict::Granted, "granted"},
-    verdict_name{quota_verdict::Waits, "waits"}, verdict_name{quota_verdict::Over, "over"},
-    verdict_name{quota_verdict::TooLarge, "too_large"}, verdict_name{quota_verdict::HomeAway, "home_away"}};
-
 /// When a daemon that hears nothing from its home begins to use its equal part: all that it held has run out.
 std::optional<millis> aloneFrom(const quota_desk &desk, const desk_shard &shard)
 {
@@ -240,12 +230,8 @@
 
 std::string_view nameOf(quota_verdict value)
 {
-    for (const verdict_name &each : verdictNames) {
-        if (each.verdict == value) {
-            return each.name;
-        }
-    }
-    return "unknown";
+    static constexpr std::string_view names[] = {"granted", "waits", "over", "too_large", "home_away"};
+    return names[static_cast<std::size_t>(value)];
 }
 
 double shareHere(const quota_desk &desk, std::uint64_t account, millis now)
--- a/packages/coordination/quota_task.cpp
+++ b/packages/coordination/quota_task.cpp
@@ -3,7 +3,6 @@
 #include "coordination/rendezvous.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace briarhead {
@@ -18,26 +17,12 @@
 constexpr std::size_t claimants = 4;
 constexpr millis claimStep{1'000};
 
-struct event_name
-{
-    quota_event event;
-    std::string_view name;
-};
-
-constexpr std::array eventNames{event_name{quota_event::HomeTaken, "home_taken"},
-    event_name{quota_event::HomeLost, "home_lost"}, event_name{quota_event::HomeFound, "home_found"},
-    event_name{quota_event::HomeReleased, "home_released"}};
-
 }
 
 std::string_view nameOf(quota_event value)
 {
-    for (const event_name &each : eventNames) {
-        if (each.event == value) {
-            return each.name;
-        }
-    }
-    return "unknown";
+    static constexpr std::string_view names[] = {"home_taken", "home_lost", "home_found", "home_released"};
+    return names[static_cast<std::size_t>(value)];
 }
 
 quota_task::quota_task(loop &eventLoop, quota_links links, const quota_plan &plan, const quota_rules &rules)
--- a/packages/serving/account_check.cpp
+++ b/packages/serving/account_check.cpp
@@ -1,30 +1,11 @@
 #include "serving/account_check.h"
 
-#include <array>
-
 namespace briarhead {
 
-namespace {
-
-struct verdict_name
-{
-    caller_verdict verdict;
-    std::string_view name;
-};
-
-constexpr std::array verdictNames{verdict_name{caller_verdict::Accepted, "accepted"},
-    verdict_name{caller_verdict::Missing, "no key"}, verdict_name{caller_verdict::Unknown, "unknown key"}};
-
-}
-
 std::string_view nameOf(caller_verdict value)
 {
-    for (const verdict_name &each : verdictNames) {
-        if (each.verdict == value) {
-            return each.name;
-        }
-    }
-    return "unknown";
+    static constexpr std::string_view names[] = {"accepted", "no key", "unknown key"};
+    return names[static_cast<std::size_t>(value)];
 }
 
 bool wantsKeys(const serving_config &config)
