--- a/tests/serving/account_test.cpp
+++ b/tests/serving/account_test.cpp
@@ -15,11 +15,6 @@
     return {{"name", name}, {"apiKeys", keys}};
 }
 
-std::string statusOf(const std::string &answer)
-{
-    return answer.substr(9, 3);
-}
-
 std::string fieldAt(const front_request &request, const char *name)
 {
     const std::string *value = findField(request.head, name);
@@ -37,6 +32,15 @@
 class account_test : public edge_test
 {
 protected:
+    void expectServersSawNoAccount() const
+    {
+        for (const auto &server : m_plain) {
+            for (const front_request &each : server->ran) {
+                EXPECT_EQ(fieldAt(each, "x-briarhead-tenant"), "(none)");
+                EXPECT_EQ(fieldAt(each, "x-briarhead-credential"), "(none)");
+            }
+        }
+    }
     /// Asks until the answer has a status, with pauses; the answers that it had before.
     std::size_t triesUntil(const std::string &path, const std::string &status)
     {
@@ -103,12 +107,7 @@
     EXPECT_EQ(statusOf(answerTo("/open/x")), "200");
     m_key = "nobody's";
     EXPECT_EQ(statusOf(answerTo("/open/x")), "200");
-    for (const auto &server : m_plain) {
-        for (const front_request &each : server->ran) {
-            EXPECT_EQ(fieldAt(each, "x-briarhead-tenant"), "(none)");
-            EXPECT_EQ(fieldAt(each, "x-briarhead-credential"), "(none)");
-        }
-    }
+    expectServersSawNoAccount();
 }
 
 TEST_F(account_test, AConfigurationWithoutAccountsAsksForNoKeyAndPassesNoneOn)
@@ -117,12 +116,7 @@
     m_fields = {{"X-Briarhead-Tenant", "ana"}};
     start();
     EXPECT_EQ(statusOf(answerTo("/once/x")), "200");
-    for (const auto &server : m_plain) {
-        for (const front_request &each : server->ran) {
-            EXPECT_EQ(fieldAt(each, "x-briarhead-tenant"), "(none)");
-            EXPECT_EQ(fieldAt(each, "x-briarhead-credential"), "(none)");
-        }
-    }
+    expectServersSawNoAccount();
 }
 
 // An operator takes a key away. The daemon hears of it as of any change, and from then on the key opens
--- a/tests/serving/edge_fixture.h
+++ b/tests/serving/edge_fixture.h
@@ -11,6 +11,11 @@
 
 namespace briarhead {
 
+inline std::string statusOf(const std::string &answer)
+{
+    return answer.substr(9, 3);
+}
+
 /// One daemon in this process, two model servers and two plain ones, and a store in memory.
 class edge_test : public http_testing::http_fixture
 {
--- a/tests/serving/other_daemon.h
+++ b/tests/serving/other_daemon.h
@@ -103,9 +103,4 @@
     std::unique_ptr<fleet_port> m_port;
 };
 
-inline std::string statusOf(const std::string &answer)
-{
-    return answer.substr(9, 3);
-}
-
 }
