--- a/packages/serving/client_request.h
+++ b/packages/serving/client_request.h
@@ -42,6 +42,9 @@
     std::string account; ///< that the caller's key belongs to; empty: none
 };
 
+/// No pause is taken for longer than this, whatever an answer says.
+constexpr millis longestPause{3'600'000};
+
 /// What a server's answer says besides its status.
 struct answer_meta
 {
@@ -50,7 +53,9 @@
     bool notRun = false; ///< the server did not and will not run the request
     std::optional<double>
         limit; ///< requests a second that the server takes from all daemons; none: not named
-    bool limitUnreadable = false; ///< it names one that is no number of requests a second
+    bool leaving = false; ///< the server says that it leaves
+    millis pause; ///< for which the server, which took nothing, wants nothing from this daemon; 0: not said
+    std::string unreadable; ///< a field in which it says something of itself that can't be read; empty: none
 };
 
 /// Translates between requests and what the platform's callers and servers write. Filled by its adapter.
--- a/packages/serving/front_limit.cpp
+++ b/packages/serving/front_limit.cpp
@@ -104,15 +104,31 @@
     }
 }
 
+/// What the head of an answer says of its server.
+void front_task::hearWords(const work &one)
+{
+    if (!one.meta.unreadable.empty()) {
+        m_log.important("server.word_unreadable")
+            .add("id", one.request.id)
+            .add("server", one.server)
+            .add("field", one.meta.unreadable);
+    }
+    if (one.meta.leaving || one.meta.pause > millis{}) {
+        m_log.important("server.says")
+            .add("id", one.request.id)
+            .add("server", one.server)
+            .add("leaving", one.meta.leaving ? 1 : 0)
+            .add("pause_ms", one.meta.pause);
+    }
+    hearLimit(one);
+}
+
 /// What the head of an answer says of its server's limit.
 void front_task::hearLimit(const work &one)
 {
-    if (one.meta.limitUnreadable) {
-        m_log.important("server.limit_unreadable").add("id", one.request.id).add("server", one.server);
-    }
     // A server that took nothing, or someone between, need not know of the limit.
     const bool says =
-        one.meta.limit || (one.meta.signedByServer && !one.meta.notRun && !one.meta.limitUnreadable);
+        one.meta.limit || (one.meta.signedByServer && !one.meta.notRun && one.meta.unreadable.empty());
     if (!says) {
         return;
     }
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -111,7 +111,7 @@
     one->head = head;
     one->meta = meta;
     one->lastEvent = bootNow();
-    hearLimit(*one);
+    hearWords(*one);
     one->streaming = one->way->kind == repeat_kind::Stream && isSuccess(head.status) && meta.signedByServer;
     if (one->streaming && !one->begun) {
         one->begun = true;
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -114,6 +114,7 @@
     void onNoAnswer(const work_ptr &one);
     void send(const work_ptr &one, const backend_server &server);
     bool onHead(const work_ptr &one, const http_head &head);
+    void hearWords(const work &one);
     void hearLimit(const work &one);
     void onBody(const work_ptr &one, const std::string &bytes);
     void onEnd(const work_ptr &one, send_end how, const error &why);
--- a/tests/serving/platform_test.cpp
+++ b/tests/serving/platform_test.cpp
@@ -154,10 +154,10 @@
     EXPECT_EQ(limitOf({" 0 "}).limit, 0.0);
     EXPECT_EQ(limitOf({"3", "2.5"}).limit, 2.5) << "of several the lowest counts";
     EXPECT_EQ(limitOf({}).limit, std::nullopt);
-    EXPECT_FALSE(limitOf({}).limitUnreadable);
+    EXPECT_EQ(limitOf({}).unreadable, "");
     for (const char *value : {"", "-1", "nan", "inf", "1/s", "1,5", "0x10"}) {
         EXPECT_EQ(limitOf({value}).limit, std::nullopt) << value;
-        EXPECT_TRUE(limitOf({value}).limitUnreadable) << value;
+        EXPECT_EQ(limitOf({value}).unreadable, "Server-Limit") << value;
     }
 }
 
