--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -1,6 +1,7 @@
 #include "serving/backend_standin.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <stdexcept>
 
 namespace briarhead {
@@ -75,15 +76,33 @@
     return briarhead::overLimit(limits, times, bootNow());
 }
 
-/// Fields of an answer, with the limit where one is named.
-std::vector<http_field> backend_standin::withLimit(std::vector<http_field> fields) const
+/// Fields of an answer, with what the server says of itself.
+std::vector<http_field> backend_standin::withWords(
+    std::vector<http_field> fields, const std::string &requestId)
 {
     if (!limitText.empty()) {
         fields.push_back({"Server-Limit", limitText});
     }
+    if (leaving) {
+        fields.push_back({"Server-Leaving", "1"});
+        said.push_back({requestId, bootNow(), true, {}});
+    }
     return fields;
 }
 
+void backend_standin::turnAway(const std::string &requestId, front_reply &reply)
+{
+    ++turnedAway;
+    auto fields =
+        withWords({{"X-Briarhead-Not-Executed", "1"}, {"X-Briarhead-Request-Id", requestId}}, requestId);
+    if (now == mood::Sheds && !pauseText.empty()) {
+        fields.push_back({"Retry-After", pauseText});
+        const double seconds = std::strtod(pauseText.c_str(), nullptr);
+        said.push_back({requestId, bootNow(), false, {static_cast<std::int64_t>(seconds * 1'000)}});
+    }
+    reply.respond(now == mood::Sheds ? 503 : 429, fields, "");
+}
+
 void backend_standin::onRequest(const front_request &request, const std::shared_ptr<front_reply> &reply)
 {
     const std::string expected = valueOf(request, "x-briarhead-expect-instance");
@@ -106,7 +125,7 @@
         if (born != 0) {
             report["born"] = born;
         }
-        reply->respond(200, withLimit({}), report.dump());
+        reply->respond(200, withWords({}), report.dump());
     } else {
         run(request, reply);
     }
@@ -159,8 +178,9 @@
     const std::shared_ptr<front_reply> &reply, const std::string &requestId, int from, int to)
 {
     reply->begin(200,
-        withLimit({{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id},
-            {"Content-Type", "text/event-stream"}}));
+        withWords({{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id},
+                      {"Content-Type", "text/event-stream"}},
+            requestId));
     for (int i = from; i <= to; ++i) {
         reply->write("id: " + std::to_string(i) + "\ndata: " + id + "\n\n");
     }
@@ -172,17 +192,15 @@
     const std::string model = valueOf(request, "x-briarhead-model");
     const std::size_t slash = model.find('/');
     const bool held = slash == std::string::npos || adapters.count(model.substr(slash + 1)) != 0;
-    const std::vector<http_field> fields =
-        withLimit({{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id}});
     arrivals.push_back({requestId, bootNow()});
+    const std::vector<http_field> signedFields{
+        {"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id}};
     if (!held) {
-        reply->respond(421, fields, "");
+        reply->respond(421, withWords(signedFields), "");
         return;
     }
     if (now == mood::Sheds || now == mood::Busy) {
-        ++turnedAway;
-        reply->respond(now == mood::Sheds ? 503 : 429,
-            withLimit({{"X-Briarhead-Not-Executed", "1"}, {"X-Briarhead-Request-Id", requestId}}), "");
+        turnAway(requestId, *reply);
         return;
     }
     ran.push_back(request);
@@ -195,7 +213,7 @@
     const int first = after.empty() ? 1 : std::stoi(after) + 1;
     switch (now) {
     case mood::Fails:
-        reply->respond(500, fields, "broken");
+        reply->respond(500, withWords(signedFields, requestId), "broken");
         return;
     case mood::Unsigned:
         reply->respond(200, {{"X-Briarhead-Request-Id", requestId}}, "not signed");
@@ -215,8 +233,8 @@
         m_held.emplace_back(requestId, reply);
         return;
     case mood::Slow:
-        m_timers.push_back(m_loop.timer(slowness, {}, [this, reply, fields, model, requestId, first] {
-            answerWhole(reply, fields, requestId, model.empty() ? 0 : first);
+        m_timers.push_back(m_loop.timer(slowness, {}, [this, reply, model, requestId, first] {
+            answerWhole(reply, requestId, model.empty() ? 0 : first);
         }));
         return;
     case mood::HoldsStream:
@@ -231,7 +249,7 @@
     default:
         break;
     }
-    answerWhole(reply, fields, requestId, model.empty() ? 0 : first);
+    answerWhole(reply, requestId, model.empty() ? 0 : first);
 }
 
 void backend_standin::runFatal(
@@ -249,11 +267,14 @@
     }));
 }
 
-void backend_standin::answerWhole(const std::shared_ptr<front_reply> &reply,
-    const std::vector<http_field> &fields, const std::string &requestId, int firstEvent)
+void backend_standin::answerWhole(
+    const std::shared_ptr<front_reply> &reply, const std::string &requestId, int firstEvent)
 {
     if (firstEvent == 0) {
-        reply->respond(200, fields, "served by " + id);
+        reply->respond(200,
+            withWords(
+                {{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id}}, requestId),
+            "served by " + id);
         return;
     }
     answerStream(reply, requestId, firstEvent, streamEvents);
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serving/limit_watch.h"
+#include "serving/word_watch.h"
 #include "transport/front_server.h"
 
 #include <nlohmann/json.hpp>
@@ -65,6 +65,9 @@
     std::vector<server_arrival> arrivals; ///< requests and reports asked for, also those turned away
     std::vector<limit_spell> limits; ///< that it named
     std::string limitText; ///< named in answers; empty: none
+    bool leaving = false; ///< says so in its answers
+    std::string pauseText; ///< asked for in answers that turn a request away with 503; empty: none
+    std::vector<said_word> said; ///< that it leaves, or a pause
     std::size_t left = 0; ///< callers that went away
     std::size_t turnedAway = 0; ///< requests that it did not take, Busy or Sheds
     millis slowness{700};
@@ -78,12 +81,12 @@
 private:
     void onRequest(const front_request &request, const std::shared_ptr<front_reply> &reply);
     void onOrder(const front_request &request, front_reply &reply);
-    std::vector<http_field> withLimit(std::vector<http_field> fields) const;
+    std::vector<http_field> withWords(std::vector<http_field> fields, const std::string &requestId = "");
+    void turnAway(const std::string &requestId, front_reply &reply);
     void run(const front_request &request, const std::shared_ptr<front_reply> &reply);
     void runFatal(const std::string &requestId, const std::shared_ptr<front_reply> &reply, bool stream);
     /// A stream from `firstEvent` on; 0: a plain answer.
-    void answerWhole(const std::shared_ptr<front_reply> &reply, const std::vector<http_field> &fields,
-        const std::string &requestId, int firstEvent);
+    void answerWhole(const std::shared_ptr<front_reply> &reply, const std::string &requestId, int firstEvent);
 
     loop &m_loop;
     std::optional<millis> m_modelHeldFrom; ///< a load of the base model ends then
--- a/tests/soak/server_limit_test.cpp
+++ b/tests/soak/server_limit_test.cpp
@@ -1,91 +1,12 @@
-#include "soak/fleet_fixture.h"
-#include "transport/backend_pool.h"
-
-#include <algorithm>
+#include "soak/callers_fixture.h"
 
 namespace briarhead::soak {
 
 namespace {
 
-struct kind_of_request
-{
-    const char *name;
-    const char *path;
-    const char *service;
-};
-
-std::ostream &operator<<(std::ostream &out, const kind_of_request &kind)
-{
-    return out << kind.path;
-}
-
-/// Callers at all daemons send requests of one kind at a steady rate.
-class server_limit_test : public fleet_fixture, public testing::WithParamInterface<kind_of_request>
+class server_limit_test : public callers_fixture
 {
 protected:
-    backend_pool m_callers{m_loop};
-    std::vector<std::shared_ptr<void>> m_traffic; ///< before the callers' pool goes
-    std::size_t m_served = 0;
-    std::size_t m_refused = 0;
-    std::size_t m_failed = 0;
-    millis m_longestRefusal;
-
-    void TearDown() override
-    {
-        m_traffic.clear();
-        fleet_fixture::TearDown();
-    }
-    bool isModel() const
-    {
-        return std::string(GetParam().service) == "llm";
-    }
-    void sendOne(const daemon_process &daemon)
-    {
-        std::string text = std::string("POST ") + GetParam().path
-            + "x HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: " + daemon.name + '.'
-            + std::to_string(++m_lastId) + "\r\nX-Briarhead-Deadline-Ms: 4000\r\nContent-Length: 0\r\n";
-        text += isModel() ? "X-Briarhead-Model: m0/a1\r\nX-Briarhead-Token-Count: 50,50\r\n" : "";
-        const millis sent = bootNow();
-        const auto seen = std::make_shared<http_head>();
-        send_handlers calls;
-        calls.onHead = [seen](const http_head &head) {
-            *seen = head;
-            return true;
-        };
-        calls.onBody = [](const std::string &) {};
-        calls.onEnd = [this, seen, sent](send_end how, const error &) {
-            const bool whole = how == send_end::Whole;
-            m_served += whole && seen->status == 200 ? 1 : 0;
-            m_failed += !whole || (seen->status != 200 && seen->status != 503) ? 1 : 0;
-            if (whole && seen->status == 503) {
-                ++m_refused;
-                m_longestRefusal = std::max(m_longestRefusal, bootNow() - sent);
-                EXPECT_NE(findField(*seen, "retry-after"), nullptr);
-            }
-        };
-        m_callers.start({"127.0.0.1", daemon.frontPort}, text + "\r\n", false, std::move(calls));
-    }
-    /// At each daemon one request in so long.
-    void sendEvery(millis pause)
-    {
-        m_traffic.push_back(m_loop.timer(pause, pause, [this] {
-            for (const daemon_process &daemon : m_daemons) {
-                if (daemon.pid != 0) {
-                    sendOne(daemon);
-                }
-            }
-        }));
-    }
-    std::vector<backend_standin *> serversOfKind()
-    {
-        std::vector<backend_standin *> out;
-        for (const auto &[id, server] : m_servers) {
-            if (id.starts_with(GetParam().service)) {
-                out.push_back(server.get());
-            }
-        }
-        return out;
-    }
     /// `excused`: a daemon whose sends don't count.
     void expectWithinLimits(const std::string &excused = "-")
     {
@@ -203,18 +124,6 @@
     EXPECT_GE(m_served, 60U);
 }
 
-namespace {
-
-constexpr kind_of_request kinds[] = {{"Stream", "/gen/", "llm"}, {"NonIdempotent", "/once/", "app"},
-    {"ResumableStream", "/resume/", "llm"}, {"Idempotent", "/safe/", "app"}};
-
-std::string nameOfKind(const testing::TestParamInfo<kind_of_request> &each)
-{
-    return each.param.name;
-}
-
-}
-
 INSTANTIATE_TEST_SUITE_P(Kinds, server_limit_test, testing::ValuesIn(kinds), nameOfKind);
 // One of each kind of service: these take long.
 INSTANTIATE_TEST_SUITE_P(Kinds, changing_limit_test, testing::Values(kinds[0], kinds[1]), nameOfKind);
