Test that briarheadd spares leaving and pausing servers, which fails

Cause: the same class in the other daemon: its owners know leaving from the list and the engine's state alone, and its entries send plain services whatever they say Ruled out: nothing of the edge's: briarheadd shares none of its tasks Change: three tests, and words in the stand-ins' answers.

--- a/tests/failure/owner_guard_test.cpp
+++ b/tests/failure/owner_guard_test.cpp
@@ -229,6 +229,63 @@
     EXPECT_EQ(m_engine->recorded("run").size(), 1U);
 }
 
+// An engine says in an answer that it leaves. Its state, read every few seconds, tells that later: until then
+// it got new requests.
+TEST_F(owner_guard_test, AnEngineThatSaysItLeavesInAnAnswerTakesNoNewWork)
+{
+    startEngine(true);
+    gain(true);
+    m_engine->setFaults({{"words", {{"Server-Leaving", "1"}}}});
+    const auto stream = ask("a0", 300);
+    ASSERT_TRUE(started(stream));
+    const auto late = ask("a0", 2);
+    ASSERT_TRUE(ended(late));
+    EXPECT_EQ(m_ends[late].result, outcome::NotRun);
+    EXPECT_EQ(m_ends[late].why, error_kind::NoServer);
+    ASSERT_TRUE(ended(stream));
+    EXPECT_EQ(m_ends[stream].result, outcome::Done);
+    EXPECT_EQ(m_engine->recorded("run").size(), 1U);
+    m_engine->setFaults({{"words", nlohmann::json::object()}, {"reset", true}});
+    ASSERT_TRUE(runUntil(m_loop, [&] {
+        return !m_restarts.empty();
+    }));
+    gain(true);
+    const auto again = ask("a0", 2);
+    ASSERT_TRUE(ended(again));
+    EXPECT_EQ(m_ends[again].result, outcome::Done) << "its next start has not said so";
+}
+
+// An engine turns a run away and asks for a pause: what waited and what came next was sent there at once, as
+// were questions for its state.
+TEST_F(owner_guard_test, AnEngineThatAsksForAPauseIsSpared)
+{
+    startEngine(true);
+    gain(true);
+    ASSERT_TRUE(ended(ask("a0", 2)));
+    m_engine->setFaults({{"refuse_runs", true}, {"pause", "1.5"}});
+    const auto turnedAway = ask("a0", 2);
+    ASSERT_TRUE(ended(turnedAway));
+    const millis paused = bootNow();
+    const auto refusals = [this] {
+        return m_engine->recorded("refused").size();
+    };
+    const std::size_t before = refusals();
+    while (bootNow() - paused < millis{1'200}) {
+        const auto next = ask("a0", 2);
+        ASSERT_TRUE(ended(next));
+        EXPECT_EQ(m_ends[next].result, outcome::NotRun);
+        EXPECT_GT(m_ends[next].retryAfterMs, 0);
+        EXPECT_LE(m_ends[next].retryAfterMs, 1'500);
+        settleFor({20});
+    }
+    EXPECT_EQ(refusals(), before);
+    m_engine->setFaults({{"refuse_runs", false}});
+    settleFor({600});
+    const auto again = ask("a0", 2);
+    ASSERT_TRUE(ended(again));
+    EXPECT_EQ(m_ends[again].result, outcome::Done) << "a pause ends by itself";
+}
+
 // An unload order is on its way, slow on its path, and a request comes for the very adapter. Started on it,
 // the request would reach the engine first and its stream would be broken off by the unload.
 TEST_F(owner_guard_test, NothingStartsOnAnAdapterWhoseUnloadIsOnItsWay)
--- a/tests/failure/path_test.cpp
+++ b/tests/failure/path_test.cpp
@@ -115,3 +115,34 @@
     EXPECT_EQ(order.status, 201) << order.body;
     EXPECT_EQ(order.parsed().value("path", ""), "/orders/7 a") << order.body;
 }
+
+// A plain server turned calls away and asked for a pause, and said that it leaves: it got the next call at
+// once.
+TEST(Path, APlainServerThatAsksForAPauseOrLeavesIsSpared)
+{
+    fleet all;
+    const std::string server =
+        "http://127.0.0.1:" + std::to_string(all.ports()["services"]["orders-1"].get<int>());
+    const auto setFaults = [&server](const json &faults) {
+        call("POST", server + "/standin/faults", faults.dump());
+    };
+    const auto order = [&all] {
+        return call("POST", all.url(0) + "/orders/7", "{}", callerHeaders);
+    };
+    const auto arrived = [&server] {
+        return call("GET", server + "/standin/record").parsed().value("entries", json::array()).size();
+    };
+    setFaults({{"refuse", true}, {"words", {{"Retry-After", "1.5"}}}});
+    EXPECT_EQ(order().status, 503);
+    const std::size_t before = arrived();
+    const answer refused = order();
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(refused.outcome(), "not_run");
+    EXPECT_EQ(arrived(), before);
+    setFaults({{"refuse", false}, {"words", {{"Server-Leaving", "1"}}}});
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'600));
+    EXPECT_EQ(order().status, 201) << "a pause ends by itself";
+    const std::size_t served = arrived();
+    EXPECT_EQ(order().status, 503);
+    EXPECT_EQ(arrived(), served);
+}
--- a/tests/standins/engine_batch.cpp
+++ b/tests/standins/engine_batch.cpp
@@ -162,7 +162,9 @@
         finishWith(run, "dropped");
         return;
     }
-    run->reply->begin(200, {{"Content-Type", "text/event-stream"}, {"X-Adapter", run->ran}});
+    header_list headers{{"Content-Type", "text/event-stream"}, {"X-Adapter", run->ran}};
+    headers.insert(headers.end(), run->words.begin(), run->words.end());
+    run->reply->begin(200, headers);
     m_running.push_back(run);
 }
 
--- a/tests/standins/engine_batch.h
+++ b/tests/standins/engine_batch.h
@@ -44,6 +44,7 @@
     millis deadlineAt; ///< still queued by then: refused
     millis started; ///< 0: never
     std::shared_ptr<http_reply> reply;
+    header_list words; ///< fields of its answer besides
 };
 using standin_run_ptr = std::shared_ptr<standin_run>;
 
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -196,6 +196,7 @@
     m_failLoads = faults.value("fail_loads", m_failLoads);
     m_leaving = faults.value("leaving", m_leaving);
     m_refuseRuns = faults.value("refuse_runs", m_refuseRuns);
+    m_pause = faults.value("pause", m_pause);
     m_keepRuns = faults.value("keep_runs", m_keepRuns);
     m_ignoreFencing = faults.value("ignore_fencing", m_ignoreFencing);
     m_runAs = faults.value("run_as", m_runAs);
@@ -294,6 +295,7 @@
     const auto deadlineMs = numberOf(headerOf(request, "x-deadline-ms"), defaultDeadlineMs);
     run->deadlineAt = bootNow() + millis{static_cast<std::int64_t>(deadlineMs)};
     run->reply = reply;
+    run->words = words();
     if (!run->requestId.empty() && !m_seenIds.insert(run->requestId).second) {
         ++m_violations["same_id_twice"];
         note("violation", {{"what", "same_id_twice"}, {"request_id", run->requestId}});
@@ -373,10 +375,13 @@
             {"token", headerOf(request, "x-fencing-token")}, {"fencing", m_fencing}});
     json problem{{"code", code}, {"message", code}, {"fencing", m_fencing}};
     header_list headers;
-    if (status == 503) {
+    if (status == 503 && m_pause.empty()) {
         problem["retry_after_ms"] = busyRetryMs;
         headers.emplace_back("Retry-After", std::to_string((busyRetryMs + msPerSecond - 1) / msPerSecond));
     }
+    if (status == 503 && !m_pause.empty()) {
+        headers.emplace_back("Retry-After", m_pause);
+    }
     answer(reply, status, {{"error", problem}}, headers);
 }
 
--- a/tests/standins/engine_standin.h
+++ b/tests/standins/engine_standin.h
@@ -32,7 +32,8 @@
 
 /// A model engine: adapter slots, continuous batching, fencing checked or ignored, lagging reports, late and
 /// gappy cache events. Further faults:
-///   {"fail_loads": n, "reset": true, "leaving": bool, "refuse_runs": bool, "ignore_fencing": bool,
+///   {"fail_loads": n, "reset": true, "leaving": bool, "refuse_runs": bool, "pause": SECONDS,
+///   "ignore_fencing": bool,
 ///    "drop_after_tokens": n (negative: off), "paused": bool, "run_as": "a:2" (answers from another version),
 ///    "fatal_prompt": HASH (a cold start a moment after a run of that prompt began; empty: none),
 ///    "keep_runs": bool (runs go on when their connection closes, as until an engine notices)}
@@ -113,6 +114,7 @@
     std::uint64_t m_lastEvent = 0;
     std::map<std::string, std::uint64_t> m_violations;
     bool m_leaving = false;
+    std::string m_pause; ///< seconds, asked for where it refuses with 503; empty: a short one of its own
     bool m_refuseRuns = false;
     bool m_keepRuns = false;
     bool m_ignoreFencing = false;
--- a/tests/standins/service_standin.cpp
+++ b/tests/standins/service_standin.cpp
@@ -6,7 +6,10 @@
     : standin_server(eventLoop, service)
 {
     const auto onCall = [this](const http_request &request, const reply_ptr &reply) {
-        if (m_refuse) {
+        if (m_refuse && !words().empty()) {
+            note("refused", {{"path", request.path}});
+            answer(reply, 503, {{"error", {{"code", "busy"}}}});
+        } else if (m_refuse) {
             answer(reply, 503, {{"error", {{"code", "busy"}}}}, {{"Retry-After", "1"}});
         } else if (request.method == "POST") {
             onPost(request, reply);
--- a/tests/standins/standin_server.cpp
+++ b/tests/standins/standin_server.cpp
@@ -88,6 +88,12 @@
 
 void standin_server::setFaults(const json &faults)
 {
+    if (faults.contains("words")) {
+        m_words.clear();
+        for (const auto &[field, value] : faults["words"].items()) {
+            m_words.emplace_back(field, value.get<std::string>());
+        }
+    }
     m_stall = {faults.value("stall_ms", m_stall.count)};
     m_loseAnswers = faults.value("lose_answers", m_loseAnswers);
     m_down = faults.value("down", m_down);
@@ -130,13 +136,20 @@
     });
 }
 
-void standin_server::answer(const reply_ptr &reply, int status, const json &body, const header_list &more)
+void standin_server::answer(
+    const reply_ptr &reply, int status, const json &body, const header_list &more) const
 {
     header_list headers{{"Content-Type", "application/json"}};
+    headers.insert(headers.end(), m_words.begin(), m_words.end());
     headers.insert(headers.end(), more.begin(), more.end());
     reply->respond(status, headers, body.dump());
 }
 
+const header_list &standin_server::words() const
+{
+    return m_words;
+}
+
 std::string standin_server::headerOf(const http_request &request, const std::string &name)
 {
     const auto found = request.headers.find(name);
--- a/tests/standins/standin_server.h
+++ b/tests/standins/standin_server.h
@@ -19,13 +19,14 @@
 /// What the stand-ins share: a server on loopback with a table of routes, the faults that any server can
 /// have, and a record of what happened, kept apart from what any daemon believes. By HTTP:
 ///   POST /standin/faults    {"hang": bool, "hold": PATH, "stall_ms": n, "down": bool, "down_ms": n,
-///                           "lose_answers": n, ...}
+///                           "lose_answers": n, "words": {FIELD: VALUE}, ...}
 ///   GET  /standin/record?since=INDEX
 ///   GET  /standin/summary
 /// "hang" holds requests and serves them once it is cleared, "hold" does so with those to one path ("" ends
 /// it), so that they arrive after requests sent later; "stall_ms" serves each one that much late, all also
 /// when the caller has given up by then; "lose_answers" carries out the next n POSTs and breaks their
-/// connections off instead of answering; "down" breaks every connection off before anything is done.
+/// connections off instead of answering; "words" are header fields of all answers from then on; "down" breaks
+/// every connection off before anything is done.
 class standin_server
 {
 public:
@@ -62,7 +63,9 @@
     void later(millis delay, std::function<void()> call);
     loop &eventLoop();
 
-    static void answer(const reply_ptr &reply, int status, const json &body, const header_list &more = {});
+    /// Answers in JSON, with the fields that "words" names.
+    void answer(const reply_ptr &reply, int status, const json &body, const header_list &more = {}) const;
+    const header_list &words() const;
     static std::string headerOf(const http_request &request, const std::string &name);
     static std::uint64_t numberOf(const std::string &text, std::uint64_t otherwise = 0);
 
@@ -84,6 +87,7 @@
     bool m_down = false;
     millis m_stall;
     std::uint32_t m_loseAnswers = 0;
+    header_list m_words;
     std::map<std::uint64_t, std::shared_ptr<void>> m_timers;
     std::uint64_t m_lastTimer = 0;
 };
