Go by what engines and plain servers say of themselves in briarheadd too

Callers saw: runs went to an engine that had said it leaves until its state was read, up to 3 s later, and to one that had asked for a pause at once; a plain server got the next call whatever it had said

`owned.leaving` never ended, though leaving is of one start Ruled out: a bound for all daemons: one owner sends to an engine, and a pause is of the daemon that was asked for it Change: engine_client hands on what every answer says (runs as their head comes, orders, states, reports); the owner keeps it in server_words by start, asked in admission, before each start of a run, load, order and poll; what waits is refused at once with the time. Entries keep the words of plain servers, by name, a leaving for a minute, since the list tells no starts of them.

--- a/packages/coordination/owner_engine.cpp
+++ b/packages/coordination/owner_engine.cpp
@@ -13,6 +13,27 @@
 
 }
 
+/// What an answer of the engine's says of it, also in an answer that is about something else. What waits goes
+/// back to its entries at once.
+void owner_task::hearWords(const std::string &name, const answer_words &said)
+{
+    owned *server = find(name);
+    if (server == nullptr) {
+        return;
+    }
+    const std::string start = startOf(*server);
+    const millis now = bootNow();
+    if (said.leaving && hearLeaving(m_words, start, now)) {
+        spdlog::info("owner: {} says that it is leaving.", start);
+        refuseWaiting(*server, nullptr, error_kind::NoServer, "the server is leaving", {});
+    }
+    if (hearPause(m_words, start, m_options.self, said.pause, now)) {
+        spdlog::info("owner: {} wants nothing for {} ms.", start, said.pause.count);
+        refuseWaiting(*server, nullptr, error_kind::Overloaded, "the server wants a pause",
+            comeBackAfter(pauseOf(*server)));
+    }
+}
+
 void owner_task::poll(owned &server)
 {
     server.polling = true;
@@ -66,10 +87,8 @@
     server.role = state.role;
     server.slots = state.slots;
     server.batchLimit = std::max<std::uint32_t>(1, state.batchLimit);
-    if (state.leaving && !server.leaving) {
-        spdlog::info("owner: {} says that it is leaving.", server.where.name);
-        server.leaving = true;
-        refuseWaiting(server, nullptr, error_kind::NoServer, "the server is leaving", {});
+    if (state.leaving) {
+        hearWords(server.where.name, {true, {}});
     }
     const std::set<adapter_ref> resident(state.resident.begin(), state.resident.end());
     const millis now = bootNow();
--- a/packages/coordination/owner_loads.cpp
+++ b/packages/coordination/owner_loads.cpp
@@ -58,7 +58,7 @@
 void owner_task::wantLoads(owned &server)
 {
     if (!server.held || !server.known || server.releasing || server.ordering || server.unclaimed
-        || server.role != "serving") {
+        || server.role != "serving" || pauseOf(server) > millis{}) {
         return;
     }
     const millis now = bootNow();
--- a/packages/coordination/owner_runs.cpp
+++ b/packages/coordination/owner_runs.cpp
@@ -69,6 +69,10 @@
         refuse(from, request, error_kind::NoServer, "the server is leaving or drained", {});
         return;
     }
+    if (const millis pause = pauseOf(*server); pause > millis{}) {
+        refuse(from, request, error_kind::Overloaded, "the server wants a pause", comeBackAfter(pause));
+        return;
+    }
     const millis now = bootNow();
     if (!server->known || server->role != "serving" || server->unclaimed || now < server->mayRunAt) {
         refuse(from, request, error_kind::NoServer, "the server is starting",
@@ -153,8 +157,8 @@
 
 void owner_task::pump(owned &server)
 {
-    while (server.held && server.known && !server.unclaimed && server.waiting > 0
-        && server.inFlight < server.batchLimit) {
+    while (server.held && server.known && !server.unclaimed && server.waiting > 0 && takesWork(server)
+        && pauseOf(server) <= millis{} && server.inFlight < server.batchLimit) {
         job *one = nextJob(server);
         if (one == nullptr) {
             break;
@@ -198,8 +202,7 @@
         refuseBlocked(one);
         return;
     }
-    one.target = {server.where.name, server.where.name + '@' + server.incarnation,
-        {server.where.address, server.where.port}};
+    one.target = {server.where.name, startOf(server), {server.where.address, server.where.port}};
     slot &where = server.adapters[one.request.adapter];
     one.startedAt = now;
     one.stall =
@@ -255,7 +258,7 @@
     if (how.result == outcome::Done) {
         m_crashes.onAnswered(fingerprint);
     }
-    if (how.result != outcome::Unknown || server.leaving) {
+    if (how.result != outcome::Unknown || leaves(server)) {
         return;
     }
     if (how.why.kind == error_kind::ConnectionLost) {
@@ -263,7 +266,7 @@
     } else {
         m_crashes.onGivenUp(fingerprint, one.target);
     }
-    const bool restarted = one.target.start != server.where.name + '@' + server.incarnation;
+    const bool restarted = one.target.start != startOf(server);
     if (restarted) { // seen by the poll before the connection broke
         m_crashes.onServerEnded(server.where.name);
     }
@@ -416,7 +419,8 @@
     hint.inFlight = server.inFlight;
     hint.waiting = waitingForPlace(server);
     hint.batchLimit = server.batchLimit;
-    hint.closed = !takesWork(server) || !server.known || server.role != "serving" || server.unclaimed;
+    hint.closed = !takesWork(server) || pauseOf(server) > millis{} || !server.known
+        || server.role != "serving" || server.unclaimed;
     hint.freeSlots = server.slots - std::min(server.slots, usedSlots(server));
     return hint;
 }
--- a/packages/coordination/owner_status.cpp
+++ b/packages/coordination/owner_status.cpp
@@ -24,8 +24,8 @@
         list.push_back({{"name", name}, {"owner", m_options.self}, {"fencing", server.fencing},
             {"role", server.role}, {"failure_domain", server.where.failureDomain}, {"slots", server.slots},
             {"used", usedSlots(server)}, {"in_flight", server.inFlight}, {"batch_limit", server.batchLimit},
-            {"waiting", server.waiting}, {"leaving", server.leaving}, {"draining", server.draining},
-            {"checks_fencing", server.checksFencing}});
+            {"waiting", server.waiting}, {"leaving", leaves(server)}, {"pause_ms", pauseOf(server).count},
+            {"draining", server.draining}, {"checks_fencing", server.checksFencing}});
     }
     return list.dump();
 }
--- a/packages/coordination/owner_task.cpp
+++ b/packages/coordination/owner_task.cpp
@@ -125,7 +125,31 @@
 
 bool owner_task::takesWork(const owned &server) const
 {
-    return server.held && !server.releasing && !server.draining && !server.leaving;
+    return server.held && !server.releasing && !server.draining && !leaves(server);
+}
+
+/// Names the start of the engine that was seen last.
+std::string owner_task::startOf(const owned &server)
+{
+    return server.where.name + '@' + server.incarnation;
+}
+
+/// When callers that are refused together are to come back: apart from each other.
+millis owner_task::comeBackAfter(millis wait)
+{
+    const double share = std::uniform_real_distribution<double>(1, 1 + comeBackSpread)(m_random);
+    return {static_cast<std::int64_t>(static_cast<double>(wait.count) * share)};
+}
+
+bool owner_task::leaves(const owned &server) const
+{
+    return server.where.leaving || isLeaving(m_words, startOf(server));
+}
+
+/// What is left of the time for which the engine wants nothing from this daemon; 0: it takes calls.
+millis owner_task::pauseOf(const owned &server) const
+{
+    return pauseLeft(m_words, startOf(server), m_options.self, bootNow());
 }
 
 // ---- servers gained and lost
@@ -134,7 +158,6 @@
 {
     owned &server = m_servers[news.server.name];
     server.where = news.server;
-    server.leaving = server.leaving || news.server.leaving;
     server.releasing = false;
     server.releaseAsked = false;
     server.fencing = news.fencing;
@@ -152,6 +175,11 @@
     const std::string url = "http://" + news.server.address + ":" + std::to_string(news.server.port);
     server.runs = std::make_unique<engine_client>(m_runs, url);
     server.guarded = std::make_unique<engine_client>(news.checksFencing ? m_runs : m_guarded, url);
+    for (engine_client *client : {server.runs.get(), server.guarded.get()}) {
+        client->onWords([this, name = news.server.name](const answer_words &said) {
+            hearWords(name, said);
+        });
+    }
     for (const adapter_ref &ref : news.pinned) {
         server.adapters[ref].pinned = true;
     }
@@ -230,9 +258,13 @@
         if (!instance.leaving) {
             m_sites[instance.service].push_back({name, instance.failureDomain, false});
         }
-        if (owned *server = find(name); server != nullptr && instance.leaving && !server->leaving) {
+        owned *server = find(name);
+        if (server == nullptr) {
+            continue;
+        }
+        server->where.leaving = instance.leaving;
+        if (instance.leaving) {
             spdlog::info("owner: {} is leaving. No new work goes there.", name);
-            server->leaving = true;
             refuseWaiting(*server, nullptr, error_kind::NoServer, "the server is leaving", {});
         }
     }
@@ -253,7 +285,7 @@
         const bool settled =
             server.known && server.role == "serving" && !server.unclaimed && server.pinsKnown;
         const millis pause{settled ? pollMs : startingPollMs};
-        if (!server.polling && now - server.polledAt >= pause) {
+        if (!server.polling && pauseOf(server) <= millis{} && now - server.polledAt >= pause) {
             poll(server);
         }
         wantLoads(server);
--- a/packages/coordination/owner_task.h
+++ b/packages/coordination/owner_task.h
@@ -7,6 +7,7 @@
 #include "coordination/load_order.h"
 #include "coordination/ownership.h"
 #include "coordination/replicas.h"
+#include "coordination/server_words.h"
 #include "transport/bus.h"
 #include "transport/engine_client.h"
 
@@ -88,7 +89,6 @@
         bool releasing = false;
         bool releaseAsked = false; ///< release_server has no answer yet
         bool draining = false; ///< by the operators' order
-        bool leaving = false; ///< by the live list or the engine
         std::uint64_t fencing = 0;
         bool checksFencing = false;
         millis mayRunAt;
@@ -168,7 +168,12 @@
     void checkDeadlines(millis now);
     void drained();
 
+    static std::string startOf(const owned &server);
+    millis comeBackAfter(millis wait);
     bool takesWork(const owned &server) const;
+    bool leaves(const owned &server) const;
+    millis pauseOf(const owned &server) const;
+    void hearWords(const std::string &name, const answer_words &said);
     std::uint32_t usedSlots(const owned &server) const;
     std::uint32_t waitingForPlace(const owned &server) const;
     server_hint hintOf(const owned &server) const;
@@ -186,6 +191,7 @@
     std::map<std::string, owned> m_servers;
     std::map<request_id, job> m_jobs;
     std::map<request_id, job> m_lingering; ///< ended here without proof that the engine has ended them
+    server_words m_words; ///< of engines, by what they say
     std::set<std::string> m_drained; ///< by operators
     std::map<std::string, std::string> m_holders; ///< of servers that are not ours
     std::map<std::string, std::vector<replica_site>> m_sites; ///< by base model, without leaving ones
--- a/packages/coordination/server_words.h
+++ b/packages/coordination/server_words.h
@@ -33,6 +33,10 @@
 /// A server that leaves is gone long before; one that isn't says so again.
 constexpr millis leavingKept{3'600'000};
 
+/// Callers that are refused together are told times that lie apart by up to this fraction, so that they don't
+/// return together.
+constexpr double comeBackSpread = 0.5;
+
 /// Takes in that a start of a server leaves; whether that is new. It is final for that start.
 bool hearLeaving(server_words &words, const std::string &start, millis now);
 /// Takes in that it wants nothing from a daemon for so long; whether that is longer than was known. A pause
--- a/packages/daemon/entry_admit.cpp
+++ b/packages/daemon/entry_admit.cpp
@@ -4,8 +4,10 @@
 #include "daemon/answers.h"
 #include "daemon/entry_task.h"
 #include "state/key_hash.h"
+#include "transport/answer_words.h"
 
 #include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -19,6 +21,11 @@
 /// The part of a prompt that decides prefix affinity.
 constexpr std::size_t prefixBytes = 256;
 constexpr std::size_t maxKeyBytes = 256;
+/// Of a refusal by a plain service where nothing tells a better time.
+constexpr millis usualComeBack{1'000};
+/// A plain server that said it leaves is tried again after this long: nobody tells whether it has started
+/// anew.
+constexpr millis plainLeavingKept{60'000};
 
 std::string headerOf(const http_request &request, const char *name)
 {
@@ -434,8 +441,9 @@
     std::uint32_t least = 0;
     for (auto &[name, server] : m_serviceServers) {
         const bool tried = std::find(one->tried.begin(), one->tried.end(), name) != one->tried.end();
-        if (server.where.service != one->service || server.where.leaving || tried
-            || breakerOpen(server.health, now)) {
+        const bool closed = server.where.leaving || isLeaving(m_words, name)
+            || pauseLeft(m_words, name, m_options.self, now) > millis{};
+        if (server.where.service != one->service || closed || tried || breakerOpen(server.health, now)) {
             continue;
         }
         if (fit.empty() || server.sentHere < least) {
@@ -450,7 +458,7 @@
         const error why = one->lastWhy.kind == error_kind::None ? error{error_kind::NoServer, one->service,
                               "no backend server of the service can take the request"}
                                                                 : one->lastWhy;
-        answer(one, {outcome::NotRun, why, {1'000}});
+        answer(one, {outcome::NotRun, why, firstPauseEnd(one->service)});
         return;
     }
     one->server = fit[m_random() % fit.size()];
@@ -481,6 +489,21 @@
     });
 }
 
+/// When a caller may find a server again that now wants a pause, apart from other callers.
+millis entry_task::firstPauseEnd(const std::string &service)
+{
+    std::optional<millis> first;
+    for (const auto &[name, server] : m_serviceServers) {
+        const millis left = pauseLeft(m_words, name, m_options.self, bootNow());
+        if (server.where.service == service && left > millis{}) {
+            first = std::min(first.value_or(left), left);
+        }
+    }
+    const double share = std::uniform_real_distribution<double>(1, 1 + comeBackSpread)(m_random);
+    return first ? millis{static_cast<std::int64_t>(static_cast<double>(first->count) * share)}
+                 : usualComeBack;
+}
+
 void entry_task::onService(const request_id &id, const http_result &result)
 {
     const pending_ptr one = take(id);
@@ -488,6 +511,16 @@
         return;
     }
     one->call = 0;
+    const answer_words said = wordsOf(result);
+    std::erase_if(m_words.leaving, [](const auto &each) {
+        return bootNow() - each.second > plainLeavingKept;
+    });
+    if (said.leaving && hearLeaving(m_words, one->server, bootNow())) {
+        spdlog::info("entry: {} says that it is leaving.", one->server);
+    }
+    if (hearPause(m_words, one->server, m_options.self, said.pause, bootNow())) {
+        spdlog::info("entry: {} wants nothing for {} ms.", one->server, said.pause.count);
+    }
     const auto server = m_serviceServers.find(one->server);
     if (result.complete) {
         m_crashes.onAnswered(one->fingerprint);
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -6,6 +6,7 @@
 #include "coordination/key_journal.h"
 #include "coordination/retry.h"
 #include "coordination/routing.h"
+#include "coordination/server_words.h"
 #include "daemon/metrics.h"
 #include "transport/bus.h"
 #include "transport/http_client.h"
@@ -134,6 +135,7 @@
     void route(const pending_ptr &one);
     void routeService(const pending_ptr &one);
     void onService(const request_id &id, const http_result &result);
+    millis firstPauseEnd(const std::string &service);
     void send(const pending_ptr &one, const std::string &owner);
     void retryLater(const pending_ptr &one, std::int64_t pauseMs);
     std::string ownerOf(const std::string &server) const;
@@ -168,6 +170,7 @@
     std::vector<std::string> m_daemons; ///< alive or suspect: may own servers and be homes of keys
     std::map<std::string, server_state> m_servers; ///< engines
     std::map<std::string, server_state> m_serviceServers;
+    server_words m_words; ///< of plain servers; the list tells no starts of them, so by name
     std::map<std::string, replica_hint> m_replicas; ///< by adapter
     std::map<request_id, pending_ptr> m_pending;
     std::map<std::string, caller_limit> m_limits;
--- a/packages/serving/front_work.h
+++ b/packages/serving/front_work.h
@@ -15,9 +15,6 @@
 constexpr millis retryStep{40};
 /// Of a refusal while all servers leave: others are listed within some seconds.
 constexpr millis comeBackAllLeave{1'000};
-/// Callers that are refused together are told times that lie apart by up to this fraction, so that they don't
-/// return together.
-constexpr double comeBackSpread = 0.5;
 /// A daemon that keeps a server's limit and doesn't answer is not asked again for so long, unless its beats
 /// come.
 constexpr millis silentHolder{2'000};
--- /dev/null
+++ b/packages/transport/answer_words.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "state/clock.h"
+#include "transport/http_client.h"
+
+#include <optional>
+#include <string_view>
+
+namespace briarhead {
+
+/// What an answer says of the server that gave it, besides what it answers.
+struct answer_words
+{
+    bool leaving = false;
+    millis pause; ///< for which the server wants nothing more from here; 0: not said
+};
+
+/// A decimal number that isn't negative, and nothing behind it; else nothing.
+std::optional<double> decimalOf(std::string_view text);
+/// Seconds as header fields give them, fractions too, rounded up to whole milliseconds; at most `most`.
+std::optional<millis> secondsOf(std::string_view text, millis most);
+
+/// Of an answer with the fields Server-Leaving and, where it turns a call away with 503, Retry-After.
+answer_words wordsOf(const http_result &answer);
+
+}
--- a/packages/transport/engine_client.cpp
+++ b/packages/transport/engine_client.cpp
@@ -17,7 +17,7 @@
 
 constexpr int httpOk = 200;
 constexpr millis cancelTimeout{1'000};
-constexpr std::int64_t msPerSecond = 1'000;
+constexpr int httpUnavailable = 503;
 constexpr std::int64_t maxAnswerMarginMs = 500;
 constexpr std::int64_t answerMarginShare = 8;
 /// An error's body is read for its code only; what an engine sends beyond this is dropped.
@@ -95,19 +95,13 @@
     return adapters;
 }
 
-/// The body's "retry_after_ms" where the engine gives it, else the header's whole seconds.
+/// The body's "retry_after_ms" where the engine gives it, else the header's seconds.
 millis retryAfterOf(const http_result &result, const json &problem)
 {
     if (const auto ms = static_cast<std::int64_t>(numberOf(problem, "retry_after_ms")); ms > 0) {
         return {ms};
     }
-    const auto header = result.headers.find("retry-after");
-    std::int64_t seconds = 0;
-    if (header != result.headers.end()) {
-        const std::string &text = header->second;
-        std::from_chars(text.data(), text.data() + text.size(), seconds);
-    }
-    return {std::max<std::int64_t>(seconds, 0) * msPerSecond};
+    return wordsOf(result).pause;
 }
 
 refusal readRefusal(const http_result &result, std::string_view body)
@@ -278,16 +272,31 @@
     return value;
 }
 
+/// What an engine's answer says of it; its own codes count like the fields.
+answer_words engineWords(const http_result &result, std::string_view body)
+{
+    answer_words words = wordsOf(result);
+    if (result.status == httpUnavailable) {
+        const refusal read = readRefusal(result, body);
+        words.leaving = words.leaving || read.code == "leaving";
+        words.pause = read.retryAfter;
+    }
+    return words;
+}
+
 /// Asks for an object and gives what `read` makes of it.
 template <class answer, class reader>
 void ask(http_client &http, const std::string &url, millis timeout, reader read,
+    std::function<void(const http_result &, std::string_view)> tell,
     std::function<void(const std::optional<answer> &, const error &)> done)
 {
-    http.start(getFrom(url, timeout), [url, read, done = std::move(done)](const http_result &result) {
-        error why;
-        const auto object = objectOf(result, url, why);
-        done(object ? std::optional<answer>(read(*object)) : std::nullopt, why);
-    });
+    http.start(getFrom(url, timeout),
+        [url, read, tell = std::move(tell), done = std::move(done)](const http_result &result) {
+            tell(result, result.body);
+            error why;
+            const auto object = objectOf(result, url, why);
+            done(object ? std::optional<answer>(read(*object)) : std::nullopt, why);
+        });
 }
 
 engine_state readState(const json &object)
@@ -362,12 +371,28 @@
 {
 }
 
+void engine_client::onWords(std::function<void(const answer_words &)> call)
+{
+    m_onWords = std::move(call);
+}
+
+std::function<void(const http_result &, std::string_view)> engine_client::teller() const
+{
+    return [onWords = m_onWords](const http_result &result, std::string_view body) {
+        const answer_words words = engineWords(result, body);
+        if (onWords && (words.leaving || words.pause > millis{})) {
+            onWords(words);
+        }
+    };
+}
+
 void engine_client::order(
     const std::string &path, const std::string &body, std::uint64_t fencing, millis timeout, on_order done)
 {
     http_call call = postTo(m_url + path, body, timeout);
     call.headers.push_back(fencingHeader(fencing));
-    m_http.start(call, [url = call.url, done = std::move(done)](const http_result &result) {
+    m_http.start(call, [url = call.url, tell = teller(), done = std::move(done)](const http_result &result) {
+        tell(result, result.body);
         done(orderEndOf(result, url));
     });
 }
@@ -400,20 +425,20 @@
 void engine_client::state(
     millis timeout, std::function<void(const std::optional<engine_state> &, const error &)> done)
 {
-    ask<engine_state>(m_http, m_url + "/v1/state", timeout, readState, std::move(done));
+    ask<engine_state>(m_http, m_url + "/v1/state", timeout, readState, teller(), std::move(done));
 }
 
 void engine_client::report(
     millis timeout, std::function<void(const std::optional<engine_report> &, const error &)> done)
 {
-    ask<engine_report>(m_http, m_url + "/v1/report", timeout, readReport, std::move(done));
+    ask<engine_report>(m_http, m_url + "/v1/report", timeout, readReport, teller(), std::move(done));
 }
 
 void engine_client::cacheEvents(std::uint64_t since, millis timeout,
     std::function<void(const std::optional<engine_cache_events> &, const error &)> done)
 {
     const std::string url = m_url + "/v1/events?since=" + std::to_string(since);
-    ask<engine_cache_events>(m_http, url, timeout, readCacheEvents, std::move(done));
+    ask<engine_cache_events>(m_http, url, timeout, readCacheEvents, teller(), std::move(done));
 }
 
 http_client::call_id engine_client::run(const engine_run &request,
@@ -430,21 +455,24 @@
     }
 
     auto progress = std::make_shared<run_progress>();
-    const auto onData = [progress, onStart = std::move(onStart), onBytes = std::move(onBytes)](
-                            const http_result &sofar, std::string_view bytes) {
+    const auto onData = [progress, tell = teller(), onStart = std::move(onStart),
+                            onBytes = std::move(onBytes)](const http_result &sofar, std::string_view bytes) {
         if (sofar.status != httpOk) {
             const std::size_t room = maxErrorBodyBytes - progress->errorBody.size();
             progress->errorBody.append(bytes.substr(0, room));
             return;
         }
         if (!std::exchange(progress->started, true)) {
+            tell(sofar, {});
             const auto adapter = sofar.headers.find("x-adapter");
             onStart(adapter != sofar.headers.end() ? std::string_view(adapter->second) : std::string_view());
         }
         progress->stream.take(bytes);
         onBytes(bytes);
     };
-    const auto onDone = [progress, url = call.url, onEnd = std::move(onEnd)](const http_result &result) {
+    const auto onDone = [progress, url = call.url, tell = teller(), onEnd = std::move(onEnd)](
+                            const http_result &result) {
+        tell(result, progress->errorBody);
         onEnd(runEndOf(result, *progress, url));
     };
     return m_http.start(call, onDone, onData);
--- a/packages/transport/engine_client.h
+++ b/packages/transport/engine_client.h
@@ -4,6 +4,7 @@
 #include "state/config.h"
 #include "state/error.h"
 #include "state/outcome.h"
+#include "transport/answer_words.h"
 #include "transport/http_client.h"
 
 #include <cstdint>
@@ -99,6 +100,10 @@
     /// does not check fencing.
     engine_client(http_client &orders, std::string url);
 
+    /// Calls a function with what an answer says of the engine, whatever it answers: as its head comes, and
+    /// again at its end. Set before the first call.
+    void onWords(std::function<void(const answer_words &)> call);
+
     using on_order = std::function<void(const engine_order_end &)>;
     /// POST /v1/fence: puts a fencing number on the engine. Answered at once.
     void claim(std::uint64_t fencing, const std::string &holder, millis timeout, on_order done);
@@ -131,8 +136,12 @@
     void order(const std::string &path, const std::string &body, std::uint64_t fencing, millis timeout,
         on_order done);
 
+    /// Hands on what a whole answer says; `body` as far as it was kept.
+    std::function<void(const http_result &, std::string_view body)> teller() const;
+
     http_client &m_http;
     std::string m_url;
+    std::function<void(const answer_words &)> m_onWords;
 };
 
 }
