Say leaving and pauses in the soak, and check both; test the guards of servers' words one by one

Cause: no stand-in of the soak said either word, so no seed could show the faults Ruled out: - Change: drawWords() by seed; a server leaves and ends, or sheds with a pause; the witness holds what each daemon sent against what it was told, but for what it was told before a stop (leaving) or a stop or cut (pause).

--- a/packages/serving/client_request.h
+++ b/packages/serving/client_request.h
@@ -62,6 +62,8 @@
     std::function<std::optional<client_request>(front_request, error &)> readRequest;
     std::function<std::string(const client_request &, const send_terms &)> writeRequest;
     std::function<answer_meta(const http_head &)> readAnswer;
+    /// Of the answer to an order or a question for a report, which servers don't sign.
+    std::function<answer_meta(const http_head &)> readCallAnswer;
     /// The fields of a server's answer that go to the caller.
     std::function<std::vector<http_field>(const http_head &)> passOn;
     std::function<std::string(const server_order &, const backend_server &)> writeOrder;
--- a/packages/serving/orderer_send.cpp
+++ b/packages/serving/orderer_send.cpp
@@ -89,7 +89,7 @@
 void orderer_task::hearWords(const backend_server &server, const call_result &result)
 {
     if (result.how == send_end::Whole) {
-        m_words.hear("", server, m_codec.readAnswer(result.head));
+        m_words.hear("", server, m_codec.readCallAnswer(result.head));
     }
 }
 
@@ -109,7 +109,7 @@
         server_state &state = found->second;
         state.reporting = false;
         hearWords(asked, result);
-        if (const auto limit = m_codec.readAnswer(result.head).limit) {
+        if (const auto limit = m_codec.readCallAnswer(result.head).limit) {
             nameLimit(state.desk.limit, *limit, bootNow(), bootNow());
         }
         error why;
--- a/tests/serving/other_daemon.h
+++ b/tests/serving/other_daemon.h
@@ -69,7 +69,7 @@
         ask.targetMs = 1'000;
         m_port->send(m_to, {m_node, 1, ask});
     }
-    void tell(const crash_news &news)
+    void tell(const auto &news)
     {
         m_port->send(m_to, {m_node, 1, news});
     }
@@ -79,6 +79,8 @@
     std::vector<limit_beat> limitsHeard; ///< in the latest beat that told of any
     std::vector<place_ask> asksHeard;
     std::vector<limit_note> notesHeard;
+    std::vector<place_note> placeNotesHeard;
+    std::vector<word_news> wordsHeard;
     place_answer lastAnswer;
 
 private:
@@ -94,6 +96,10 @@
             asksHeard.push_back(*ask);
         } else if (const auto *note = std::get_if<limit_note>(&datagram.body)) {
             notesHeard.push_back(*note);
+        } else if (const auto *placeNote = std::get_if<place_note>(&datagram.body)) {
+            placeNotesHeard.push_back(*placeNote);
+        } else if (const auto *words = std::get_if<word_news>(&datagram.body)) {
+            wordsHeard.push_back(*words);
         }
     }
 
--- a/tests/serving/platform_test.cpp
+++ b/tests/serving/platform_test.cpp
@@ -161,6 +161,52 @@
     }
 }
 
+TEST(PlatformRequests, AnAnswerSaysThatItsServerLeavesOrWantsAPause)
+{
+    const auto codec = requestCodec();
+    const auto read = [&codec](int status, std::vector<http_field> fields) {
+        http_head head;
+        head.status = status;
+        head.fields = std::move(fields);
+        return codec.readAnswer(head);
+    };
+    const http_field stamp{"X-Briarhead-Server-Stamp", "s"};
+    const http_field notRun{"X-Briarhead-Not-Executed", "1"};
+    EXPECT_TRUE(read(200, {stamp, {"server-leaving", " 1 "}}).leaving);
+    EXPECT_TRUE(read(503, {notRun, {"Server-Leaving", "1"}}).leaving);
+    EXPECT_FALSE(read(200, {stamp, {"Server-Leaving", "0"}}).leaving);
+    EXPECT_FALSE(read(200, {stamp}).leaving);
+    for (const char *value : {"", "yes", "2", "-1", "true"}) {
+        EXPECT_FALSE(read(200, {stamp, {"Server-Leaving", value}}).leaving) << value;
+        EXPECT_EQ(read(200, {stamp, {"Server-Leaving", value}}).unreadable, "Server-Leaving") << value;
+    }
+    EXPECT_EQ(read(503, {notRun, {"Retry-After", "3"}}).pause, millis{3'000});
+    EXPECT_EQ(read(503, {notRun, {"Retry-After", "0.25"}}).pause, millis{250});
+    EXPECT_EQ(read(503, {notRun, {"Retry-After", "1"}, {"Retry-After", "2"}}).pause, millis{2'000});
+    EXPECT_EQ(read(503, {notRun, {"Retry-After", "1e3"}}).unreadable, "Retry-After");
+    EXPECT_EQ(read(503, {notRun, {"Retry-After", "999999999999"}}).pause, longestPause);
+    EXPECT_EQ(read(503, {notRun, {"Retry-After", "-3"}}).unreadable, "Retry-After");
+    EXPECT_EQ(
+        read(503, {notRun, {"Retry-After", "Wed, 21 Oct 2015 07:28:00 GMT"}}).unreadable, "Retry-After");
+    EXPECT_EQ(read(429, {notRun, {"Retry-After", "3"}}).pause, millis{});
+    EXPECT_EQ(read(200, {stamp, {"Retry-After", "3"}}).pause, millis{});
+}
+
+// Another server at the address, or someone between, ended a server's use by its own words.
+TEST(PlatformRequests, WordsThatAreNotTheServersOwnSayNothing)
+{
+    const auto codec = requestCodec();
+    http_head head;
+    head.fields = {{"Server-Leaving", "1"}, {"Retry-After", "3"}};
+    head.status = 503; // without the server's word that it ran nothing, and not signed
+    EXPECT_FALSE(codec.readAnswer(head).leaving);
+    EXPECT_EQ(codec.readAnswer(head).pause, millis{});
+    head.fields.push_back({"X-Briarhead-Server-Stamp", "s"});
+    head.status = 421; // it isn't the server that was named
+    EXPECT_FALSE(codec.readAnswer(head).leaving);
+    EXPECT_EQ(codec.readAnswer(head).pause, millis{});
+}
+
 TEST(PlatformRequests, OrdersAndReports)
 {
     const auto codec = requestCodec();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -94,6 +94,9 @@
     void checkLog(const daemon_process &daemon);
     void checkKey(daemon_process &daemon, int version, millis since);
     void nameLimit(const limit_change_plan &change);
+    void say(const word_plan &plan);
+    void unsay(served_server &server, const std::string &id);
+    void replace(served_server &server);
     void heal();
     bool limitsKnownToHaveEnded(millis since) const;
     void look();
@@ -226,6 +229,11 @@
             nameLimit(each);
         });
     }
+    for (const word_plan &each : drawWords(m_options.seed, m_options.length, m_servers.size())) {
+        after(each.at, [this, each] {
+            say(each);
+        });
+    }
     runFor(m_options.length);
     traffic.reset();
     heal();
@@ -350,7 +358,7 @@
     case fault_kind::StoreLink: {
         m_storeLinks[what.target]->setFault(links[what.variant % std::size(links)]);
         disturb(m_daemons[what.target], what.lasts);
-        m_witness.excuse(m_daemons[what.target].name, bootNow(), bootNow() + what.lasts);
+        m_witness.excuse(m_daemons[what.target].name, bootNow(), bootNow() + what.lasts, excuse_kind::Cut);
         after(what.lasts, [this, what] {
             m_storeLinks[what.target]->setFault(link_fault::None);
         });
@@ -371,18 +379,9 @@
             setMood(m_servers[what.target], mood::Serves);
         });
         return;
-    case fault_kind::CrashServer: {
-        served_server &server = m_servers[what.target];
-        if (!server.standin) {
-            return; // it is down already
-        }
-        collect(server);
-        m_store.remove("servers/" + server.standin->id);
-        server.proxy.reset();
-        server.standin.reset();
-        startServer(server);
+    case fault_kind::CrashServer:
+        replace(m_servers[what.target]);
         return;
-    }
     case fault_kind::ChangeConfig:
         changeConfig();
         return;
@@ -529,6 +528,55 @@
     }
 }
 
+void soak_run::replace(served_server &server)
+{
+    if (!server.standin) {
+        return; // it is down already
+    }
+    collect(server);
+    m_store.remove("servers/" + server.standin->id);
+    server.proxy.reset();
+    server.standin.reset();
+    startServer(server);
+}
+
+void soak_run::say(const word_plan &plan)
+{
+    served_server &server = m_servers[plan.server];
+    if (!server.standin || m_healed) {
+        return;
+    }
+    std::ostringstream line;
+    line << (bootNow() - m_begin).count << " ms, for " << plan.lasts.count << ": " << server.standin->id
+         << (plan.pause.empty() ? " leaves" : " asks for pauses of " + plan.pause + " s");
+    m_report.faults.push_back(line.str());
+    if (plan.pause.empty()) {
+        server.standin->leaving = true;
+    } else {
+        setMood(server, mood::Sheds);
+        server.standin->pauseText = plan.pause;
+    }
+    after(plan.lasts, [this, &server, id = server.standin->id] {
+        unsay(server, id);
+    });
+}
+
+/// A server that left is gone and another in its place; one that paused takes requests again.
+void soak_run::unsay(served_server &server, const std::string &id)
+{
+    if (!server.standin || server.standin->id != id) {
+        return;
+    }
+    if (server.standin->leaving) {
+        replace(server);
+        return;
+    }
+    if (!server.standin->pauseText.empty()) {
+        server.standin->pauseText.clear();
+        setMood(server, mood::Serves);
+    }
+}
+
 void soak_run::heal()
 {
     m_healed = true;
@@ -541,6 +589,7 @@
         setMood(server, mood::Serves);
         if (server.standin) {
             server.standin->nameLimit({});
+            unsay(server, std::string(server.standin->id));
         }
     }
     for (daemon_process &daemon : m_daemons) {
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -117,4 +117,23 @@
     return changes;
 }
 
+std::vector<word_plan> drawWords(std::uint64_t seed, millis length, std::size_t servers)
+{
+    std::mt19937_64 random(seed * 71 + 41);
+    const auto below = [&random](std::int64_t bound) {
+        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
+    };
+    static constexpr const char *pauses[] = {"0.4", "1", "2.5", "", ""};
+    std::vector<word_plan> words;
+    for (std::size_t server = 0; server < servers; ++server) {
+        if (below(2) == 0) {
+            continue;
+        }
+        const millis from{calmStartMs + below(std::max<std::int64_t>(length.count / 2, 1))};
+        const millis lasts{longestMs + below(longestMs)};
+        words.push_back({from, lasts, server, pauses[below(std::size(pauses))]});
+    }
+    return words;
+}
+
 }
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -61,6 +62,18 @@
     std::optional<double> perSecond;
 };
 
+/// A server turns requests away and asks for pauses for a while, or says that it leaves and then ends.
+struct word_plan
+{
+    millis at; ///< since the start of traffic
+    millis lasts;
+    std::size_t server = 0;
+    std::string pause; ///< seconds; empty: it leaves
+};
+
+/// Drawn apart from the faults.
+std::vector<word_plan> drawWords(std::uint64_t seed, millis length, std::size_t servers);
+
 /// Drawn apart from the faults. Several servers name limits at once; some rise, fall or end midway.
 std::vector<limit_change_plan> drawLimits(std::uint64_t seed, millis length, std::size_t servers);
 
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -138,9 +138,9 @@
     }
 }
 
-void witness::excuse(const std::string &daemon, millis from, millis until)
+void witness::excuse(const std::string &daemon, millis from, millis until, excuse_kind kind)
 {
-    m_excused[daemon].push_back({from, until});
+    m_excused[daemon].push_back({from, until, kind});
 }
 
 void witness::heldUp(const std::string &server, millis from, millis until)
@@ -197,6 +197,45 @@
     }
 }
 
+/// The daemon that sent a request, and how many of its excuses had begun and ended: what it was told before
+/// one of them doesn't bind it after. Empty where the server's link was disturbed.
+std::string witness::senderAt(
+    const std::string &server, const std::string &id, millis at, bool cutsExcuse) const
+{
+    const auto request = m_requests.find(id);
+    const auto held = m_heldUp.find(server);
+    const bool disturbed = held != m_heldUp.end()
+        && std::any_of(held->second.begin(), held->second.end(), [at](const span &each) {
+               return each.from <= at && at <= each.until + calmBefore;
+           });
+    if (request == m_requests.end() || disturbed) {
+        return "";
+    }
+    int turns = 0;
+    if (const auto excused = m_excused.find(request->second.daemon); excused != m_excused.end()) {
+        for (const span &each : excused->second) {
+            const bool counts = cutsExcuse || each.kind == excuse_kind::Stopped;
+            turns += counts ? (each.from <= at ? 1 : 0) + (each.until < at ? 1 : 0) : 0;
+        }
+    }
+    return request->second.daemon + '#' + std::to_string(turns);
+}
+
+void witness::checkWords(const backend_standin &server)
+{
+    const auto sender = [this, &server](bool cutsExcuse) {
+        return [this, &server, cutsExcuse](const std::string &id, millis at) {
+            return senderAt(server.id, id, at, cutsExcuse);
+        };
+    };
+    if (const auto late = afterLeaving(server.said, server.arrivals, sender(false))) {
+        wrong("DRAIN " + server.id + ": " + *late);
+    }
+    if (const auto many = withinPause(server.said, server.arrivals, sender(true))) {
+        wrong("BUDGET " + server.id + ": " + *many);
+    }
+}
+
 void witness::saw(const backend_standin &server, std::size_t places)
 {
     for (std::size_t i = 0; i < server.ran.size(); ++i) {
@@ -211,6 +250,7 @@
         }
     }
     checkServerLimit(server);
+    checkWords(server);
     if (server.mostAdapters > places) {
         wrong("LIMIT " + server.id + " was ordered to hold " + std::to_string(server.mostAdapters)
             + " adapters");
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -28,6 +28,13 @@
     std::string body;
 };
 
+/// Why a daemon may not know what servers told it.
+enum class excuse_kind : std::uint8_t
+{
+    Stopped, ///< killed, ended or frozen
+    Cut, ///< from the store
+};
+
 /// Holds what callers were told against what servers did.
 class witness
 {
@@ -45,7 +52,8 @@
     const std::string &daemonOf(const std::string &id) const;
     /// Sends of a daemon that was killed, stood still or was cut off don't count against servers' limits
     /// until it has passed on an answer that names one again.
-    void excuse(const std::string &daemon, millis from, millis until);
+    void excuse(
+        const std::string &daemon, millis from, millis until, excuse_kind kind = excuse_kind::Stopped);
     /// A server's link holds back what is sent to it.
     void heldUp(const std::string &server, millis from, millis until);
     /// Something goes wrong somewhere until then.
@@ -70,6 +78,8 @@
     void checkAccount(const backend_standin &server, const front_request &run, millis at);
     void checkLimit(soak_report &report) const;
     void checkServerLimit(const backend_standin &server);
+    void checkWords(const backend_standin &server);
+    std::string senderAt(const std::string &server, const std::string &id, millis at, bool cutsExcuse) const;
     bool countsAt(const std::string &server, const std::string &daemon, millis at) const;
     void checkStream(const caller_answer &answer, bool whole);
     void wrong(const std::string &what);
@@ -83,6 +93,7 @@
     {
         millis from;
         millis until;
+        excuse_kind kind = excuse_kind::Stopped;
     };
     std::map<std::string, std::vector<span>> m_excused; ///< by daemon
     std::map<std::string, std::vector<span>> m_heldUp; ///< by server
--- /dev/null
+++ b/tests/unit/server_words_test.cpp
@@ -0,0 +1,114 @@
+#include "coordination/server_words.h"
+#include "transport/answer_words.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace briarhead {
+
+namespace {
+
+constexpr millis now{100'000};
+
+http_result answerWith(int status, const std::map<std::string, std::string> &headers)
+{
+    http_result out;
+    out.status = status;
+    out.headers = headers;
+    return out;
+}
+
+}
+
+TEST(ServerWords, APauseEndsByItselfAndIsOfOneStartAndOneDaemon)
+{
+    server_words words;
+    EXPECT_TRUE(hearPause(words, "s@1", "n1", {3'000}, now));
+    EXPECT_EQ(pauseLeft(words, "s@1", "n1", now + millis{1'000}), millis{2'000});
+    EXPECT_EQ(pauseLeft(words, "s@1", "n2", now), millis{}) << "other daemons were not asked";
+    EXPECT_EQ(pauseLeft(words, "s@2", "n1", now), millis{}) << "its next start has not asked";
+    EXPECT_EQ(pauseLeft(words, "s@1", "n1", now + millis{3'000}), millis{});
+}
+
+// A shorter pause that a late or a second answer asks for ended the one that stood.
+TEST(ServerWords, AShorterPauseDoesNotEndALongerOne)
+{
+    server_words words;
+    hearPause(words, "s", "n1", {3'000}, now);
+    EXPECT_FALSE(hearPause(words, "s", "n1", {500}, now + millis{100}));
+    EXPECT_EQ(pauseLeft(words, "s", "n1", now + millis{100}), millis{2'900});
+    EXPECT_TRUE(hearPause(words, "s", "n1", {3'000}, now + millis{100}));
+    EXPECT_EQ(pauseLeft(words, "s", "n1", now + millis{100}), millis{3'000});
+}
+
+// A server asked for a pause without end, and was never used again.
+TEST(ServerWords, AnAbsurdPauseIsCut)
+{
+    server_words words;
+    hearPause(words, "s", "n1", {1'000'000'000'000}, now);
+    EXPECT_EQ(pauseLeft(words, "s", "n1", now), longestPause);
+    EXPECT_FALSE(hearPause(words, "t", "n1", {-5}, now));
+    EXPECT_FALSE(hearPause(words, "t", "n1", {0}, now));
+    EXPECT_EQ(pauseLeft(words, "t", "n1", now), millis{});
+}
+
+TEST(ServerWords, LeavingIsFinalForOneStart)
+{
+    server_words words;
+    EXPECT_TRUE(hearLeaving(words, "s@1", now));
+    EXPECT_FALSE(hearLeaving(words, "s@1", now + millis{500}));
+    EXPECT_TRUE(isLeaving(words, "s@1"));
+    EXPECT_FALSE(isLeaving(words, "s@2"));
+}
+
+// What is kept grew with every server that ever left or paused.
+TEST(ServerWords, WhatIsOverIsForgotten)
+{
+    server_words words;
+    for (int i = 0; i < 100; ++i) {
+        hearLeaving(words, "old@" + std::to_string(i), now);
+        hearPause(words, "old@" + std::to_string(i), "n1", {1'000}, now);
+    }
+    const millis later = now + leavingKept + millis{1};
+    hearLeaving(words, "s", later);
+    hearPause(words, "s", "n1", {1'000}, later);
+    EXPECT_EQ(words.leaving.size(), 1U);
+    EXPECT_EQ(words.pauses.size(), 1U);
+}
+
+RC_GTEST_PROP(ServerWords, OfSeveralPausesTheOneThatEndsLastStands, ())
+{
+    server_words words;
+    millis last;
+    millis at = now;
+    for (const int pause : *rc::gen::container<std::vector<int>>(rc::gen::inRange(-100, 20'000))) {
+        at = at + millis{*rc::gen::inRange(0, 3'000)};
+        hearPause(words, "s", "n1", {pause}, at);
+        last = std::max(last, pause > 0 ? at + millis{pause} : millis{});
+        RC_ASSERT(pauseLeft(words, "s", "n1", at) == std::max(last - at, millis{}));
+    }
+}
+
+TEST(AnswerWords, SecondsMayBeFractionsAndAreCutToTheBound)
+{
+    EXPECT_EQ(secondsOf("1.5", {10'000}), millis{1'500});
+    EXPECT_EQ(secondsOf(" 0.0004 ", {10'000}), millis{1}) << "rounded up";
+    EXPECT_EQ(secondsOf("0", {10'000}), millis{0});
+    EXPECT_EQ(secondsOf("99999999999999999999", {10'000}), millis{10'000});
+    for (const char *text : {"", "-1", "soon", "3s", "nan", "inf", "1,5", "Wed, 21 Oct 2015 07:28:00 GMT"}) {
+        EXPECT_EQ(secondsOf(text, {10'000}), std::nullopt) << text;
+    }
+}
+
+TEST(AnswerWords, OnlyATurnAwayAsksForAPause)
+{
+    EXPECT_EQ(wordsOf(answerWith(503, {{"retry-after", "2.5"}})).pause, millis{2'500});
+    EXPECT_EQ(wordsOf(answerWith(200, {{"retry-after", "2.5"}})).pause, millis{});
+    EXPECT_EQ(wordsOf(answerWith(503, {{"retry-after", "later"}})).pause, millis{});
+    EXPECT_TRUE(wordsOf(answerWith(200, {{"server-leaving", "1"}})).leaving);
+    EXPECT_FALSE(wordsOf(answerWith(200, {{"server-leaving", "0"}})).leaving);
+    EXPECT_FALSE(wordsOf(answerWith(200, {{"server-leaving", "yes"}})).leaving);
+    EXPECT_FALSE(wordsOf(answerWith(200, {})).leaving);
+}
+
+}
