--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -121,10 +121,7 @@
     one->head = head;
     one->meta = meta;
     one->lastEvent = bootNow();
-    const auto server = m_store.view().servers.find(one->server);
-    if (server != m_store.view().servers.end() && startOf(server->second) == one->target.start) {
-        m_words.hear(one->request.id, server->second, meta);
-    }
+    m_words.hear(one->request.id, one->server, one->target.start, meta);
     hearLimit(*one);
     one->streaming = one->way->kind == repeat_kind::Stream && isSuccess(head.status) && meta.signedByServer;
     if (one->streaming && !one->begun) {
--- a/packages/serving/orderer_send.cpp
+++ b/packages/serving/orderer_send.cpp
@@ -89,7 +89,7 @@
 void orderer_task::hearWords(const backend_server &server, const call_result &result)
 {
     if (result.how == send_end::Whole) {
-        m_words.hear("", server, m_codec.readCallAnswer(result.head));
+        m_words.hear("", server.id, startOf(server), m_codec.readCallAnswer(result.head));
     }
 }
 
--- a/packages/serving/word_task.cpp
+++ b/packages/serving/word_task.cpp
@@ -93,23 +93,23 @@
                                   : briarhead::pauseLeft(m_words, startOf(server), daemon, bootNow());
 }
 
-void word_task::hear(const std::string &id, const backend_server &server, const answer_meta &meta)
+void word_task::hear(
+    const std::string &id, const std::string &server, const std::string &start, const answer_meta &meta)
 {
     if (!meta.unreadable.empty()) {
         m_log.important("server.word_unreadable")
             .add("id", id)
-            .add("server", server.id)
+            .add("server", server)
             .add("field", meta.unreadable);
     }
     if (!meta.leaving && meta.pause <= millis{}) {
         return;
     }
-    const std::string start = startOf(server);
     const bool leaves = meta.leaving && hearLeaving(m_words, start, bootNow());
     const bool pauses = hearPause(m_words, start, m_settings.node, meta.pause, bootNow());
     m_log.important("server.says")
         .add("id", id)
-        .add("server", server.id)
+        .add("server", server)
         .add("start", start)
         .add("leaving", meta.leaving ? 1 : 0)
         .add("pause_ms", meta.pause)
@@ -117,14 +117,14 @@
     if (!leaves && !pauses) {
         return;
     }
-    m_bus.post(server_closed{server.id});
-    const auto holder = m_store.view().orderers.find(server.id);
+    m_bus.post(server_closed{server});
+    const auto holder = m_store.view().orderers.find(server);
     if (holder != m_store.view().orderers.end()) {
-        tell({server.id, start, meta.leaving, meta.pause.count, false}, {holder->second.record.node}, 1);
+        tell({server, start, meta.leaving, meta.pause.count, false}, {holder->second.record.node}, 1);
     }
     if (leaves) {
-        const std::vector<std::string> homes = rendezvousOrder(server.id, peers(), wordHomes);
-        tell({server.id, start, true, 0, true}, homes, timesToHomes);
+        const std::vector<std::string> homes = rendezvousOrder(server, peers(), wordHomes);
+        tell({server, start, true, 0, true}, homes, timesToHomes);
     }
 }
 
--- a/packages/serving/word_task.h
+++ b/packages/serving/word_task.h
@@ -63,8 +63,10 @@
     /// Whether any server wants a pause from any daemon.
     bool anyPauses() const;
 
-    /// Takes in the head of an answer. `id`: of the request it answers; empty: a call of this daemon's own.
-    void hear(const std::string &id, const backend_server &server, const answer_meta &meta);
+    /// Takes in the head of an answer by a start of a server. `id`: of the request it answers; empty: a call
+    /// of this daemon's own.
+    void hear(
+        const std::string &id, const std::string &server, const std::string &start, const answer_meta &meta);
     /// What another daemon tells.
     void hear(const std::string &daemon, const word_news &news);
     /// Tells a daemon that doesn't know it that a server leaves, if that is by the server's own word.
