--- a/packages/transport/answer_words.cpp
+++ b/packages/transport/answer_words.cpp
@@ -43,7 +43,7 @@
 answer_words wordsOf(const http_result &answer)
 {
     answer_words words;
-    const auto leaving = answer.headers.find("server-leaving");
+    const auto leaving = answer.headers.find("x-leaving");
     words.leaving = leaving != answer.headers.end() && decimalOf(leaving->second) == 1.0;
     const auto pause = answer.headers.find("retry-after");
     if (answer.status == unavailable && pause != answer.headers.end()) {
--- a/tests/failure/owner_guard_test.cpp
+++ b/tests/failure/owner_guard_test.cpp
@@ -236,7 +236,7 @@
     startEngine(true);
     gain(true);
     ASSERT_TRUE(ended(ask("a0", 2)));
-    m_engine->setFaults({{"words", {{"Server-Leaving", "1"}}}});
+    m_engine->setFaults({{"words", {{"X-Leaving", "1"}}}});
     const auto stream = ask("a0", 300);
     ASSERT_TRUE(started(stream));
     const auto late = ask("a0", 2);
--- a/tests/failure/path_test.cpp
+++ b/tests/failure/path_test.cpp
@@ -139,7 +139,7 @@
     EXPECT_EQ(refused.status, 503);
     EXPECT_EQ(refused.outcome(), "not_run");
     EXPECT_EQ(arrived(), before);
-    setFaults({{"refuse", false}, {"words", {{"Server-Leaving", "1"}}}});
+    setFaults({{"refuse", false}, {"words", {{"X-Leaving", "1"}}}});
     std::this_thread::sleep_for(std::chrono::milliseconds(1'600));
     EXPECT_EQ(order().status, 201) << "a pause ends by itself";
     const std::size_t served = arrived();
--- a/tests/unit/server_words_test.cpp
+++ b/tests/unit/server_words_test.cpp
@@ -105,9 +105,9 @@
     EXPECT_EQ(wordsOf(answerWith(503, {{"retry-after", "2.5"}})).pause, millis{2'500});
     EXPECT_EQ(wordsOf(answerWith(200, {{"retry-after", "2.5"}})).pause, millis{});
     EXPECT_EQ(wordsOf(answerWith(503, {{"retry-after", "later"}})).pause, millis{});
-    EXPECT_TRUE(wordsOf(answerWith(200, {{"server-leaving", "1"}})).leaving);
-    EXPECT_FALSE(wordsOf(answerWith(200, {{"server-leaving", "0"}})).leaving);
-    EXPECT_FALSE(wordsOf(answerWith(200, {{"server-leaving", "yes"}})).leaving);
+    EXPECT_TRUE(wordsOf(answerWith(200, {{"x-leaving", "1"}})).leaving);
+    EXPECT_FALSE(wordsOf(answerWith(200, {{"x-leaving", "0"}})).leaving);
+    EXPECT_FALSE(wordsOf(answerWith(200, {{"x-leaving", "yes"}})).leaving);
     EXPECT_FALSE(wordsOf(answerWith(200, {})).leaving);
 }
 
