--- a/packages/transport/answer_words.h
+++ b/packages/transport/answer_words.h
@@ -20,8 +20,8 @@
 /// Seconds as header fields give them, fractions too, rounded up to whole milliseconds; at most `most`.
 std::optional<millis> secondsOf(std::string_view text, millis most);
 
-/// Of an answer of an engine or a plain server of briarheadd: X-Leaving is 1 where it leaves, and Retry-After with
-/// 503 the pause that it asks for.
+/// Of an answer of an engine or a plain server of briarheadd: X-Leaving is 1 where it leaves, and Retry-After
+/// with 503 the pause that it asks for.
 answer_words wordsOf(const http_result &answer);
 
 }
--- a/tests/serving/word_task_test.cpp
+++ b/tests/serving/word_task_test.cpp
@@ -59,7 +59,7 @@
     std::string serverWith(bool home) const
     {
         for (int i = 0;; ++i) {
-            const std::string server = "s" + std::to_string(i);
+            std::string server = "s" + std::to_string(i);
             const auto homes = rendezvousOrder(server, nodesOf(m_reader->view().daemons), wordHomes);
             if ((std::find(homes.begin(), homes.end(), "n0") != homes.end()) == home) {
                 return server;
