--- a/packages/serving/word_task.h
+++ b/packages/serving/word_task.h
@@ -23,6 +23,7 @@
 {
     Open,
     ByTurn, ///< it names a limit: only what has been granted a turn
+    // Closed from here on: see isClosed().
     Paused, ///< it wants nothing from the daemon for a while
     Leaving, ///< by its own word or the store's
     Gone, ///< the store lists no such server
