--- /dev/null
+++ b/tests/soak/soak_callers.cpp
@@ -0,0 +1,159 @@
+#include "soak/soak_run.h"
+#include "transport/backend_call.h"
+
+#include <algorithm>
+#include <fstream>
+
+// What callers send, and what is asked of daemons besides to see that they keep up.
+namespace briarhead::soak {
+
+/// Each daemon that was undisturbed all the while must know the version's route, and not the one before's.
+void soak_run::checkConfig(int version, millis changed)
+{
+    const millis since = changed - calmAfter;
+    if (m_healed || version != m_version || m_storeTroubles > 0 || m_storeDisturbed > since) {
+        return;
+    }
+    for (daemon_process &daemon : m_daemons) {
+        if (daemon.disturbedUntil > since || daemon.pid == 0) {
+            continue;
+        }
+        checkKey(daemon, version, since);
+        for (const int route : {version, version - 1}) {
+            const std::string id = "c" + std::to_string(++m_lastId);
+            std::string call = "GET /v" + std::to_string(route) + "/x HTTP/1.1\r\nHost: h\r\n";
+            call.append("X-Briarhead-Request-Id: ").append(id).append("\r\nX-Briarhead-Credential: ");
+            call.append(freeKey).append("\r\n\r\n");
+            m_witness.sent(id, true, daemon.name, bootNow(), {});
+            callServer(m_loop, m_pool, {"127.0.0.1", daemon.frontPort}, call, probeTimeout,
+                [this, &daemon, route, version, since](const call_result &result) {
+                    const bool wrong = route == version
+                        ? result.status == 404
+                        : result.how == send_end::Whole && result.status != 404;
+                    if (wrong && daemon.disturbedUntil <= since && m_version == version) {
+                        m_report.violations.push_back("CONFIG " + daemon.name + " answers "
+                            + std::to_string(result.status) + " on the route of version "
+                            + std::to_string(route) + " while " + std::to_string(version) + " is in force");
+                    }
+                });
+        }
+    }
+}
+
+void soak_run::checkLog(const daemon_process &daemon)
+{
+    std::ifstream log(daemon.log);
+    for (std::string line; std::getline(log, line);) {
+        if (line.find(freeKey) != std::string::npos || line.find(limitedKey) != std::string::npos) {
+            m_report.violations.push_back("KEY in the log of " + daemon.name);
+            return;
+        }
+    }
+}
+
+/// A key that the version before had must open nothing.
+void soak_run::checkKey(daemon_process &daemon, int version, millis since)
+{
+    const std::string id = "k" + std::to_string(++m_lastId);
+    std::string call = "GET /safe/x HTTP/1.1\r\nHost: h\r\n";
+    call.append("X-Briarhead-Request-Id: ").append(id).append("\r\nX-Briarhead-Credential: ");
+    call.append(versionKey(version - 1)).append("\r\n\r\n");
+    m_witness.sent(id, true, daemon.name, bootNow(), {});
+    callServer(m_loop, m_pool, {"127.0.0.1", daemon.frontPort}, call, probeTimeout,
+        [this, &daemon, version, since](const call_result &result) {
+            const bool wrong = result.how == send_end::Whole && result.status != 401;
+            if (wrong && daemon.disturbedUntil <= since && m_version == version) {
+                m_report.violations.push_back("CONFIG " + daemon.name + " answers "
+                    + std::to_string(result.status) + " to a key that version " + std::to_string(version)
+                    + " has withdrawn");
+            }
+        });
+}
+
+/// Whether each server that named a limit has answered a request since.
+bool soak_run::limitsKnownToHaveEnded(millis since) const
+{
+    return std::all_of(m_servers.begin(), m_servers.end(), [since](const served_server &each) {
+        return !each.standin || each.standin->limits.empty()
+            || (!each.standin->ranAt.empty() && each.standin->ranAt.back() >= since);
+    });
+}
+
+std::size_t soak_run::below(std::size_t bound)
+{
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
+}
+
+void soak_run::sendOne()
+{
+    const bool limited = !m_healed && below(limitedOneIn) == 0;
+    send(below(std::size(paths)), "hi", limited ? limitedKey : freeKey);
+}
+
+/// An attempt at the request that ends servers, as long as its caller goes on with it.
+void soak_run::sendFatal()
+{
+    const millis now = bootNow() - m_begin;
+    if (now >= m_fatal.from && now < m_fatal.until) {
+        send(m_fatal.route, fatalBody, freeKey);
+    }
+}
+
+/// Whether the daemon and the store were undisturbed for as long as news between daemons may take.
+bool soak_run::isCalm(const std::string &name) const
+{
+    const millis since = bootNow() - calmAfter;
+    const auto daemon = std::find_if(m_daemons.begin(), m_daemons.end(), [&name](const daemon_process &each) {
+        return each.name == name;
+    });
+    return daemon->disturbedUntil < since && m_storeTroubles == 0 && m_storeDisturbed < since;
+}
+
+void soak_run::send(std::size_t kind, const std::string &body, const std::string &key)
+{
+    std::vector<daemon_process *> open;
+    for (daemon_process &daemon : m_daemons) {
+        if (daemon.ready && daemon.pid != 0) {
+            open.push_back(&daemon);
+        }
+    }
+    if (open.empty()) {
+        return;
+    }
+    daemon_process &daemon = *open[below(open.size())];
+    const bool model = kind >= 2;
+    const bool repeatable = kind == 1 || kind == 3;
+    const std::string id = "r" + std::to_string(++m_lastId);
+    std::string text = std::string("POST ") + paths[kind]
+        + " HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: " + id + "\r\nX-Briarhead-Credential: " + key
+        + "\r\nX-Briarhead-Tenant: mallory\r\nX-Briarhead-Deadline-Ms: " + std::to_string(deadline.count)
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    text += model ? "X-Briarhead-Model: m0/a" + std::to_string(below(adapters))
+            + "\r\nX-Briarhead-Token-Count: 500,50\r\n"
+                  : "";
+    m_witness.sent(id, repeatable, daemon.name, bootNow(), daemon.terminated);
+    struct heard
+    {
+        http_head head;
+        std::string body;
+    };
+    const auto answer = std::make_shared<heard>();
+    send_handlers calls;
+    calls.onHead = [answer](const http_head &head) {
+        answer->head = head;
+        return true;
+    };
+    calls.onBody = [answer](const std::string &bytes) {
+        answer->body += bytes;
+    };
+    calls.onEnd = [this, answer, id, model, &daemon](send_end how, const error &) {
+        m_witness.answered({id, model, how, answer->head, answer->body}, bootNow(),
+            bootNow() - deadline - overdue > daemon.disturbedUntil);
+    };
+    m_pool.start({"127.0.0.1", daemon.frontPort}, text + "\r\n" + body, false, std::move(calls));
+    after(deadline + overdue, [this, id, &daemon] {
+        m_witness.due(id, daemon.disturbedUntil);
+    });
+}
+
+}
--- /dev/null
+++ b/tests/soak/soak_faults.cpp
@@ -0,0 +1,282 @@
+#include "soak/soak_run.h"
+
+#include <algorithm>
+#include <sstream>
+
+// What is done to daemons, servers, the store and the configuration, and how it ends.
+namespace briarhead::soak {
+
+void soak_run::startServer(served_server &server)
+{
+    const std::string id = server.name + '.' + std::to_string(++server.starts);
+    server.standin = std::make_unique<backend_standin>(m_loop, id, server.service);
+    server.proxy = std::make_unique<fault_proxy>(m_loop, server.standin->port);
+    server.standin->advertised = server.proxy->port();
+    server.standin->fatalBody = fatalBody;
+    server.standin->onFatal = [this, &server](const std::string &requestId) {
+        crashUnder(server, requestId);
+    };
+    m_store.put("servers/" + id, server.standin->entry());
+}
+
+/// Each version adds a route and drops the one that the version before added.
+void soak_run::putConfig()
+{
+    std::ostringstream text;
+    const auto route = [&text](
+                           const std::string &prefix, const char *kind, const char *service, bool resumable) {
+        text << R"({"name":")" << prefix << R"(","host":"h","prefix":")" << prefix << R"(","routeType":")"
+             << kind << R"(","timeoutMs":)" << deadline.count
+             << R"(,"targetLatencyMs":500,"maxAttempts":2,"service":")" << service << R"(","resumable":)"
+             << (resumable ? "true" : "false") << '}';
+    };
+    text << R"({"version":)" << m_version << R"(,"routes":[)";
+    route("/once/", "non_idempotent", "app", false);
+    text << ',';
+    route("/safe/", "idempotent", "app", false);
+    text << ',';
+    route("/gen/", "streaming", "llm", false);
+    text << ',';
+    route("/resume/", "streaming", "llm", true);
+    text << ',';
+    route("/v" + std::to_string(m_version) + '/', "idempotent", "app", false);
+    text
+        << R"(],"services":[{"name":"llm","engine":{"slots":4,"kvTokens":10000,"weightsMb":1000,"adapterSlots":)"
+        << places << R"(,"loadsPerS":5,"models":[{"name":"m0","weightsMb":900,"loadS":0.1,"adapterMb":1}]}},)"
+        << R"({"name":"app"}],"tenants":[{"name":")" << freeAccount << R"(","apiKeys":[")" << freeKey
+        << R"(",")" << versionKey(m_version) << R"("]},{"name":")" << limitedAccount << R"(","apiKeys":[")"
+        << limitedKey << R"("],"ratePerS":)" << limitedTo.rate << R"(,"burst":)" << limitedTo.burst << "}]}";
+    m_store.put("op/config", text.str());
+}
+
+void soak_run::apply(const fault &what)
+{
+    std::ostringstream line;
+    line << what.at.count << " ms, for " << what.lasts.count << ": " << nameOf(what.kind) << ' '
+         << what.target << " variant " << what.variant;
+    m_report.faults.push_back(line.str());
+    m_witness.disturbed(bootNow() + what.lasts);
+    static constexpr link_fault links[] = {
+        link_fault::Delayed, link_fault::Silent, link_fault::NoAnswers, link_fault::Reset};
+    static constexpr mood moods[] = {mood::Sheds, mood::Fails, mood::Unsigned, mood::Resets, mood::Silent,
+        mood::CutsStream, mood::Busy, mood::Slow};
+    switch (what.kind) {
+    case fault_kind::KillDaemon:
+    case fault_kind::PauseDaemon:
+    case fault_kind::EndDaemon:
+    case fault_kind::RereadSettings:
+        applyToDaemon(what);
+        return;
+    case fault_kind::StoreTrouble:
+    case fault_kind::ForgetHistory:
+        applyToStore(what);
+        return;
+    case fault_kind::StoreLink: {
+        m_storeLinks[what.target]->setFault(links[what.variant % std::size(links)]);
+        disturb(m_daemons[what.target], what.lasts);
+        m_witness.excuse(m_daemons[what.target].name, bootNow(), bootNow() + what.lasts, excuse_kind::Cut);
+        after(what.lasts, [this, what] {
+            m_storeLinks[what.target]->setFault(link_fault::None);
+        });
+        return;
+    }
+    case fault_kind::ServerLink:
+        setLink(m_servers[what.target], links[what.variant % std::size(links)]);
+        // What the link holds back comes in a bunch: the limit counts anew once that is over.
+        m_witness.heldUp(m_servers[what.target].standin ? m_servers[what.target].standin->id : "", bootNow(),
+            bootNow() + what.lasts);
+        after(what.lasts, [this, what] {
+            setLink(m_servers[what.target], link_fault::None);
+        });
+        return;
+    case fault_kind::ServerMood:
+        setMood(m_servers[what.target], moods[what.variant % std::size(moods)]);
+        after(what.lasts, [this, what] {
+            setMood(m_servers[what.target], mood::Serves);
+        });
+        return;
+    case fault_kind::CrashServer:
+        replace(m_servers[what.target]);
+        return;
+    case fault_kind::ChangeConfig:
+        changeConfig();
+        return;
+    case fault_kind::NameVersion: {
+        const std::string adapter = "a" + std::to_string(what.variant % adapters);
+        m_store.put("op/version/m0." + adapter,
+            R"({"model":"m0","adapter":")" + adapter + R"(","version":)" + std::to_string(++m_lastId) + '}');
+        return;
+    }
+    }
+}
+
+void soak_run::applyToDaemon(const fault &what)
+{
+    daemon_process &daemon = m_daemons[what.target];
+    switch (what.kind) {
+    case fault_kind::KillDaemon:
+        m_witness.excuse(daemon.name, bootNow(), bootNow());
+        disturb(daemon, {});
+        signal(daemon, SIGKILL);
+        return;
+    case fault_kind::PauseDaemon:
+        m_witness.excuse(daemon.name, bootNow(), bootNow() + what.lasts);
+        disturb(daemon, what.lasts);
+        signal(daemon, SIGSTOP);
+        after(what.lasts, [&daemon] {
+            signal(daemon, SIGCONT);
+        });
+        return;
+    case fault_kind::EndDaemon:
+        m_witness.excuse(daemon.name, bootNow(), bootNow() + graceBound);
+        disturb(daemon, {});
+        daemon.terminated = daemon.terminated.count == 0 ? bootNow() : daemon.terminated;
+        signal(daemon, SIGTERM);
+        return;
+    default:
+        signal(daemon, SIGHUP);
+        return;
+    }
+}
+
+void soak_run::applyToStore(const fault &what)
+{
+    static constexpr store_trouble troubles[] = {
+        store_trouble::Refuses, store_trouble::Silent, store_trouble::LosesWrites};
+    m_storeDisturbed = std::max(m_storeDisturbed, bootNow() + what.lasts);
+    if (what.kind == fault_kind::ForgetHistory) {
+        m_store.compact();
+        return;
+    }
+    ++m_storeTroubles;
+    m_storeServer.client.trouble = troubles[what.variant % std::size(troubles)];
+    after(what.lasts, [this] {
+        if (--m_storeTroubles == 0) {
+            m_storeServer.client.trouble = store_trouble::None;
+        }
+    });
+}
+
+void soak_run::changeConfig()
+{
+    if (m_storeTroubles > 0) {
+        return; // the operator's write would not be acknowledged
+    }
+    ++m_version;
+    putConfig();
+    after(configBound, [this, version = m_version, changed = bootNow()] {
+        checkConfig(version, changed);
+    });
+}
+
+void soak_run::nameLimit(const limit_change_plan &change)
+{
+    const served_server &server = m_servers[change.server];
+    if (server.standin && !m_healed) {
+        std::ostringstream line;
+        line << (bootNow() - m_begin).count << " ms: " << server.standin->id << " names a limit of "
+             << change.perSecond.value_or(-1);
+        m_report.faults.push_back(line.str());
+        server.standin->nameLimit(change.perSecond);
+    }
+}
+
+void soak_run::replace(served_server &server)
+{
+    if (!server.standin) {
+        return; // it is down already
+    }
+    collect(server);
+    m_store.remove("servers/" + server.standin->id);
+    server.proxy.reset();
+    server.standin.reset();
+    startServer(server);
+}
+
+void soak_run::say(const word_plan &plan)
+{
+    served_server &server = m_servers[plan.server];
+    if (!server.standin || m_healed) {
+        return;
+    }
+    std::ostringstream line;
+    line << (bootNow() - m_begin).count << " ms, for " << plan.lasts.count << ": " << server.standin->id
+         << (plan.pause.empty() ? " leaves" : " asks for pauses of " + plan.pause + " s");
+    m_report.faults.push_back(line.str());
+    if (plan.pause.empty()) {
+        server.standin->leaving = true;
+    } else {
+        setMood(server, mood::Sheds);
+        server.standin->pauseText = plan.pause;
+    }
+    after(plan.lasts, [this, &server, id = server.standin->id] {
+        unsay(server, id);
+    });
+}
+
+/// A server that left is gone and another in its place; one that paused takes requests again.
+void soak_run::unsay(served_server &server, const std::string &id)
+{
+    if (!server.standin || server.standin->id != id) {
+        return;
+    }
+    if (server.standin->leaving) {
+        replace(server);
+        return;
+    }
+    if (!server.standin->pauseText.empty()) {
+        server.standin->pauseText.clear();
+        setMood(server, mood::Serves);
+    }
+}
+
+void soak_run::heal()
+{
+    m_healed = true;
+    m_storeServer.client.trouble = store_trouble::None;
+    for (const auto &link : m_storeLinks) {
+        link->setFault(link_fault::None);
+    }
+    for (served_server &server : m_servers) {
+        setLink(server, link_fault::None);
+        setMood(server, mood::Serves);
+        if (server.standin) {
+            server.standin->nameLimit({});
+            unsay(server, std::string(server.standin->id));
+        }
+    }
+    for (daemon_process &daemon : m_daemons) {
+        signal(daemon, SIGCONT);
+    }
+}
+
+/// What a server saw, before it is gone.
+void soak_run::collect(served_server &server)
+{
+    if (server.standin) {
+        m_witness.saw(*server.standin, places);
+    }
+}
+
+/// The server ends in the middle of all its answers. Its entry stays for a while, and it is back as another.
+void soak_run::crashUnder(served_server &server, const std::string &requestId)
+{
+    if (!server.standin) {
+        return; // two runs of it were to end the server at the same moment
+    }
+    const std::string id = server.standin->id;
+    m_witness.endedUnder(id, bootNow(), isCalm(m_witness.daemonOf(requestId)));
+    collect(server);
+    server.proxy.reset();
+    server.standin.reset();
+    after(entryStays, [this, id] {
+        m_store.remove("servers/" + id);
+    });
+    after(serverBack, [this, &server] {
+        if (!server.standin) {
+            startServer(server);
+        }
+    });
+}
+
+}
