--- a/packages/coordination/owner_task.cpp
+++ b/packages/coordination/owner_task.cpp
@@ -262,8 +262,9 @@
         if (server == nullptr) {
             continue;
         }
+        const bool news = instance.leaving && !server->where.leaving;
         server->where.leaving = instance.leaving;
-        if (instance.leaving) {
+        if (news) {
             spdlog::info("owner: {} is leaving. No new work goes there.", name);
             refuseWaiting(*server, nullptr, error_kind::NoServer, "the server is leaving", {});
         }
--- a/packages/transport/engine_client.cpp
+++ b/packages/transport/engine_client.cpp
@@ -18,6 +18,7 @@
 constexpr int httpOk = 200;
 constexpr millis cancelTimeout{1'000};
 constexpr int httpUnavailable = 503;
+constexpr millis longestRetryAfter{24LL * 3'600 * 1'000};
 constexpr std::int64_t maxAnswerMarginMs = 500;
 constexpr std::int64_t answerMarginShare = 8;
 /// An error's body is read for its code only; what an engine sends beyond this is dropped.
@@ -101,7 +102,9 @@
     if (const auto ms = static_cast<std::int64_t>(numberOf(problem, "retry_after_ms")); ms > 0) {
         return {ms};
     }
-    return wordsOf(result).pause;
+    const auto header = result.headers.find("retry-after");
+    return header == result.headers.end() ? millis{}
+                                          : secondsOf(header->second, longestRetryAfter).value_or(millis{});
 }
 
 refusal readRefusal(const http_result &result, std::string_view body)
