Take an order that is on its way for unanswered when its server's record is taken anew

Callers saw: prompts that waited for adapters of one server were refused one after the other, for as long as one daemon held its record

Cause: a daemon that takes a record anew, after a lapse of its lease, gets another token; the answer of an order sent under the one before was passed over, with it the note that an order is open, and nothing was ordered or asked there any more.

--- a/packages/serving/orderer_hold.cpp
+++ b/packages/serving/orderer_hold.cpp
@@ -225,9 +225,13 @@
     }
     const auto fence = static_cast<std::uint64_t>(entry.revision);
     if (const auto held = m_servers.find(id); held != m_servers.end()) {
+        server_ledger &ledger = held->second.desk.ledger;
         held->second.fence = fence;
         held->second.fenced = false;
-        held->second.desk.ledger.proved = false;
+        ledger.proved = false;
+        if (ledger.open) { // its answer is about the token before
+            takeAnswer(ledger, server_order(*ledger.open), order_answer::Unknown, bootNow());
+        }
         return;
     }
     server_state one;
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -109,7 +109,7 @@
     if (!expected.empty() && expected != id) {
         reply->respond(421, {}, "");
     } else if (request.head.target == "/v1/order") {
-        onOrder(request, *reply);
+        onOrder(request, reply);
     } else if (request.head.target == "/v1/report") {
         ++reports;
         arrivals.push_back({"", bootNow()});
@@ -131,38 +131,46 @@
     }
 }
 
-void backend_standin::onOrder(const front_request &request, front_reply &reply)
+void backend_standin::onOrder(const front_request &request, const std::shared_ptr<front_reply> &reply)
 {
     const json order = json::parse(request.body);
     orders.push_back(order);
-    if (order.at("fenceToken").get<std::uint64_t>() < fence) {
-        reply.respond(412, {}, "");
+    const int status = carryOut(order);
+    if (orderTime == millis{}) {
+        reply->respond(status, {}, "");
         return;
     }
+    m_timers.push_back(m_loop.timer(orderTime, {}, [reply, status] {
+        reply->respond(status, {}, "");
+    }));
+}
+
+/// The status of its answer.
+int backend_standin::carryOut(const json &order)
+{
+    if (order.at("fenceToken").get<std::uint64_t>() < fence) {
+        return 412;
+    }
     fence = order.at("fenceToken").get<std::uint64_t>();
     if (order.at("expectedRev").get<std::int64_t>() != sequence) {
-        reply.respond(409, {}, "");
-        return;
+        return 409;
     }
     const std::string adapter = order.value("adapter", "");
     if (order.at("opcode") == "load" && adapters.count(adapter) != 0) {
-        reply.respond(200, {}, "");
-        return;
+        return 200;
     }
     ++sequence;
     if (adapter.empty() && order.at("opcode") == "load") {
         m_modelHeldFrom = bootNow() + modelLoadTime;
-        reply.respond(202, {}, "");
-        return;
+        return 202;
     }
     if (order.at("opcode") == "load") {
         adapters.insert(adapter);
         mostAdapters = std::max(mostAdapters, adapters.size());
-        reply.respond(202, {}, "");
-    } else {
-        adapters.erase(adapter);
-        reply.respond(200, {}, "");
+        return 202;
     }
+    adapters.erase(adapter);
+    return 200;
 }
 
 void backend_standin::answerHeld(const std::string &body)
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -71,6 +71,7 @@
     std::size_t left = 0; ///< callers that went away
     std::size_t turnedAway = 0; ///< requests that it did not take, Busy or Sheds
     millis slowness{700};
+    millis orderTime; ///< from an order, which is carried out at once, to its answer
     std::uint16_t port = 0;
     std::uint16_t advertised = 0; ///< in its entry, where daemons reach it by another port
     std::size_t mostAdapters = 0; ///< held at a time
@@ -80,7 +81,8 @@
 
 private:
     void onRequest(const front_request &request, const std::shared_ptr<front_reply> &reply);
-    void onOrder(const front_request &request, front_reply &reply);
+    void onOrder(const front_request &request, const std::shared_ptr<front_reply> &reply);
+    int carryOut(const nlohmann::json &order);
     std::vector<http_field> withWords(std::vector<http_field> fields, const std::string &requestId = "");
     void turnAway(const std::string &requestId, front_reply &reply);
     void run(const front_request &request, const std::shared_ptr<front_reply> &reply);
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -553,4 +553,26 @@
     }
 }
 
+// An order was on its way when this daemon took the record anew, under another token: its answer was passed
+// over, and nothing was ordered there any more.
+TEST_F(edge_test, AnOrderOnItsWayWhenTheRecordIsTakenAnewHoldsUpNoOther)
+{
+    start();
+    for (const auto &server : m_models) {
+        server->orderTime = {120};
+    }
+    const auto caller = ask("/gen/x", "a7");
+    ASSERT_TRUE(runUntil([this] {
+        return !m_models[0]->orders.empty() || !m_models[1]->orders.empty();
+    }));
+    const std::string key = "briarhead/orderer/" + m_models[m_models[0]->orders.empty() ? 1 : 0]->id;
+    m_store.put(key, m_store.items.at(key).value);
+    std::string seen;
+    EXPECT_TRUE(runUntil([&] {
+        return !caller->receive(seen);
+    }));
+    EXPECT_EQ(statusOf(seen), "200") << seen;
+    EXPECT_EQ(statusOf(answerTo("/gen/x", "a8")), "200");
+}
+
 }
