--- a/tests/soak/server_words_test.cpp
+++ b/tests/soak/server_words_test.cpp
@@ -97,6 +97,27 @@
     expectWordsKept();
 }
 
+// The same where the other servers are slow, and one that turns requests away looks the less loaded.
+TEST_P(server_words_test, APauseHoldsThoughOtherServersAreSlow)
+{
+    sendEvery({60});
+    runFor({500});
+    const auto servers = serversOfKind();
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        if (i < 3) {
+            shed(*servers[i], "2.5");
+        } else {
+            servers[i]->now = backend_standin::mood::Slow;
+        }
+    }
+    runFor({6'000});
+    expectWordsKept();
+    for (std::size_t i = 0; i < 3; ++i) {
+        EXPECT_FALSE(servers[i]->said.empty()) << "it is asked again once its pause is over";
+    }
+    EXPECT_EQ(m_failed, 0U);
+}
+
 // With every server in a pause callers waited for their own end, or were told a time that was not true, or
 // all the same one.
 TEST_P(server_words_test, WhereAllServersPauseCallersHearTheTrueTimeAtOnce)
