Move the scheduling decisions into a package of their own

Cause: packages/serving held decisions and the tasks around them side by side; new decisions need a place below the tasks. No other change.

--- a/packages/serving/choose_server.cpp
+++ b/packages/scheduling/choose_server.cpp
@@ -1,6 +1,6 @@
-#include "serving/choose_server.h"
+#include "scheduling/choose_server.h"
 
-#include "serving/server_ledger.h"
+#include "scheduling/server_ledger.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/serving/heartbeat_groups.cpp
+++ b/packages/scheduling/heartbeat_groups.cpp
@@ -1,4 +1,4 @@
-#include "serving/heartbeat_groups.h"
+#include "scheduling/heartbeat_groups.h"
 
 #include "coordination/rendezvous.h"
 
--- a/packages/serving/load_estimate.cpp
+++ b/packages/scheduling/load_estimate.cpp
@@ -1,4 +1,4 @@
-#include "serving/load_estimate.h"
+#include "scheduling/load_estimate.h"
 
 #include <algorithm>
 
--- a/packages/serving/observed_server.cpp
+++ b/packages/scheduling/observed_server.cpp
@@ -1,7 +1,7 @@
-#include "serving/observed_server.h"
+#include "scheduling/observed_server.h"
 
 #include "coordination/rendezvous.h"
-#include "serving/server_ledger.h"
+#include "scheduling/server_ledger.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/serving/observed_server.h
+++ b/packages/scheduling/observed_server.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "protocol/fleet_messages.h"
-#include "serving/choose_server.h"
+#include "scheduling/choose_server.h"
 #include "state/clock.h"
 
 #include <cstdint>
--- a/packages/serving/server_ledger.h
+++ b/packages/scheduling/server_ledger.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "serving/backend_server.h"
-#include "serving/load_estimate.h"
-#include "serving/serving_config.h"
+#include "scheduling/backend_server.h"
+#include "scheduling/load_estimate.h"
+#include "scheduling/serving_config.h"
 #include "state/clock.h"
 
 #include <cstdint>
--- a/packages/serving/server_limit.cpp
+++ b/packages/scheduling/server_limit.cpp
@@ -1,4 +1,4 @@
-#include "serving/server_limit.h"
+#include "scheduling/server_limit.h"
 
 #include "coordination/quota_plan.h"
 
--- a/packages/serving/service_retry_budget.cpp
+++ b/packages/scheduling/service_retry_budget.cpp
@@ -1,4 +1,4 @@
-#include "serving/service_retry_budget.h"
+#include "scheduling/service_retry_budget.h"
 
 #include <algorithm>
 
--- a/packages/serving/serving_config.cpp
+++ b/packages/scheduling/serving_config.cpp
@@ -1,4 +1,4 @@
-#include "serving/serving_config.h"
+#include "scheduling/serving_config.h"
 
 #include "coordination/rendezvous.h"
 #include "transport/header_text.h"
--- a/packages/serving/slot_queue.cpp
+++ b/packages/scheduling/slot_queue.cpp
@@ -1,4 +1,4 @@
-#include "serving/slot_queue.h"
+#include "scheduling/slot_queue.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/serving/slot_scheduler.cpp
+++ b/packages/scheduling/slot_scheduler.cpp
@@ -1,7 +1,7 @@
-#include "serving/slot_scheduler.h"
+#include "scheduling/slot_scheduler.h"
 
 #include "coordination/quota_plan.h"
-#include "serving/observed_server.h"
+#include "scheduling/observed_server.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/serving/slot_scheduler.h
+++ b/packages/scheduling/slot_scheduler.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "protocol/fleet_messages.h"
-#include "serving/choose_server.h"
-#include "serving/server_ledger.h"
-#include "serving/server_limit.h"
-#include "serving/slot_queue.h"
+#include "scheduling/choose_server.h"
+#include "scheduling/server_ledger.h"
+#include "scheduling/server_limit.h"
+#include "scheduling/slot_queue.h"
 #include "state/clock.h"
 
 #include <functional>
--- a/packages/serving/account_check.h
+++ b/packages/serving/account_check.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "coordination/quota_plan.h"
+#include "scheduling/serving_config.h"
 #include "serving/client_request.h"
-#include "serving/serving_config.h"
 
 #include <cstdint>
 #include <optional>
--- a/packages/serving/client_request.h
+++ b/packages/serving/client_request.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "coordination/server_notices.h"
-#include "serving/backend_server.h"
+#include "scheduling/backend_server.h"
 #include "state/clock.h"
 #include "state/error.h"
 #include "transport/front_server.h"
--- a/packages/serving/crash_store.h
+++ b/packages/serving/crash_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "coordination/crash_task.h"
-#include "serving/backend_server.h"
+#include "scheduling/backend_server.h"
 #include "serving/decision_log.h"
 #include "serving/fleet_port.h"
 #include "serving/node_settings.h"
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -1,12 +1,12 @@
 #include "serving/edge_daemon.h"
 
 #include "protocol/codec.h"
+#include "scheduling/heartbeat_groups.h"
 #include "serving/crash_store.h"
 #include "serving/edge_metrics.h"
 #include "serving/fleet_port.h"
 #include "serving/fleet_send.h"
 #include "serving/front_task.h"
-#include "serving/heartbeat_groups.h"
 #include "serving/quota_store.h"
 #include "serving/server_notice_task.h"
 #include "serving/server_owner_task.h"
--- a/packages/serving/node_settings.h
+++ b/packages/serving/node_settings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serving/service_retry_budget.h"
+#include "scheduling/service_retry_budget.h"
 #include "state/clock.h"
 #include "state/quota_limit.h"
 #include "transport/peer_link.h"
--- a/packages/serving/server_owner_claims.cpp
+++ b/packages/serving/server_owner_claims.cpp
@@ -1,6 +1,6 @@
 #include "coordination/quota_plan.h"
 #include "coordination/rendezvous.h"
-#include "serving/heartbeat_groups.h"
+#include "scheduling/heartbeat_groups.h"
 #include "serving/server_owner_task.h"
 
 #include <algorithm>
--- a/packages/serving/server_owner_orders.cpp
+++ b/packages/serving/server_owner_orders.cpp
@@ -1,4 +1,4 @@
-#include "serving/observed_server.h"
+#include "scheduling/observed_server.h"
 #include "serving/server_owner_task.h"
 #include "transport/backend_call.h"
 
--- a/packages/serving/server_owner_task.h
+++ b/packages/serving/server_owner_task.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduling/slot_scheduler.h"
 #include "serving/client_request.h"
 #include "serving/decision_log.h"
 #include "serving/fleet_port.h"
@@ -7,7 +8,6 @@
 #include "serving/node_settings.h"
 #include "serving/peer_liveness.h"
 #include "serving/server_notice_task.h"
-#include "serving/slot_scheduler.h"
 #include "serving/store_task.h"
 #include "transport/backend_call.h"
 #include "transport/backend_pool.h"
--- a/packages/serving/store_records.h
+++ b/packages/serving/store_records.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "serving/backend_server.h"
-#include "serving/serving_config.h"
+#include "scheduling/backend_server.h"
+#include "scheduling/serving_config.h"
 #include "state/error.h"
 
 #include <functional>
--- a/scripts/ablate.sh
+++ b/scripts/ablate.sh
@@ -17,7 +17,7 @@
 shift 2
 root=$(cd "$(dirname "$0")/.." && pwd)
 
-# name | file in packages/serving | pattern | replacement
+# name | file in packages/scheduling | pattern | replacement
 mechanisms() {
     cat <<'TABLE'
 none            | choose_server.h | ^$ | 
@@ -45,9 +45,9 @@
     rm -rf "$copy"
     git clone -q "$root" "$copy"
     if [ "$name" != none ]; then
-        grep -qF "$pattern" "$copy/packages/serving/$file" || { echo "$name: its pattern is gone" >&2; exit 1; }
+        grep -qF "$pattern" "$copy/packages/scheduling/$file" || { echo "$name: its pattern is gone" >&2; exit 1; }
         escaped=$(printf '%s' "$pattern" | sed 's/[][\.*^$/]/\\&/g')
-        sed -i "s/$escaped/${with//\//\\/}/" "$copy/packages/serving/$file"
+        sed -i "s/$escaped/${with//\//\\/}/" "$copy/packages/scheduling/$file"
     fi
     (cd "$copy" && "$bench" build >build.log 2>&1) || { echo "$name: does not build" >&2; exit 1; }
     for site in "$@"; do
--- a/tests/load_model/load_model.cpp
+++ b/tests/load_model/load_model.cpp
@@ -1,8 +1,8 @@
 #include "load_model/load_model.h"
 
-#include "serving/choose_server.h"
-#include "serving/observed_server.h"
-#include "serving/slot_scheduler.h"
+#include "scheduling/choose_server.h"
+#include "scheduling/observed_server.h"
+#include "scheduling/slot_scheduler.h"
 
 #include <algorithm>
 #include <array>
--- a/tests/load_model/load_model.h
+++ b/tests/load_model/load_model.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "load_model/engine_model.h"
-#include "serving/slot_queue.h"
+#include "scheduling/slot_queue.h"
 
 #include <cstdint>
 #include <map>
--- a/tests/serving/decisions_test.cpp
+++ b/tests/scheduling/decisions_test.cpp
@@ -1,10 +1,10 @@
-#include "serving/choose_server.h"
+#include "scheduling/choose_server.h"
+#include "scheduling/observed_server.h"
+#include "scheduling/server_ledger.h"
+#include "scheduling/service_retry_budget.h"
+#include "scheduling/serving_config.h"
+#include "scheduling/slot_queue.h"
 #include "serving/event_stream.h"
-#include "serving/observed_server.h"
-#include "serving/server_ledger.h"
-#include "serving/service_retry_budget.h"
-#include "serving/serving_config.h"
-#include "serving/slot_queue.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/serving/heartbeat_groups_test.cpp
+++ b/tests/scheduling/heartbeat_groups_test.cpp
@@ -1,7 +1,7 @@
 #include "protocol/codec.h"
-#include "serving/choose_server.h"
-#include "serving/heartbeat_groups.h"
-#include "serving/observed_server.h"
+#include "scheduling/choose_server.h"
+#include "scheduling/heartbeat_groups.h"
+#include "scheduling/observed_server.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/serving/limit_check.cpp
+++ b/tests/scheduling/limit_check.cpp
@@ -1,4 +1,4 @@
-#include "serving/limit_check.h"
+#include "scheduling/limit_check.h"
 
 #include <algorithm>
 
--- a/tests/serving/load_contention_test.cpp
+++ b/tests/scheduling/load_contention_test.cpp
@@ -1,4 +1,4 @@
-#include "serving/slot_scheduler.h"
+#include "scheduling/slot_scheduler.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/serving/server_ledger_test.cpp
+++ b/tests/scheduling/server_ledger_test.cpp
@@ -1,4 +1,4 @@
-#include "serving/server_ledger.h"
+#include "scheduling/server_ledger.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/serving/server_limit_test.cpp
+++ b/tests/scheduling/server_limit_test.cpp
@@ -1,7 +1,7 @@
 #include "protocol/codec.h"
-#include "serving/limit_check.h"
-#include "serving/server_limit.h"
-#include "serving/slot_scheduler.h"
+#include "scheduling/limit_check.h"
+#include "scheduling/server_limit.h"
+#include "scheduling/slot_scheduler.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/serving/edge_limit_test.cpp
+++ b/tests/serving/edge_limit_test.cpp
@@ -1,5 +1,5 @@
+#include "scheduling/server_limit.h"
 #include "serving/other_daemon.h"
-#include "serving/server_limit.h"
 
 #include <algorithm>
 
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -1,8 +1,8 @@
 #include "coordination/crash_history.h"
 #include "coordination/request_fingerprint.h"
 #include "protocol/codec.h"
-#include "serving/heartbeat_groups.h"
-#include "serving/observed_server.h"
+#include "scheduling/heartbeat_groups.h"
+#include "scheduling/observed_server.h"
 #include "serving/other_daemon.h"
 
 #include <gtest/gtest.h>
--- a/tests/serving/notice_check.h
+++ b/tests/serving/notice_check.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serving/limit_check.h"
+#include "scheduling/limit_check.h"
 #include "state/clock.h"
 
 #include <functional>
--- a/tests/serving/other_daemon.h
+++ b/tests/serving/other_daemon.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "protocol/codec.h"
+#include "scheduling/observed_server.h"
 #include "serving/edge_fixture.h"
 #include "serving/fleet_port.h"
-#include "serving/observed_server.h"
 
 #include <limits>
 #include <variant>
