Add the interfaces that decisions under high load share

Cause: decisions about priorities, accounts, waiting, uneven servers and connections need facts that no message carries, and a rule for when each applies. Ruled out: new fields in the existing datagrams, since builds in service decode them exactly and would drop a longer one during a release; a mark in the daemons' records, for the same reason.

--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/crash_messages.h"
+#include "protocol/load_messages.h"
 #include "protocol/quota_messages.h"
 
 #include <cstdint>
@@ -41,6 +42,30 @@
     }
 };
 
+/// Tags of extended_slot_request::fields. Numbers are not reused.
+enum class slot_field : std::uint32_t
+{
+    Account = 1, ///< accountHash() of the caller's account; default 0: it has none
+    WeightMilli = 2, ///< weight of the account in thousandths; default 1000
+    ArrivedAgoMs = 3, ///< since the caller's request arrived at the entry; default 0
+    MaxGapMs = 4, ///< longest inter-event gap with which the response is on time; default 0: none stated
+    Returned = 5, ///< 1: the caller returns at the time that a refusal stated; default 0
+};
+
+/// Entry -> owner: a slot_request with fields that older builds don't know. Sent only to daemons that
+/// understand it, see serving/peer_features.h.
+struct extended_slot_request
+{
+    slot_request request;
+    optional_fields fields;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(request, fields);
+    }
+};
+
 /// The owner's decision on a slot_request.
 enum class slot_decision : std::uint8_t
 {
@@ -302,7 +327,7 @@
     std::uint64_t incarnation = 0; ///< of the sender
     std::variant<slot_request, slot_response, slot_report, running_request, fleet_heartbeat, store_update,
         compressed_update, crash_report, quota_request, quota_response, quota_release, limit_report,
-        server_notice>
+        server_notice, extended_slot_request, load_heartbeat, extended_quota_request, features_notice>
         body;
 
     template <class Archive>
--- a/packages/protocol/quota_messages.h
+++ b/packages/protocol/quota_messages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "protocol/optional_fields.h"
+
 #include <cstdint>
 #include <vector>
 
@@ -45,6 +47,27 @@
     }
 };
 
+/// Tags of extended_quota_request::demandFields. Numbers are not reused.
+enum class quota_field : std::uint32_t
+{
+    UrgentDemandMilli = 1, ///< of demandMilli, units per second requested by the most urgent rank; default 0
+    UrgentNeedMilli = 2, ///< of needMilli, units that waiting callers of that rank need; default 0
+};
+
+/// Daemon -> home: a quota_request with fields that older builds don't know. Sent only to daemons that
+/// understand it, see serving/peer_features.h.
+struct extended_quota_request
+{
+    quota_request request;
+    std::vector<optional_fields> demandFields; ///< one for each of the request's demands
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(request, demandFields);
+    }
+};
+
 /// What the home grants to a daemon for one account.
 struct quota_grant
 {
--- a/packages/scheduling/heartbeat_groups.cpp
+++ b/packages/scheduling/heartbeat_groups.cpp
@@ -121,4 +121,19 @@
     return recipients;
 }
 
+load_heartbeat loadsFor(const fleet_heartbeat &heartbeat, const load_heartbeat &loads)
+{
+    load_heartbeat part{heartbeat.relay, {}, loads.plainServers};
+    for (const server_load &load : loads.servers) {
+        const bool included = std::any_of(
+            heartbeat.servers.begin(), heartbeat.servers.end(), [&load](const server_heartbeat &each) {
+                return each.server == load.server;
+            });
+        if (included) {
+            part.servers.push_back(load);
+        }
+    }
+    return part;
+}
+
 }
--- a/packages/scheduling/heartbeat_groups.h
+++ b/packages/scheduling/heartbeat_groups.h
@@ -60,5 +60,7 @@
 /// The daemons of `relay`'s own failure domain that it forwards a heartbeat from another domain to.
 std::vector<const daemon_record *> relayTargets(
     const fleet_shape &fleet, const daemon_record &relay, const fleet_heartbeat &heartbeat);
+/// The loads that are sent along with a heartbeat: those of its servers, and all of the plain servers.
+load_heartbeat loadsFor(const fleet_heartbeat &heartbeat, const load_heartbeat &loads);
 
 }
--- /dev/null
+++ b/packages/scheduling/service_features.cpp
@@ -0,0 +1,88 @@
+#include "scheduling/service_features.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace briarhead {
+
+namespace {
+
+struct feature_name
+{
+    std::string_view name;
+    bool service_features::*value;
+};
+
+constexpr std::array<feature_name, 5> featureNames{{
+    {"priority_admission", &service_features::priorityAdmission},
+    {"fair_shares", &service_features::fairShares},
+    {"extended_waiting", &service_features::extendedWaiting},
+    {"gap_prediction", &service_features::gapPrediction},
+    {"plain_load", &service_features::plainLoad},
+}};
+
+/// A caller is worth keeping in line if it waits at least this many times the latency target.
+constexpr int minTimeoutTargets = 2;
+
+bool hasLimitedAccounts(const serving_config &config)
+{
+    return config.accounts.size() > 1
+        && std::any_of(config.accounts.begin(), config.accounts.end(), [](const client_account &account) {
+               return isLimited(account.limit);
+           });
+}
+
+}
+
+bool anyFeature(const service_features &features)
+{
+    return !(features == service_features{});
+}
+
+std::string namesOf(const service_features &features)
+{
+    std::string names;
+    for (const feature_name &each : featureNames) {
+        if (features.*each.value) {
+            names += (names.empty() ? "" : " ") + std::string(each.name);
+        }
+    }
+    return names;
+}
+
+std::map<std::string, service_features> featuresOf(const serving_config &config)
+{
+    std::map<std::string, std::set<int>> ranks;
+    std::map<std::string, service_features> features;
+    const bool limited = hasLimitedAccounts(config);
+    for (const route &each : config.routes) {
+        for (const service_share &share : each.services) {
+            service_features &service = features[share.service];
+            if (engineOf(config, share.service) == nullptr) {
+                service.plainLoad = true;
+                continue;
+            }
+            ranks[share.service].insert(each.rank);
+            service.priorityAdmission = ranks[share.service].size() > 1;
+            service.fairShares = limited;
+            service.extendedWaiting =
+                service.extendedWaiting || each.timeout.count >= each.target.count * minTimeoutTargets;
+            service.gapPrediction = service.gapPrediction || each.maxGap.count > 0;
+        }
+    }
+    return features;
+}
+
+bool limitsByRank(const serving_config &config)
+{
+    std::set<int> ranks;
+    for (const route &each : config.routes) {
+        ranks.insert(each.rank);
+    }
+    return hasLimitedAccounts(config) && ranks.size() > 1;
+}
+
+}
--- /dev/null
+++ b/packages/scheduling/service_features.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "scheduling/serving_config.h"
+
+#include <map>
+#include <string>
+
+// Which decisions for high load apply to a service. Derived from the configuration alone, so that all daemons
+// that have the same version agree.
+namespace briarhead {
+
+struct service_features
+{
+    /// Model servers admit requests by rank: the service's routes or the accounts' overrides have several.
+    bool priorityAdmission = false;
+    /// Room is shared out among client accounts: there are several, and at least one has a limit.
+    bool fairShares = false;
+    /// Requests may wait for a slot beyond their latency target, because their route's timeout is longer.
+    bool extendedWaiting = false;
+    /// Model servers are chosen by predicted gaps: a route states the longest gap that is on time.
+    bool gapPrediction = false;
+    /// Plain servers are chosen by the load of all daemons, from a subset that keeps connections in use.
+    bool plainLoad = false;
+
+    bool operator==(const service_features &other) const = default;
+};
+
+/// Whether any feature applies.
+bool anyFeature(const service_features &features);
+/// The names of those that apply, for logs and the status page, separated by spaces.
+std::string namesOf(const service_features &features);
+
+/// The features of each service, by name.
+std::map<std::string, service_features> featuresOf(const serving_config &config);
+
+/// Whether an account's limit goes to its urgent requests first: accounts have limits, and the routes have
+/// several ranks.
+bool limitsByRank(const serving_config &config);
+
+}
--- a/packages/scheduling/serving_config.h
+++ b/packages/scheduling/serving_config.h
@@ -42,6 +42,8 @@
     route_kind kind = route_kind::Once;
     millis timeout{10'000}; ///< from arrival to the end of the response
     millis target{1'000}; ///< latency target, to the response or to the first event of a stream
+    /// Longest inter-event gap with which a stream is on time; 0: the route states none.
+    millis maxGap;
     int rank = 0; ///< priority, 0 being the most urgent
     int maxServers = 1; ///< number of servers that one attempt may be sent to
     bool resumable = false; ///< a stream may be continued on another server
@@ -85,6 +87,9 @@
     quota_limit limit;
     bool countsTokens = false; ///< the limit counts tokens; otherwise each request is one unit
     std::int64_t defaultTokens = 1; ///< counted for a request that announces no token counts
+    /// Share of contested room relative to other accounts: the limit against the mean of all limits, 1 for
+    /// accounts without one. Filled by indexAccounts().
+    double weight = 1;
 };
 
 /// One version of the configuration.
--- a/packages/scheduling/slot_queue.h
+++ b/packages/scheduling/slot_queue.h
@@ -17,6 +17,20 @@
 // those that can still meet their target before those that cannot, then by arrival.
 namespace briarhead {
 
+/// The fields of an extended_slot_request, decoded. The defaults apply to requests of older builds.
+struct slot_terms
+{
+    std::uint64_t account = 0; ///< accountHash(); 0: none
+    double weight = 1; ///< of the account, relative to others
+    millis arrivedAgo; ///< since the caller's request arrived at the entry
+    millis maxGap; ///< longest inter-event gap with which the response is on time; 0: none stated
+    bool returned = false; ///< the caller returns at the time that a refusal stated
+};
+
+optional_fields encodeTerms(const slot_terms &terms);
+/// Values that make no sense are replaced by the default.
+slot_terms decodeTerms(const optional_fields &fields);
+
 struct waiting_prompt
 {
     std::string id;
@@ -30,6 +44,7 @@
     millis startBy; ///< latest start that still serves the caller
     millis deadline;
     millis targetAt; ///< latest time of the first event that meets the latency target
+    slot_terms terms;
 };
 
 struct running_prompt
--- a/packages/scheduling/slot_scheduler.cpp
+++ b/packages/scheduling/slot_scheduler.cpp
@@ -85,8 +85,8 @@
 
 namespace {
 
-slot_response decideRequest(
-    slot_scheduler &scheduler, const std::string &entry, const slot_request &request, millis now)
+slot_response decideRequest(slot_scheduler &scheduler, const std::string &entry, const slot_request &request,
+    const slot_terms &terms, millis now)
 {
     server_ledger &ledger = scheduler.ledger;
     recordOutputLength(scheduler.outputLengths, request.outputTokens);
@@ -115,7 +115,7 @@
     }
     const waiting_prompt prompt{request.id, entry, request.model, request.adapter, request.promptTokens,
         request.outputTokens, request.rank, now, now + millis{request.waitMs},
-        now + millis{request.deadlineMs}, now + millis{request.targetMs}};
+        now + millis{request.deadlineMs}, now + millis{request.targetMs}, terms};
     if (loadsTooLate(ledger, prompt, now)) {
         const millis wait = adapterWait(ledger, request.model, request.adapter, now);
         return refusedResponse(
@@ -131,10 +131,10 @@
 
 }
 
-slot_response handleSlotRequest(
-    slot_scheduler &scheduler, const std::string &entry, const slot_request &request, millis now)
+slot_response handleSlotRequest(slot_scheduler &scheduler, const std::string &entry,
+    const slot_request &request, millis now, const slot_terms &terms)
 {
-    slot_response response = decideRequest(scheduler, entry, request, now);
+    slot_response response = decideRequest(scheduler, entry, request, terms, now);
     response.limitMilli = limitMilliOf(scheduler.limit);
     return response;
 }
@@ -146,7 +146,7 @@
         return;
     }
     const waiting_prompt prompt{run.id, entry, run.model, run.adapter, run.promptTokens, run.outputTokens, 0,
-        now, now, now + millis{run.deadlineMs}, now};
+        now, now, now + millis{run.deadlineMs}, now, {}};
     scheduler.queue.running.emplace(run.id, running_prompt{prompt, now, run.inPrefill});
     beginUse(scheduler.ledger, run.model, run.adapter, now);
 }
@@ -328,4 +328,11 @@
     return heartbeat;
 }
 
+server_load serverLoad(const slot_scheduler &scheduler, millis)
+{
+    server_load load;
+    load.server = scheduler.ledger.server;
+    return load;
+}
+
 }
--- a/packages/scheduling/slot_scheduler.h
+++ b/packages/scheduling/slot_scheduler.h
@@ -4,6 +4,7 @@
 #include "scheduling/choose_server.h"
 #include "scheduling/server_ledger.h"
 #include "scheduling/server_limit.h"
+#include "scheduling/service_features.h"
 #include "scheduling/slot_queue.h"
 #include "state/clock.h"
 
@@ -19,6 +20,7 @@
 
 struct slot_scheduler
 {
+    service_features features; ///< of the server's service
     server_ledger ledger;
     slot_queue queue;
     response_mix outputLengths; ///< of the prompts requested here
@@ -44,8 +46,8 @@
 
 /// Responds to an entry's request: granted if it was granted before, otherwise refused or queued. Queued
 /// prompts are admitted by `dueResponses`.
-slot_response handleSlotRequest(
-    slot_scheduler &scheduler, const std::string &entry, const slot_request &request, millis now);
+slot_response handleSlotRequest(slot_scheduler &scheduler, const std::string &entry,
+    const slot_request &request, millis now, const slot_terms &terms = {});
 /// Registers a request that the server's previous owner admitted.
 void registerRunning(
     slot_scheduler &scheduler, const std::string &entry, const running_request &run, millis now);
@@ -80,5 +82,7 @@
 std::optional<limit_heartbeat> limitHeartbeat(const slot_scheduler &scheduler, millis now);
 /// What heartbeats report of the server. `mayOrder`: its owner may send orders now.
 server_heartbeat serverHeartbeat(const slot_scheduler &scheduler, bool mayOrder, millis now);
+/// What load heartbeats report of a model server; the fencing token is left for the caller to fill in.
+server_load serverLoad(const slot_scheduler &scheduler, millis now);
 
 }
--- a/packages/serving/account_check.h
+++ b/packages/serving/account_check.h
@@ -39,7 +39,7 @@
 /// Units of the account's limit that a request consumes: 1, or its tokens if the account counts tokens.
 double unitsOf(const client_account &account, const client_request &request);
 
-/// Fills `accountByNameHash`. Call once, after `accounts` has been filled.
+/// Fills `accountByNameHash` and the accounts' weights. Call once, after `accounts` has been filled.
 void indexAccounts(serving_config &config);
 /// The limit of the account with this accountHash(), or nothing if there is no such account.
 std::optional<quota_limit> limitOf(const serving_config &config, std::uint64_t account);
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -57,6 +57,15 @@
 constexpr millis lagSampleInterval{500};
 constexpr int exitInterrupted = 1;
 
+/// Whether the datagram is of a type that builds without load_messages.h don't know.
+bool isOptional(const fleet_datagram &datagram)
+{
+    return std::holds_alternative<load_heartbeat>(datagram.body)
+        || std::holds_alternative<features_notice>(datagram.body)
+        || std::holds_alternative<extended_slot_request>(datagram.body)
+        || std::holds_alternative<extended_quota_request>(datagram.body);
+}
+
 class daemon_impl final : public edge_daemon
 {
 public:
@@ -91,11 +100,13 @@
 private:
     void sendSlotResponse(const std::string &entry, const slot_response &response);
     void onDatagram(const fleet_datagram &datagram);
+    void onQuotaRequest(const fleet_datagram &datagram, const quota_request &request);
     void sendStoreUpdate(const std::vector<std::string> &nodes, const store_update &update);
     daemon_record self() const;
     fleet_shape fleetShape() const;
     void sendHeartbeats();
     void relayHeartbeat(const fleet_datagram &datagram, const fleet_heartbeat &heartbeat);
+    void relayLoads(const fleet_datagram &datagram, const load_heartbeat &loads);
     void fetchStoreUpdate(
         const std::string &node, std::int64_t after, std::function<void(std::optional<store_update>)> done);
     void onUpdateRequest(const front_request &request, front_reply &reply) const;
@@ -245,6 +256,9 @@
 void daemon_impl::onDatagram(const fleet_datagram &datagram)
 {
     m_lastPeerDatagramAt = bootNow();
+    if (isOptional(datagram)) {
+        m_front.onPeerFeatures(datagram.from, datagram.incarnation);
+    }
     std::visit(
         [&](const auto &body) {
             using body_type = std::decay_t<decltype(body)>;
@@ -262,9 +276,7 @@
             } else if constexpr (std::is_same_v<body_type, crash_report>) {
                 m_crashes.onReport(body);
             } else if constexpr (std::is_same_v<body_type, quota_request>) {
-                const daemon_record *record = findPeer(m_store.view(), datagram.from);
-                const bool recorded = record != nullptr && record->incarnation == datagram.incarnation;
-                m_quota->onRequest({datagram.from, datagram.incarnation, recorded}, body);
+                onQuotaRequest(datagram, body);
             } else if constexpr (std::is_same_v<body_type,
                                      quota_response> || std::is_same_v<body_type, quota_release>) {
                 m_quota->onMessage(body);
@@ -276,6 +288,19 @@
                 if (body.relay) {
                     relayHeartbeat(datagram, body);
                 }
+            } else if constexpr (std::is_same_v<body_type, load_heartbeat>) {
+                m_front.onLoadHeartbeat(datagram.from, body);
+                m_serverOwner.onLoadHeartbeat(datagram.from, body);
+                if (body.relay) {
+                    relayLoads(datagram, body);
+                }
+            } else if constexpr (std::is_same_v<body_type, features_notice>) {
+                if (body.wantsReply) {
+                    sendToNode(*m_port, m_store, m_settings.node, datagram.from,
+                        features_notice{protocolLevel, false});
+                }
+            } else if constexpr (std::is_same_v<body_type, extended_quota_request>) {
+                onQuotaRequest(datagram, body.request);
             } else { // an entry's slot requests, and reports about granted slots
                 m_serverOwner.handle(datagram.from, body);
             }
@@ -283,6 +308,13 @@
         datagram.body);
 }
 
+void daemon_impl::onQuotaRequest(const fleet_datagram &datagram, const quota_request &request)
+{
+    const daemon_record *record = findPeer(m_store.view(), datagram.from);
+    const bool recorded = record != nullptr && record->incarnation == datagram.incarnation;
+    m_quota->onRequest({datagram.from, datagram.incarnation, recorded}, request);
+}
+
 daemon_record daemon_impl::self() const
 {
     return {m_settings.node, m_settings.peers.ip, m_settings.peers.port, m_settings.failureDomain,
@@ -305,6 +337,20 @@
     }
 }
 
+void daemon_impl::relayLoads(const fleet_datagram &datagram, const load_heartbeat &loads)
+{
+    if (loads.servers.empty()) {
+        return;
+    }
+    fleet_heartbeat about; // the group is that of the servers
+    about.servers.emplace_back().server = loads.servers.front().server;
+    fleet_datagram copy{datagram.from, datagram.incarnation, loads};
+    std::get<load_heartbeat>(copy.body).relay = false;
+    for (const daemon_record *record : relayTargets(fleetShape(), self(), about)) {
+        m_port->send({record->ip, record->port}, copy);
+    }
+}
+
 /// Detects that this daemon is cut off from all others while callers still reach it. Model requests would
 /// then wait for slots until they time out. While isolated, the daemon reports to the load balancer that it
 /// is not ready, and refuses model requests with a short Retry-After, so that callers go to another instance.
@@ -330,13 +376,21 @@
 {
     updateIsolation();
     const fleet_heartbeat heartbeat = m_serverOwner.heartbeat();
+    const load_heartbeat loads{false, m_serverOwner.serverLoads(), m_front.plainLoads()};
     m_front.onHeartbeat(m_settings.node, heartbeat);
+    m_front.onLoadHeartbeat(m_settings.node, loads);
     ++m_heartbeatRound;
+    const std::uint64_t incarnation = m_store.incarnation();
     for (const heartbeat_delivery &delivery :
         planHeartbeats(fleetShape(), self(), heartbeat, m_heartbeatRound)) {
+        const load_heartbeat part = loadsFor(delivery.heartbeat, loads);
+        const bool hasLoads = !part.servers.empty() || !part.plainServers.empty();
         for (const daemon_record *record : delivery.recipients) {
-            m_port->send(
-                {record->ip, record->port}, {m_settings.node, m_store.incarnation(), delivery.heartbeat});
+            const peer_address to{record->ip, record->port};
+            m_port->send(to, {m_settings.node, incarnation, delivery.heartbeat});
+            if (hasLoads) {
+                m_port->send(to, {m_settings.node, incarnation, part});
+            }
         }
     }
 }
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -211,7 +211,24 @@
                 resendSlotRequest(locked);
             }
         });
-    sendToOwner(pending->owner, message);
+    const slot_terms terms = termsOf(*pending);
+    if (anyFeature(featuresFor(pending->service)) && peerUnderstandsFeatures(pending->owner)) {
+        sendToOwner(pending->owner, extended_slot_request{message, encodeTerms(terms)});
+    } else {
+        sendToOwner(pending->owner, message);
+    }
+}
+
+slot_terms front_task::termsOf(const pending_request &pending) const
+{
+    slot_terms terms;
+    if (pending.account != nullptr) {
+        terms.account = accountHash(pending.account->name);
+        terms.weight = pending.account->weight;
+    }
+    terms.arrivedAgo = bootNow() - pending.arrived;
+    terms.maxGap = pending.matchedRoute->maxGap;
+    return terms;
 }
 
 void front_task::resendSlotRequest(const request_ptr &pending)
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -76,6 +76,9 @@
 
 void front_task::onViewChanged(const view_changed &change)
 {
+    if (change.config) {
+        updateFeatures();
+    }
     for (const std::string &id : change.removedServers) {
         m_observed.erase(id);
         m_serverHealth.erase(id);
@@ -97,6 +100,50 @@
     }
 }
 
+/// Derives the features from a new configuration. They are logged when they change, since operators switch
+/// them by editing routes and accounts.
+void front_task::updateFeatures()
+{
+    auto features = featuresOf(*m_store.view().config);
+    for (const auto &[service, each] : features) {
+        const auto before = m_features.find(service);
+        if (before == m_features.end() || !(before->second == each)) {
+            m_log.important("features.changed")
+                .add("service", service)
+                .add("features", namesOf(each))
+                .add("config", m_store.view().config->version);
+        }
+    }
+    m_features = std::move(features);
+}
+
+service_features front_task::featuresFor(const std::string &service) const
+{
+    const auto found = m_features.find(service);
+    return found == m_features.end() ? service_features{} : found->second;
+}
+
+void front_task::onPeerFeatures(const std::string &node, std::uint64_t incarnation)
+{
+    recordFeatures(m_peerFeatures, node, incarnation);
+}
+
+bool front_task::peerUnderstandsFeatures(const std::string &node) const
+{
+    const daemon_record *peer = findPeer(m_store.view(), node);
+    return node == m_settings.node
+        || (peer != nullptr && understandsFeatures(m_peerFeatures, node, peer->incarnation));
+}
+
+void front_task::onLoadHeartbeat(const std::string &, const load_heartbeat &)
+{
+}
+
+std::vector<plain_load> front_task::plainLoads() const
+{
+    return {};
+}
+
 void front_task::stopAccepting()
 {
     m_accepting = false;
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -4,6 +4,7 @@
 #include "scheduling/heartbeat_groups.h"
 #include "scheduling/observed_server.h"
 #include "scheduling/server_limit.h"
+#include "scheduling/service_features.h"
 #include "scheduling/service_retry_budget.h"
 #include "serving/account_check.h"
 #include "serving/client_request.h"
@@ -12,6 +13,7 @@
 #include "serving/event_stream.h"
 #include "serving/fleet_port.h"
 #include "serving/node_settings.h"
+#include "serving/peer_features.h"
 #include "serving/server_notice_task.h"
 #include "serving/server_owner_task.h"
 #include "serving/store_task.h"
@@ -77,6 +79,14 @@
     void onRequest(front_request raw, std::shared_ptr<front_reply> reply);
     void onSlotResponse(const slot_response &response);
     void onHeartbeat(const std::string &node, const fleet_heartbeat &heartbeat);
+    /// Applies the load that another daemon reports about its servers, and about requests to plain servers.
+    void onLoadHeartbeat(const std::string &node, const load_heartbeat &heartbeat);
+    /// Records that a daemon understands optional datagrams.
+    void onPeerFeatures(const std::string &node, std::uint64_t incarnation);
+    /// Whether the daemon, in the incarnation that the store has recorded, understands optional datagrams.
+    bool peerUnderstandsFeatures(const std::string &node) const;
+    /// This entry's requests at plain servers, for load heartbeats; empty if no feature calls for them.
+    std::vector<plain_load> plainLoads() const;
     /// Whether a heartbeat about any server has been received.
     bool knowsAnyOwner() const;
     const front_counters &counters() const;
@@ -88,6 +98,7 @@
     using request_ptr = std::shared_ptr<pending_request>;
 
     void onViewChanged(const view_changed &change);
+    void updateFeatures();
     void onBlocked(const request_blocked &event);
     bool isBlocked(const pending_request &pending) const;
     void refuseBlocked(const request_ptr &pending);
@@ -122,6 +133,8 @@
     void reportLimit(const pending_request &pending);
     void sendSlotRequest(const request_ptr &pending);
     void resendSlotRequest(const request_ptr &pending);
+    slot_terms termsOf(const pending_request &pending) const;
+    service_features featuresFor(const std::string &service) const;
     void onSlotRequestUnanswered(const request_ptr &pending);
     void send(const request_ptr &pending, const backend_server &server);
     bool onResponseHead(const request_ptr &pending, const http_head &head);
@@ -164,6 +177,8 @@
     std::map<std::string, observed_server> m_observed; ///< by server
     std::map<std::string, int> m_inFlight; ///< requests of this entry in flight, by server
     std::map<std::string, server_health> m_serverHealth; ///< by server
+    std::map<std::string, service_features> m_features; ///< by service, of the configuration in force
+    peer_features m_peerFeatures;
     announced_limits &m_limits; ///< owned by m_notices
     std::uint64_t m_lastNumber = 0;
     std::size_t m_heartbeatGroups = 1; ///< number of heartbeat groups in this daemon's failure domain
--- a/packages/serving/server_owner_claims.cpp
+++ b/packages/serving/server_owner_claims.cpp
@@ -48,6 +48,9 @@
 
 void server_owner_task::onViewChanged(const view_changed &change)
 {
+    if (change.config) {
+        updateFeatures();
+    }
     for (const std::string &id : change.removedServers) {
         if (const backend_server *server = findServer(id); server != nullptr) {
             onServerRestarted(id, server->startedAtMs);
@@ -260,6 +263,9 @@
     const engine_spec *engine = findEngine(server);
     scheduler.ledger.server = server.id;
     scheduler.plain = engine == nullptr;
+    if (const auto features = m_features.find(server.service); features != m_features.end()) {
+        scheduler.features = features->second;
+    }
     if (scheduler.plain) {
         scheduler.queue.maxRunning = std::numeric_limits<int>::max();
         return;
--- a/packages/serving/server_owner_task.cpp
+++ b/packages/serving/server_owner_task.cpp
@@ -74,6 +74,17 @@
 }
 
 void server_owner_task::handle(const std::string &entry, const slot_request &request)
+{
+    handleSlot(entry, request, {});
+}
+
+void server_owner_task::handle(const std::string &entry, const extended_slot_request &request)
+{
+    handleSlot(entry, request.request, decodeTerms(request.fields));
+}
+
+void server_owner_task::handleSlot(
+    const std::string &entry, const slot_request &request, const slot_terms &terms)
 {
     const auto found = m_servers.find(request.server);
     const backend_server *server = findServer(request.server);
@@ -96,7 +107,8 @@
         return;
     }
     updateLimitShare(request.server, found->second);
-    const slot_response response = handleSlotRequest(found->second.scheduler, entry, request, bootNow());
+    const slot_response response =
+        handleSlotRequest(found->second.scheduler, entry, request, bootNow(), terms);
     if (response.decision != slot_decision::Queued) {
         sendResponse(entry, response);
         return;
@@ -244,6 +256,33 @@
     return heartbeat;
 }
 
+/// Applies the features of a new configuration to the servers that are owned already.
+void server_owner_task::updateFeatures()
+{
+    m_features = featuresOf(*m_store.view().config);
+    for (auto &[id, state] : m_servers) {
+        const backend_server *server = findServer(id);
+        const auto features = server == nullptr ? m_features.end() : m_features.find(server->service);
+        state.scheduler.features = features == m_features.end() ? service_features{} : features->second;
+    }
+}
+
+std::vector<server_load> server_owner_task::serverLoads() const
+{
+    std::vector<server_load> loads;
+    for (const auto &[id, state] : m_servers) {
+        if (!state.scheduler.plain && anyFeature(state.scheduler.features)) {
+            loads.push_back(serverLoad(state.scheduler, bootNow()));
+            loads.back().fence = state.fencingToken;
+        }
+    }
+    return loads;
+}
+
+void server_owner_task::onLoadHeartbeat(const std::string &, const load_heartbeat &)
+{
+}
+
 const server_owner_counters &server_owner_task::counters() const
 {
     return m_counters;
--- a/packages/serving/server_owner_task.h
+++ b/packages/serving/server_owner_task.h
@@ -60,6 +60,7 @@
 
     /// Handles an entry's message, received by datagram or from this process.
     void handle(const std::string &entry, const slot_request &request);
+    void handle(const std::string &entry, const extended_slot_request &request);
     void handle(const std::string &entry, const slot_report &report);
     void handle(const std::string &entry, const running_request &run);
     void handle(const std::string &entry, const limit_report &report);
@@ -70,6 +71,10 @@
     void setIsolated(bool isolated);
     /// Ends all ownerships and sends no more orders. Called before the records are released.
     void stop();
+    /// Applies the load that another daemon reports about the servers that it owns.
+    void onLoadHeartbeat(const std::string &node, const load_heartbeat &beat);
+    /// What is to be sent along with each heartbeat; no server if no feature applies to any.
+    std::vector<server_load> serverLoads() const;
     /// The heartbeat to send now. A long gap since the last one pauses orders, see suspensionPause.
     fleet_heartbeat heartbeat();
     /// Whether heartbeats of other daemons are due here, since they own servers of this daemon's heartbeat
@@ -98,7 +103,9 @@
         millis receivedAt;
     };
 
+    void handleSlot(const std::string &entry, const slot_request &request, const slot_terms &terms);
     void onViewChanged(const view_changed &change);
+    void updateFeatures();
     void trackOwners();
     std::optional<millis> vacatedUntil(const std::string &id) const;
     millis earliestOrderTime(const std::string &id);
@@ -151,6 +158,7 @@
     std::map<std::string, reported_ownership> m_reportedOwnerships; ///< by daemon
     std::map<std::string, millis> m_lastOrderTimes; ///< to servers that were owned here before
     observed_owners m_observedOwners; ///< by server
+    std::map<std::string, service_features> m_features; ///< by service, of the configuration in force
     millis m_lastHeartbeatAt;
     millis m_pausedUntil; ///< no orders are sent until then, after a suspension
     std::shared_ptr<void> m_processTimer;
