Spread the heartbeats of daemons that start together

Cause: every daemon sends its heartbeats each 150 ms from its start on, so daemons that start together send at the same moments. Each then handles those of its whole heartbeat group in one burst. Change: the first heartbeat is delayed by a fraction of the interval that depends on the node's name.

--- a/packages/scheduling/heartbeat_groups.cpp
+++ b/packages/scheduling/heartbeat_groups.cpp
@@ -65,6 +65,12 @@
     return heartbeatGroupCount(static_cast<std::size_t>(near), fleet.servers);
 }
 
+millis heartbeatPhase(std::string_view node, millis interval)
+{
+    return {static_cast<std::int64_t>(
+        rendezvousScore("heartbeat", node) % static_cast<std::uint64_t>(interval.count))};
+}
+
 std::vector<heartbeat_delivery> planHeartbeats(
     const fleet_shape &fleet, const daemon_record &from, const fleet_heartbeat &heartbeat, int round)
 {
--- a/packages/scheduling/heartbeat_groups.h
+++ b/packages/scheduling/heartbeat_groups.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/fleet_messages.h"
+#include "state/clock.h"
 
 #include <cstddef>
 #include <map>
@@ -54,6 +55,11 @@
 constexpr std::size_t maxDirectPeers = 3;
 constexpr int relayIntervalRounds = 3;
 
+/// When within the interval a daemon sends its heartbeats. Daemons that are started together would otherwise
+/// send at the same moments, and each would receive the heartbeats of its whole group in one burst, during
+/// which it forwards nothing.
+millis heartbeatPhase(std::string_view node, millis interval);
+
 /// The heartbeats that daemon `from` sends in a round about the servers that it owns.
 std::vector<heartbeat_delivery> planHeartbeats(
     const fleet_shape &fleet, const daemon_record &from, const fleet_heartbeat &heartbeat, int round);
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -210,7 +210,8 @@
             m_callers->setLimits(m_store.view().config->limits);
         }
     });
-    m_handles.push_back(m_loop.timer(heartbeatInterval, heartbeatInterval, [this] {
+    const millis firstHeartbeat = heartbeatInterval + heartbeatPhase(m_settings.node, heartbeatInterval);
+    m_handles.push_back(m_loop.timer(firstHeartbeat, heartbeatInterval, [this] {
         sendHeartbeats();
     }));
     m_handles.push_back(m_loop.timer(lagSampleInterval, lagSampleInterval, [this] {
--- a/tests/scheduling/heartbeat_groups_test.cpp
+++ b/tests/scheduling/heartbeat_groups_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace briarhead {
@@ -179,4 +180,22 @@
     EXPECT_EQ(chooseModelServer({near, home}, prompt), 0U) << "a copy in the entry's own group is preferred";
 }
 
+// Guards against all daemons sending at the same moment: each would handle the heartbeats of the whole group
+// in one burst and forward nothing meanwhile.
+TEST(HeartbeatGroups, DaemonsStartedTogetherSendAtDifferentTimes)
+{
+    constexpr std::int64_t intervalMs = 150;
+    constexpr std::int64_t spanMs = 15;
+    constexpr int daemons = 70;
+    std::vector<int> perSpan(intervalMs / spanMs);
+    for (int i = 0; i < daemons; ++i) {
+        const millis phase = heartbeatPhase("edge-zone-a-" + std::to_string(i), millis{intervalMs});
+        ASSERT_GE(phase.count, 0);
+        ASSERT_LT(phase.count, intervalMs);
+        ++perSpan[static_cast<std::size_t>(phase.count / spanMs)];
+    }
+    // Twice the mean of a span.
+    EXPECT_LE(*std::max_element(perSpan.begin(), perSpan.end()), 2 * daemons * spanMs / intervalMs);
+}
+
 }
