Send loads in the heartbeat's own datagram

Ruled out: sending the loads less often, since a level older than a heartbeat misleads. Change: extended_heartbeat replaces the heartbeat for daemons that understand it; features_notice tells daemons so. load_heartbeat is no datagram of its own any more.

--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -275,6 +275,20 @@
     }
 };
 
+/// A fleet_heartbeat together with the loads that belong to it, in one datagram. Replaces the heartbeat for
+/// daemons that understand it, since an additional datagram for each heartbeat costs entries noticeable time.
+struct extended_heartbeat
+{
+    fleet_heartbeat heartbeat;
+    load_heartbeat loads;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(heartbeat, loads);
+    }
+};
+
 /// An item of the platform's store, as reported by a watch.
 struct store_item
 {
@@ -327,7 +341,7 @@
     std::uint64_t incarnation = 0; ///< of the sender
     std::variant<slot_request, slot_response, slot_report, running_request, fleet_heartbeat, store_update,
         compressed_update, crash_report, quota_request, quota_response, quota_release, limit_report,
-        server_notice, extended_slot_request, load_heartbeat, extended_quota_request, features_notice>
+        server_notice, extended_slot_request, extended_quota_request, features_notice, extended_heartbeat>
         body;
 
     template <class Archive>
--- a/packages/protocol/load_messages.h
+++ b/packages/protocol/load_messages.h
@@ -64,25 +64,24 @@
     }
 };
 
-/// Daemon -> the other daemons of its heartbeat groups.
+/// What a daemon reports about load along with its heartbeat, see extended_heartbeat.
 struct load_heartbeat
 {
-    bool relay = false; ///< as in fleet_heartbeat
     std::vector<server_load> servers; ///< those that the sender owns
     std::vector<plain_load> plainServers; ///< those that it has requests at
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(relay, servers, plainServers);
+        archive(servers, plainServers);
     }
 };
 
-/// The datagram types that this build understands: those up to load_heartbeat and the extended requests.
+/// Level 1: features_notice, extended_heartbeat and the extended requests.
 constexpr std::uint32_t protocolLevel = 1;
 
-/// Daemon -> daemon: which optional datagram types the sender understands. Sent before the first extended
-/// request to a daemon that has not sent any such datagram itself.
+/// Daemon -> daemon: which optional datagram types the sender understands. Sent now and then to daemons that
+/// have not sent any such datagram themselves.
 struct features_notice
 {
     std::uint32_t level = protocolLevel;
--- a/packages/scheduling/heartbeat_groups.cpp
+++ b/packages/scheduling/heartbeat_groups.cpp
@@ -129,7 +129,7 @@
 
 load_heartbeat loadsFor(const fleet_heartbeat &heartbeat, const load_heartbeat &loads)
 {
-    load_heartbeat part{heartbeat.relay, {}, loads.plainServers};
+    load_heartbeat part{{}, loads.plainServers};
     for (const server_load &load : loads.servers) {
         const bool included = std::any_of(
             heartbeat.servers.begin(), heartbeat.servers.end(), [&load](const server_heartbeat &each) {
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -28,6 +28,9 @@
 
 /// Determines how outdated a server's backlog may be at the entries: about the time to read one prompt.
 constexpr millis heartbeatInterval{150};
+/// Every so many heartbeat rounds, daemons that have not shown that they understand optional datagrams are
+/// told that this one does. Builds that don't know the notice count it as unreadable.
+constexpr int announceIntervalRounds = 20;
 /// Timeout for fetching a store update from another daemon. The requester has tried another daemon by then.
 constexpr millis updateFetchTimeout{2'000};
 /// Packed store updates up to this size are sent in the datagram itself; larger ones have to be fetched.
@@ -60,7 +63,7 @@
 /// Whether the datagram is of a type that builds without load_messages.h don't know.
 bool isOptional(const fleet_datagram &datagram)
 {
-    return std::holds_alternative<load_heartbeat>(datagram.body)
+    return std::holds_alternative<extended_heartbeat>(datagram.body)
         || std::holds_alternative<features_notice>(datagram.body)
         || std::holds_alternative<extended_slot_request>(datagram.body)
         || std::holds_alternative<extended_quota_request>(datagram.body);
@@ -105,8 +108,13 @@
     daemon_record self() const;
     fleet_shape fleetShape() const;
     void sendHeartbeats();
-    void relayHeartbeat(const fleet_datagram &datagram, const fleet_heartbeat &heartbeat);
-    void relayLoads(const fleet_datagram &datagram, const load_heartbeat &loads);
+    void onFleetHeartbeat(
+        const fleet_datagram &datagram, const fleet_heartbeat &heartbeat, const load_heartbeat &loads);
+    void relayHeartbeat(
+        const fleet_datagram &datagram, fleet_heartbeat heartbeat, const load_heartbeat &loads);
+    void sendHeartbeat(const daemon_record &to, fleet_datagram sender, const fleet_heartbeat &heartbeat,
+        const load_heartbeat &loads);
+    void announceFeatures(const std::vector<const daemon_record *> &recipients);
     void fetchStoreUpdate(
         const std::string &node, std::int64_t after, std::function<void(std::optional<store_update>)> done);
     void onUpdateRequest(const front_request &request, front_reply &reply) const;
@@ -284,17 +292,11 @@
             } else if constexpr (std::is_same_v<body_type, server_notice>) {
                 m_notices.onNotice(datagram.from, body);
             } else if constexpr (std::is_same_v<body_type, fleet_heartbeat>) {
-                m_front.onHeartbeat(datagram.from, body);
-                m_serverOwner.onHeartbeat(datagram.from, body);
-                if (body.relay) {
-                    relayHeartbeat(datagram, body);
-                }
-            } else if constexpr (std::is_same_v<body_type, load_heartbeat>) {
-                m_front.onLoadHeartbeat(datagram.from, body);
-                m_serverOwner.onLoadHeartbeat(datagram.from, body);
-                if (body.relay) {
-                    relayLoads(datagram, body);
-                }
+                onFleetHeartbeat(datagram, body, {});
+            } else if constexpr (std::is_same_v<body_type, extended_heartbeat>) {
+                m_front.onLoadHeartbeat(datagram.from, body.loads);
+                m_serverOwner.onLoadHeartbeat(datagram.from, body.loads);
+                onFleetHeartbeat(datagram, body.heartbeat, body.loads);
             } else if constexpr (std::is_same_v<body_type, features_notice>) {
                 if (body.wantsReply) {
                     sendToNode(*m_port, m_store, m_settings.node, datagram.from,
@@ -328,27 +330,49 @@
     return {&view.daemons, view.servers.size(), &view.expiredDaemons};
 }
 
+/// Handles another daemon's heartbeat, with the loads that came with it, if any.
+void daemon_impl::onFleetHeartbeat(
+    const fleet_datagram &datagram, const fleet_heartbeat &heartbeat, const load_heartbeat &loads)
+{
+    m_front.onHeartbeat(datagram.from, heartbeat);
+    m_serverOwner.onHeartbeat(datagram.from, heartbeat);
+    if (heartbeat.relay) {
+        relayHeartbeat(datagram, heartbeat, loads);
+    }
+}
+
 /// Relays a heartbeat from another failure domain to the daemons of this domain that need it.
-void daemon_impl::relayHeartbeat(const fleet_datagram &datagram, const fleet_heartbeat &heartbeat)
+void daemon_impl::relayHeartbeat(
+    const fleet_datagram &datagram, fleet_heartbeat heartbeat, const load_heartbeat &loads)
 {
-    fleet_datagram copy{datagram.from, datagram.incarnation, heartbeat};
-    std::get<fleet_heartbeat>(copy.body).relay = false;
+    heartbeat.relay = false;
     for (const daemon_record *record : relayTargets(fleetShape(), self(), heartbeat)) {
-        m_port->send({record->ip, record->port}, copy);
+        sendHeartbeat(*record, {datagram.from, datagram.incarnation, {}}, heartbeat, loads);
     }
 }
 
-void daemon_impl::relayLoads(const fleet_datagram &datagram, const load_heartbeat &loads)
+/// Sends a heartbeat to one daemon, with the loads if there are any and the daemon understands them. `sender`
+/// has the daemon that the heartbeat is from.
+void daemon_impl::sendHeartbeat(const daemon_record &to, fleet_datagram sender,
+    const fleet_heartbeat &heartbeat, const load_heartbeat &loads)
 {
-    if (loads.servers.empty()) {
-        return;
+    const bool hasLoads = !loads.servers.empty() || !loads.plainServers.empty();
+    if (hasLoads && m_front.peerUnderstandsFeatures(to.node)) {
+        sender.body = extended_heartbeat{heartbeat, loads};
+    } else {
+        sender.body = heartbeat;
     }
-    fleet_heartbeat about; // the group is that of the servers
-    about.servers.emplace_back().server = loads.servers.front().server;
-    fleet_datagram copy{datagram.from, datagram.incarnation, loads};
-    std::get<load_heartbeat>(copy.body).relay = false;
-    for (const daemon_record *record : relayTargets(fleetShape(), self(), about)) {
-        m_port->send({record->ip, record->port}, copy);
+    m_port->send({to.ip, to.port}, sender);
+}
+
+/// Tells daemons that have not shown that they understand optional datagrams that this one does.
+void daemon_impl::announceFeatures(const std::vector<const daemon_record *> &recipients)
+{
+    for (const daemon_record *record : recipients) {
+        if (!m_front.peerUnderstandsFeatures(record->node)) {
+            m_port->send({record->ip, record->port},
+                {m_settings.node, m_store.incarnation(), features_notice{protocolLevel, true}});
+        }
     }
 }
 
@@ -377,21 +401,21 @@
 {
     updateIsolation();
     const fleet_heartbeat heartbeat = m_serverOwner.heartbeat();
-    const load_heartbeat loads{false, m_serverOwner.serverLoads(), m_front.plainLoads()};
+    const load_heartbeat loads{m_serverOwner.serverLoads(), m_front.plainLoads()};
     m_front.onHeartbeat(m_settings.node, heartbeat);
     m_front.onLoadHeartbeat(m_settings.node, loads);
+    const bool announce = m_heartbeatRound % announceIntervalRounds == 0
+        && (!loads.servers.empty() || !loads.plainServers.empty());
     ++m_heartbeatRound;
-    const std::uint64_t incarnation = m_store.incarnation();
+    const fleet_datagram sender{m_settings.node, m_store.incarnation(), {}};
     for (const heartbeat_delivery &delivery :
         planHeartbeats(fleetShape(), self(), heartbeat, m_heartbeatRound)) {
         const load_heartbeat part = loadsFor(delivery.heartbeat, loads);
-        const bool hasLoads = !part.servers.empty() || !part.plainServers.empty();
         for (const daemon_record *record : delivery.recipients) {
-            const peer_address to{record->ip, record->port};
-            m_port->send(to, {m_settings.node, incarnation, delivery.heartbeat});
-            if (hasLoads) {
-                m_port->send(to, {m_settings.node, incarnation, part});
-            }
+            sendHeartbeat(*record, sender, delivery.heartbeat, part);
+        }
+        if (announce) {
+            announceFeatures(delivery.recipients);
         }
     }
 }
