Choose plain servers by response times, open connections and all daemons' requests

Cause: choosePlainServer() knew this daemon's requests in flight only. Where a failure domain has no plain server or several, its daemons spread a request a second each over servers whose connections expire unused. A stalled server kept receiving requests that were in a hurry. Ruled out: the least loaded server by others' reports: reports are old by a heartbeat, and all daemons would turn to the same server. Reports only keep a bounded share of the requests away from a full one. Change: choose_plain_server.h and front_plain.cpp take over the plain half of choose_server.h and front_route.cpp. Where a daemon's rate is too low to reuse a connection to every server, it chooses from its connection subset, widened by failures, stalls and waits. load_heartbeat carries the plain requests of daemons that send one anyway; the others are estimated from these.

--- a/packages/scheduling/choose_server.cpp
+++ b/packages/scheduling/choose_server.cpp
@@ -106,28 +106,6 @@
     return best;
 }
 
-std::optional<std::size_t> choosePlainServer(const std::vector<plain_candidate> &servers)
-{
-    std::optional<std::size_t> best;
-    double bestLoad = 0;
-    for (std::size_t i = 0; i < servers.size(); ++i) {
-        const plain_candidate &server = servers[i];
-        if (server.excluded) {
-            continue;
-        }
-        const double load = static_cast<double>(server.inFlight) / std::max(server.slots, 1)
-            + (server.sameDomain ? 0 : crossDomainLoad) + failureLoad * server.failureRate
-            + (server.limited ? limitedLoad + server.permitWait : 0);
-        const bool better =
-            !best || load < bestLoad || (load == bestLoad && server.tieBreak < servers[*best].tieBreak);
-        if (better) {
-            best = i;
-            bestLoad = load;
-        }
-    }
-    return best;
-}
-
 double currentFailureRate(const server_health &health, millis now)
 {
     const double halves =
--- a/packages/scheduling/choose_server.h
+++ b/packages/scheduling/choose_server.h
@@ -143,31 +143,6 @@
 std::optional<std::size_t> chooseModelServer(
     const std::vector<model_candidate> &servers, const prompt_shape &prompt);
 
-/// What an entry knows about a plain server when it chooses one for a request.
-struct plain_candidate
-{
-    bool excluded = false;
-    bool sameDomain = false;
-    int slots = 1;
-    int inFlight = 0; ///< requests that this entry has in flight there
-    double failureRate = 0;
-    bool limited = false; ///< the server announces a rate limit, so that a request needs a permit
-    double permitWait = 0; ///< expected wait for the permit, as a fraction of the request's latency target
-    std::uint64_t tieBreak = 0;
-};
-
-// Weights of choosePlainServer(), as fractions of a server's slots.
-
-/// For a server in another failure domain.
-constexpr double crossDomainLoad = 0.35;
-/// At a failure rate of 1.
-constexpr double failureLoad = 2.0;
-/// A permit costs a round trip to another daemon, and there may be none left.
-constexpr double limitedLoad = 0.5;
-
-/// The index of the least loaded candidate, or nothing if all are excluded.
-std::optional<std::size_t> choosePlainServer(const std::vector<plain_candidate> &servers);
-
 /// The moving average of a server's failures, from which `failureRate` of the candidates is taken.
 struct server_health
 {
--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -77,6 +77,7 @@
     event_stream eventStream;
     millis lastEventAt; ///< when the server last sent anything
     millis sentAt;
+    bool isTimed = false; ///< the latest send counts towards its plain server's response times
     millis slotWait; ///< from the slot request to the grant, for the latest server
     millis firstEventDelay{-1}; ///< from arrival to the first event; negative before
     millis promptReadTime{-1}; ///< from the latest send to its first event; negative before
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -17,56 +17,6 @@
 
 }
 
-void front_task::dispatchPlain(const request_ptr &pending)
-{
-    std::vector<const backend_server *> servers;
-    std::vector<plain_candidate> candidates;
-    const millis now = bootNow();
-    for (const auto &[id, server] : m_store.view().servers) {
-        if (server.service != pending->service) {
-            continue;
-        }
-        plain_candidate candidate;
-        candidate.excluded = isClosed(m_notices.accessOf(server)) || pending->excludedServers.count(id) != 0;
-        candidate.sameDomain = server.failureDomain == m_settings.failureDomain;
-        candidate.slots = server.slots;
-        const auto inFlight = m_inFlight.find(id);
-        candidate.inFlight = inFlight == m_inFlight.end() ? 0 : inFlight->second;
-        const auto health = m_serverHealth.find(id);
-        candidate.failureRate = health == m_serverHealth.end() ? 0 : currentFailureRate(health->second, now);
-        candidate.tieBreak = rendezvousScore(pending->request.id, id);
-        if (const auto wait = permitWait(id)) {
-            candidate.limited = true;
-            candidate.permitWait = static_cast<double>(wait->count)
-                / static_cast<double>(std::max<std::int64_t>(pending->matchedRoute->target.count, 1));
-            candidate.excluded = candidate.excluded || pending->serversTried >= maxServersTried
-                || isPermitTooLate(*pending, *wait);
-        }
-        servers.push_back(&server);
-        candidates.push_back(candidate);
-    }
-    const auto chosen = choosePlainServer(candidates);
-    if (!chosen) {
-        // A failure response from an earlier server is better than none. A "not executed" response isn't
-        // forwarded, because it lacks a useful Retry-After.
-        const bool hasResponse = !pending->responseBody.empty() || pending->responseHead.status != 0;
-        if (hasResponse && !pending->responseMeta.notExecuted) {
-            forwardResponse(pending);
-            return;
-        }
-        refuse(pending, noServerReason(*pending), earliestRetryAfter(*pending, retryAfterTransient));
-        return;
-    }
-    const backend_server &server = *servers[*chosen];
-    if (m_notices.accessOf(server) == server_access::WithPermit) {
-        requestPermit(pending, server);
-        return;
-    }
-    pending->granted = false;
-    pending->owner.clear();
-    send(pending, server);
-}
-
 std::vector<model_candidate> front_task::candidatesFor(
     const pending_request &pending, std::vector<const backend_server *> &servers) const
 {
@@ -341,6 +291,9 @@
 void front_task::onHeartbeat(const std::string &node, const fleet_heartbeat &heartbeat)
 {
     const millis now = bootNow();
+    if (node != m_settings.node && peerUnderstandsFeatures(node)) {
+        countReport(m_plainReports, now); // with the load heartbeat that follows, or without any request
+    }
     for (const server_heartbeat &each : heartbeat.servers) {
         auto &observed = m_observed[each.server];
         if (each.fence < observed.heartbeat.fence) {
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -94,6 +94,10 @@
     };
     pending->lastEventAt = bootNow();
     pending->sentAt = pending->lastEventAt;
+    pending->isTimed = isTimedPlainRequest(*pending);
+    if (pending->isTimed) {
+        recordPlainSend(m_plainLatency[server.id], pending->sentAt);
+    }
     pending->activeSend = m_pool.start(server.address, m_codec.writeRequest(pending->request, options),
         pending->request.head.method == "HEAD", std::move(handlers));
     if (mayRetry(*pending)) {
@@ -169,6 +173,7 @@
     const bool answered = end == send_result::Complete
         && (pending->responseMeta.signedByServer || pending->responseMeta.notExecuted);
     const bool notExecuted = answered && pending->responseMeta.notExecuted;
+    onPlainSendEnd(*pending, answered && !notExecuted);
     const bool failed = !answered || (pending->responseHead.status >= firstServerError && !notExecuted);
     // An overloaded server is avoided like a failing one: on a route that allows only one server, its
     // requests would be refused each time. A missing adapter (421) is not held against the server.
@@ -335,6 +340,7 @@
         m_pool.cancel(*pending->activeSend);
         pending->activeSend.reset();
         --m_inFlight[pending->server];
+        onPlainSendEnd(*pending, false);
         m_crashes.onSendAbandoned(pending->fingerprint, pending->target);
         const bool unresponsive =
             pending->responseHead.status == 0 && bootNow() - pending->lastEventAt > minServerSilence;
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -76,12 +76,15 @@
 
 void front_task::onViewChanged(const view_changed &change)
 {
+    m_plainMembersCurrent = false;
     if (change.config) {
         updateFeatures();
     }
     for (const std::string &id : change.removedServers) {
         m_observed.erase(id);
         m_serverHealth.erase(id);
+        m_plainLatency.erase(id);
+        m_plainReports.inFlight.erase(id);
         if (const auto restarted = m_store.view().servers.find(id);
             restarted != m_store.view().servers.end()) {
             m_pool.forget(restarted->second.address); // drop connections to the previous incarnation
@@ -135,13 +138,9 @@
         || (peer != nullptr && understandsFeatures(m_peerFeatures, node, peer->incarnation));
 }
 
-void front_task::onLoadHeartbeat(const std::string &, const load_heartbeat &)
+void front_task::onLoadHeartbeat(const std::string &node, const load_heartbeat &heartbeat)
 {
-}
-
-std::vector<plain_load> front_task::plainLoads() const
-{
-    return {};
+    applyPlainLoads(node, heartbeat.plainServers);
 }
 
 void front_task::stopAccepting()
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "coordination/quota_task.h"
+#include "scheduling/choose_plain_server.h"
+#include "scheduling/connection_subset.h"
 #include "scheduling/heartbeat_groups.h"
 #include "scheduling/observed_server.h"
 #include "scheduling/server_limit.h"
@@ -96,6 +98,14 @@
 private:
     struct pending_request;
     using request_ptr = std::shared_ptr<pending_request>;
+    /// The plain servers of a service, and which of them this daemon keeps connections to.
+    struct plain_service
+    {
+        std::vector<std::string> servers; ///< all
+        std::vector<std::string> order; ///< the first ones by connectionOrder(), without draining ones
+        std::uint64_t membersHash = 0; ///< of the daemons and servers that the order was computed for
+        request_rate rate;
+    };
 
     void onViewChanged(const view_changed &change);
     void updateFeatures();
@@ -115,6 +125,13 @@
     void waitAndRetry(const request_ptr &pending, void (front_task::*step)(const request_ptr &));
     void dispatch(const request_ptr &pending);
     void dispatchPlain(const request_ptr &pending);
+    plain_candidate plainCandidateOf(
+        const pending_request &pending, const backend_server &server, millis now) const;
+    void updatePlainMembers();
+    std::size_t plainWidth(const plain_service &service, millis now) const;
+    bool isTimedPlainRequest(const pending_request &pending) const;
+    void onPlainSendEnd(const pending_request &pending, bool answered);
+    void applyPlainLoads(const std::string &node, const std::vector<plain_load> &loads);
     void dispatchModel(const request_ptr &pending);
     std::vector<model_candidate> candidatesFor(
         const pending_request &pending, std::vector<const backend_server *> &servers) const;
@@ -179,6 +196,10 @@
     std::map<std::string, server_health> m_serverHealth; ///< by server
     std::map<std::string, service_features> m_features; ///< by service, of the configuration in force
     peer_features m_peerFeatures;
+    std::map<std::string, plain_service> m_plainServices; ///< by service
+    std::map<std::string, plain_latency> m_plainLatency; ///< by server
+    plain_reports m_plainReports;
+    bool m_plainMembersCurrent = false; ///< m_plainServices has the members of the store's view
     announced_limits &m_limits; ///< owned by m_notices
     std::uint64_t m_lastNumber = 0;
     std::size_t m_heartbeatGroups = 1; ///< number of heartbeat groups in this daemon's failure domain
--- a/tests/scheduling/decisions_test.cpp
+++ b/tests/scheduling/decisions_test.cpp
@@ -1,3 +1,4 @@
+#include "scheduling/choose_plain_server.h"
 #include "scheduling/choose_server.h"
 #include "scheduling/observed_server.h"
 #include "scheduling/server_ledger.h"
