Test connection subsets and reports of plain requests in the daemon

Cause: the decisions have tests, the task around them had none. Change: one daemon with 24 plain servers keeps to few of them, and to another one when that is removed; a load heartbeat reports a plain request while it is in progress.

--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -1,12 +1,14 @@
 #include "coordination/crash_history.h"
 #include "coordination/request_fingerprint.h"
 #include "protocol/codec.h"
+#include "scheduling/connection_subset.h"
 #include "scheduling/heartbeat_groups.h"
 #include "scheduling/observed_server.h"
 #include "serving/other_daemon.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstring>
 #include <variant>
 
@@ -39,6 +41,57 @@
     EXPECT_EQ(requestsRunOn(m_models), 1U);
 }
 
+// A daemon with few requests for many plain servers opens a connection for nearly each request if it spreads
+// them over all servers. The first requests, before its rate is known, go to any server.
+TEST_F(edge_test, PlainRequestsKeepToFewOfManyServers)
+{
+    start();
+    while (m_plain.size() < 24) {
+        m_plain.push_back(
+            std::make_unique<backend_standin>(m_loop, "p-" + std::to_string(m_plain.size() + 1), "app"));
+        m_store.put("servers/" + m_plain.back()->id, m_plain.back()->entry());
+    }
+    for (int i = 0; i < 30; ++i) {
+        EXPECT_EQ(statusOf(responseTo("/once/x")), "200");
+        runRounds(60);
+    }
+    const auto reached = std::count_if(m_plain.begin(), m_plain.end(), [](const auto &server) {
+        return !server->ran.empty();
+    });
+    EXPECT_LE(reached, static_cast<std::ptrdiff_t>(minRequestsForRate) + 2);
+    // The server that the requests keep to is removed: another one takes its place.
+    const auto busiest = std::max_element(m_plain.begin(), m_plain.end(), [](const auto &a, const auto &b) {
+        return a->ran.size() < b->ran.size();
+    });
+    EXPECT_GT((*busiest)->ran.size(), 15U);
+    m_store.remove("servers/" + (*busiest)->id);
+    runRounds(20);
+    const std::size_t before = (*busiest)->ran.size();
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_EQ(statusOf(responseTo("/once/x")), "200");
+    }
+    EXPECT_EQ((*busiest)->ran.size(), before);
+}
+
+// Other daemons learn of the requests in flight at plain servers, and that they have ended.
+TEST_F(edge_test, LoadHeartbeatsReportRequestsAtPlainServers)
+{
+    start();
+    other_daemon other(m_store, m_loop, m_settings.peers, "n2", "m-2");
+    setBehavior(m_plain, behavior::Silent);
+    const auto caller = sendRequest("/once/x");
+    EXPECT_TRUE(runUntil([&] {
+        return other.plainLoads.size() == 1 && other.plainLoads[0].inFlight == 1;
+    }));
+    const auto &busy = m_plain[0]->ran.empty() ? m_plain[1] : m_plain[0];
+    ASSERT_EQ(other.plainLoads.size(), 1U);
+    EXPECT_EQ(other.plainLoads[0].server, busy->id);
+    other.plainLoads.clear();
+    busy->respondToHeld("done");
+    runRounds(400);
+    EXPECT_TRUE(other.plainLoads.empty());
+}
+
 // If the response is lost, sending the request again could execute it twice, and a refusal would claim that
 // it was not executed.
 TEST_F(edge_test, NonIdempotentRequestFailsWithoutRetryWhenItsResponseIsLost)
--- a/tests/serving/other_daemon.h
+++ b/tests/serving/other_daemon.h
@@ -80,6 +80,7 @@
     std::vector<limit_report> limitReports;
     std::vector<slot_report> slotEvents;
     std::vector<server_notice> notices;
+    std::vector<plain_load> plainLoads; ///< from the latest load heartbeat
     slot_response lastResponse;
 
 private:
@@ -99,6 +100,8 @@
             slotEvents.push_back(*slotEvent);
         } else if (const auto *notice = std::get_if<server_notice>(&datagram.body)) {
             notices.push_back(*notice);
+        } else if (const auto *loads = std::get_if<load_heartbeat>(&datagram.body)) {
+            plainLoads = loads->plainServers;
         }
     }
 
