--- a/packages/scheduling/connection_subset.cpp
+++ b/packages/scheduling/connection_subset.cpp
@@ -157,7 +157,7 @@
         if (usable == width) {
             return i;
         }
-        usable += order[i].usable && order[i].waitMs <= maxWaitShare * targetMs ? 1 : 0;
+        usable += order[i].usable && order[i].waitMs <= maxSubsetWaitShare * targetMs ? 1 : 0;
     }
     return order.size();
 }
--- a/packages/scheduling/connection_subset.h
+++ b/packages/scheduling/connection_subset.h
@@ -73,7 +73,7 @@
 
 /// The subset is widened if the predicted wait exceeds this share of the request's latency target. What is
 /// left of the target must suffice for the response, and a new connection takes a few milliseconds only.
-constexpr double maxWaitShare = 0.1;
+constexpr double maxSubsetWaitShare = 0.1;
 
 /// How many servers from the start of the order are considered: so many that `width` of them are usable
 /// without a wait, or all.
