Add uneven servers to the load model

Cause: no plan of the load model has servers that read prompts much slower than others, and none states the share of gaps over the limit by server speed. The plan exists with and without the gap limit in the slot requests.

--- a/tests/load_model/load_model.cpp
+++ b/tests/load_model/load_model.cpp
@@ -156,6 +156,7 @@
         server.desk.ledger.models = {baseModel};
         server.desk.queue.maxRunning = plan.engine.slots;
         server.desk.queue.memoryTokens = plan.engine.memoryTokens;
+        server.desk.features.gapPrediction = plan.gapPrediction;
         m_servers.push_back(std::move(server));
     }
     m_heard.resize(plan.entries, std::vector<observed_server>(plan.servers));
@@ -342,7 +343,10 @@
     const slot_request ask{one.id, server.id, baseModel, what.adapter, what.promptTokens, announced,
         kind.rank, std::max<std::int64_t>(wait.count, 0), what.atMs + kind.deadlineMs - m_nowMs,
         m_plan.targetMs - waited.count};
-    const slot_response answer = handleSlotRequest(server.desk, std::to_string(what.entry), ask, now());
+    slot_terms terms;
+    terms.maxGap = millis{m_plan.gapPrediction ? m_plan.gapMs : 0};
+    const slot_response answer =
+        handleSlotRequest(server.desk, std::to_string(what.entry), ask, now(), terms);
     if (answer.decision == slot_decision::Queued) {
         pump(*chosen);
     } else {
@@ -583,6 +587,11 @@
     const bool lateFirst =
         one.firstMs - static_cast<double>(one.what.atMs) > static_cast<double>(m_plan.targetMs);
     const bool lateGap = one.worstGapMs > static_cast<double>(m_plan.gapMs);
+    if (complete) {
+        speed_result &speed = m_result.speeds[m_servers[*one.server].engine.slowness];
+        ++speed.streams;
+        speed.gapOver += lateGap ? 1 : 0;
+    }
     if (!complete) {
         ++result.cut;
     } else if (lateFirst || lateGap) {
@@ -747,6 +756,36 @@
     return plan;
 }
 
+load_plan unevenPlan(bool gapPrediction)
+{
+    load_plan plan;
+    plan.name = gapPrediction ? "60 uneven servers, gap prediction" : "60 uneven servers";
+    plan.engine.stepMs = 10.5;
+    plan.engine.readTokensPerMs = 21;
+    plan.engine.memoryTokens = 126'904;
+    plan.slowness = {1, 2, 1};
+    plan.servers = 60;
+    plan.entries = 81;
+    plan.adapters = 10'000;
+    plan.loadMs = 288;
+    plan.loadsAtFullSpeed = 64;
+    request_kind draft = matching("draft", 0.7, 5'000);
+    draft.worth = 1.3;
+    draft.lateWorth = 0.52;
+    draft.rank = 2;
+    request_kind featured = matching("featured draft", 0.093, 15'000);
+    featured.worth = 2.7;
+    featured.lateWorth = 2.16;
+    request_kind digest = drafting(0.207, 57, 174);
+    digest.name = "digest";
+    digest.worth = 3.4;
+    digest.lateWorth = 3.4;
+    plan.kinds = {draft, featured, digest};
+    plan.perSecond = 263;
+    plan.gapPrediction = gapPrediction;
+    return plan;
+}
+
 load_plan scarcePlan()
 {
     load_plan plan;
--- a/tests/load_model/load_model.h
+++ b/tests/load_model/load_model.h
@@ -62,6 +62,7 @@
     std::int64_t targetMs = 1'000; ///< to the first event
     std::int64_t gapMs = 400; ///< the longest pause that is on time
     double retryShare = 1; ///< of refused callers come back once, when told
+    bool gapPrediction = false; ///< servers are chosen by predicted gaps, with `gapMs` as the limit
 };
 
 enum class route_policy : std::uint8_t
@@ -89,6 +90,13 @@
 /// What the deployments are charged for an adapter from the weight store, in the unit of a request's worth.
 constexpr double loadWorth = 0.5;
 
+/// Complete streams of the servers of one speed.
+struct speed_result
+{
+    int streams = 0;
+    int gapOver = 0; ///< had a gap over the limit
+};
+
 struct load_result
 {
     std::map<std::string, kind_result> kinds;
@@ -97,6 +105,7 @@
     int crossDomain = 0; ///< requests sent to another failure domain
     int places = 0; ///< most places in use on one server, to check the limit
     std::map<int, int> refusals; ///< by reason, each word of refusal counted
+    std::map<double, speed_result> speeds; ///< by the slowness of the server
     double worth() const; ///< earned of owed
     double worthLessLoads() const;
 };
@@ -111,5 +120,7 @@
 load_plan longPromptPlan(bool high);
 /// Demand that is nearly flat, few places and slow loads: the shape that no deployment so far has.
 load_plan scarcePlan();
+/// A third of the servers reads half as fast as the rest, in chunks that hold a whole prompt.
+load_plan unevenPlan(bool gapPrediction);
 
 }
--- a/tests/load_model/main.cpp
+++ b/tests/load_model/main.cpp
@@ -34,6 +34,10 @@
             kind.earned / kind.owed, kind.requests, kind.onTime, kind.lateFirst, kind.lateGap, kind.refused,
             kind.cut);
     }
+    for (const auto &[slowness, speed] : result.speeds) {
+        std::printf(" | slowness %.1f gaps over the limit %.3f of %d", slowness,
+            speed.streams == 0 ? 0 : static_cast<double>(speed.gapOver) / speed.streams, speed.streams);
+    }
     std::printf(" | loads %d + %d, other domain %d\n", result.loadsFromStore, result.loadsRemembered,
         result.crossDomain);
 }
@@ -53,8 +57,9 @@
         return exitUsage;
     }
     const auto seed = static_cast<std::uint64_t>(arguments.at("--seed").asLong());
-    for (const load_plan &plan : {smallPlan(false), smallPlan(true), grownPlan(false), grownPlan(true),
-             longPromptPlan(false), longPromptPlan(true), scarcePlan()}) {
+    for (const load_plan &plan :
+        {smallPlan(false), smallPlan(true), grownPlan(false), grownPlan(true), longPromptPlan(false),
+            longPromptPlan(true), scarcePlan(), unevenPlan(false), unevenPlan(true)}) {
         if (!arguments.at("--ours").asBool()) {
             print(plan, route_policy::Random, seed);
             print(plan, route_policy::LeastInFlight, seed);
