Admit prompts by the gap that their prefill causes

Cause: a server's owner lets at most 170 ms of prefill be in progress, whatever the streams there need. Where a route states a longest gap, that is too much for a short limit and leaves a server idle between prompts for a long one. Ruled out: counting prompts whose prefill has just ended: their first event is a whole event's time after it, so that the next prompt doesn't fall into the same gap. Change: gap_forecast predicts the longest gap from prompt tokens, speed and chunk size. The owner admits prompts together as far as their prefill fits into the shortest limit of the running streams, less a fifth for the error of the forecast. Streams whose limit one prompt has broken are not spared any more. Queues without a stated limit are as before. With the fixed allowance put back, PromptsThatTogetherBreakTheLimitAreAdmittedOneAfterTheOther, PromptsAreReadTogetherAsFarAsTheLimitAllows and PromptsAdmittedTogetherFitIntoOneGap fail.

--- a/packages/scheduling/slot_queue.cpp
+++ b/packages/scheduling/slot_queue.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/slot_queue.h"
 
+#include "scheduling/gap_forecast.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -35,14 +37,29 @@
     return sum;
 }
 
+/// Whether the stream has a limit on its gaps that can still be kept.
+bool hasGapLimit(const running_prompt &run)
+{
+    return !run.reading && !run.gapLost && run.prompt.terms.maxGap.count > 0;
+}
+
+/// Marks the streams whose limit the admitted prompt breaks by itself: no later prompt needs to spare them.
+void recordLostGaps(slot_queue &queue, const waiting_prompt &admitted)
+{
+    const double gapMs = forecastGapMs({queue.tokensPerMs, 0}, admitted.promptTokens);
+    for (auto &[id, run] : queue.running) {
+        run.gapLost =
+            run.gapLost || (hasGapLimit(run) && gapMs > static_cast<double>(run.prompt.terms.maxGap.count));
+    }
+}
+
 bool hasCapacity(const slot_queue &queue, const waiting_prompt &prompt)
 {
     if (queue.running.empty()) {
         return true;
     }
     const std::int64_t reading = readingTokens(queue);
-    const auto maxReading = static_cast<std::int64_t>(queue.tokensPerMs * maxReadAheadMs);
-    const bool withinReadAhead = reading == 0 || reading + prompt.promptTokens <= maxReading;
+    const bool withinReadAhead = reading == 0 || reading + prompt.promptTokens <= maxReadingTokens(queue);
     const auto memory =
         static_cast<std::int64_t>(maxMemoryFraction * static_cast<double>(queue.memoryTokens));
     const bool fits = memoryInUse(queue) + prompt.promptTokens + prompt.outputTokens <= memory;
@@ -124,6 +141,17 @@
     return sum;
 }
 
+std::int64_t maxReadingTokens(const slot_queue &queue)
+{
+    double limitMs = 0;
+    for (const auto &[id, run] : queue.running) {
+        const auto maxGap = static_cast<double>(run.prompt.terms.maxGap.count);
+        limitMs = hasGapLimit(run) && (limitMs == 0 || maxGap < limitMs) ? maxGap : limitMs;
+    }
+    return limitMs == 0 ? static_cast<std::int64_t>(queue.tokensPerMs * maxReadAheadMs)
+                        : maxTokensWithinGap({queue.tokensPerMs, 0}, limitMs * (1 - gapForecastError));
+}
+
 std::int64_t backlogTokens(const slot_queue &queue)
 {
     std::int64_t sum = readingTokens(queue);
@@ -192,6 +220,7 @@
             queue.busySince = now;
             queue.readTokens = 0;
         }
+        recordLostGaps(queue, prompt);
         queue.running.emplace(prompt.id, running_prompt{prompt, now, true});
         admitted.push_back(prompt);
         queue.waiting.erase(queue.waiting.begin() + static_cast<std::ptrdiff_t>(*next));
--- a/packages/scheduling/slot_queue.h
+++ b/packages/scheduling/slot_queue.h
@@ -52,6 +52,7 @@
     waiting_prompt prompt;
     millis granted;
     bool reading = true; ///< in prefill: its first token has not been reported
+    bool gapLost = false; ///< a prompt was admitted that alone breaks this stream's limit on the gap
 };
 
 /// Prefill speed assumed before any was measured; below that of the slowest servers of the first deployments
@@ -78,6 +79,11 @@
 
 /// Prompt tokens admitted and still in prefill.
 std::int64_t readingTokens(const slot_queue &queue);
+/// Prompt tokens that may be in prefill at a time beside others: where running streams state a limit on the
+/// inter-event gap that can still be kept, what fits into one gap; else what is read in maxReadAheadMs. A
+/// prompt counts until its first event is reported, which is a whole event's time after its prefill, so that
+/// prompts admitted one after another don't fall into the same gap either.
+std::int64_t maxReadingTokens(const slot_queue &queue);
 /// Prompt tokens in prefill and waiting.
 std::int64_t backlogTokens(const slot_queue &queue);
 
--- /dev/null
+++ b/tests/scheduling/gap_forecast_test.cpp
@@ -0,0 +1,110 @@
+#include "scheduling/gap_forecast.h"
+#include "scheduling/slot_queue.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace briarhead {
+
+namespace {
+
+constexpr millis start{50'000};
+constexpr gap_basis slow{9.3, 4'096};
+constexpr gap_basis fast{22, 4'096};
+
+waiting_prompt promptOf(const std::string &id, std::int64_t tokens, millis maxGap)
+{
+    waiting_prompt prompt{id, "entry", "base", "", tokens, 100, 0, start, start + millis{2'000},
+        start + millis{5'000}, start + millis{1'000}};
+    prompt.terms.maxGap = maxGap;
+    return prompt;
+}
+
+/// A server with one stream beyond its first event, whose limit on the gap is given.
+slot_queue queueWithStream(double tokensPerMs, millis maxGap)
+{
+    slot_queue queue;
+    queue.maxRunning = 64;
+    queue.memoryTokens = 120'000;
+    queue.tokensPerMs = tokensPerMs;
+    queue.running.emplace("stream", running_prompt{promptOf("stream", 1'000, maxGap), start, false});
+    return queue;
+}
+
+std::size_t admittedNow(slot_queue &queue, millis now = start)
+{
+    std::vector<waiting_prompt> late;
+    return admitReady(
+        queue,
+        [](const waiting_prompt &) {
+            return true;
+        },
+        late, now)
+        .size();
+}
+
+}
+
+TEST(GapForecast, ChunkTakesTwiceAsLongOnAServerOfHalfTheSpeed)
+{
+    EXPECT_NEAR(forecastGapMs(slow, 4'096), 440 + eventSpanMs, 1);
+    EXPECT_NEAR(forecastGapMs(fast, 4'096), 186 + eventSpanMs, 1);
+    EXPECT_EQ(forecastGapMs({0, 0}, 4'096), 0) << "nothing is known of the server";
+    EXPECT_EQ(forecastGapMs({22, 1'024}, 20'000), forecastGapMs({22, 1'024}, 3'072))
+        << "one event spans three steps, in each of which one chunk is read";
+}
+
+// Two prompts that each fit into one gap would pause the server's streams for the sum of both. With the
+// allowance of 170 ms for all servers, both would be admitted where the limit is short.
+TEST(GapForecast, PromptsThatTogetherBreakTheLimitAreAdmittedOneAfterTheOther)
+{
+    slot_queue queue = queueWithStream(22, millis{150});
+    ASSERT_TRUE(enqueue(queue, promptOf("a", 1'200, {}), start).accepted);
+    ASSERT_TRUE(enqueue(queue, promptOf("b", 1'200, {}), start).accepted);
+    EXPECT_EQ(admittedNow(queue), 1U);
+    EXPECT_EQ(admittedNow(queue, start + millis{40}), 0U) << "the first one is still in prefill";
+    onFirstToken(queue, "a", start + millis{80});
+    EXPECT_EQ(admittedNow(queue, start + millis{80}), 1U);
+}
+
+// A fixed allowance leaves a server idle between prompts where the limit permits more.
+TEST(GapForecast, PromptsAreReadTogetherAsFarAsTheLimitAllows)
+{
+    for (const auto &[limit, admitted] : {std::pair{millis{400}, 2U}, std::pair{millis{}, 1U}}) {
+        slot_queue queue = queueWithStream(14, limit);
+        ASSERT_TRUE(enqueue(queue, promptOf("a", 2'000, {}), start).accepted);
+        ASSERT_TRUE(enqueue(queue, promptOf("b", 2'000, {}), start).accepted);
+        EXPECT_EQ(admittedNow(queue), admitted) << limit.count;
+    }
+}
+
+// A prompt that breaks the limit by itself is admitted all the same. Sparing the streams that have lost
+// their limit to it would only delay later prompts.
+TEST(GapForecast, StreamsWhoseLimitIsBrokenAlreadyAreNotSpared)
+{
+    slot_queue queue = queueWithStream(14, millis{100});
+    const std::int64_t before = maxReadingTokens(queue);
+    EXPECT_LT(static_cast<double>(before), 14 * maxReadAheadMs);
+    ASSERT_TRUE(enqueue(queue, promptOf("long", 6'000, {}), start).accepted);
+    ASSERT_EQ(admittedNow(queue), 1U);
+    EXPECT_TRUE(queue.running.at("stream").gapLost);
+    EXPECT_EQ(maxReadingTokens(queue), static_cast<std::int64_t>(14 * maxReadAheadMs));
+}
+
+// Whatever the speed, the limit and the lengths: prompts read beside others fit into one gap, unless the
+// first of them has broken the limit by itself.
+RC_GTEST_PROP(GapForecast, PromptsAdmittedTogetherFitIntoOneGap, ())
+{
+    const millis limit{*rc::gen::inRange(50, 800)};
+    slot_queue queue = queueWithStream(*rc::gen::inRange(3, 40), limit);
+    for (int i = 0; i < 6; ++i) {
+        const auto tokens = *rc::gen::inRange<std::int64_t>(50, 5'000);
+        enqueue(queue, promptOf("p" + std::to_string(i), tokens, {}), start);
+    }
+    const std::size_t admitted = admittedNow(queue);
+    const double gapMs = forecastGapMs({queue.tokensPerMs, 0}, readingTokens(queue));
+    const bool lost = queue.running.at("stream").gapLost;
+    RC_ASSERT(admitted <= 1 || lost || gapMs <= static_cast<double>(limit.count));
+}
+
+}
