Choose model servers by the gaps that a prompt would cause

Cause: slow servers were chosen like servers with short queues: a prompt of over about 3,300 tokens pauses the streams of a server that reads 9.3 tokens/ms for longer than 400 ms, and nothing read the limit. Change: the cost of a candidate includes the streams whose limit the prompt would break, and the chance that the response itself meets such prompts there, from its length, the server's speed and the lengths of recent prompts. Only where a route of the service states a limit; without one all costs are as before. No further loop over the servers: two more terms per candidate. Ruled out: the full share of breaking prompts in the chance for the response itself; see breakingPromptShare. With the term taken out of the cost, LongPromptsAvoidSlowServersWithStreams and LongResponsesPreferServersWhereGapsStayWithinTheLimit fail.

--- a/packages/scheduling/choose_server.cpp
+++ b/packages/scheduling/choose_server.cpp
@@ -31,7 +31,7 @@
     const double excess =
         (mix.longShare - lowLongResponseShare) / (highLongResponseShare - lowLongResponseShare);
     const double separation = mix.sampleCount < minMixRequests ? 0 : 1 - std::clamp(excess, 0.0, 1.0);
-    return {promptTokens, isLongResponse(mix, outputTokens), separation};
+    return {promptTokens, isLongResponse(mix, outputTokens), separation, 1, {}};
 }
 
 namespace {
@@ -58,6 +58,11 @@
     return 1 / std::max(recentUses / copies / usesPerCopy, 1.0);
 }
 
+double gapLossOf(const model_candidate &server, const prompt_shape &prompt)
+{
+    return gapLossMs(server.gaps, server.running, prompt.promptTokens, prompt.gaps);
+}
+
 std::optional<double> costOf(const model_candidate &server, const prompt_shape &prompt)
 {
     if (server.excluded || !server.modelLoaded
@@ -74,6 +79,7 @@
     // Long responses occupy their slots for seconds. Without an open slot, being attracted to a server that
     // has many of them would end in a refusal.
     cost += prompt.longResponse ? (noOpenSlot ? 0 : -disturbance) : disturbance * disturbanceOf(prompt);
+    cost += gapLossOf(server, prompt);
     switch (server.adapter) {
     case adapter_residency::Resident:
         return cost;
--- a/packages/scheduling/choose_server.h
+++ b/packages/scheduling/choose_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduling/gap_forecast.h"
 #include "state/clock.h"
 
 #include <cstdint>
@@ -37,6 +38,8 @@
     double failureRate = 0; ///< moving average over recent responses, 0 to 1
     std::size_t hashRank = 0; ///< position in the adapter's rendezvous order
     double recentUses = 0; ///< decaying count of uses of the adapter on this server
+    gap_basis gaps; ///< for the forecast of inter-event gaps
+    std::uint32_t running = 0; ///< requests running there
 };
 
 // Penalties are in ms of waiting that a caller would accept instead; one second of waiting is worth as much
@@ -88,6 +91,7 @@
     double meanTokens = 0;
     double longShare = 0; ///< share of requests that announce more than the mean
     double sampleCount = 0; ///< requests seen, at most `mixWindowRequests`
+    prompt_lengths prompts; ///< of the same requests
 };
 
 /// The statistics are moving averages over about this many requests, which one entry receives in about 20 s.
@@ -113,6 +117,7 @@
     bool longResponse = false;
     double separation = 1; ///< how strictly long and short responses are separated, 0 to 1
     double copyCostShare = 1; ///< fraction of the cost of another adapter copy that this request bears
+    gap_terms gaps; ///< set where service_features::gapPrediction applies
 };
 
 /// All requests that will use a new copy share its cost. Up to this many recent uses per copy (see
@@ -136,6 +141,8 @@
 constexpr double minPromptRatio = 0.2;
 constexpr double maxPromptRatio = 3;
 
+/// The part of the cost that is due to gaps: 0 where no limit on gaps is stated.
+double gapLossOf(const model_candidate &server, const prompt_shape &prompt);
 /// The expected cost of using a candidate, in ms of waiting, or nothing if it can't serve the request.
 std::optional<double> costOf(const model_candidate &server, const prompt_shape &prompt);
 
--- a/packages/scheduling/gap_forecast.cpp
+++ b/packages/scheduling/gap_forecast.cpp
@@ -76,7 +76,9 @@
     const double counted = std::min(streams, maxStreamsCounted);
     const double others = counted * gapExcessProbability(forecastGapMs(server, promptTokens), terms.limitMs);
     // Prompts that break the limit, arriving at a rate that grows with how full the server is.
-    const double breaking = shareLongerThan(terms.lengths, maxTokensWithinGap(server, terms.limitMs));
+    const double breaking = terms.ownLimitMs <= 0
+        ? 0
+        : shareLongerThan(terms.lengths, maxTokensWithinGap(server, terms.ownLimitMs));
     const double promptMs = std::exp(terms.lengths.meanLog) / server.tokensPerMs;
     const double responseMs =
         static_cast<double>(terms.outputTokens) * usedShareOfAnnounced * msPerOutputToken;
--- a/packages/scheduling/gap_forecast.h
+++ b/packages/scheduling/gap_forecast.h
@@ -50,10 +50,11 @@
 /// The share of prompts longer than this, taking lengths to be log-normal.
 double shareLongerThan(const prompt_lengths &lengths, std::int64_t promptTokens);
 
-/// What a request and its service have to do with gaps. A limit of 0 disables the forecast.
+/// The limits on gaps that matter for a request.
 struct gap_terms
 {
-    double limitMs = 0; ///< longest gap with which a stream is on time
+    double limitMs = 0; ///< shortest limit of the service's streams; 0: no forecast
+    double ownLimitMs = 0; ///< longest gap with which this request's response is on time; 0: none stated
     std::int64_t outputTokens = 0; ///< announced by the request
     prompt_lengths lengths; ///< of the service's prompts
 };
--- a/packages/scheduling/observed_server.cpp
+++ b/packages/scheduling/observed_server.cpp
@@ -75,6 +75,8 @@
     const double tokensPerMs = heartbeat.prefillTokensPerSecond > 0
         ? static_cast<double>(heartbeat.prefillTokensPerSecond) / msPerSecond
         : defaultTokensPerMs;
+    candidate.gaps.tokensPerMs = tokensPerMs;
+    candidate.running = heartbeat.running;
     candidate.backlogMs =
         static_cast<double>(heartbeat.backlogTokens + observed.requestedTokensSince) / tokensPerMs;
     // Without an owner nothing can be loaded there, so only resident adapters can be served.
--- a/packages/scheduling/service_features.cpp
+++ b/packages/scheduling/service_features.cpp
@@ -71,6 +71,8 @@
             service.extendedWaiting =
                 service.extendedWaiting || each.timeout.count >= each.target.count * minTimeoutTargets;
             service.gapPrediction = service.gapPrediction || each.maxGap.count > 0;
+            const bool shorter = service.shortestGap.count == 0 || each.maxGap < service.shortestGap;
+            service.shortestGap = each.maxGap.count > 0 && shorter ? each.maxGap : service.shortestGap;
         }
     }
     return features;
--- a/packages/scheduling/service_features.h
+++ b/packages/scheduling/service_features.h
@@ -19,6 +19,7 @@
     bool extendedWaiting = false;
     /// Model servers are chosen by predicted gaps: a route states the longest gap that is on time.
     bool gapPrediction = false;
+    millis shortestGap; ///< the shortest such limit; 0: none
     /// Plain servers are chosen by the load of all daemons, from a subset that keeps connections in use.
     bool plainLoad = false;
 
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -114,9 +114,15 @@
     response_mix &mix = m_responseMix[pending->service];
     if (pending->serversTried == 0) {
         recordOutputLength(mix, pending->request.outputTokens);
+        recordPromptLength(mix.prompts, pending->request.promptTokens);
     }
     prompt_shape prompt = shapeOf(mix, pending->request.promptTokens, pending->request.outputTokens);
     prompt.copyCostShare = copyCostShareOf(candidates);
+    if (const service_features features = featuresFor(pending->service); features.gapPrediction) {
+        prompt.gaps = {static_cast<double>(features.shortestGap.count),
+            static_cast<double>(pending->matchedRoute->maxGap.count), pending->request.outputTokens,
+            mix.prompts};
+    }
     const auto chosen = chooseModelServer(candidates, prompt);
     if (!chosen && m_isolated) {
         refuse(pending, "cut off from the other daemons", retryAfterOtherInstance);
@@ -151,6 +157,8 @@
         .add("output_tokens", pending->request.outputTokens)
         .add("apart", prompt.separation)
         .add("copy_share", prompt.copyCostShare)
+        .add("gap_ms", forecastGapMs(candidates[*chosen].gaps, prompt.promptTokens))
+        .add("gap_loss_ms", gapLossOf(candidates[*chosen], prompt))
         .add("cost_ms", *costOf(candidates[*chosen], prompt))
         .add("adapter", nameOf(candidates[*chosen].adapter))
         .add("backlog_ms", candidates[*chosen].backlogMs)
--- a/tests/load_model/load_model.cpp
+++ b/tests/load_model/load_model.cpp
@@ -325,8 +325,13 @@
     const std::int64_t announced = announcedTokens(m_plan.kinds[what.kind]);
     if (one.tried == 0) {
         recordOutputLength(answers, announced);
+        recordPromptLength(answers.prompts, what.promptTokens);
     }
     prompt_shape prompt = shapeOf(answers, what.promptTokens, announced);
+    if (m_plan.gapPrediction) {
+        const auto limitMs = static_cast<double>(m_plan.gapMs);
+        prompt.gaps = {limitMs, limitMs, announced, answers.prompts};
+    }
     prompt.copyCostShare = copyCostShareOf(candidates);
     const auto chosen = choose(candidates, loads, prompt);
     if (!chosen || one.tried >= maxServersTried) {
--- a/tests/scheduling/gap_forecast_test.cpp
+++ b/tests/scheduling/gap_forecast_test.cpp
@@ -1,3 +1,4 @@
+#include "scheduling/choose_server.h"
 #include "scheduling/gap_forecast.h"
 #include "scheduling/slot_queue.h"
 
@@ -107,4 +108,69 @@
     RC_ASSERT(admitted <= 1 || lost || gapMs <= static_cast<double>(limit.count));
 }
 
+namespace {
+
+model_candidate candidate(gap_basis gaps, std::uint32_t running, adapter_residency adapter)
+{
+    model_candidate server;
+    server.adapter = adapter;
+    server.sameDomain = true;
+    server.availableSlots = 1;
+    server.gaps = gaps;
+    server.running = running;
+    return server;
+}
+
+prompt_shape shapeOf(std::int64_t promptTokens, std::int64_t outputTokens, double limitMs)
+{
+    prompt_shape shape{promptTokens, false, 0, 1, {}};
+    shape.gaps = {limitMs, limitMs, outputTokens, {}};
+    for (int i = 0; i < 60; ++i) {
+        recordPromptLength(shape.gaps.lengths, i % 6 == 0 ? 5'000 : 1'800);
+    }
+    return shape;
+}
+
+}
+
+// A third of the servers reads 9.3 tokens/ms. A long prompt there pauses every stream for longer than the
+// limit, while a faster server reads it in time; an adapter load is worth that. A short prompt stays.
+TEST(GapForecast, LongPromptsAvoidSlowServersWithStreams)
+{
+    const model_candidate home = candidate(slow, 4, adapter_residency::Resident);
+    const model_candidate other = candidate(fast, 4, adapter_residency::Absent);
+    EXPECT_EQ(chooseModelServer({home, other}, shapeOf(5'000, 60, 400)), 1U);
+    EXPECT_EQ(chooseModelServer({home, other}, shapeOf(1'800, 60, 400)), 0U);
+    EXPECT_EQ(chooseModelServer({home, other}, shapeOf(5'000, 60, 0)), 0U) << "no limit is stated";
+    const model_candidate idle = candidate(slow, 0, adapter_residency::Resident);
+    EXPECT_EQ(chooseModelServer({idle, other}, shapeOf(5'000, 60, 400)), 0U) << "nobody is harmed there";
+}
+
+// One stream is not worth a load from the weight store and the eviction that it causes.
+TEST(GapForecast, OneStreamIsNotSparedAtTheCostOfALoad)
+{
+    const model_candidate home = candidate(slow, 1, adapter_residency::Resident);
+    const model_candidate other = candidate(fast, 4, adapter_residency::Absent);
+    EXPECT_EQ(chooseModelServer({home, other}, shapeOf(5'000, 60, 400)), 0U);
+}
+
+// A response of 57 events meets more prompts than one of 8, and on a slow server more of those pause it for
+// too long.
+TEST(GapForecast, LongResponsesPreferServersWhereGapsStayWithinTheLimit)
+{
+    const model_candidate onSlow = candidate(slow, 6, adapter_residency::Resident);
+    model_candidate onFast = candidate(fast, 6, adapter_residency::Resident);
+    onFast.backlogMs = 40;
+    EXPECT_EQ(chooseModelServer({onSlow, onFast}, shapeOf(1'400, 522, 400)), 1U);
+    EXPECT_EQ(chooseModelServer({onSlow, onFast}, shapeOf(1'400, 24, 400)), 0U);
+}
+
+// Where all servers read fast enough for the limit, the forecast changes nothing.
+TEST(GapForecast, FastServersHaveNoLossForUsualPrompts)
+{
+    const model_candidate server = candidate(fast, 8, adapter_residency::Resident);
+    EXPECT_LT(gapLossOf(server, shapeOf(1'800, 60, 400)), 1);
+    EXPECT_EQ(gapLossOf(server, shapeOf(5'000, 60, 0)), 0);
+}
+
 }
