Learn the prefill speed of each model server for the forecast of gaps

Cause: the measured speed of a queue includes decode steps and idle times: 6.4 tokens/ms at servers that read 10.5. By it long prompts seemed to break the limit on every server, and went to slow ones all the same. It also takes seconds to follow a server that turns slow. Ruled out: a report of step times by the entries at the end of a response: the time from admission to the first event of a prompt read alone holds the steps of one event already, which is what the gap consists of. Owners report speed, age and the number of streams whose limit can still be kept in load heartbeats where gaps are forecast; entries use reports of the present owner for 1.5 s, and a new owner starts from the last one of the same incarnation of the server. A restart resets it with the rest of the server's schedule.

--- a/packages/protocol/load_messages.h
+++ b/packages/protocol/load_messages.h
@@ -48,6 +48,7 @@
     ChunkTokens = 5, ///< prompt tokens that the server reads in one step at most
     LongestGapMs = 6, ///< longest inter-event gap reported recently
     SpeedAgeMs = 7, ///< since the speeds above were last measured
+    LimitedStreams = 8, ///< 1 + number of running streams whose limit on the gap can still be kept
 };
 
 /// Requests that the sender has in flight at a plain server.
--- a/packages/scheduling/observed_server.cpp
+++ b/packages/scheduling/observed_server.cpp
@@ -15,6 +15,10 @@
 /// Assumed backlog of a server without heartbeats: about the mean wait of a prompt at high load.
 constexpr double unobservedBacklogMs = 150;
 constexpr double msPerSecond = 1'000;
+/// A report outside these bounds (tokens/ms, streams) is of no server and is not believed.
+constexpr double minReportedSpeed = 0.2;
+constexpr double maxReportedSpeed = 200;
+constexpr std::int64_t maxReportedStreams = 10'000;
 /// The fraction of the latency target that a request may wait for its slot. It is close to 1 because
 /// predicted waits are too long on average, and a response that is slightly late is worth more than a
 /// refusal. Of 0.6, 0.75, 0.9, 1.1 and 1.4, the values 0.9 and 1.1 score best.
@@ -30,7 +34,7 @@
 void applyHeartbeat(
     observed_server &observed, const server_heartbeat &heartbeat, const std::string &owner, millis now)
 {
-    observed = {heartbeat, owner, now, std::move(observed.recentAdapters), 0, 0};
+    observed = {heartbeat, owner, now, std::move(observed.recentAdapters), 0, 0, observed.load};
     for (const heartbeat_adapter &each : observed.heartbeat.adapters) {
         if (!each.loading) {
             std::erase(observed.recentAdapters, each.name);
@@ -43,6 +47,43 @@
     }
 }
 
+std::optional<observed_load> decodeLoad(const server_load &load, millis now)
+{
+    const auto value = [&load](load_field field) {
+        return fieldValue(load.fields, static_cast<std::uint32_t>(field), 0);
+    };
+    const std::int64_t streams = value(load_field::LimitedStreams);
+    if (streams <= 0) {
+        return std::nullopt;
+    }
+    const double speed = static_cast<double>(value(load_field::TokensPerSecond)) / msPerSecond;
+    observed_load decoded;
+    decoded.fence = load.fence;
+    decoded.tokensPerMs = speed >= minReportedSpeed && speed <= maxReportedSpeed ? speed : 0;
+    decoded.speedAge = millis{std::max<std::int64_t>(value(load_field::SpeedAgeMs), 0)};
+    decoded.limitedStreams = static_cast<std::uint32_t>(std::min(streams - 1, maxReportedStreams));
+    decoded.receivedAt = now;
+    return decoded;
+}
+
+void applyServerLoad(observed_server &observed, const server_load &load, millis now)
+{
+    const auto decoded = decodeLoad(load, now);
+    if (decoded && load.fence >= observed.heartbeat.fence && load.fence >= observed.load.fence) {
+        observed.load = *decoded;
+    }
+}
+
+void applyServerLoads(
+    std::map<std::string, observed_server> &observed, const std::vector<server_load> &loads, millis now)
+{
+    for (const server_load &load : loads) {
+        if (const auto found = observed.find(load.server); found != observed.end()) {
+            applyServerLoad(found->second, load, now);
+        }
+    }
+}
+
 bool isFresh(const observed_server &observed, millis now)
 {
     return now - observed.receivedAt < heartbeatFreshFor;
@@ -75,8 +116,11 @@
     const double tokensPerMs = heartbeat.prefillTokensPerSecond > 0
         ? static_cast<double>(heartbeat.prefillTokensPerSecond) / msPerSecond
         : defaultTokensPerMs;
-    candidate.gaps.tokensPerMs = tokensPerMs;
-    candidate.running = heartbeat.running;
+    const bool loadKnown = observed.load.receivedAt.count != 0
+        && now - observed.load.receivedAt < heartbeatFreshFor && observed.load.fence == heartbeat.fence;
+    candidate.gaps.tokensPerMs =
+        loadKnown && observed.load.tokensPerMs > 0 ? observed.load.tokensPerMs : tokensPerMs;
+    candidate.running = loadKnown ? observed.load.limitedStreams : heartbeat.running;
     candidate.backlogMs =
         static_cast<double>(heartbeat.backlogTokens + observed.requestedTokensSince) / tokensPerMs;
     // Without an owner nothing can be loaded there, so only resident adapters can be served.
--- a/packages/scheduling/observed_server.h
+++ b/packages/scheduling/observed_server.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include "protocol/fleet_messages.h"
+#include "protocol/load_messages.h"
 #include "scheduling/choose_server.h"
 #include "state/clock.h"
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +15,16 @@
 // entry has requested since the latest one.
 namespace briarhead {
 
+/// What the latest load heartbeat says about gaps at a model server.
+struct observed_load
+{
+    std::uint64_t fence = 0;
+    double tokensPerMs = 0; ///< prefill speed of prompts read alone; 0: not known
+    millis speedAge; ///< since it was last measured, at `receivedAt`
+    std::uint32_t limitedStreams = 0; ///< streams whose limit on the gap can still be kept
+    millis receivedAt; ///< 0: never
+};
+
 /// The latest heartbeat about a model server, and what has happened since.
 struct observed_server
 {
@@ -22,6 +35,7 @@
     std::vector<std::uint32_t> recentAdapters;
     std::int64_t requestedTokensSince = 0; ///< prompt tokens of this entry's slot requests since `receivedAt`
     std::uint32_t slotsRequestedSince = 0; ///< adapter slots that this entry has requested since then
+    observed_load load;
 };
 
 /// Without a heartbeat for this long, the server's owner may be dead.
@@ -36,6 +50,16 @@
 void applyHeartbeat(
     observed_server &observed, const server_heartbeat &heartbeat, const std::string &owner, millis now);
 
+/// What a load heartbeat says about gaps; nothing if its sender doesn't forecast them. Speeds that no server
+/// has are taken as not known.
+std::optional<observed_load> decodeLoad(const server_load &load, millis now);
+/// Applies what an owner reports about its server in a load heartbeat, unless a later owner has been heard.
+void applyServerLoad(observed_server &observed, const server_load &load, millis now);
+
+/// As above, for the servers that heartbeats have been received of.
+void applyServerLoads(
+    std::map<std::string, observed_server> &observed, const std::vector<server_load> &loads, millis now);
+
 /// Whether the latest heartbeat is recent enough for the server's owner to count as alive.
 bool isFresh(const observed_server &observed, millis now);
 
--- a/packages/scheduling/slot_queue.cpp
+++ b/packages/scheduling/slot_queue.cpp
@@ -44,22 +44,23 @@
 }
 
 /// Marks the streams whose limit the admitted prompt breaks by itself: no later prompt needs to spare them.
-void recordLostGaps(slot_queue &queue, const waiting_prompt &admitted)
+void recordLostGaps(slot_queue &queue, const waiting_prompt &admitted, millis now)
 {
-    const double gapMs = forecastGapMs({queue.tokensPerMs, 0}, admitted.promptTokens);
+    const double gapMs = forecastGapMs({gapTokensPerMs(queue, now), 0}, admitted.promptTokens);
     for (auto &[id, run] : queue.running) {
         run.gapLost =
             run.gapLost || (hasGapLimit(run) && gapMs > static_cast<double>(run.prompt.terms.maxGap.count));
     }
 }
 
-bool hasCapacity(const slot_queue &queue, const waiting_prompt &prompt)
+bool hasCapacity(const slot_queue &queue, const waiting_prompt &prompt, millis now)
 {
     if (queue.running.empty()) {
         return true;
     }
     const std::int64_t reading = readingTokens(queue);
-    const bool withinReadAhead = reading == 0 || reading + prompt.promptTokens <= maxReadingTokens(queue);
+    const bool withinReadAhead =
+        reading == 0 || reading + prompt.promptTokens <= maxReadingTokens(queue, now);
     const auto memory =
         static_cast<std::int64_t>(maxMemoryFraction * static_cast<double>(queue.memoryTokens));
     const bool fits = memoryInUse(queue) + prompt.promptTokens + prompt.outputTokens <= memory;
@@ -141,15 +142,38 @@
     return sum;
 }
 
-std::int64_t maxReadingTokens(const slot_queue &queue)
+double gapTokensPerMs(const slot_queue &queue, millis now)
+{
+    const double learnt = prefillTokensPerMs(queue.speed, now);
+    double slowest = learnt > 0 ? learnt : queue.tokensPerMs;
+    for (const auto &[id, run] : queue.running) {
+        if (run.reading && run.alone) {
+            slowest = std::min(slowest,
+                speedWithPrefillInProgress(
+                    learnt > 0 ? learnt : queue.tokensPerMs, run.prompt.promptTokens, now - run.granted));
+        }
+    }
+    return slowest;
+}
+
+std::uint32_t streamsWithGapLimit(const slot_queue &queue)
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(queue.running.begin(), queue.running.end(), [](const auto &each) {
+            return hasGapLimit(each.second);
+        }));
+}
+
+std::int64_t maxReadingTokens(const slot_queue &queue, millis now)
 {
     double limitMs = 0;
     for (const auto &[id, run] : queue.running) {
         const auto maxGap = static_cast<double>(run.prompt.terms.maxGap.count);
         limitMs = hasGapLimit(run) && (limitMs == 0 || maxGap < limitMs) ? maxGap : limitMs;
     }
-    return limitMs == 0 ? static_cast<std::int64_t>(queue.tokensPerMs * maxReadAheadMs)
-                        : maxTokensWithinGap({queue.tokensPerMs, 0}, limitMs * (1 - gapForecastError));
+    return limitMs == 0
+        ? static_cast<std::int64_t>(queue.tokensPerMs * maxReadAheadMs)
+        : maxTokensWithinGap({gapTokensPerMs(queue, now), 0}, limitMs * (1 - gapForecastError));
 }
 
 std::int64_t backlogTokens(const slot_queue &queue)
@@ -213,15 +237,19 @@
             break;
         }
         const waiting_prompt prompt = queue.waiting[*next];
-        if (!hasCapacity(queue, prompt)) {
+        if (!hasCapacity(queue, prompt, now)) {
             break; // admitting smaller prompts behind it would starve large ones
         }
         if (queue.busySince.count == 0) {
             queue.busySince = now;
             queue.readTokens = 0;
         }
-        recordLostGaps(queue, prompt);
-        queue.running.emplace(prompt.id, running_prompt{prompt, now, true});
+        recordLostGaps(queue, prompt, now);
+        const bool alone = readingTokens(queue) == 0;
+        for (auto &[id, run] : queue.running) {
+            run.alone = run.alone && !run.reading;
+        }
+        queue.running.emplace(prompt.id, running_prompt{prompt, now, true, alone});
         admitted.push_back(prompt);
         queue.waiting.erase(queue.waiting.begin() + static_cast<std::ptrdiff_t>(*next));
     }
@@ -233,6 +261,9 @@
     const auto found = queue.running.find(id);
     if (found != queue.running.end() && found->second.reading) {
         found->second.reading = false;
+        if (found->second.alone) {
+            recordPrefill(queue.speed, found->second.prompt.promptTokens, now - found->second.granted, now);
+        }
         updateSpeed(queue, found->second.prompt.promptTokens, now);
     }
 }
--- a/packages/scheduling/slot_queue.h
+++ b/packages/scheduling/slot_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/fleet_messages.h"
+#include "scheduling/server_speed.h"
 #include "state/clock.h"
 
 #include <cstdint>
@@ -52,6 +53,7 @@
     waiting_prompt prompt;
     millis granted;
     bool reading = true; ///< in prefill: its first token has not been reported
+    bool alone = false; ///< no other prompt has been in prefill since its admission
     bool gapLost = false; ///< a prompt was admitted that alone breaks this stream's limit on the gap
 };
 
@@ -75,15 +77,21 @@
     double tokensPerMs = initialTokensPerMs; ///< measured prefill speed
     millis busySince; ///< start of uninterrupted prefill; 0: idle
     std::int64_t readTokens = 0; ///< prefilled since busySince
+    server_speed speed; ///< of prompts read alone; for the forecast of gaps
 };
 
+/// The prefill speed for the forecast of gaps: the learnt one, in view of a prompt in prefill that takes
+/// longer than predicted; `tokensPerMs`, which includes decode steps and idle times, until enough is learnt.
+double gapTokensPerMs(const slot_queue &queue, millis now);
+/// The running streams that state a limit on the gap which can still be kept.
+std::uint32_t streamsWithGapLimit(const slot_queue &queue);
 /// Prompt tokens admitted and still in prefill.
 std::int64_t readingTokens(const slot_queue &queue);
 /// Prompt tokens that may be in prefill at a time beside others: where running streams state a limit on the
 /// inter-event gap that can still be kept, what fits into one gap; else what is read in maxReadAheadMs. A
 /// prompt counts until its first event is reported, which is a whole event's time after its prefill, so that
 /// prompts admitted one after another don't fall into the same gap either.
-std::int64_t maxReadingTokens(const slot_queue &queue);
+std::int64_t maxReadingTokens(const slot_queue &queue, millis now);
 /// Prompt tokens in prefill and waiting.
 std::int64_t backlogTokens(const slot_queue &queue);
 
--- a/packages/scheduling/slot_scheduler.cpp
+++ b/packages/scheduling/slot_scheduler.cpp
@@ -328,10 +328,21 @@
     return heartbeat;
 }
 
-server_load serverLoad(const slot_scheduler &scheduler, millis)
+server_load serverLoad(const slot_scheduler &scheduler, millis now)
 {
     server_load load;
     load.server = scheduler.ledger.server;
+    if (scheduler.features.gapPrediction) {
+        const slot_queue &queue = scheduler.queue;
+        const auto add = [&load](load_field field, std::int64_t value) {
+            addField(load.fields, static_cast<std::uint32_t>(field), value, 0);
+        };
+        add(load_field::LimitedStreams, 1 + static_cast<std::int64_t>(streamsWithGapLimit(queue)));
+        if (prefillTokensPerMs(queue.speed, now) > 0) {
+            add(load_field::TokensPerSecond, std::llround(gapTokensPerMs(queue, now) * msPerSecond));
+            add(load_field::SpeedAgeMs, (now - queue.speed.measuredAt).count);
+        }
+    }
     return load;
 }
 
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -135,8 +135,9 @@
         || (peer != nullptr && understandsFeatures(m_peerFeatures, node, peer->incarnation));
 }
 
-void front_task::onLoadHeartbeat(const std::string &, const load_heartbeat &)
+void front_task::onLoadHeartbeat(const std::string &, const load_heartbeat &heartbeat)
 {
+    applyServerLoads(m_observed, heartbeat.servers, bootNow());
 }
 
 std::vector<plain_load> front_task::plainLoads() const
--- a/packages/serving/server_owner_claims.cpp
+++ b/packages/serving/server_owner_claims.cpp
@@ -253,6 +253,12 @@
     if (const auto known = m_limits.find(id); known != m_limits.end()) {
         applyLimit(state.scheduler.limit, known->second.perSecond, known->second.receivedAt, bootNow());
     }
+    if (const auto known = m_reportedSpeeds.find(id);
+        known != m_reportedSpeeds.end() && known->second.startedAtMs == server->startedAtMs) {
+        const observed_load &load = known->second.load;
+        const millis age = load.speedAge + (bootNow() - load.receivedAt);
+        adoptSpeed(state.scheduler.queue.speed, load.tokensPerMs, age, bootNow());
+    }
     m_servers.emplace(id, std::move(state));
     m_log.important("orderer.taken").add("server", id).add("fence", fencingToken);
     processServer(id);
--- a/packages/serving/server_owner_task.cpp
+++ b/packages/serving/server_owner_task.cpp
@@ -279,8 +279,20 @@
     return loads;
 }
 
-void server_owner_task::onLoadHeartbeat(const std::string &, const load_heartbeat &)
+void server_owner_task::onLoadHeartbeat(const std::string &, const load_heartbeat &beat)
 {
+    for (const server_load &load : beat.servers) {
+        const backend_server *server = findServer(load.server);
+        const auto decoded = decodeLoad(load, bootNow());
+        if (server != nullptr && decoded && decoded->tokensPerMs > 0) {
+            m_reportedSpeeds[load.server] = {*decoded, server->startedAtMs};
+        }
+    }
+    if (m_reportedSpeeds.size() > m_store.view().servers.size()) {
+        std::erase_if(m_reportedSpeeds, [this](const auto &each) {
+            return findServer(each.first) == nullptr;
+        });
+    }
 }
 
 const server_owner_counters &server_owner_task::counters() const
--- a/packages/serving/server_owner_task.h
+++ b/packages/serving/server_owner_task.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduling/observed_server.h"
 #include "scheduling/slot_scheduler.h"
 #include "serving/client_request.h"
 #include "serving/decision_log.h"
@@ -96,6 +97,13 @@
         std::optional<double> loggedLimit; ///< requests per second, as last logged
     };
 
+    /// The speed that another owner has reported, for the case that this daemon takes over.
+    struct reported_speed
+    {
+        observed_load load;
+        std::int64_t startedAtMs = 0; ///< the server's incarnation at that time
+    };
+
     /// Adapter loads in progress on a server of another owner.
     struct observed_loads
     {
@@ -159,6 +167,7 @@
     std::map<std::string, millis> m_lastOrderTimes; ///< to servers that were owned here before
     observed_owners m_observedOwners; ///< by server
     std::map<std::string, service_features> m_features; ///< by service, of the configuration in force
+    std::map<std::string, reported_speed> m_reportedSpeeds; ///< by server of another owner
     millis m_lastHeartbeatAt;
     millis m_pausedUntil; ///< no orders are sent until then, after a suspension
     std::shared_ptr<void> m_processTimer;
--- a/tests/load_model/load_model.cpp
+++ b/tests/load_model/load_model.cpp
@@ -561,10 +561,12 @@
     tellLoads();
     for (std::size_t i = 0; i < m_servers.size(); ++i) {
         const server_heartbeat beat = serverHeartbeat(m_servers[i].desk, true, now());
+        const server_load load = serverLoad(m_servers[i].desk, now());
         for (std::size_t entry = 0; entry < m_heard.size(); ++entry) {
             const bool near = m_servers[i].domain == entry % m_plan.domains;
             if (near || m_nowMs % farBeatEveryMs == 0 || m_heard[entry][i].receivedAt.count == 0) {
                 applyHeartbeat(m_heard[entry][i], beat, "", now());
+                applyServerLoad(m_heard[entry][i], load, now());
             }
         }
     }
--- a/tests/scheduling/gap_forecast_test.cpp
+++ b/tests/scheduling/gap_forecast_test.cpp
@@ -84,12 +84,12 @@
 TEST(GapForecast, StreamsWhoseLimitIsBrokenAlreadyAreNotSpared)
 {
     slot_queue queue = queueWithStream(14, millis{100});
-    const std::int64_t before = maxReadingTokens(queue);
+    const std::int64_t before = maxReadingTokens(queue, start);
     EXPECT_LT(static_cast<double>(before), 14 * maxReadAheadMs);
     ASSERT_TRUE(enqueue(queue, promptOf("long", 6'000, {}), start).accepted);
     ASSERT_EQ(admittedNow(queue), 1U);
     EXPECT_TRUE(queue.running.at("stream").gapLost);
-    EXPECT_EQ(maxReadingTokens(queue), static_cast<std::int64_t>(14 * maxReadAheadMs));
+    EXPECT_EQ(maxReadingTokens(queue, start), static_cast<std::int64_t>(14 * maxReadAheadMs));
 }
 
 // Whatever the speed, the limit and the lengths: prompts read beside others fit into one gap, unless the
