Test uneven and slowed servers in the load model, and the bytes of speeds

Cause: nothing guards the shares that the forecast of gaps reaches, nor what its reports cost. Change: load model tests of uneven servers and of servers that become five times slower for six seconds; a test of the bytes that the speeds add to load heartbeats.

--- a/tests/load_model/load_model.cpp
+++ b/tests/load_model/load_model.cpp
@@ -96,6 +96,7 @@
     void makeArrivals(std::uint64_t seed);
     arrival drawArrival(std::mt19937_64 &random, const std::vector<double> &popularity, std::int64_t atMs);
     void loseAndRestore();
+    void slowAndRestore();
     void take(const arrival &what, bool returned);
     void startModel(request &one);
     std::optional<std::size_t> choose(const std::vector<model_candidate> &candidates,
@@ -230,6 +231,7 @@
     const std::int64_t endMs = startMs + m_plan.lengthMs + 16'000;
     for (; m_nowMs < endMs; ++m_nowMs) {
         loseAndRestore();
+        slowAndRestore();
         goOnLoading();
         for (std::size_t i = 0; i < m_servers.size(); ++i) {
             onEvents(i);
@@ -287,6 +289,20 @@
     }
 }
 
+void day::slowAndRestore()
+{
+    const auto count =
+        static_cast<std::size_t>(std::llround(m_plan.slowed * static_cast<double>(m_servers.size())));
+    for (std::size_t i = 0; i < count; ++i) {
+        double &slowness = m_servers[i].engine.slowness;
+        if (m_nowMs == startMs + m_plan.slowedFromMs) {
+            slowness *= m_plan.slowedBy;
+        } else if (m_nowMs == startMs + m_plan.slowedToMs) {
+            slowness = m_plan.slowness[i % m_plan.slowness.size()];
+        }
+    }
+}
+
 void day::take(const arrival &what, bool returned)
 {
     request one;
--- a/tests/load_model/load_model.h
+++ b/tests/load_model/load_model.h
@@ -59,6 +59,11 @@
     double lost = 0;
     std::int64_t lostFromMs = 0;
     std::int64_t lostToMs = 0;
+    /// Servers that become slower by this factor, from and to.
+    double slowed = 0;
+    double slowedBy = 5;
+    std::int64_t slowedFromMs = 0;
+    std::int64_t slowedToMs = 0;
     std::int64_t targetMs = 1'000; ///< to the first event
     std::int64_t gapMs = 400; ///< the longest pause that is on time
     double retryShare = 1; ///< of refused callers come back once, when told
--- a/tests/load_model/load_model_test.cpp
+++ b/tests/load_model/load_model_test.cpp
@@ -95,4 +95,42 @@
     EXPECT_GT(worthOf(plan, route_policy::Briarhead), calm - 0.06);
 }
 
+// A third of the servers takes twice as long for a prompt. Chosen like servers with short queues, they paused
+// 0.3 of their streams for too long.
+TEST(LoadModel, StreamsOnSlowServersKeepTheirGaps)
+{
+    double before = 0;
+    double after = 0;
+    speed_result slow;
+    kind_result digests;
+    for (const std::uint64_t seed : seeds) {
+        before += play(unevenPlan(false), route_policy::Briarhead, seed).worthLessLoads();
+        const load_result result = play(unevenPlan(true), route_policy::Briarhead, seed);
+        after += result.worthLessLoads();
+        slow.streams += result.speeds.at(2).streams;
+        slow.gapOver += result.speeds.at(2).gapOver;
+        digests.requests += result.kinds.at("digest").requests;
+        digests.lateGap += result.kinds.at("digest").lateGap + result.kinds.at("digest").lateFirst;
+    }
+    EXPECT_LT(slow.gapOver, 0.10 * slow.streams);
+    EXPECT_LT(digests.lateGap, 0.12 * digests.requests);
+    EXPECT_GT(after, before);
+}
+
+// A tenth of the servers becomes five times slower for six seconds. Requests that are still sent there are
+// late, and avoiding them must not cost more than they lose.
+TEST(LoadModel, ServersThatTurnSlowAreAvoided)
+{
+    double worth[2] = {};
+    for (const bool gapPrediction : {false, true}) {
+        load_plan plan = unevenPlan(gapPrediction);
+        plan.slowed = 0.1;
+        plan.slowedFromMs = 10'000;
+        plan.slowedToMs = 16'000;
+        worth[gapPrediction ? 1 : 0] = worthOf(plan, route_policy::Briarhead);
+    }
+    EXPECT_GT(worth[1], worth[0]);
+    std::printf("worth less loads with slowed servers: %.3f, with gap prediction %.3f\n", worth[0], worth[1]);
+}
+
 }
--- a/tests/scheduling/heartbeat_groups_test.cpp
+++ b/tests/scheduling/heartbeat_groups_test.cpp
@@ -1,10 +1,12 @@
 #include "protocol/codec.h"
+#include "protocol/load_messages.h"
 #include "scheduling/choose_server.h"
 #include "scheduling/heartbeat_groups.h"
 #include "scheduling/observed_server.h"
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <set>
 
 namespace briarhead {
@@ -75,8 +77,24 @@
     return recipients;
 }
 
-/// The mean number of bytes that daemons send per server and round. `limited`: each server announces a limit.
-double bytesOf(std::size_t daemons, std::size_t domains, std::size_t servers, bool limited = false)
+/// The load heartbeat of an owner, with or without the fields for the forecast of gaps.
+load_heartbeat loadHeartbeatOf(const std::string &server, bool forecast)
+{
+    server_load load;
+    load.server = server;
+    if (forecast) {
+        for (const load_field field :
+            {load_field::TokensPerSecond, load_field::SpeedAgeMs, load_field::LimitedStreams}) {
+            addField(load.fields, static_cast<std::uint32_t>(field), 9'300, 0);
+        }
+    }
+    return {false, {load}, {}};
+}
+
+/// The mean number of bytes that daemons send per server and round. `limited`: each server announces a limit;
+/// `loads`: owners send this about each server besides.
+double bytesOf(std::size_t daemons, std::size_t domains, std::size_t servers, bool limited = false,
+    const std::function<load_heartbeat(const std::string &server)> &loads = {})
 {
     const fleet simulated = fleetOf(daemons, domains, servers);
     double bytes = 0;
@@ -93,6 +111,10 @@
                     planHeartbeats(simulated.shape(), record, heartbeat, round)) {
                     bytes += static_cast<double>(encode(fleet_datagram{node, 1, delivery.heartbeat}).size())
                         * static_cast<double>(delivery.recipients.size());
+                    bytes += loads
+                        ? static_cast<double>(encode(fleet_datagram{node, 1, loads(server)}).size())
+                            * static_cast<double>(delivery.recipients.size())
+                        : 0;
                 }
             }
         }
@@ -161,6 +183,28 @@
     EXPECT_LT(largest, 1.2 * current);
 }
 
+// The speeds of servers are reported with every heartbeat. Reports to all daemons would not scale.
+TEST(HeartbeatGroups, BytesForSpeedsDoNotGrowWithTheFleet)
+{
+    const auto added = [](std::size_t daemons, std::size_t domains, std::size_t servers) {
+        const auto with = [](bool forecast) {
+            return [forecast](const std::string &server) {
+                return loadHeartbeatOf(server, forecast);
+            };
+        };
+        return bytesOf(daemons, domains, servers, false, with(true))
+            - bytesOf(daemons, domains, servers, false, with(false));
+    };
+    const double current = added(80, 4, 94);
+    const double larger = added(300, 4, 300);
+    const double largest = added(1'200, 8, 4'100);
+    std::printf("bytes per server and round that the speeds add: 80 daemons %.0f, 300 %.0f, 1,200 %.0f\n",
+        current, larger, largest);
+    EXPECT_GT(current, 0);
+    EXPECT_LT(larger, 1.2 * current);
+    EXPECT_LT(largest, 1.2 * current);
+}
+
 // The adapter isn't resident in this entry's heartbeat group. A server of another group is a candidate only
 // in the first positions of the adapter's rendezvous order, where the adapter is probably resident.
 TEST(HeartbeatGroups, FirstServersInRendezvousOrderAreChosenWithoutHeartbeats)
