Weight the rendezvous order of model servers by their speed

Cause: servers that read half as fast are first for as many adapters as the others. Change: rankByHash weights servers by the usual speed that their owners report, in steps of the square root of two, with hysteresis and a moving average of about 30 s, so that slowdowns of seconds move nothing. With equal steps, and without reports, the order is the plain one. Without weights and with a smaller hysteresis, ServersThatReadTwiceAsFastGetTwiceTheFirstPlaces and AdaptersStayWhileTheSpeedVaries fail.

--- a/packages/scheduling/choose_server.h
+++ b/packages/scheduling/choose_server.h
@@ -39,6 +39,7 @@
     std::size_t hashRank = 0; ///< position in the adapter's rendezvous order
     double recentUses = 0; ///< decaying count of uses of the adapter on this server
     gap_basis gaps; ///< for the forecast of inter-event gaps
+    int capacityStep = 0; ///< of its weight in the rendezvous order, see capacityWeight
     std::uint32_t running = 0; ///< requests running there
 };
 
--- a/packages/scheduling/observed_server.cpp
+++ b/packages/scheduling/observed_server.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace briarhead {
 
@@ -70,7 +71,12 @@
 {
     const auto decoded = decodeLoad(load, now);
     if (decoded && load.fence >= observed.heartbeat.fence && load.fence >= observed.load.fence) {
-        observed.load = *decoded;
+        const observed_load previous = std::exchange(observed.load, *decoded);
+        const double usual = previous.usualTokensPerMs > 0 ? previous.usualTokensPerMs : decoded->tokensPerMs;
+        observed.load.usualTokensPerMs = decoded->tokensPerMs > 0
+            ? usual + usualSpeedWeight * (decoded->tokensPerMs - usual)
+            : previous.usualTokensPerMs;
+        observed.load.capacityStep = capacityStepFor(observed.load.usualTokensPerMs, previous.capacityStep);
     }
 }
 
@@ -120,6 +126,9 @@
         && now - observed.load.receivedAt < heartbeatFreshFor && observed.load.fence == heartbeat.fence;
     candidate.gaps.tokensPerMs =
         loadKnown && observed.load.tokensPerMs > 0 ? observed.load.tokensPerMs : tokensPerMs;
+    const bool stepKnown =
+        observed.load.receivedAt.count != 0 && now - observed.load.receivedAt < capacityStepKeptFor;
+    candidate.capacityStep = stepKnown ? observed.load.capacityStep : 0;
     candidate.running = loadKnown ? observed.load.limitedStreams : heartbeat.running;
     candidate.backlogMs =
         static_cast<double>(heartbeat.backlogTokens + observed.requestedTokensSince) / tokensPerMs;
@@ -138,6 +147,67 @@
     return candidate;
 }
 
+int capacityStepFor(double tokensPerMs, int present)
+{
+    if (tokensPerMs <= 0) {
+        return present;
+    }
+    const double exact = stepsPerOctave * std::log2(tokensPerMs / referenceTokensPerMs);
+    return std::abs(exact - present) < stepHysteresis
+        ? present
+        : static_cast<int>(std::lround(std::clamp<double>(exact, -maxCapacityStep, maxCapacityStep)));
+}
+
+double capacityWeight(int step)
+{
+    return std::exp2(step / stepsPerOctave);
+}
+
+namespace {
+
+/// The first positions of the weighted rendezvous order: by descending log(u) / weight, with u the hash as a
+/// number between 0 and 1. A server whose hash is too low to come first even at the highest weight is passed
+/// over by one comparison, so that the cost per server is that of the plain order.
+std::vector<std::size_t> weightedTop(const std::vector<model_candidate> &candidates,
+    const std::vector<std::string_view> &servers, const std::string &adapterKey, int highestStep)
+{
+    struct weighted_server
+    {
+        double score = 0;
+        std::size_t index = 0;
+    };
+    constexpr double hashRange = 18'446'744'073'709'551'616.0;
+    const std::uint64_t seed = detail::keySeed(adapterKey);
+    const double highestWeight = capacityWeight(highestStep);
+    double lowestHash = 0;
+    std::vector<weighted_server> top; // in order, at most maxHashRank
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        const auto hash = static_cast<double>(detail::nodeScore(seed, servers[i]));
+        if (hash < lowestHash) {
+            continue;
+        }
+        const double u = (hash + 1) / (hashRange + 1);
+        const weighted_server server{std::log(u) / capacityWeight(candidates[i].capacityStep), i};
+        const auto at = std::upper_bound(
+            top.begin(), top.end(), server, [](const weighted_server &a, const weighted_server &b) {
+                return a.score > b.score;
+            });
+        top.insert(at, server);
+        if (top.size() > maxHashRank) {
+            top.pop_back();
+            lowestHash = std::exp(top.back().score * highestWeight) * hashRange * (1 - 1e-12);
+        }
+    }
+    std::vector<std::size_t> order;
+    order.reserve(top.size());
+    for (const weighted_server &each : top) {
+        order.push_back(each.index);
+    }
+    return order;
+}
+
+}
+
 void rankByHash(std::vector<model_candidate> &candidates, const std::vector<std::string_view> &servers,
     const std::string &adapterKey)
 {
@@ -145,14 +215,23 @@
     for (model_candidate &each : candidates) {
         each.hashRank = maxHashRank;
     }
-    const std::vector<std::size_t> order = rendezvousTop(
-        adapterKey, servers.size(), maxHashRank,
-        [&servers](std::size_t i) -> std::string_view {
-            return servers[i];
-        },
-        [](std::size_t) {
-            return true;
+    const auto [lowest, highest] = std::minmax_element(
+        candidates.begin(), candidates.end(), [](const model_candidate &a, const model_candidate &b) {
+            return a.capacityStep < b.capacityStep;
         });
+    std::vector<std::size_t> order;
+    if (!candidates.empty() && lowest->capacityStep != highest->capacityStep) {
+        order = weightedTop(candidates, servers, adapterKey, highest->capacityStep);
+    } else {
+        order = rendezvousTop(
+            adapterKey, servers.size(), maxHashRank,
+            [&servers](std::size_t i) -> std::string_view {
+                return servers[i];
+            },
+            [](std::size_t) {
+                return true;
+            });
+    }
     for (std::size_t rank = 0; rank < order.size(); ++rank) {
         candidates[order[rank]].hashRank = rank;
     }
--- a/packages/scheduling/observed_server.h
+++ b/packages/scheduling/observed_server.h
@@ -23,8 +23,28 @@
     millis speedAge; ///< since it was last measured, at `receivedAt`
     std::uint32_t limitedStreams = 0; ///< streams whose limit on the gap can still be kept
     millis receivedAt; ///< 0: never
+    double usualTokensPerMs = 0; ///< moving average of the reported speeds; 0: none
+    int capacityStep = 0; ///< of the usual speed
 };
 
+/// Reports come every 150 ms, so that the usual speed follows within about 30 s: a slowdown of seconds moves
+/// no adapters.
+constexpr double usualSpeedWeight = 0.005;
+/// Weights are powers of the square root of two. A change by one step moves at most 0.3 of a server's
+/// adapters, and happens only when the speed is well beyond the middle between two steps.
+constexpr double stepsPerOctave = 2;
+constexpr double stepHysteresis = 0.75;
+constexpr int maxCapacityStep = 4;
+/// A step outlasts a change of owner. Without reports for longer, gaps are not forecast any more, and the
+/// plain order applies again.
+constexpr millis capacityStepKeptFor{30'000};
+/// The speed of step 0, which servers of unknown speed have.
+constexpr double referenceTokensPerMs = 14;
+
+/// The step for a usual speed, given the present step.
+int capacityStepFor(double tokensPerMs, int present);
+double capacityWeight(int step);
+
 /// The latest heartbeat about a model server, and what has happened since.
 struct observed_server
 {
@@ -74,7 +94,8 @@
 model_candidate unobservedCandidate(bool needsAdapter);
 
 /// Sets `hashRank` of each candidate to its position in the adapter's rendezvous order over the server ids,
-/// at most `maxHashRank`.
+/// at most `maxHashRank`. The order is weighted by capacity: a server of twice the weight comes first for
+/// twice as many adapters. Where all have the same step it is the plain one.
 void rankByHash(std::vector<model_candidate> &candidates, const std::vector<std::string_view> &servers,
     const std::string &adapterKey);
 
