--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -140,6 +140,7 @@
 
 void front_task::onLoadHeartbeat(const std::string &node, const load_heartbeat &heartbeat)
 {
+    applyServerLoads(m_observed, heartbeat.servers, bootNow());
     applyPlainLoads(node, heartbeat.plainServers);
 }
 
--- a/tests/load_model/load_model.cpp
+++ b/tests/load_model/load_model.cpp
@@ -96,6 +96,7 @@
     void makeArrivals(std::uint64_t seed);
     arrival drawArrival(std::mt19937_64 &random, const std::vector<double> &popularity, std::int64_t atMs);
     void loseAndRestore();
+    void slowAndRestore();
     void take(const arrival &what, bool returned);
     void startModel(request &one);
     std::optional<std::size_t> choose(const std::vector<model_candidate> &candidates,
@@ -156,6 +157,7 @@
         server.desk.ledger.models = {baseModel};
         server.desk.queue.maxRunning = plan.engine.slots;
         server.desk.queue.memoryTokens = plan.engine.memoryTokens;
+        server.desk.features.gapPrediction = plan.gapPrediction;
         m_servers.push_back(std::move(server));
     }
     m_heard.resize(plan.entries, std::vector<observed_server>(plan.servers));
@@ -229,6 +231,7 @@
     const std::int64_t endMs = startMs + m_plan.lengthMs + 16'000;
     for (; m_nowMs < endMs; ++m_nowMs) {
         loseAndRestore();
+        slowAndRestore();
         goOnLoading();
         for (std::size_t i = 0; i < m_servers.size(); ++i) {
             onEvents(i);
@@ -286,6 +289,20 @@
     }
 }
 
+void day::slowAndRestore()
+{
+    const auto count =
+        static_cast<std::size_t>(std::llround(m_plan.slowed * static_cast<double>(m_servers.size())));
+    for (std::size_t i = 0; i < count; ++i) {
+        double &slowness = m_servers[i].engine.slowness;
+        if (m_nowMs == startMs + m_plan.slowedFromMs) {
+            slowness *= m_plan.slowedBy;
+        } else if (m_nowMs == startMs + m_plan.slowedToMs) {
+            slowness = m_plan.slowness[i % m_plan.slowness.size()];
+        }
+    }
+}
+
 void day::take(const arrival &what, bool returned)
 {
     request one;
@@ -324,8 +341,13 @@
     const std::int64_t announced = announcedTokens(m_plan.kinds[what.kind]);
     if (one.tried == 0) {
         recordOutputLength(answers, announced);
+        recordPromptLength(answers.prompts, what.promptTokens);
     }
     prompt_shape prompt = shapeOf(answers, what.promptTokens, announced);
+    if (m_plan.gapPrediction) {
+        const auto limitMs = static_cast<double>(m_plan.gapMs);
+        prompt.gaps = {limitMs, limitMs, announced, answers.prompts};
+    }
     prompt.copyCostShare = copyCostShareOf(candidates);
     const auto chosen = choose(candidates, loads, prompt);
     if (!chosen || one.tried >= maxServersTried) {
@@ -342,7 +364,10 @@
     const slot_request ask{one.id, server.id, baseModel, what.adapter, what.promptTokens, announced,
         kind.rank, std::max<std::int64_t>(wait.count, 0), what.atMs + kind.deadlineMs - m_nowMs,
         m_plan.targetMs - waited.count};
-    const slot_response answer = handleSlotRequest(server.desk, std::to_string(what.entry), ask, now());
+    slot_terms terms;
+    terms.maxGap = millis{m_plan.gapPrediction ? m_plan.gapMs : 0};
+    const slot_response answer =
+        handleSlotRequest(server.desk, std::to_string(what.entry), ask, now(), terms);
     if (answer.decision == slot_decision::Queued) {
         pump(*chosen);
     } else {
@@ -552,10 +577,12 @@
     tellLoads();
     for (std::size_t i = 0; i < m_servers.size(); ++i) {
         const server_heartbeat beat = serverHeartbeat(m_servers[i].desk, true, now());
+        const server_load load = serverLoad(m_servers[i].desk, now());
         for (std::size_t entry = 0; entry < m_heard.size(); ++entry) {
             const bool near = m_servers[i].domain == entry % m_plan.domains;
             if (near || m_nowMs % farBeatEveryMs == 0 || m_heard[entry][i].receivedAt.count == 0) {
                 applyHeartbeat(m_heard[entry][i], beat, "", now());
+                applyServerLoad(m_heard[entry][i], load, now());
             }
         }
     }
@@ -583,6 +610,11 @@
     const bool lateFirst =
         one.firstMs - static_cast<double>(one.what.atMs) > static_cast<double>(m_plan.targetMs);
     const bool lateGap = one.worstGapMs > static_cast<double>(m_plan.gapMs);
+    if (complete) {
+        speed_result &speed = m_result.speeds[m_servers[*one.server].engine.slowness];
+        ++speed.streams;
+        speed.gapOver += lateGap ? 1 : 0;
+    }
     if (!complete) {
         ++result.cut;
     } else if (lateFirst || lateGap) {
@@ -747,6 +779,36 @@
     return plan;
 }
 
+load_plan unevenPlan(bool gapPrediction)
+{
+    load_plan plan;
+    plan.name = gapPrediction ? "60 uneven servers, gap prediction" : "60 uneven servers";
+    plan.engine.stepMs = 10.5;
+    plan.engine.readTokensPerMs = 21;
+    plan.engine.memoryTokens = 126'904;
+    plan.slowness = {1, 2, 1};
+    plan.servers = 60;
+    plan.entries = 81;
+    plan.adapters = 10'000;
+    plan.loadMs = 288;
+    plan.loadsAtFullSpeed = 64;
+    request_kind draft = matching("draft", 0.7, 5'000);
+    draft.worth = 1.3;
+    draft.lateWorth = 0.52;
+    draft.rank = 2;
+    request_kind featured = matching("featured draft", 0.093, 15'000);
+    featured.worth = 2.7;
+    featured.lateWorth = 2.16;
+    request_kind digest = drafting(0.207, 57, 174);
+    digest.name = "digest";
+    digest.worth = 3.4;
+    digest.lateWorth = 3.4;
+    plan.kinds = {draft, featured, digest};
+    plan.perSecond = 263;
+    plan.gapPrediction = gapPrediction;
+    return plan;
+}
+
 load_plan scarcePlan()
 {
     load_plan plan;
