Keep the read-ahead as the most, and long responses away from long gaps

Cause: where a route states a limit on gaps, the owner admitted prompts together up to four fifths of it. Long responses were drawn to slow servers that had other long ones. Change: the read-ahead limit stays the most. Servers where a quarter of the prompts breaks the limit attract no long responses. LongLimitDoesNotWidenTheReadAhead replaces a test that asked for the opposite and is as strict: it fixes the number admitted for three limits.

--- a/packages/scheduling/choose_server.cpp
+++ b/packages/scheduling/choose_server.cpp
@@ -45,6 +45,20 @@
 
 }
 
+namespace {
+
+/// From this share of prompts on that break the limit on gaps there, a server doesn't attract long responses:
+/// a long response meets more than four prompts, so that it would hardly ever be on time.
+constexpr double maxBreakingShare = 0.25;
+
+/// How strongly a server with long responses attracts another one, 0 to 1.
+double attractionOf(const model_candidate &server, const prompt_shape &prompt)
+{
+    return std::max(0.0, 1 - breakingShare(server.gaps, prompt.gaps) / maxBreakingShare);
+}
+
+}
+
 double copyCostShareOf(const std::vector<model_candidate> &servers)
 {
     double recentUses = 0;
@@ -78,7 +92,8 @@
     const bool noOpenSlot = needsSlot && server.availableSlots == 0;
     // Long responses occupy their slots for seconds. Without an open slot, being attracted to a server that
     // has many of them would end in a refusal.
-    cost += prompt.longResponse ? (noOpenSlot ? 0 : -disturbance) : disturbance * disturbanceOf(prompt);
+    cost += prompt.longResponse ? (noOpenSlot ? 0 : -disturbance * attractionOf(server, prompt))
+                                : disturbance * disturbanceOf(prompt);
     cost += gapLossOf(server, prompt);
     switch (server.adapter) {
     case adapter_residency::Resident:
--- a/packages/scheduling/gap_forecast.cpp
+++ b/packages/scheduling/gap_forecast.cpp
@@ -67,6 +67,13 @@
     return std::erfc((value - lengths.meanLog) / (deviation * std::numbers::sqrt2)) / 2;
 }
 
+double breakingShare(const gap_basis &server, const gap_terms &terms)
+{
+    return terms.ownLimitMs <= 0 || server.tokensPerMs <= 0
+        ? 0
+        : shareLongerThan(terms.lengths, maxTokensWithinGap(server, terms.ownLimitMs));
+}
+
 double gapLossMs(
     const gap_basis &server, std::uint32_t streams, std::int64_t promptTokens, const gap_terms &terms)
 {
@@ -76,9 +83,7 @@
     const double counted = std::min(streams, maxStreamsCounted);
     const double others = counted * gapExcessProbability(forecastGapMs(server, promptTokens), terms.limitMs);
     // Prompts that break the limit, arriving at a rate that grows with how full the server is.
-    const double breaking = terms.ownLimitMs <= 0
-        ? 0
-        : shareLongerThan(terms.lengths, maxTokensWithinGap(server, terms.ownLimitMs));
+    const double breaking = breakingShare(server, terms);
     const double promptMs = std::exp(terms.lengths.meanLog) / server.tokensPerMs;
     const double responseMs =
         static_cast<double>(terms.outputTokens) * usedShareOfAnnounced * msPerOutputToken;
--- a/packages/scheduling/gap_forecast.h
+++ b/packages/scheduling/gap_forecast.h
@@ -59,6 +59,10 @@
     prompt_lengths lengths; ///< of the service's prompts
 };
 
+/// The share of the service's prompts whose prefill alone would exceed the request's own limit on gaps at the
+/// server; 0 if none is stated.
+double breakingShare(const gap_basis &server, const gap_terms &terms);
+
 /// The expected loss, in ms of waiting, from sending a prompt to a server that has `streams` running: the
 /// streams whose limit the prompt breaks, and the chance that this request's own response has a gap over the
 /// limit there.
--- a/packages/scheduling/slot_queue.cpp
+++ b/packages/scheduling/slot_queue.cpp
@@ -171,9 +171,11 @@
         const auto maxGap = static_cast<double>(run.prompt.terms.maxGap.count);
         limitMs = hasGapLimit(run) && (limitMs == 0 || maxGap < limitMs) ? maxGap : limitMs;
     }
+    const auto usual = static_cast<std::int64_t>(queue.tokensPerMs * maxReadAheadMs);
     return limitMs == 0
-        ? static_cast<std::int64_t>(queue.tokensPerMs * maxReadAheadMs)
-        : maxTokensWithinGap({gapTokensPerMs(queue, now), 0}, limitMs * (1 - gapForecastError));
+        ? usual
+        : std::min(
+            usual, maxTokensWithinGap({gapTokensPerMs(queue, now), 0}, limitMs * (1 - gapForecastError)));
 }
 
 std::int64_t backlogTokens(const slot_queue &queue)
--- a/tests/scheduling/gap_forecast_test.cpp
+++ b/tests/scheduling/gap_forecast_test.cpp
@@ -68,14 +68,15 @@
     EXPECT_EQ(admittedNow(queue, start + millis{80}), 1U);
 }
 
-// A fixed allowance leaves a server idle between prompts where the limit permits more.
-TEST(GapForecast, PromptsAreReadTogetherAsFarAsTheLimitAllows)
+// A limit longer than the read-ahead must not widen it: an event spans several steps, so that prompts admitted
+// right after these are read within the same gap.
+TEST(GapForecast, LongLimitDoesNotWidenTheReadAhead)
 {
-    for (const auto &[limit, admitted] : {std::pair{millis{400}, 2U}, std::pair{millis{}, 1U}}) {
+    for (const millis limit : {millis{400}, millis{2'000}, millis{}}) {
         slot_queue queue = queueWithStream(14, limit);
         ASSERT_TRUE(enqueue(queue, promptOf("a", 2'000, {}), start).accepted);
         ASSERT_TRUE(enqueue(queue, promptOf("b", 2'000, {}), start).accepted);
-        EXPECT_EQ(admittedNow(queue), admitted) << limit.count;
+        EXPECT_EQ(admittedNow(queue), 1U) << limit.count;
     }
 }
 
--- a/tests/scheduling/heartbeat_groups_test.cpp
+++ b/tests/scheduling/heartbeat_groups_test.cpp
@@ -89,11 +89,11 @@
             addField(load.fields, static_cast<std::uint32_t>(field), 9'300, 0);
         }
     }
-    return {false, {load}, {}};
+    return {{load}, {}};
 }
 
 /// The mean number of bytes that daemons send per server and round. `limited`: each server announces a limit;
-/// `loads`: owners send this about each server besides.
+/// `loads`: owners send this about each server with the heartbeat.
 double bytesOf(std::size_t daemons, std::size_t domains, std::size_t servers, bool limited = false,
     const std::function<load_heartbeat(const std::string &server)> &loads = {})
 {
@@ -110,12 +110,12 @@
             for (int round = 1; round <= relayIntervalRounds; ++round) {
                 for (const heartbeat_delivery &delivery :
                     planHeartbeats(simulated.shape(), record, heartbeat, round)) {
-                    bytes += static_cast<double>(encode(fleet_datagram{node, 1, delivery.heartbeat}).size())
+                    fleet_datagram datagram{node, 1, delivery.heartbeat};
+                    if (loads) {
+                        datagram.body = extended_heartbeat{delivery.heartbeat, loads(server)};
+                    }
+                    bytes += static_cast<double>(encode(datagram).size())
                         * static_cast<double>(delivery.recipients.size());
-                    bytes += loads
-                        ? static_cast<double>(encode(fleet_datagram{node, 1, loads(server)}).size())
-                            * static_cast<double>(delivery.recipients.size())
-                        : 0;
                 }
             }
         }
--- a/tests/scheduling/plain_choice_test.cpp
+++ b/tests/scheduling/plain_choice_test.cpp
@@ -392,8 +392,8 @@
     for (int i = 0; i < 4; ++i) { // as many as a load heartbeat has at most
         beat.plainServers.push_back({"pool-server-" + std::to_string(i), 3, 60});
     }
-    const std::size_t reportBytes = encode(fleet_datagram{"node", 1, beat}).size()
-        - encode(fleet_datagram{"node", 1, load_heartbeat{}}).size();
+    const std::size_t reportBytes = encode(fleet_datagram{"node", 1, extended_heartbeat{{}, beat}}).size()
+        - encode(fleet_datagram{"node", 1, extended_heartbeat{}}).size();
     RecordProperty("report_bytes", static_cast<int>(reportBytes));
     EXPECT_LE(reportBytes, 128U);
 }
--- a/tests/serving/other_daemon.h
+++ b/tests/serving/other_daemon.h
@@ -100,8 +100,8 @@
             slotEvents.push_back(*slotEvent);
         } else if (const auto *notice = std::get_if<server_notice>(&datagram.body)) {
             notices.push_back(*notice);
-        } else if (const auto *loads = std::get_if<load_heartbeat>(&datagram.body)) {
-            plainLoads = loads->plainServers;
+        } else if (const auto *loads = std::get_if<extended_heartbeat>(&datagram.body)) {
+            plainLoads = loads->loads.plainServers;
         }
     }
 
