--- a/packages/serving/front_plain.cpp
+++ b/packages/serving/front_plain.cpp
@@ -149,8 +149,12 @@
         candidates.clear();
         request.keepsConnections = false;
         if (found != m_plainServices.end()) {
+            // A request that another task dispatches again on a change of the view may come before the update
+            // of the members, which then still list a removed server.
             for (const std::string &id : found->second.servers) {
-                add(known.at(id));
+                if (const auto server = known.find(id); server != known.end()) {
+                    add(server->second);
+                }
             }
         } else {
             for (const auto &[id, server] : known) {
