--- a/tests/scheduling/gap_forecast_test.cpp
+++ b/tests/scheduling/gap_forecast_test.cpp
@@ -68,8 +68,8 @@
     EXPECT_EQ(admittedNow(queue, start + millis{80}), 1U);
 }
 
-// A limit longer than the read-ahead must not widen it: an event spans several steps, so that prompts admitted
-// right after these are read within the same gap.
+// A limit longer than the read-ahead must not widen it: an event spans several steps, so that prompts
+// admitted right after these are read within the same gap.
 TEST(GapForecast, LongLimitDoesNotWidenTheReadAhead)
 {
     for (const millis limit : {millis{400}, millis{2'000}, millis{}}) {
