Order an account's requests by their routes' ranks

Ruled out: a combined rank in slot_request itself, whose numbers older builds would compare with plain ranks. Change: slot requests carry the route's rank as an optional field; the owner orders by the account's rank first and by the route's second. Where routes alone have ranks the order is as before.

--- a/packages/scheduling/slot_queue.cpp
+++ b/packages/scheduling/slot_queue.cpp
@@ -17,6 +17,8 @@
 constexpr double minTokensPerMs = 1.0;
 constexpr double maxTokensPerMs = 200.0;
 constexpr std::int64_t milliPerUnit = 1'000;
+/// Routes of larger ranks count as equal within an account.
+constexpr int maxRouteRank = 9;
 
 constexpr std::uint32_t tagOf(slot_field field)
 {
@@ -115,6 +117,7 @@
     addField(fields, tagOf(slot_field::ArrivedAgoMs), terms.arrivedAgo.count, 0);
     addField(fields, tagOf(slot_field::MaxGapMs), terms.maxGap.count, 0);
     addField(fields, tagOf(slot_field::Returned), terms.returned ? 1 : 0, 0);
+    addField(fields, tagOf(slot_field::RouteRank), terms.routeRank, noRouteRank);
     return fields;
 }
 
@@ -130,9 +133,17 @@
     terms.arrivedAgo = nonNegative(slot_field::ArrivedAgoMs);
     terms.maxGap = nonNegative(slot_field::MaxGapMs);
     terms.returned = fieldValue(fields, tagOf(slot_field::Returned), 0) == 1;
+    const std::int64_t routeRank = fieldValue(fields, tagOf(slot_field::RouteRank), noRouteRank);
+    terms.routeRank = static_cast<int>(std::clamp<std::int64_t>(routeRank, noRouteRank, maxRouteRank));
     return terms;
 }
 
+int combinedRank(int rank, int routeRank)
+{
+    const int second = routeRank == noRouteRank ? rank : routeRank;
+    return rank * (maxRouteRank + 1) + std::clamp(second, 0, maxRouteRank);
+}
+
 std::int64_t readingTokens(const slot_queue &queue)
 {
     std::int64_t sum = 0;
--- a/packages/scheduling/slot_queue.h
+++ b/packages/scheduling/slot_queue.h
@@ -18,6 +18,9 @@
 // those that can still meet their target before those that cannot, then by arrival.
 namespace briarhead {
 
+/// Stands for a request of an older build, which states one rank only.
+constexpr int noRouteRank = -1;
+
 /// The fields of an extended_slot_request, decoded. The defaults apply to requests of older builds.
 struct slot_terms
 {
@@ -26,12 +29,18 @@
     millis arrivedAgo; ///< since the caller's request arrived at the entry
     millis maxGap; ///< longest inter-event gap with which the response is on time; 0: none stated
     bool returned = false; ///< the caller returns at the time that a refusal stated
+    int routeRank = noRouteRank; ///< priority of the request's route
 };
 
 optional_fields encodeTerms(const slot_terms &terms);
 /// Values that make no sense are replaced by the default.
 slot_terms decodeTerms(const optional_fields &fields);
 
+/// The rank that waiting prompts are ordered by: `rank` first, which is the account's where the account has
+/// one. Among equal ones the route's decides; otherwise all requests of an account with a rank of its own
+/// would count as equally urgent.
+int combinedRank(int rank, int routeRank);
+
 struct waiting_prompt
 {
     std::string id;
@@ -40,7 +49,7 @@
     std::string adapter;
     std::int64_t promptTokens = 0;
     std::int64_t outputTokens = 0; ///< upper bound
-    int rank = 0; ///< lower ranks go first
+    int rank = 0; ///< combinedRank(); lower ranks go first
     millis arrived;
     millis startBy; ///< latest start that still serves the caller
     millis deadline;
--- a/packages/scheduling/slot_scheduler.cpp
+++ b/packages/scheduling/slot_scheduler.cpp
@@ -114,7 +114,7 @@
         return refusedResponse(request.id, request.server, refusal::NoSlot, slotRetryAfter);
     }
     const waiting_prompt prompt{request.id, entry, request.model, request.adapter, request.promptTokens,
-        request.outputTokens, request.rank, now, now + millis{request.waitMs},
+        request.outputTokens, combinedRank(request.rank, terms.routeRank), now, now + millis{request.waitMs},
         now + millis{request.deadlineMs}, now + millis{request.targetMs}, terms};
     if (loadsTooLate(ledger, prompt, now)) {
         const millis wait = adapterWait(ledger, request.model, request.adapter, now);
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -186,6 +186,7 @@
     }
     terms.arrivedAgo = bootNow() - pending.arrived;
     terms.maxGap = pending.matchedRoute->maxGap;
+    terms.routeRank = pending.matchedRoute->rank;
     return terms;
 }
 
--- a/tests/scheduling/service_features_test.cpp
+++ b/tests/scheduling/service_features_test.cpp
@@ -73,7 +73,7 @@
     EXPECT_EQ(defaults.weight, 1);
     EXPECT_FALSE(defaults.returned);
     EXPECT_TRUE(encodeTerms(defaults).empty());
-    slot_terms sent{77, 2.5, millis{120}, millis{400}, true};
+    slot_terms sent{77, 2.5, millis{120}, millis{400}, true, 2};
     optional_fields fields = encodeTerms(sent);
     fields.push_back({9'999, 5});
     error why;
@@ -86,6 +86,17 @@
     EXPECT_EQ(terms.arrivedAgo, sent.arrivedAgo);
     EXPECT_EQ(terms.maxGap, sent.maxGap);
     EXPECT_TRUE(terms.returned);
+    EXPECT_EQ(terms.routeRank, 2);
+}
+
+// Guards against an account's rank hiding those of its routes: all its requests would be equally urgent, and
+// its summaries would take the room of its urgent reviews.
+TEST(CombinedRank, RoutesDecideAmongRequestsOfOneAccountsRank)
+{
+    EXPECT_LT(combinedRank(1, 0), combinedRank(1, 2));
+    EXPECT_LT(combinedRank(0, 9), combinedRank(1, 0)) << "the account's rank takes precedence";
+    EXPECT_EQ(combinedRank(1, noRouteRank), combinedRank(1, 1)) << "an older build states one rank";
+    EXPECT_EQ(combinedRank(1, 50), combinedRank(1, 9));
 }
 
 // Guards against values of a corrupted or foreign message that would divide by zero or reverse an order.
