--- a/packages/coordination/quota_client.cpp
+++ b/packages/coordination/quota_client.cpp
@@ -8,21 +8,11 @@
 
 namespace {
 
-/// Demand is averaged over about this many requests, within the bounds below. Many requests make it react
-/// within a second when clients move to another daemon; with few requests, a random gap is not mistaken for
-/// the end of demand.
-constexpr double demandWindowRequests = 8;
-constexpr double minDemandWindowMs = 500;
-constexpr double maxDemandWindowMs = 4'000;
 /// The home is notified early of demand that has grown or shrunk by this factor.
 constexpr double demandChangeFactor = 2.5;
 constexpr millis minEarlyRequestGap{200};
-/// After this many mean intervals without a request, the callers are assumed to have left. At random, one
-/// interval in 1,100 is as long.
-constexpr double idleAfterGaps = 7;
 /// Fewer requests per second are not enough demand for a share.
 constexpr double minRequestsPerSecond = 0.1;
-constexpr double newestCostWeight = 0.1; ///< weight of the latest request in the mean cost
 /// After this many requests without a response, callers no longer wait for the home.
 constexpr int maxMissedResponses = 2;
 constexpr millis retryRequestAfter{400};
@@ -47,6 +37,11 @@
 constexpr std::size_t maxWantsPerRequest = 500;
 constexpr double roundingUnits = 1e-6;
 constexpr double msPerSecond = 1'000;
+/// Mean requests that the minimum of the less urgent may save up at a daemon, whose requests differ in size.
+constexpr double maxMinimumRequests = 2;
+/// A daemon's bucket has room for this many requests of less urgent callers beside the reserve. With room for
+/// just one, it would overflow while it waits for the next of them, and part of the limit would be lost.
+constexpr double minRequestsBesideReserve = 1.5;
 
 /// When a daemon without contact to its home begins to use its fallback share: all its shares have expired by
 /// then.
@@ -81,38 +76,51 @@
     } else {
         fillAt(account.share, now);
     }
+    if (client.byRank) {
+        const double share = isDisconnected(client, shard, now) ? shard.fallbackShare : account.share;
+        fill(account.lessUrgentMinimum, minLessUrgentShare * share * account.limit.rate,
+            maxMinimumRequests * account.demand.meanCost, now);
+    }
 }
 
-double demandWindowMs(const quota_client_account &account)
+/// Units in the bucket that a request may use. Less urgent ones leave the reserve, unless their minimum pays
+/// for them, or the bucket is too small to hold both.
+double usableUnits(const quota_client &client, const quota_client_account &account, std::uint64_t hash,
+    bool urgent, double cost, millis now)
 {
-    const double windowMs = account.demand > 0
-        ? demandWindowRequests * account.meanCost * msPerSecond / account.demand
-        : maxDemandWindowMs;
-    return std::clamp(windowMs, minDemandWindowMs, maxDemandWindowMs);
+    const double level = account.bucket.level;
+    if (urgent || level <= 0 || account.lessUrgentMinimum.level + roundingUnits >= cost) {
+        return level;
+    }
+    const double share = localShare(client, hash, now);
+    const double depth = share * account.limit.burst;
+    const double reserve = urgentReserve(account.urgentDemand, share * account.limit.rate, depth, now);
+    return std::max(0.0, level - std::min(reserve, std::max(0.0, depth - minRequestsBesideReserve * cost)));
 }
 
-double currentDemand(const quota_client_account &account, millis now)
+/// Adds to what less urgent requests may use in any case.
+void addToMinimum(quota_client_account &account, double units)
 {
-    const auto age = static_cast<double>((now - account.demandUpdatedAt).count);
-    if (age * account.demand > idleAfterGaps * account.meanCost * msPerSecond) {
-        return 0;
-    }
-    return account.demand * std::exp(-age / demandWindowMs(account));
+    account.lessUrgentMinimum.level =
+        std::min(account.lessUrgentMinimum.level + units, maxMinimumRequests * account.demand.meanCost);
+}
+
+void useMinimum(quota_client_account &account, double units)
+{
+    account.lessUrgentMinimum.level = std::max(0.0, account.lessUrgentMinimum.level - units);
 }
 
-void recordDemand(quota_client_account &account, double cost, millis now)
+/// Until when the home announced that there are no units for a request.
+millis exhaustedUntil(const quota_client_account &account, bool urgent)
 {
-    account.meanCost =
-        account.meanCost == 0 ? cost : account.meanCost + newestCostWeight * (cost - account.meanCost);
-    const double windowMs = demandWindowMs(account);
-    account.demand = currentDemand(account, now) + cost * msPerSecond / windowMs;
-    account.demandUpdatedAt = now;
+    return urgent ? account.exhaustedUntil
+                  : std::max(account.exhaustedUntil, account.lessUrgentExhaustedUntil);
 }
 
 /// Whether the demand differs much from what was last reported to the home.
 bool demandChanged(const quota_client_account &account, millis now)
 {
-    const double demand = currentDemand(account, now);
+    const double demand = currentDemand(account.demand, now);
     return demand * demandChangeFactor < account.reportedDemand
         || demand > account.reportedDemand * demandChangeFactor;
 }
@@ -120,72 +128,140 @@
 /// Whether the local demand may justify a share, with a bucket that can hold a request. The home decides.
 bool wantsShare(const quota_client &client, const quota_client_account &account, millis now)
 {
-    const bool fits = client.plan.maxDaemonShare * account.limit.burst >= account.meanCost;
-    return fits && currentDemand(account, now) >= minRequestsPerSecond * account.meanCost;
+    const bool fits = client.plan.maxDaemonShare * account.limit.burst >= account.demand.meanCost;
+    return fits && currentDemand(account.demand, now) >= minRequestsPerSecond * account.demand.meanCost;
 }
 
 /// The time until a request of that cost may succeed, here or at the home.
 millis retryDelay(const quota_client &client, const quota_client_account &account, std::uint64_t hash,
-    double cost, millis now)
+    double cost, bool urgent, millis now)
 {
-    const double rate = localShare(client, hash, now) * account.limit.rate;
-    const double missing = std::max(cost - account.bucket.level, 0.0);
+    const double fillRate = localShare(client, hash, now) * account.limit.rate;
+    const double rate = urgent
+        ? fillRate
+        : std::max(fillRate - currentDemand(account.urgentDemand, now), minLessUrgentShare * fillRate);
+    const double missing = std::max(cost - usableUnits(client, account, hash, urgent, cost, now), 0.0);
     millis localWait = maxRetryAfter;
     if (rate > 0) {
         const double waitMs =
             std::min(missing * msPerSecond / rate, static_cast<double>(maxRetryAfter.count));
         localWait = {static_cast<std::int64_t>(waitMs)};
     }
-    const millis homeWait = account.exhaustedUntil > now ? account.exhaustedUntil - now : localWait;
+    const millis exhausted = exhaustedUntil(account, urgent);
+    const millis homeWait = exhausted > now ? exhausted - now : localWait;
     return std::max(minRetryAfter, std::min(localWait, homeWait));
 }
 
-/// Grants units to waiting callers in order of arrival, as far as the bucket and `extra` suffice.
-void serveWaiting(quota_client_account &account, double &extra, std::vector<resolved_waiter> &resolved)
+/// The waiting caller to serve next: in their order, except that the minimum of the less urgent goes first.
+/// Otherwise a daemon whose urgent callers always wait would serve no others.
+std::deque<quota_client_account::waiter>::iterator nextToServe(quota_client_account &account, double extra)
+{
+    const auto lessUrgent = std::find_if(
+        account.waiting.begin(), account.waiting.end(), [](const quota_client_account::waiter &each) {
+            return !each.urgent;
+        });
+    const bool minimumFirst = lessUrgent != account.waiting.end()
+        && account.lessUrgentMinimum.level + roundingUnits >= lessUrgent->cost
+        && account.bucket.level + extra + roundingUnits >= lessUrgent->cost;
+    return minimumFirst ? lessUrgent : account.waiting.begin();
+}
+
+/// Grants units to waiting callers, as far as the bucket and `extra` suffice.
+void serveWaiting(const quota_client &client, quota_client_account &account, std::uint64_t hash,
+    double &extra, std::vector<resolved_waiter> &resolved, millis now)
 {
     while (!account.waiting.empty()) {
-        const quota_client_account::waiter &next = account.waiting.front();
-        if (account.bucket.level + extra + roundingUnits < next.cost) {
+        const auto next = nextToServe(account, extra);
+        const double usable = usableUnits(client, account, hash, next->urgent, next->cost, now);
+        if (usable + extra + roundingUnits < next->cost) {
             return;
         }
-        const double fromExtra = std::min(extra, next.cost);
+        const double fromExtra = std::min(extra, next->cost);
         extra -= fromExtra;
-        account.bucket.level -= next.cost - fromExtra;
-        resolved.push_back({next.id, {quota_result::Granted, {}}});
-        account.waiting.pop_front();
+        account.bucket.level -= next->cost - fromExtra;
+        if (!next->urgent) {
+            useMinimum(account, next->cost);
+        }
+        resolved.push_back({next->id, {quota_result::Granted, {}}});
+        account.waiting.erase(next);
     }
 }
 
+/// Refuses the waiting callers; with `lessUrgentOnly`, not those of the most urgent rank.
 void refuseWaiting(const quota_client &client, quota_client_account &account, std::uint64_t hash,
-    quota_result result, millis now, std::vector<resolved_waiter> &resolved)
+    quota_result result, bool lessUrgentOnly, millis now, std::vector<resolved_waiter> &resolved)
+{
+    for (const quota_client_account::waiter &each : account.waiting) {
+        if (!each.urgent || !lessUrgentOnly) {
+            const millis wait = retryDelay(client, account, hash, each.cost, each.urgent, now);
+            resolved.push_back({each.id, {result, wait}});
+        }
+    }
+    std::erase_if(account.waiting, [lessUrgentOnly](const quota_client_account::waiter &each) {
+        return !each.urgent || !lessUrgentOnly;
+    });
+}
+
+/// The units that a daemon's waiting callers need beyond what it has.
+struct waiting_need
+{
+    double urgent = 0;
+    double lessUrgent = 0;
+};
+
+waiting_need needOf(
+    const quota_client &client, const quota_client_account &account, std::uint64_t hash, millis now)
 {
+    waiting_need need{-account.bucket.level, 0};
     for (const quota_client_account::waiter &each : account.waiting) {
-        resolved.push_back({each.id, {result, retryDelay(client, account, hash, each.cost, now)}});
+        (each.urgent ? need.urgent : need.lessUrgent) += each.cost;
+    }
+    if (need.lessUrgent > 0) {
+        const double left = -std::exchange(need.urgent, std::max(0.0, need.urgent));
+        const double lastCost = account.waiting.back().cost;
+        const double reserved =
+            account.bucket.level - usableUnits(client, account, hash, false, lastCost, now);
+        need.lessUrgent -= left > 0 ? std::max(0.0, left - reserved) : 0;
     }
-    account.waiting.clear();
+    return need;
 }
 
-quota_demand makeWant(quota_client_account &account, std::uint64_t hash, millis now)
+quota_demand makeWant(
+    const quota_client &client, quota_client_account &account, std::uint64_t hash, millis now)
 {
     quota_demand want{hash, 0, 0, 0, 0, 0, 0};
-    account.reportedDemand = currentDemand(account, now);
+    account.reportedDemand = currentDemand(account.demand, now);
     want.demandMilli = toMilli(account.reportedDemand);
-    want.costMilli = toMilli(account.meanCost);
+    want.costMilli = toMilli(account.demand.meanCost);
     account.reportedShare = account.share;
     want.heldSharePpm = toPpm(account.share);
     want.unusedMilli = toMilli(std::exchange(account.unusedUnits, 0));
     account.needRequested = !account.waiting.empty();
     if (account.needRequested) {
-        double need = -account.bucket.level;
-        for (const quota_client_account::waiter &each : account.waiting) {
-            need += each.cost;
-        }
-        want.needMilli = toMilli(need) + 1; // rounded up
-        want.firstNeedMilli = toMilli(account.waiting.front().cost - account.bucket.level) + 1;
+        const quota_client_account::waiter &first = account.waiting.front();
+        const waiting_need need = needOf(client, account, hash, now);
+        want.needMilli = toMilli(need.urgent + need.lessUrgent) + 1; // rounded up
+        want.firstNeedMilli =
+            toMilli(first.cost - usableUnits(client, account, hash, first.urgent, first.cost, now)) + 1;
     }
     return want;
 }
 
+/// The fields of a want that only homes that know ranks are sent.
+optional_fields rankFieldsOf(
+    const quota_client &client, quota_client_account &account, std::uint64_t hash, millis now)
+{
+    const bool urgentWaits = !account.waiting.empty() && account.waiting.front().urgent;
+    const double need = needOf(client, account, hash, now).urgent;
+    account.urgentNeedRequested = urgentWaits;
+    optional_fields fields;
+    addField(fields, static_cast<std::uint32_t>(quota_field::UrgentDemandMilli),
+        toMilli(currentDemand(account.urgentDemand, now)), 0);
+    addField(fields, static_cast<std::uint32_t>(quota_field::UrgentNeedMilli),
+        urgentWaits ? toMilli(need) + 1 : 0, 0);
+    return fields;
+}
+
 /// Stops using the share before the home is notified.
 void dropShare(quota_client_account &account)
 {
@@ -199,18 +275,19 @@
     return !account.waiting.empty();
 }
 
-/// The wants of a shard to report to its home: with `all`, those of all relevant accounts, else only those of
-/// accounts with waiting callers.
-std::vector<quota_demand> wantsOf(quota_client &client, std::uint32_t index, bool all, millis now)
+/// Adds the wants of a shard to the request to its home: with `all`, those of all relevant accounts, else
+/// only those of accounts with waiting callers.
+void addWants(quota_client &client, addressed_request &request, bool all, millis now)
 {
-    std::vector<quota_demand> wants;
+    std::vector<quota_demand> &wants = request.request.demands;
+    const std::uint32_t index = request.request.shard;
     for (auto &[hash, account] : client.accounts) {
         if (shardOf(hash) != index) {
             continue;
         }
         updateBucket(client, account, client.shards[index], now);
         const bool answered = client.shards[index].missedResponses == 0; // else it can't be granted again
-        if (answered && account.waiting.empty() && currentDemand(account, now) == 0) {
+        if (answered && account.waiting.empty() && currentDemand(account.demand, now) == 0) {
             dropShare(account); // now rather than a round later
         }
         const bool shareDropped = account.reportedShare > 0 && account.share == 0;
@@ -223,9 +300,11 @@
             dropShare(account); // the home would otherwise have to assume that it is still in use
             continue;
         }
-        wants.push_back(makeWant(account, hash, now));
+        wants.push_back(makeWant(client, account, hash, now));
+        if (request.ranked) {
+            request.demandFields.push_back(rankFieldsOf(client, account, hash, now));
+        }
     }
-    return wants;
 }
 
 /// Removes accounts that have had no requests for a share's lifetime.
@@ -234,7 +313,7 @@
     std::erase_if(client.accounts, [&client, now](const auto &each) {
         const quota_client_account &account = each.second;
         return account.waiting.empty() && account.share == 0 && account.unusedUnits < 1
-            && now - account.demandUpdatedAt > client.plan.shareLifetime;
+            && now - account.demand.updatedAt > client.plan.shareLifetime;
     });
 }
 
@@ -258,7 +337,7 @@
 }
 
 quota_decision acquireUnits(quota_client &client, std::uint64_t account, const quota_limit &limit,
-    std::uint64_t id, double cost, millis now)
+    std::uint64_t id, double cost, millis now, quota_urgency urgency)
 {
     if (cost > limit.burst + maxDebt(limit, client.rules)) {
         return {quota_result::TooLarge, {}};
@@ -267,18 +346,30 @@
     quota_client_shard &shard = client.shards[shardOf(account)];
     state.limit = limit;
     updateBucket(client, state, shard, now);
-    recordDemand(state, cost, now);
-    if (state.waiting.empty() && state.bucket.level + roundingUnits >= cost) {
+    const bool urgent = !client.byRank || urgency == quota_urgency::MostUrgent;
+    recordDemand(state.demand, cost, now);
+    if (client.byRank && urgent) {
+        recordDemand(state.urgentDemand, cost, now);
+    }
+    const auto firstLessUrgent = std::find_if(
+        state.waiting.begin(), state.waiting.end(), [](const quota_client_account::waiter &each) {
+            return !each.urgent;
+        });
+    const bool othersFirst = urgent ? firstLessUrgent != state.waiting.begin() : !state.waiting.empty();
+    if (!othersFirst && usableUnits(client, state, account, urgent, cost, now) + roundingUnits >= cost) {
         state.bucket.level -= cost;
+        if (!urgent) {
+            useMinimum(state, cost);
+        }
         return {quota_result::Granted, {}};
     }
-    if (state.exhaustedUntil > now) {
-        return {quota_result::LimitReached, retryDelay(client, state, account, cost, now)};
+    if (exhaustedUntil(state, urgent) > now) {
+        return {quota_result::LimitReached, retryDelay(client, state, account, cost, urgent, now)};
     }
     if (shard.missedResponses >= maxMissedResponses) {
-        return {quota_result::HomeUnavailable, retryDelay(client, state, account, cost, now)};
+        return {quota_result::HomeUnavailable, retryDelay(client, state, account, cost, urgent, now)};
     }
-    state.waiting.push_back({id, cost, now});
+    state.waiting.insert(urgent ? firstLessUrgent : state.waiting.end(), {id, cost, now, urgent});
     return {quota_result::Pending, {}};
 }
 
@@ -352,8 +443,12 @@
         if (shard.home.empty() || shard.requestPending || !(due || urgent)) {
             continue;
         }
-        quota_request request{i, ++shard.round, shard.answeredRound, toPpm(shard.fallbackShare), {}};
-        request.demands = wantsOf(client, i, due || !shard.fullyReported, now);
+        addressed_request request;
+        request.home = shard.home;
+        request.request = {i, ++shard.round, shard.answeredRound, toPpm(shard.fallbackShare), {}};
+        request.ranked = client.byRank && shard.homeKnowsRanks;
+        addWants(client, request, due || !shard.fullyReported, now);
+        shard.rankedRequest = request.ranked;
         shard.requestPending = true;
         shard.sentAt = now;
         if (due) {
@@ -361,7 +456,7 @@
             const millis usual = hasShares[i] ? interval : std::max(interval, idleRequestInterval);
             shard.nextRequestAt = now + (shard.handshakesLeft > 0 ? handshakeInterval : usual);
         }
-        requests.push_back({shard.home, std::move(request)});
+        requests.push_back(std::move(request));
     }
     return requests;
 }
@@ -401,17 +496,26 @@
         account.shareUntil = shard.sentAt + client.plan.shareLifetime;
         updateBucket(client, account, shard, now);
         double extra = fromMilli(grant.unitsMilli);
-        serveWaiting(account, extra, resolved);
+        if (client.byRank) {
+            addToMinimum(account, minLessUrgentShare * extra);
+        }
+        serveWaiting(client, account, grant.account, extra, resolved, now);
         const double depth = account.share * account.limit.burst;
         const double fits = std::clamp(depth - account.bucket.level, 0.0, extra);
         account.bucket.level += fits;
         account.unusedUnits += extra - fits;
         if (grant.availableInMs > 0) {
-            account.exhaustedUntil =
-                now + std::clamp(millis{grant.availableInMs}, minRetryAfter, maxRetryAfter);
-            refuseWaiting(client, account, grant.account, quota_result::LimitReached, now, resolved);
+            // The home grants units to the most urgent rank first. If it did, or was not asked for that rank,
+            // it denied only the need of the others.
+            const bool lessUrgentOnly =
+                shard.rankedRequest && (grant.unitsMilli > 0 || !account.urgentNeedRequested);
+            const millis until = now + std::clamp(millis{grant.availableInMs}, minRetryAfter, maxRetryAfter);
+            (lessUrgentOnly ? account.lessUrgentExhaustedUntil : account.exhaustedUntil) = until;
+            refuseWaiting(
+                client, account, grant.account, quota_result::LimitReached, lessUrgentOnly, now, resolved);
         } else if (grant.unitsMilli <= 0 && account.needRequested) {
-            refuseWaiting(client, account, grant.account, quota_result::HomeUnavailable, now, resolved);
+            refuseWaiting(
+                client, account, grant.account, quota_result::HomeUnavailable, false, now, resolved);
         }
     }
     return resolved;
@@ -423,10 +527,13 @@
     for (auto &[hash, account] : client.accounts) {
         const quota_client_shard &shard = client.shards[shardOf(hash)];
         const bool homeUnavailable = shard.missedResponses >= maxMissedResponses
-            || (shard.home.empty() && !account.waiting.empty()
-                && now - account.waiting.front().arrivedAt >= homeDiscoveryTimeout);
+            || (shard.home.empty()
+                && std::any_of(account.waiting.begin(), account.waiting.end(),
+                    [now](const quota_client_account::waiter &each) {
+                        return now - each.arrivedAt >= homeDiscoveryTimeout;
+                    }));
         if (homeUnavailable) {
-            refuseWaiting(client, account, hash, quota_result::HomeUnavailable, now, resolved);
+            refuseWaiting(client, account, hash, quota_result::HomeUnavailable, false, now, resolved);
         }
     }
     return resolved;
--- a/packages/coordination/quota_client.h
+++ b/packages/coordination/quota_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/quota_bucket.h"
+#include "coordination/quota_demand.h"
 #include "coordination/quota_plan.h"
 #include "protocol/quota_messages.h"
 
@@ -30,6 +31,13 @@
 /// The name for logs: "granted", "waits", "over", "too_large" or "home_away".
 std::string_view nameOf(quota_result value);
 
+/// A request's rank compared with the others of the configuration.
+enum class quota_urgency : std::uint8_t
+{
+    MostUrgent, ///< of the configuration's most urgent rank
+    LessUrgent,
+};
+
 /// The decision on a request for units.
 struct quota_decision
 {
@@ -53,21 +61,25 @@
         std::uint64_t id = 0;
         double cost = 0;
         millis arrivedAt;
+        bool urgent = true; ///< of the most urgent rank, or ranks don't matter
     };
 
     quota_limit limit;
     quota_bucket bucket; ///< filled by this daemon's share
     double share = 0; ///< fraction of the limit that this daemon holds
     millis shareUntil; ///< when the share expires
-    double demand = 0; ///< units per second, recent average
-    millis demandUpdatedAt;
+    demand_average demand;
+    demand_average urgentDemand; ///< of the most urgent rank; only with quota_client::byRank
     double reportedDemand = 0; ///< as last sent to the home
     double reportedShare = 0; ///< likewise
-    double meanCost = 0; ///< units per request
     bool needRequested = false; ///< the latest request to the home asked for units
+    bool urgentNeedRequested = false; ///< it stated a need of the most urgent rank
     double unusedUnits = 0; ///< to be returned to the home
     millis exhaustedUntil; ///< the home announced that there are no units until then
-    std::deque<waiter> waiting;
+    millis lessUrgentExhaustedUntil; ///< the same, for less urgent requests alone
+    /// Units that less urgent requests may use here without regard to the urgent demand.
+    quota_bucket lessUrgentMinimum;
+    std::deque<waiter> waiting; ///< the most urgent rank first, then by arrival
 };
 
 /// What a daemon knows of a shard's home.
@@ -79,6 +91,8 @@
     std::uint64_t round = 0; ///< of the latest request
     std::uint64_t answeredRound = 0; ///< the latest round that got a response
     bool requestPending = false; ///< the latest request has no response yet
+    bool homeKnowsRanks = false; ///< the home understands extended_quota_request
+    bool rankedRequest = false; ///< the latest request was one
     millis sentAt; ///< of the latest request
     millis nextRequestAt; ///< when the next request is due, if no caller waits
     int missedResponses = 0; ///< requests without a response in a row
@@ -93,6 +107,7 @@
 {
     quota_plan plan;
     quota_tolerance rules;
+    bool byRank = false; ///< limits go to the most urgent requests first, see limitsByRank()
     std::array<quota_client_shard, quotaShards> shards;
     std::unordered_map<std::uint64_t, quota_client_account> accounts; ///< by accountHash()
 };
@@ -102,12 +117,14 @@
 {
     std::string home;
     quota_request request;
+    bool ranked = false; ///< to be sent as extended_quota_request, with the fields
+    std::vector<optional_fields> demandFields;
 };
 
 /// Acquires units for a request. If the home has to be asked, the caller waits under `id` and the result is
-/// Pending.
+/// Pending. With `byRank`, less urgent requests leave a reserve for the most urgent ones.
 quota_decision acquireUnits(quota_client &client, std::uint64_t account, const quota_limit &limit,
-    std::uint64_t id, double cost, millis now);
+    std::uint64_t id, double cost, millis now, quota_urgency urgency = quota_urgency::MostUrgent);
 /// Removes a waiting caller.
 void cancelWaiter(quota_client &client, std::uint64_t account, std::uint64_t id);
 /// Returns units that were acquired for a request that did not run. To be called at most once per
--- a/packages/coordination/quota_home.cpp
+++ b/packages/coordination/quota_home.cpp
@@ -24,6 +24,31 @@
 /// By this time after the home may grant, it has heard from each live daemon.
 constexpr millis learningPeriod{1'500};
 constexpr double msPerSecond = 1'000;
+/// The minimum of the less urgent takes at most this fraction of what flows in, when the home's own part of
+/// the limit is small.
+constexpr double maxMinimumOfFill = 0.5;
+
+/// One daemon's want, with the part of the most urgent rank.
+struct ranked_want
+{
+    const quota_demand &want;
+    bool ranked = false; ///< the daemon tells ranks apart
+    double urgentDemand = 0;
+    double urgentNeed = 0;
+};
+
+ranked_want rankedWant(
+    const quota_demand &want, const std::vector<optional_fields> *fields, std::size_t index)
+{
+    if (fields == nullptr || index >= fields->size()) {
+        return {want, false, fromMilli(want.demandMilli), fromMilli(want.needMilli)};
+    }
+    const auto valueOf = [&](quota_field tag) {
+        return fromMilli(fieldValue((*fields)[index], static_cast<std::uint32_t>(tag), 0));
+    };
+    return {want, true, std::min(valueOf(quota_field::UrgentDemandMilli), fromMilli(want.demandMilli)),
+        std::min(valueOf(quota_field::UrgentNeedMilli), fromMilli(want.needMilli))};
+}
 
 /// The fallback share: the fraction of each limit that a daemon may use after a long time without contact.
 double equalShare(const quota_home &home)
@@ -155,6 +180,22 @@
     return true;
 }
 
+/// Factor by which less urgent demand counts when shares are divided: what the urgent demand of all daemons
+/// leaves of the limit, as a fraction of the less urgent demand.
+double lessUrgentFactor(const quota_home_account &account, const quota_limit &limit, millis now)
+{
+    double urgent = 0;
+    double lessUrgent = 0;
+    for (const auto &[holder, holding] : account.holdings) {
+        if (holding.until > now) {
+            urgent += holding.urgentDemand;
+            lessUrgent += holding.demand - holding.urgentDemand;
+        }
+    }
+    const double left = std::max(limit.rate - urgent, minLessUrgentShare * limit.rate);
+    return lessUrgent > left ? left / lessUrgent : 1;
+}
+
 /// The share that a daemon gets in place of what it holds: proportional to its demand, but no more than is
 /// free. As much as possible is granted as shares, so that daemons have a reserve when the home fails.
 double shareFor(const quota_home &home, const quota_plan &plan, const quota_home_account &account,
@@ -166,15 +207,19 @@
     }
     const double available =
         std::max(0.0, std::min(plan.maxTotalShares, 1 - home.fallbackReserved - minHomeShare));
+    const double factor = lessUrgentFactor(account, limit, now);
+    const auto countedDemand = [factor](const quota_holding &holding) {
+        return holding.urgentDemand + factor * (holding.demand - holding.urgentDemand);
+    };
     double totalDemand = 0;
     double otherShares = 0;
     for (const auto &[holder, holding] : account.holdings) {
         if (holding.until > now) {
-            totalDemand += holding.demand;
+            totalDemand += countedDemand(holding);
             otherShares += holder == node ? 0 : holding.share;
         }
     }
-    const double ownDemand = fromMilli(want.demandMilli);
+    const double ownDemand = countedDemand(account.holdings.at(node));
     const double proportionalShare = totalDemand > 0 ? available * ownDemand / totalDemand : 0;
     const double target =
         std::min({proportionalShare, plan.headroom * ownDemand / limit.rate, plan.maxDaemonShare});
@@ -188,31 +233,99 @@
     return holdsRequest ? share : 0; // a bucket that can never hold a request is useless
 }
 
-/// Grants units from the home's bucket for waiting callers, or reports when there may be some.
-void grantUnits(const quota_plan &plan, const quota_tolerance &rules, const quota_limit &limit,
-    quota_home_account &account, const quota_demand &want, quota_grant &grant)
+millis waitFor(const quota_plan &plan, double missing, double rate)
+{
+    const double waitMs = missing * msPerSecond / rate;
+    return {
+        static_cast<std::int64_t>(std::clamp(waitMs, 1.0, static_cast<double>(plan.shareLifetime.count)))};
+}
+
+/// Grants units from the home's bucket for a need, or reports when there may be some. `first`: the least that
+/// is of use. Returns whether all was granted.
+bool grantUnits(const quota_plan &plan, const quota_tolerance &rules, const quota_limit &limit,
+    quota_home_account &account, double need, double first, quota_grant &grant)
 {
-    const double moved = fromMilli(grant.unitsMilli);
-    const double need = std::max(0.0, fromMilli(want.needMilli) - moved);
-    if (need <= 0) {
-        return;
-    }
-    const double first = std::min(std::max(0.0, fromMilli(want.firstNeedMilli) - moved), need);
     const double debt = maxDebt(limit, rules);
     const double room = account.bucket.level >= 0 ? account.bucket.level + debt : 0;
     if (account.fillShare > 0 && room >= first) {
         const std::int64_t granted = toMilli(std::min(need, room));
         grant.unitsMilli += granted;
         account.bucket.level -= fromMilli(granted);
-        return;
+        return room >= need;
     }
     if (account.fillShare <= 0) {
-        return; // nothing may be granted yet, which does not mean that the limit is used up
+        return false; // nothing may be granted yet, which does not mean that the limit is used up
     }
     const double missing = std::max(-account.bucket.level, first - debt - account.bucket.level);
-    const double waitMs = missing * msPerSecond / (account.fillShare * limit.rate);
-    grant.availableInMs =
-        static_cast<std::int64_t>(std::clamp(waitMs, 1.0, static_cast<double>(plan.shareLifetime.count)));
+    grant.availableInMs = waitFor(plan, missing, account.fillShare * limit.rate).count;
+    return false;
+}
+
+/// The same for a need of less urgent callers, which leaves a reserve for the most urgent ones. The minimum
+/// may use the bucket's whole debt even while it is below zero, where urgent needs have to wait: otherwise
+/// urgent callers that ask more often would always be there first.
+void grantLessUrgent(const quota_plan &plan, const quota_tolerance &rules, const quota_limit &limit,
+    quota_home_account &account, double need, double first, quota_grant &grant, millis now)
+{
+    if (account.fillShare <= 0) {
+        return;
+    }
+    const double fillRate = account.fillShare * limit.rate;
+    const double minimumRate = std::min(minLessUrgentShare * limit.rate, maxMinimumOfFill * fillRate);
+    fill(account.lessUrgentMinimum, minimumRate, std::max(first, minimumRate), now);
+    const double debt = maxDebt(limit, rules);
+    const double urgent = currentDemand(account.urgentNeeds, now);
+    const double left = account.bucket.level
+        - urgentReserve(account.urgentNeeds, fillRate, account.fillShare * limit.burst, now);
+    const double fromMinimum = std::min(account.lessUrgentMinimum.level, account.bucket.level + debt);
+    double granted = 0;
+    if (left >= 0 && left + debt >= first) {
+        granted = std::max(left, first); // in debt only for a caller that would otherwise never run
+    } else if (fromMinimum >= first) {
+        granted = fromMinimum;
+    } else {
+        const double missing = std::max(-left, first - debt - left);
+        grant.availableInMs = waitFor(plan, missing, std::max(fillRate - urgent, minimumRate)).count;
+        return;
+    }
+    const std::int64_t grantedMilli = toMilli(std::min(need, granted));
+    grant.unitsMilli += grantedMilli;
+    account.bucket.level -= fromMilli(grantedMilli);
+    account.lessUrgentMinimum.level =
+        std::max(0.0, account.lessUrgentMinimum.level - fromMilli(grantedMilli));
+}
+
+/// Grants units for the waiting callers of a daemon, the most urgent first.
+void grantNeeds(const quota_plan &plan, const quota_tolerance &rules, const quota_limit &limit,
+    quota_home_account &account, const ranked_want &from, quota_grant &grant, millis now)
+{
+    const double moved = fromMilli(grant.unitsMilli);
+    const double total = fromMilli(from.want.needMilli);
+    const double need = std::max(0.0, total - moved);
+    if (need <= 0) {
+        return;
+    }
+    const double first = std::min(std::max(0.0, fromMilli(from.want.firstNeedMilli) - moved), need);
+    if (!from.ranked) {
+        (void)grantUnits(plan, rules, limit, account, need, first, grant);
+        return;
+    }
+    const double urgent = std::max(0.0, from.urgentNeed - moved);
+    if (urgent <= 0) {
+        grantLessUrgent(plan, rules, limit, account, need, first, grant, now);
+        return;
+    }
+    const std::int64_t before = grant.unitsMilli;
+    const bool all = grantUnits(plan, rules, limit, account, urgent, std::min(first, urgent), grant);
+    const double granted = fromMilli(grant.unitsMilli - before);
+    if (granted > 0 || grant.availableInMs > 0) {
+        recordDemand(account.urgentNeeds, granted > 0 ? granted : urgent, now);
+    }
+    const double lessUrgent = need - urgent;
+    if (all && lessUrgent > 0) {
+        const double firstOfThem = std::min(lessUrgent, fromMilli(from.want.costMilli));
+        grantLessUrgent(plan, rules, limit, account, lessUrgent, firstOfThem, grant, now);
+    }
 }
 
 /// Returns the account's state, adding it at the first request. A new account has had no grants from this
@@ -246,14 +359,16 @@
 }
 
 quota_grant handleWant(quota_home &home, const quota_plan &plan, const quota_tolerance &rules,
-    const quota_limit &limit, const std::string &node, const quota_demand &want, bool first, millis now)
+    const quota_limit &limit, const std::string &node, const ranked_want &from, bool first, millis now)
 {
+    const quota_demand &want = from.want;
     quota_home_account &account = findOrAddAccount(home, plan, limit, want.account, now);
     fillAccount(account, limit, now);
     const double held = fromPpm(want.heldSharePpm);
     account.learnedShares += first ? held : 0;
     quota_holding &holding = account.holdings[node];
     holding.demand = fromMilli(want.demandMilli);
+    holding.urgentDemand = from.urgentDemand;
     holding.share = held;
     holding.until = now + plan.shareLifetime;
     quota_grant grant{want.account, 0, 0, 0};
@@ -264,7 +379,7 @@
     account.fillShare = mayGrant(home, plan, now) ? availableShare(home, plan, account, now) : 0;
     moveUnits(account, limit, growth, grant);
     fill(account.bucket, 0, account.fillShare * limit.burst, now);
-    grantUnits(plan, rules, limit, account, want, grant);
+    grantNeeds(plan, rules, limit, account, from, grant, now);
     return grant;
 }
 
@@ -295,24 +410,9 @@
     });
 }
 
-}
-
-quota_home startHome(millis now, bool handedOver)
-{
-    quota_home home;
-    home.startedAt = now;
-    home.handedOver = handedOver;
-    return home;
-}
-
-void setFleet(quota_home &home, std::vector<std::string> fleet)
-{
-    home.fleet = std::move(fleet);
-}
-
-std::optional<quota_response> handleRequest(quota_home &home, const quota_plan &plan,
-    const quota_tolerance &rules, const limit_lookup &limitOf, const quota_requester &requester,
-    const quota_request &request, millis now)
+std::optional<quota_response> handle(quota_home &home, const quota_plan &plan, const quota_tolerance &rules,
+    const limit_lookup &limitOf, const quota_requester &requester, const quota_request &request,
+    const std::vector<optional_fields> *fields, millis now)
 {
     bool first = false;
     if (!acceptRound(home, requester, request, first, now)) {
@@ -325,18 +425,49 @@
         updateAllAccounts(home, plan, limitOf, now);
     }
     quota_response response{request.shard, request.round, toPpm(equalShare(home)), {}};
-    for (const quota_demand &want : request.demands) {
+    for (std::size_t i = 0; i < request.demands.size(); ++i) {
+        const quota_demand &want = request.demands[i];
         const auto limit = limitOf(want.account);
         if (!limit || !isLimited(*limit)) {
             response.grants.push_back({want.account, 0, 0, 0});
             continue;
         }
-        response.grants.push_back(handleWant(home, plan, rules, *limit, requester.node, want, first, now));
+        response.grants.push_back(
+            handleWant(home, plan, rules, *limit, requester.node, rankedWant(want, fields, i), first, now));
         removeExpiredHoldings(home.accounts[want.account], now);
     }
     return response;
 }
 
+}
+
+quota_home startHome(millis now, bool handedOver)
+{
+    quota_home home;
+    home.startedAt = now;
+    home.handedOver = handedOver;
+    return home;
+}
+
+void setFleet(quota_home &home, std::vector<std::string> fleet)
+{
+    home.fleet = std::move(fleet);
+}
+
+std::optional<quota_response> handleRequest(quota_home &home, const quota_plan &plan,
+    const quota_tolerance &rules, const limit_lookup &limitOf, const quota_requester &requester,
+    const quota_request &request, millis now)
+{
+    return handle(home, plan, rules, limitOf, requester, request, nullptr, now);
+}
+
+std::optional<quota_response> handleRequest(quota_home &home, const quota_plan &plan,
+    const quota_tolerance &rules, const limit_lookup &limitOf, const quota_requester &requester,
+    const extended_quota_request &request, millis now)
+{
+    return handle(home, plan, rules, limitOf, requester, request.request, &request.demandFields, now);
+}
+
 double homeFillShare(
     quota_home &home, const quota_plan &plan, const limit_lookup &limitOf, std::uint64_t account, millis now)
 {
--- a/packages/coordination/quota_home.h
+++ b/packages/coordination/quota_home.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/quota_bucket.h"
+#include "coordination/quota_demand.h"
 #include "coordination/quota_plan.h"
 #include "protocol/quota_messages.h"
 
@@ -38,6 +39,8 @@
 {
     double share = 0;
     double demand = 0; ///< units per second
+    /// Of `demand`, that of the most urgent rank; all of it if the daemon doesn't tell ranks apart.
+    double urgentDemand = 0;
     millis until; ///< it has expired by then
 };
 
@@ -46,6 +49,9 @@
 {
     quota_bucket bucket;
     double fillShare = 0; ///< fraction of the limit that has flowed into the bucket since it was last filled
+    demand_average urgentNeeds; ///< needs of the most urgent rank that were granted or denied
+    /// Units that less urgent needs may use without regard to the urgent ones.
+    quota_bucket lessUrgentMinimum;
     std::map<std::string, quota_holding> holdings; ///< by daemon
     double learnedShares = 0; ///< sum of the shares that daemons reported in their first request to this home
 };
@@ -93,6 +99,11 @@
 std::optional<quota_response> handleRequest(quota_home &home, const quota_plan &plan,
     const quota_tolerance &rules, const limit_lookup &limitOf, const quota_requester &requester,
     const quota_request &request, millis now);
+/// The same for a request that tells ranks apart. Needs of the most urgent rank are granted first; the others
+/// are granted what these are predicted to leave, and at least `minLessUrgentShare` of the limit.
+std::optional<quota_response> handleRequest(quota_home &home, const quota_plan &plan,
+    const quota_tolerance &rules, const limit_lookup &limitOf, const quota_requester &requester,
+    const extended_quota_request &request, millis now);
 
 /// The fraction of an account's limit that flows into the home's own bucket.
 double homeFillShare(
--- a/packages/coordination/quota_task.cpp
+++ b/packages/coordination/quota_task.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t maxSuccessorsNotified = 5;
 constexpr std::size_t maxClaimants = 4;
 constexpr millis claimDelayStep{1'000};
+/// How often a home is asked whether it understands ranks. A home of an older build never replies, and a lost
+/// reply should not matter for long.
+constexpr millis featuresAskInterval{15'000};
 
 }
 
@@ -38,10 +41,10 @@
 }
 
 std::uint64_t quota_task::acquire(
-    std::uint64_t account, const quota_limit &limit, double cost, on_decision done)
+    std::uint64_t account, const quota_limit &limit, double cost, quota_urgency urgency, on_decision done)
 {
     const std::uint64_t id = ++m_lastWaiterId;
-    const quota_decision decision = acquireUnits(m_client, account, limit, id, cost, bootNow());
+    const quota_decision decision = acquireUnits(m_client, account, limit, id, cost, bootNow(), urgency);
     if (decision.result != quota_result::Pending) {
         done(decision);
         return 0;
@@ -70,7 +73,18 @@
 
 void quota_task::onRequest(const quota_requester &requester, const quota_request &request)
 {
-    const auto home = m_homes.find(request.shard);
+    respond(requester, request.shard, request);
+}
+
+void quota_task::onRequest(const quota_requester &requester, const extended_quota_request &request)
+{
+    respond(requester, request.request.shard, request);
+}
+
+template <class request_type>
+void quota_task::respond(const quota_requester &requester, std::uint32_t shard, const request_type &request)
+{
+    const auto home = m_homes.find(shard);
     if (m_stopped || home == m_homes.end() || bootNow() >= m_callbacks.confirmedUntil()) {
         return;
     }
@@ -145,11 +159,35 @@
     }
 }
 
+/// Finds out which homes understand requests that tell ranks apart. A home that has not been heard is asked.
+void quota_task::updateRankedHomes()
+{
+    if (!m_client.byRank || !m_callbacks.understandsRanks) {
+        return;
+    }
+    const millis now = bootNow();
+    std::erase_if(m_featuresAskedAt, [now](const auto &each) {
+        return now - each.second >= featuresAskInterval;
+    });
+    for (quota_client_shard &shard : m_client.shards) {
+        shard.homeKnowsRanks = !shard.home.empty() && m_callbacks.understandsRanks(shard.home);
+        const bool ask = !shard.home.empty() && !shard.homeKnowsRanks && m_callbacks.askFeatures;
+        if (ask && m_featuresAskedAt.try_emplace(shard.home, now).second) {
+            m_callbacks.askFeatures(shard.home);
+        }
+    }
+}
+
 void quota_task::sendRequests()
 {
+    updateRankedHomes();
     for (const addressed_request &each : dueRequests(m_client, m_callbacks.daemons(), bootNow())) {
         ++m_counters.requests;
-        m_callbacks.sendRequest(each.home, each.request);
+        if (each.ranked) {
+            m_callbacks.sendExtendedRequest(each.home, {each.request, each.demandFields});
+        } else {
+            m_callbacks.sendRequest(each.home, each.request);
+        }
     }
 }
 
@@ -163,9 +201,10 @@
     claimVacant();
 }
 
-void quota_task::onLimitsChanged(bool any)
+void quota_task::onLimitsChanged(bool any, bool byRank)
 {
     m_active = any;
+    m_client.byRank = byRank;
     const millis now = bootNow();
     std::vector<std::uint64_t> accounts;
     for (const auto &[hash, account] : m_client.accounts) {
--- a/packages/coordination/quota_task.h
+++ b/packages/coordination/quota_task.h
@@ -54,6 +54,11 @@
     std::function<std::vector<std::string>()> live; ///< the daemons that may become a home
     std::function<std::vector<std::string>()> fleet; ///< live daemons and others that may still hold shares
     std::function<void(const std::string &daemon, const quota_request &request)> sendRequest;
+    std::function<void(const std::string &daemon, const extended_quota_request &request)> sendExtendedRequest;
+    /// Whether a daemon understands extended_quota_request; missing: none does.
+    std::function<bool(const std::string &daemon)> understandsRanks;
+    /// Asks a daemon whether it does; its reply changes the result of understandsRanks().
+    std::function<void(const std::string &daemon)> askFeatures;
     std::function<void(const std::string &daemon, const quota_response &response)> sendResponse;
     /// The record of a shard's home; nothing: there is no record.
     std::function<std::optional<shard_home>(std::uint32_t shard)> homeOf;
@@ -97,7 +102,8 @@
 
     /// Acquires units for a request. `done` may be called before this returns. Returns the id to pass to
     /// cancelAcquire() while the request waits for the home, or 0 if it doesn't wait.
-    std::uint64_t acquire(std::uint64_t account, const quota_limit &limit, double cost, on_decision done);
+    std::uint64_t acquire(std::uint64_t account, const quota_limit &limit, double cost, quota_urgency urgency,
+        on_decision done);
     void cancelAcquire(std::uint64_t account, std::uint64_t waiter);
     /// Returns units that were acquired for a request that did not run. At most once per acquisition.
     void releaseUnits(std::uint64_t account, double cost);
@@ -105,10 +111,12 @@
     millis unitsLifetime() const;
 
     void onRequest(const quota_requester &requester, const quota_request &request);
+    void onRequest(const quota_requester &requester, const extended_quota_request &request);
     void onMessage(const quota_response &response);
     void onMessage(const quota_release &release);
-    /// To be called after a change of the configuration; `any`: at least one account has a limit.
-    void onLimitsChanged(bool any);
+    /// To be called after a change of the configuration; `any`: at least one account has a limit; `byRank`:
+    /// limits go to the most urgent requests first.
+    void onLimitsChanged(bool any, bool byRank);
     /// To be called after a change of the records or of the fleet.
     void onRecordsChanged();
     /// Stops granting units as a home, before this daemon's records are released.
@@ -125,7 +133,10 @@
         quota_home state;
     };
 
+    template <class request_type>
+    void respond(const quota_requester &requester, std::uint32_t shard, const request_type &request);
     void tick();
+    void updateRankedHomes();
     void sendRequests();
     void notifyWaiters(const std::vector<resolved_waiter> &resolved);
     bool mayClaim(std::uint32_t shard, millis vacantFor) const;
@@ -143,6 +154,7 @@
     std::map<std::uint32_t, std::int64_t>
         m_releasedTerms; ///< by shard, the term in which this daemon grants nothing any more
     std::map<std::uint64_t, on_decision> m_waiting; ///< by waiter id
+    std::map<std::string, millis> m_featuresAskedAt; ///< by home
     std::uint64_t m_lastWaiterId = 0;
     quota_counters m_counters;
     millis m_lastClaimAt;
--- a/packages/serving/account_check.cpp
+++ b/packages/serving/account_check.cpp
@@ -1,5 +1,7 @@
 #include "serving/account_check.h"
 
+#include <algorithm>
+
 namespace briarhead {
 
 std::string_view nameOf(auth_status value)
@@ -59,6 +61,15 @@
                                                    : std::optional(config.accounts[found->second].limit);
 }
 
+int mostUrgentRank(const serving_config &config)
+{
+    const auto first =
+        std::min_element(config.routes.begin(), config.routes.end(), [](const route &a, const route &b) {
+            return a.rank < b.rank;
+        });
+    return first == config.routes.end() ? 0 : first->rank;
+}
+
 int rankOf(const route &matchedRoute, const client_account *account)
 {
     return account == nullptr ? matchedRoute.rank : account->rank.value_or(matchedRoute.rank);
--- a/packages/serving/account_check.h
+++ b/packages/serving/account_check.h
@@ -46,5 +46,7 @@
 
 /// The priority of a request, 0 being the most urgent. The account's rank overrides the route's.
 int rankOf(const route &matchedRoute, const client_account *account);
+/// The most urgent rank of the configuration's routes.
+int mostUrgentRank(const serving_config &config);
 
 }
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -81,8 +81,11 @@
               static_cast<std::uint64_t>(wallNow().count), log)
         , m_crashes(eventLoop, m_bus, crashLinks(m_store, m_port, m_settings, log))
         , m_quota(std::make_unique<quota_task>(eventLoop,
-              quotaLinks(eventLoop, m_store, m_port, m_settings, log, m_quota), defaultQuotaPlan,
-              settings.quota))
+              quotaLinks(eventLoop, m_store, m_port, m_settings, log, m_quota,
+                  [this](const std::string &node) {
+                      return m_front.peerUnderstandsFeatures(node);
+                  }),
+              defaultQuotaPlan, settings.quota))
         , m_notices(eventLoop, m_bus, m_store, settings, log)
         , m_front(eventLoop, m_bus, m_store, m_crashes, *m_quota, m_notices, m_pool, m_dependencies.requests,
               settings, log)
@@ -100,7 +103,7 @@
 private:
     void sendSlotResponse(const std::string &entry, const slot_response &response);
     void onDatagram(const fleet_datagram &datagram);
-    void onQuotaRequest(const fleet_datagram &datagram, const quota_request &request);
+    void onQuotaRequest(const fleet_datagram &datagram, const auto &request);
     void sendStoreUpdate(const std::vector<std::string> &nodes, const store_update &update);
     daemon_record self() const;
     fleet_shape fleetShape() const;
@@ -300,7 +303,7 @@
                         features_notice{protocolLevel, false});
                 }
             } else if constexpr (std::is_same_v<body_type, extended_quota_request>) {
-                onQuotaRequest(datagram, body.request);
+                onQuotaRequest(datagram, body);
             } else { // an entry's slot requests, and reports about granted slots
                 m_serverOwner.handle(datagram.from, body);
             }
@@ -308,7 +311,7 @@
         datagram.body);
 }
 
-void daemon_impl::onQuotaRequest(const fleet_datagram &datagram, const quota_request &request)
+void daemon_impl::onQuotaRequest(const fleet_datagram &datagram, const auto &request)
 {
     const daemon_record *record = findPeer(m_store.view(), datagram.from);
     const bool recorded = record != nullptr && record->incarnation == datagram.incarnation;
--- a/packages/serving/front_account.cpp
+++ b/packages/serving/front_account.cpp
@@ -92,7 +92,10 @@
         done({quota_result::Granted, {}});
         return;
     }
-    pending->quotaWaitId = m_quota.acquire(pending->accountId, *limit, pending->cost, done);
+    const int rank = rankOf(*pending->matchedRoute, pending->account);
+    const quota_urgency urgency =
+        rank <= mostUrgentRank(*pending->config) ? quota_urgency::MostUrgent : quota_urgency::LessUrgent;
+    pending->quotaWaitId = m_quota.acquire(pending->accountId, *limit, pending->cost, urgency, done);
 }
 
 void front_task::onQuotaDecision(
--- a/packages/serving/quota_store.cpp
+++ b/packages/serving/quota_store.cpp
@@ -1,9 +1,11 @@
 #include "serving/quota_store.h"
 
+#include "scheduling/service_features.h"
 #include "serving/account_check.h"
 #include "serving/fleet_send.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace briarhead {
 
@@ -23,7 +25,8 @@
 }
 
 quota_callbacks quotaLinks(loop &eventLoop, store_task &store, const std::unique_ptr<fleet_port> &port,
-    const node_settings &settings, decision_log &log, const std::unique_ptr<quota_task> &self)
+    const node_settings &settings, decision_log &log, const std::unique_ptr<quota_task> &self,
+    std::function<bool(const std::string &node)> understandsFeatures)
 {
     quota_callbacks links;
     links.self = settings.node;
@@ -47,6 +50,17 @@
                 self->onRequest({node, store.incarnation(), true}, own);
             });
     };
+    links.sendExtendedRequest = [&eventLoop, &store, &port, &self, node = settings.node](
+                                    const std::string &daemon, const extended_quota_request &request) {
+        deliverToNode(eventLoop, *port, store, node, daemon, request,
+            [&self, &store, node](const extended_quota_request &own) {
+                self->onRequest({node, store.incarnation(), true}, own);
+            });
+    };
+    links.understandsRanks = std::move(understandsFeatures);
+    links.askFeatures = [&store, &port, node = settings.node](const std::string &daemon) {
+        sendToNode(*port, store, node, daemon, features_notice{protocolLevel, true});
+    };
     links.sendResponse = [&eventLoop, &store, &port, &self, node = settings.node](
                              const std::string &daemon, const quota_response &response) {
         deliverToNode(eventLoop, *port, store, node, daemon, response, [&self](const quota_response &own) {
@@ -91,10 +105,11 @@
     messages.on<view_changed>([&store, &quota](const view_changed &change) {
         if (change.config) {
             const auto &accounts = store.view().config->accounts;
-            quota.onLimitsChanged(
-                std::any_of(accounts.begin(), accounts.end(), [](const client_account &account) {
-                    return isLimited(account.limit);
-                }));
+            quota.onLimitsChanged(std::any_of(accounts.begin(), accounts.end(),
+                                      [](const client_account &account) {
+                                          return isLimited(account.limit);
+                                      }),
+                limitsByRank(*store.view().config));
         }
         quota.onRecordsChanged();
     });
--- a/tests/unit/quota_sim.cpp
+++ b/tests/unit/quota_sim.cpp
@@ -33,6 +33,7 @@
         node.clockOffset = {static_cast<std::int64_t>(random() * 1e9)};
         node.client.plan = m_options.plan;
         node.client.rules = m_options.rules;
+        node.client.byRank = options.byRank;
         if (m_options.strategy == quota_strategy::Equal) {
             quota_client_shard &shard = node.client.shards[shardOf(account)];
             shard.lastContact = clockOf(node) - m_options.plan.fallbackAfter;
@@ -74,9 +75,10 @@
     return m_messages;
 }
 
-void quota_sim::setDemand(int daemon, double unitsPerSecond)
+void quota_sim::setDemand(int daemon, double unitsPerSecond, double urgent)
 {
     m_daemons[static_cast<std::size_t>(daemon)].demand = unitsPerSecond;
+    m_daemons[static_cast<std::size_t>(daemon)].urgentDemand = urgent;
 }
 
 void quota_sim::setLimit(const quota_limit &limit)
@@ -110,6 +112,7 @@
     node.client = {};
     node.client.plan = m_options.plan;
     node.client.rules = m_options.rules;
+    node.client.byRank = m_options.byRank;
     announceHome(node);
 }
 
@@ -128,6 +131,7 @@
     if (!m_homes.empty()) {
         const sim_home &last = m_homes.back();
         briarhead::setHome(node.client, shardOf(account), nodeName(last.daemon), last.term, clockOf(node));
+        node.client.shards[shardOf(account)].homeKnowsRanks = m_options.homeKnowsRanks;
     }
 }
 
@@ -206,10 +210,16 @@
         for (sim_home &home : m_homes) {
             const bool mayGrant =
                 home.daemon == each.to && home.incarnation == to.incarnation && m_now < home.until;
-            const auto response = mayGrant
-                ? handleRequest(home.state, m_options.plan, m_options.rules, limits(),
-                    {nodeName(each.from), each.incarnation, false}, each.request, clockOf(to))
-                : std::nullopt;
+            if (!mayGrant) {
+                continue;
+            }
+            const quota_requester requester{nodeName(each.from), each.incarnation, false};
+            const addressed_request &request = each.request;
+            const auto response = request.ranked
+                ? handleRequest(home.state, m_options.plan, m_options.rules, limits(), requester,
+                    extended_quota_request{request.request, request.demandFields}, clockOf(to))
+                : handleRequest(home.state, m_options.plan, m_options.rules, limits(), requester,
+                    request.request, clockOf(to));
             if (response) {
                 message responseMessage;
                 responseMessage.response = *response;
@@ -219,11 +229,11 @@
     }
 }
 
-void quota_sim::onGranted(int index, double cost)
+void quota_sim::onGranted(int index, double cost, quota_urgency urgency)
 {
     const sim_daemon &node = m_daemons[static_cast<std::size_t>(index)];
     const millis wait{static_cast<std::int64_t>(random() * m_options.maxSlotWaitMs)};
-    m_acquired.push_back({index, node.incarnation, cost, clockOf(node), m_now + wait});
+    m_acquired.push_back({index, node.incarnation, cost, urgency, clockOf(node), m_now + wait});
 }
 
 void quota_sim::onResolved(int index, const std::vector<resolved_waiter> &resolved)
@@ -231,15 +241,15 @@
     sim_daemon &node = m_daemons[static_cast<std::size_t>(index)];
     for (const resolved_waiter &each : resolved) {
         const auto found = std::find_if(node.waiting.begin(), node.waiting.end(), [&](const auto &waiter) {
-            return waiter.first == each.id;
+            return waiter.id == each.id;
         });
         if (found == node.waiting.end()) {
             continue;
         }
-        const double cost = found->second;
+        const sim_request resolvedRequest = *found;
         node.waiting.erase(found);
         if (each.decision.result == quota_result::Granted) {
-            onGranted(index, cost);
+            onGranted(index, resolvedRequest.cost, resolvedRequest.urgency);
         }
     }
 }
@@ -252,14 +262,22 @@
     const int count = mean > 0 ? std::poisson_distribution<int>(mean)(m_random) : 0;
     for (int i = 0; i < count; ++i) {
         const double cost = std::round(m_options.meanCost * (0.3 + 1.4 * random()));
-        m_demanded.push_back({m_now, index, cost});
-        const std::uint64_t id = ++node.lastRequest;
-        const quota_decision decision = acquireUnits(node.client, account, m_limit, id, cost, clockOf(node));
-        if (decision.result == quota_result::Granted) {
-            onGranted(index, cost);
-        } else if (decision.result == quota_result::Pending) {
-            node.waiting.emplace_back(id, cost);
-        }
+        const bool urgent = node.urgentDemand > 0 && random() * node.demand < node.urgentDemand;
+        m_demanded.push_back({m_now, index, cost, urgent});
+        request(index, cost, urgent ? quota_urgency::MostUrgent : quota_urgency::LessUrgent);
+    }
+}
+
+void quota_sim::request(int index, double cost, quota_urgency urgency)
+{
+    sim_daemon &node = m_daemons[static_cast<std::size_t>(index)];
+    const std::uint64_t id = ++node.lastRequest;
+    const quota_decision decision =
+        acquireUnits(node.client, account, m_limit, id, cost, clockOf(node), urgency);
+    if (decision.result == quota_result::Granted) {
+        onGranted(index, cost, urgency);
+    } else if (decision.result == quota_result::Pending) {
+        node.waiting.push_back({id, cost, urgency});
     }
 }
 
@@ -272,7 +290,7 @@
                 message sent;
                 sent.isRequest = true;
                 sent.incarnation = node.incarnation;
-                sent.request = each.request;
+                sent.request = each;
                 send(index, i, sent);
             }
         }
@@ -299,14 +317,15 @@
         if (!isValid) {
             returnUnits(node.client, account, each.cost, clock);
             const std::uint64_t id = ++node.lastRequest;
-            const auto decision = acquireUnits(node.client, account, m_limit, id, each.cost, clock);
+            const auto decision =
+                acquireUnits(node.client, account, m_limit, id, each.cost, clock, each.urgency);
             isValid = decision.result == quota_result::Granted;
             if (decision.result == quota_result::Pending) {
-                node.waiting.emplace_back(id, each.cost);
+                node.waiting.push_back({id, each.cost, each.urgency});
             }
         }
         if (isValid) {
-            m_used.push_back({m_now, each.daemon, each.cost});
+            m_used.push_back({m_now, each.daemon, each.cost, each.urgency == quota_urgency::MostUrgent});
         }
     }
 }
@@ -389,6 +408,24 @@
     return sum;
 }
 
+double quota_sim::urgentUsed(millis from, millis to) const
+{
+    double sum = 0;
+    for (const usage &each : m_used) {
+        sum += each.urgent && each.at >= from && each.at < to ? each.units : 0;
+    }
+    return sum;
+}
+
+double quota_sim::urgentDemanded(millis from, millis to) const
+{
+    double sum = 0;
+    for (const usage &each : m_demanded) {
+        sum += each.urgent && each.at >= from && each.at < to ? each.units : 0;
+    }
+    return sum;
+}
+
 double quota_sim::maxWindowUsage() const
 {
     const quota_tolerance &rules = m_options.rules;
--- a/tests/unit/quota_sim.h
+++ b/tests/unit/quota_sim.h
@@ -32,6 +32,8 @@
     double duplication = 0;
     int maxDelayMs = 4; ///< of a message
     int maxSlotWaitMs = 400; ///< from acquiring units to sending the request
+    bool byRank = false; ///< the limit goes to the most urgent requests first
+    bool homeKnowsRanks = true; ///< the homes understand extended_quota_request
     unsigned seed = 1;
 };
 
@@ -44,8 +46,9 @@
     explicit quota_sim(const quota_sim_options &options);
 
     void run(millis span);
-    /// Sets the units per second that callers of a daemon demand.
-    void setDemand(int daemon, double unitsPerSecond);
+    /// Sets the units per second that callers of a daemon demand, and how much of that is of the most urgent
+    /// rank.
+    void setDemand(int daemon, double unitsPerSecond, double urgent = 0);
     void setLimit(const quota_limit &limit);
     void kill(int daemon);
     void restart(int daemon);
@@ -65,11 +68,21 @@
     double used(millis from, millis to) const;
     double demanded(millis from, millis to) const;
     double usedBy(int daemon, millis from, millis to) const;
+    /// The same for requests of the most urgent rank.
+    double urgentUsed(millis from, millis to) const;
+    double urgentDemanded(millis from, millis to) const;
     std::size_t messages() const;
     /// The maximum fraction of the limit in use at once, by running daemons and by homes that may grant.
     double maxSharesInUse() const;
 
 private:
+    struct sim_request
+    {
+        std::uint64_t id = 0;
+        double cost = 0;
+        quota_urgency urgency = quota_urgency::MostUrgent;
+    };
+
     struct sim_daemon
     {
         std::uint64_t incarnation = 1;
@@ -78,10 +91,10 @@
         millis clockOffset;
         int group = 0;
         double demand = 0;
+        double urgentDemand = 0; ///< part of `demand`
         quota_client client;
         std::uint64_t lastRequest = 0;
-        std::vector<std::pair<std::uint64_t, double>>
-            waiting; ///< id and cost of callers that wait for the home
+        std::vector<sim_request> waiting; ///< for the home
     };
 
     struct message
@@ -91,7 +104,7 @@
         int to = 0;
         std::uint64_t incarnation = 0;
         bool isRequest = false;
-        quota_request request;
+        addressed_request request;
         quota_response response;
     };
 
@@ -111,6 +124,7 @@
         int daemon = 0;
         std::uint64_t incarnation = 0;
         double cost = 0;
+        quota_urgency urgency = quota_urgency::MostUrgent;
         millis at; ///< by the daemon's clock
         millis sendAt;
     };
@@ -120,6 +134,7 @@
         millis at;
         int daemon = 0;
         double units = 0;
+        bool urgent = true;
     };
 
     millis clockOf(const sim_daemon &node) const;
@@ -127,7 +142,8 @@
     void step();
     void deliver();
     void arrivals(int index);
-    void onGranted(int index, double cost);
+    void request(int index, double cost, quota_urgency urgency);
+    void onGranted(int index, double cost, quota_urgency urgency);
     void onResolved(int index, const std::vector<resolved_waiter> &resolved);
     void sendRequests(int index);
     void sendAcquired();
--- a/tests/unit/quota_test.cpp
+++ b/tests/unit/quota_test.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr millis second{1'000};
+constexpr double statedMinimum = 0.05; ///< of a limit, for less urgent requests
 
 millis seconds(int count)
 {
@@ -125,13 +126,7 @@
     }
 }
 
-}
-
-// Callers of one account demand several times its limit. Daemons crash, restart, pause, are disconnected from
-// their home and change it, and the network loses, duplicates and delays messages. Daemons and homes together
-// must never use more than the limit at once, and no window may exceed what the limit and the permitted
-// overage allow.
-RC_GTEST_PROP(Quota, NoWindowHoldsMoreThanTheLimitWhateverFails, ())
+quota_sim_options randomOptions()
 {
     quota_sim_options options;
     options.seed = *rc::gen::inRange(1U, 1'000'000U);
@@ -141,9 +136,18 @@
     options.duplication = *rc::gen::element(0.0, 0.2);
     options.maxDelayMs = *rc::gen::element(4, 200, 2'000);
     options.maxSlotWaitMs = *rc::gen::element(0, 400, 1'500);
+    return options;
+}
+
+/// Demands three times the limit, of which a fraction is urgent, while faults happen.
+void checkUnderFaults(const quota_sim_options &options, double urgentFraction)
+{
     quota_sim sim(options);
     std::mt19937 random(options.seed);
-    setDemandOfEach(sim, options, 3 * options.limit.rate / options.daemons);
+    const double each = 3 * options.limit.rate / options.daemons;
+    for (int i = 0; i < options.daemons; ++i) {
+        sim.setDemand(i, each, urgentFraction * each);
+    }
     for (int i = 0; i < 30; ++i) {
         sim.run(millis{std::uniform_int_distribution<int>(50, 3'000)(random)});
         injectFault(sim, random, options.daemons);
@@ -154,6 +158,59 @@
     RC_ASSERT(sim.maxWindowUsage() <= 1.0);
 }
 
+struct six_times_result
+{
+    double use = 0; ///< of the limit
+    double urgentRefused = 0; ///< fraction of the urgent units demanded
+    double othersUse = 0; ///< of the limit
+};
+
+/// An account sends six times its usual rate for a minute; its limit is 1.8 times that rate.
+six_times_result sendSixTimes(
+    int daemons, double rate, double urgentFraction, bool byRank, bool homeKnowsRanks)
+{
+    constexpr int length = 60;
+    quota_sim_options options;
+    options.daemons = daemons;
+    options.limit = {rate, rate};
+    options.byRank = byRank;
+    options.homeKnowsRanks = homeKnowsRanks;
+    quota_sim sim(options);
+    const double each = 6 / 1.8 * rate / daemons;
+    for (int i = 0; i < daemons; ++i) {
+        sim.setDemand(i, each, urgentFraction * each);
+    }
+    sim.run(seconds(4));
+    const millis from = sim.now();
+    sim.run(seconds(length));
+    EXPECT_LE(sim.maxWindowUsage(), 1.0);
+    const double used = sim.used(from, sim.now());
+    const double urgent = sim.urgentUsed(from, sim.now());
+    return {used / (rate * length), 1 - urgent / sim.urgentDemanded(from, sim.now()),
+        (used - urgent) / (rate * length)};
+}
+
+}
+
+// Callers of one account demand several times its limit. Daemons crash, restart, pause, are disconnected from
+// their home and change it, and the network loses, duplicates and delays messages. Daemons and homes together
+// must never use more than the limit at once, and no window may exceed what the limit and the permitted
+// overage allow.
+RC_GTEST_PROP(Quota, NoWindowHoldsMoreThanTheLimitWhateverFails, ())
+{
+    checkUnderFaults(randomOptions(), 0);
+}
+
+// The same with urgent and less urgent requests, at homes that tell them apart and at homes that don't. The
+// reserve, the minimum of the less urgent and the grants by rank must not add to what is granted.
+RC_GTEST_PROP(Quota, NoWindowHoldsMoreThanTheLimitByRankWhateverFails, ())
+{
+    quota_sim_options options = randomOptions();
+    options.byRank = true;
+    options.homeKnowsRanks = *rc::gen::element(true, true, false);
+    checkUnderFaults(options, *rc::gen::element(0.1, 0.5, 0.9));
+}
+
 // The balancer hashes clients, so nearly all callers of an account may reach two of many daemons and demand
 // more than its limit. The whole limit must be usable there.
 TEST(Quota, UnevenDemandUsesTheWholeLimit)
@@ -401,6 +458,161 @@
     EXPECT_LE(home.accounts[ana].bucket.level - before, 0.5 * 1'000 * 10 + 1);
 }
 
+// An account sends six times its usual rate, 3.3 times its limit, and part of that is urgent. First come,
+// first served, as many urgent requests as others are refused. By rank the urgent ones go first, the others
+// get the rest and never less than their minimum, and the limit is used as before. A home of an older build
+// gets requests without ranks; only the daemons' own shares go by rank then.
+TEST(Quota, UrgentRequestsGoFirstWhileAnAccountSendsSixTimesItsUsual)
+{
+    for (const int daemons : {12, 70}) {
+        for (const double rate : {50'000.0, 200'000.0}) {
+            for (const double urgentFraction : {0.1, 0.2, 0.69}) {
+                const six_times_result before = sendSixTimes(daemons, rate, urgentFraction, false, false);
+                const six_times_result old = sendSixTimes(daemons, rate, urgentFraction, true, false);
+                const six_times_result after = sendSixTimes(daemons, rate, urgentFraction, true, true);
+                std::cout << daemons << " daemons, limit " << rate << ", " << urgentFraction
+                          << " urgent, without ranks, at an old home, at a new one: urgent refused "
+                          << before.urgentRefused << ", " << old.urgentRefused << ", " << after.urgentRefused
+                          << "; use " << before.use << ", " << old.use << ", " << after.use
+                          << "; others' use " << before.othersUse << ", " << old.othersUse << ", "
+                          << after.othersUse << '\n';
+                EXPECT_GE(after.use, before.use - 0.02);
+                EXPECT_GE(old.use, before.use - 0.06);
+                EXPECT_GE(after.othersUse, 0.9 * statedMinimum);
+                if (urgentFraction * 6 / 1.8 < 1) {
+                    EXPECT_LE(after.urgentRefused, 0.5 * before.urgentRefused);
+                } else { // the urgent ones alone exceed the limit
+                    EXPECT_GE(after.use - after.othersUse, 0.85 * (1 - minLessUrgentShare) * after.use);
+                }
+            }
+        }
+    }
+}
+
+// Urgent demand of more than the limit ends. The others must get the whole limit within a second, and not
+// wait until a prediction has decayed.
+TEST(Quota, OthersGetTheLimitASecondAfterUrgentDemandEnds)
+{
+    for (const int daemons : {12, 70}) {
+        quota_sim_options options;
+        options.daemons = daemons;
+        options.limit = {daemons * 4'000.0, daemons * 12'000.0};
+        options.byRank = true;
+        quota_sim sim(options);
+        const double each = 2 * options.limit.rate / daemons;
+        for (int i = 0; i < daemons; ++i) {
+            sim.setDemand(i, 2 * each, each);
+        }
+        sim.run(seconds(10));
+        const double othersBefore = shareOf(sim, options.limit, sim.now() - seconds(5), sim.now())
+            - sim.urgentUsed(sim.now() - seconds(5), sim.now()) / (5 * options.limit.rate);
+        EXPECT_LE(othersBefore, 0.2);
+        setDemandOfEach(sim, options, each);
+        sim.run(seconds(1) + millis{options.maxSlotWaitMs});
+        const millis from = sim.now();
+        sim.run(seconds(3));
+        EXPECT_GE(shareOf(sim, options.limit, from, sim.now()), 0.93) << daemons;
+    }
+}
+
+// All callers of one daemon are urgent and ask for ten times the limit; a few others reach the same daemon.
+// These must not be shut out, neither at the home nor while the daemon is cut off from it: they get at least
+// half of their minimum, though each of them finds hundreds of urgent ones beside it.
+TEST(Quota, LessUrgentRequestsKeepTheirMinimumUnderAnyUrgentDemand)
+{
+    constexpr double minimum = 0.5 * statedMinimum;
+    quota_sim_options options;
+    options.limit = {100'000, 100'000};
+    options.byRank = true;
+    quota_sim sim(options);
+    sim.setDemand(1, 10 * options.limit.rate, 9.5 * options.limit.rate);
+    const auto othersUse = [&](int count) {
+        const millis from = sim.now();
+        sim.run(seconds(count));
+        return (sim.used(from, sim.now()) - sim.urgentUsed(from, sim.now())) / (count * options.limit.rate);
+    };
+    sim.run(seconds(5));
+    EXPECT_GE(othersUse(20), minimum);
+    sim.setGroup(1, 1);
+    sim.run(seconds(35));
+    EXPECT_GE(othersUse(20), minimum / options.daemons);
+    EXPECT_LE(sim.maxWindowUsage(), 1.0);
+}
+
+// Urgent needs have used up a home's bucket and its debt. The minimum of the less urgent must not add to
+// that, or more is granted in a window than the limit and its tolerance allow.
+TEST(Quota, TheMinimumOfLessUrgentNeedsStaysWithinTheDebt)
+{
+    const quota_tolerance rules{millis{8'000}, 0.1, 0};
+    const quota_limit limit{1'000, 100'000};
+    quota_home home = homeOf({"a"});
+    std::uint64_t round = 0;
+    millis now{130'000};
+    const auto granted = [&](double need, bool urgent) {
+        const extended_quota_request request{
+            {shardOf(ana), ++round, round - 1, 0, {{ana, 0, 0, 0, toMilli(need), toMilli(need), 0}}},
+            {{{static_cast<std::uint32_t>(quota_field::UrgentNeedMilli), urgent ? toMilli(need) : 0}}}};
+        const auto response =
+            handleRequest(home, defaultQuotaPlan, rules, limitOfAna, {"a", 1, true}, request, now);
+        return response ? fromMilli(response->grants[0].unitsMilli) : 0;
+    };
+    for (int i = 0; i < 3; ++i) {
+        (void)granted(1, false); // from the second acknowledged response on, the home grants
+        now = now + second;
+    }
+    ASSERT_EQ(granted(1, false), 1);
+    home.accounts[ana].lessUrgentMinimum.level = 50;
+    home.accounts[ana].bucket.level = 0;
+    EXPECT_DOUBLE_EQ(granted(maxDebt(limit, rules), true), maxDebt(limit, rules));
+    EXPECT_EQ(granted(10, false), 0);
+    EXPECT_GE(home.accounts[ana].bucket.level, -maxDebt(limit, rules));
+}
+
+// A daemon asks for a less urgent request; before the home denies it, an urgent one arrives. The denial must
+// not refuse the urgent one, and later urgent ones may still ask.
+TEST(Quota, ADenialOfLessUrgentNeedsDoesNotRefuseUrgentRequests)
+{
+    quota_client client;
+    client.byRank = true;
+    const quota_limit limit{1'000, 1'000};
+    const millis now{100'000};
+    setHome(client, shardOf(ana), "home", 1, now);
+    client.shards[shardOf(ana)].homeKnowsRanks = true;
+    ASSERT_EQ(acquireUnits(client, ana, limit, 1, 400, now, quota_urgency::LessUrgent).result,
+        quota_result::Pending);
+    (void)dueRequests(client, 2, now);
+    ASSERT_EQ(acquireUnits(client, ana, limit, 2, 400, now).result, quota_result::Pending);
+    const std::uint64_t round = client.shards[shardOf(ana)].round;
+    const auto resolved = applyResponse(client, {shardOf(ana), round, 0, {{ana, 0, 0, 500}}}, now);
+    ASSERT_EQ(resolved.size(), 1U);
+    EXPECT_EQ(resolved[0].id, 1U);
+    EXPECT_EQ(resolved[0].decision.result, quota_result::LimitReached);
+    EXPECT_EQ(acquireUnits(client, ana, limit, 3, 400, now).result, quota_result::Pending);
+    EXPECT_EQ(acquireUnits(client, ana, limit, 4, 400, now, quota_urgency::LessUrgent).result,
+        quota_result::LimitReached);
+}
+
+// Units arrive for one of two waiting callers. The urgent one, which came last, must be served.
+TEST(Quota, WaitingUrgentRequestsAreServedFirst)
+{
+    quota_client client;
+    client.byRank = true;
+    const quota_limit limit{1'000, 1'000};
+    const millis now{100'000};
+    setHome(client, shardOf(ana), "home", 1, now);
+    (void)acquireUnits(client, ana, limit, 1, 400, now, quota_urgency::LessUrgent);
+    (void)acquireUnits(client, ana, limit, 2, 400, now, quota_urgency::MostUrgent);
+    const auto requests = dueRequests(client, 2, now);
+    EXPECT_TRUE(std::none_of(requests.begin(), requests.end(), [](const addressed_request &each) {
+        return each.ranked; // the home has not been heard to understand ranks
+    }));
+    const std::uint64_t round = client.shards[shardOf(ana)].round;
+    const auto resolved = applyResponse(client, {shardOf(ana), round, 0, {{ana, 0, toMilli(400), 0}}}, now);
+    ASSERT_EQ(resolved.size(), 1U);
+    EXPECT_EQ(resolved[0].id, 2U);
+    EXPECT_EQ(resolved[0].decision.result, quota_result::Granted);
+}
+
 // The traffic between a daemon and its homes must not grow with the fleet. With few accounts, it must leave
 // most of the 2 KB per second that control traffic may take. With so many accounts that none gets a share,
 // each caller's request needs one request to a home, so the traffic depends only on the daemon's own
