Test limits by rank under the faults of limits, and their traffic

Cause: tests of a lost home, a daemon that is cut off, a restart of all and changed limits ran without ranks, as did the measurement of traffic. Change: these run with and without ranks; the property by rank also switches ranks on and off in its midst; traffic is measured by rank too, and at 80 daemons. All bounds stay as they were.

--- a/tests/unit/quota_sim.cpp
+++ b/tests/unit/quota_sim.cpp
@@ -89,6 +89,14 @@
     }
 }
 
+void quota_sim::setByRank(bool byRank)
+{
+    m_options.byRank = byRank;
+    for (sim_daemon &node : m_daemons) {
+        node.client.byRank = byRank;
+    }
+}
+
 void quota_sim::kill(int daemon)
 {
     sim_daemon &node = m_daemons[static_cast<std::size_t>(daemon)];
--- a/tests/unit/quota_sim.h
+++ b/tests/unit/quota_sim.h
@@ -50,6 +50,8 @@
     /// rank.
     void setDemand(int daemon, double unitsPerSecond, double urgent = 0);
     void setLimit(const quota_limit &limit);
+    /// A new configuration in which the limit goes by rank or no longer does.
+    void setByRank(bool byRank);
     void kill(int daemon);
     void restart(int daemon);
     /// Pauses a daemon; its messages wait.
--- a/tests/unit/quota_test.cpp
+++ b/tests/unit/quota_test.cpp
@@ -38,16 +38,16 @@
     return home;
 }
 
-void setDemandOfEach(quota_sim &sim, const quota_sim_options &options, double each)
+void setDemandOfEach(quota_sim &sim, const quota_sim_options &options, double each, double urgentFraction = 0)
 {
     for (int i = 0; i < options.daemons; ++i) {
-        sim.setDemand(i, each);
+        sim.setDemand(i, each, urgentFraction * each);
     }
 }
 
 /// Bytes per second of the requests and responses between one daemon, with callers of many accounts, and its
 /// homes. The limits grow with the fleet, so that the daemon's share of them stays typical.
-double bytesPerSecond(int accounts, double perSecond, std::size_t daemons)
+double bytesPerSecond(int accounts, double perSecond, std::size_t daemons, bool byRank)
 {
     constexpr int seconds = 30;
     constexpr double cost = 2'400;
@@ -57,11 +57,13 @@
     };
     std::mt19937 random(1);
     quota_client client;
+    client.byRank = byRank;
     std::map<std::uint32_t, quota_home> homes;
     millis now{100'000};
     for (std::uint32_t shard = 0; shard < quotaShards; ++shard) {
         homes[shard] = homeOf({"a"});
         setHome(client, shard, "home", 1, now);
+        client.shards[shard].homeKnowsRanks = byRank;
     }
     std::size_t bytes = 0;
     std::uint64_t id = 0;
@@ -69,12 +71,16 @@
         now = now + millis{10};
         if (std::uniform_real_distribution<double>(0, 100)(random) < perSecond) {
             const int account = std::uniform_int_distribution<int>(0, accounts - 1)(random);
-            (void)acquireUnits(client, accountHash(std::to_string(account)), *limits(0), ++id, cost, now);
+            const quota_urgency urgency = id % 2 == 0 ? quota_urgency::MostUrgent : quota_urgency::LessUrgent;
+            const std::uint64_t hash = accountHash(std::to_string(account));
+            (void)acquireUnits(client, hash, *limits(0), ++id, cost, now, urgency);
         }
         for (const addressed_request &each : dueRequests(client, daemons, now)) {
-            bytes += encode(fleet_datagram{"edge-zg-1", 1, each.request}).size();
+            const extended_quota_request extended{each.request, each.demandFields};
+            bytes += each.ranked ? encode(fleet_datagram{"edge-zg-1", 1, extended}).size()
+                                 : encode(fleet_datagram{"edge-zg-1", 1, each.request}).size();
             const auto response = handleRequest(
-                homes[each.request.shard], defaultQuotaPlan, {}, limits, {"a", 1, true}, each.request, now);
+                homes[each.request.shard], defaultQuotaPlan, {}, limits, {"a", 1, true}, extended, now);
             bytes += response ? encode(fleet_datagram{"edge-zg-2", 1, *response}).size() : 0;
             (void)applyResponse(client, *response, now);
         }
@@ -151,6 +157,9 @@
     for (int i = 0; i < 30; ++i) {
         sim.run(millis{std::uniform_int_distribution<int>(50, 3'000)(random)});
         injectFault(sim, random, options.daemons);
+        if (urgentFraction > 0) {
+            sim.setByRank(std::uniform_int_distribution<int>(0, 9)(random) > 0);
+        }
     }
     sim.run(seconds(25));
     constexpr double rounding = 1e-3; // messages carry shares in millionths
@@ -201,7 +210,8 @@
     checkUnderFaults(randomOptions(), 0);
 }
 
-// The same with urgent and less urgent requests, at homes that tell them apart and at homes that don't. The
+// The same with urgent and less urgent requests, at homes that tell them apart and at homes that don't, while
+// new configurations change whether ranks count. The
 // reserve, the minimum of the less urgent and the grants by rank must not add to what is granted.
 RC_GTEST_PROP(Quota, NoWindowHoldsMoreThanTheLimitByRankWhateverFails, ())
 {
@@ -249,20 +259,23 @@
 // daemons' shares last until the successor grants units.
 TEST(Quota, AnAccountWithinItsLimitIsServedWhileItsHomeIsReplaced)
 {
-    quota_sim_options options;
-    options.limit = {200'000, 200'000};
-    quota_sim sim(options);
-    setDemandOfEach(sim, options, 9'000);
-    sim.run(seconds(8));
-    const millis from = sim.now();
-    sim.setDemand(0, 0);
-    sim.kill(0);
-    sim.run(seconds(6));
-    sim.moveHome(4, false);
-    sim.run(seconds(16));
-    setDemandOfEach(sim, options, 0);
-    sim.run(seconds(1)); // requests on their way to a server arrive
-    EXPECT_GE(sim.used(from, sim.now()) / sim.demanded(from, sim.now()), 0.95);
+    for (const bool byRank : {false, true}) {
+        quota_sim_options options;
+        options.byRank = byRank;
+        options.limit = {200'000, 200'000};
+        quota_sim sim(options);
+        setDemandOfEach(sim, options, 9'000, 0.5);
+        sim.run(seconds(8));
+        const millis from = sim.now();
+        sim.setDemand(0, 0);
+        sim.kill(0);
+        sim.run(seconds(6));
+        sim.moveHome(4, false);
+        sim.run(seconds(16));
+        setDemandOfEach(sim, options, 0);
+        sim.run(seconds(1)); // requests on their way to a server arrive
+        EXPECT_GE(sim.used(from, sim.now()) / sim.demanded(from, sim.now()), 0.95);
+    }
 }
 
 // The limit is smaller than one request of each daemon per second. Any daemon must be able to use it.
@@ -284,65 +297,74 @@
 // fallback share. The others get only what that leaves, so the limit is kept.
 TEST(Quota, ADisconnectedDaemonUsesItsFallbackShareAndNoMore)
 {
-    quota_sim_options options;
-    options.limit = {100'000, 100'000};
-    quota_sim sim(options);
-    setDemandOfEach(sim, options, 30'000);
-    sim.run(seconds(8));
-    sim.setGroup(5, 1);
-    sim.run(seconds(35));
-    const millis from = sim.now();
-    sim.run(seconds(10));
-    const double equal = options.limit.rate / options.daemons * 10;
-    EXPECT_GE(sim.usedBy(5, from, sim.now()), 0.7 * equal);
-    EXPECT_LE(sim.usedBy(5, from, sim.now()), 1.3 * equal);
-    EXPECT_LE(sim.maxWindowUsage(), 1.0);
+    for (const bool byRank : {false, true}) {
+        quota_sim_options options;
+        options.byRank = byRank;
+        options.limit = {100'000, 100'000};
+        quota_sim sim(options);
+        setDemandOfEach(sim, options, 30'000, 0.5);
+        sim.run(seconds(8));
+        sim.setGroup(5, 1);
+        sim.run(seconds(35));
+        const millis from = sim.now();
+        sim.run(seconds(10));
+        const double equal = options.limit.rate / options.daemons * 10;
+        EXPECT_GE(sim.usedBy(5, from, sim.now()), 0.7 * equal);
+        EXPECT_LE(sim.usedBy(5, from, sim.now()), 1.3 * equal);
+        EXPECT_LE(sim.maxWindowUsage(), 1.0);
+    }
 }
 
 // All daemons, including the home, are killed and restarted at once, several times. None may start with a
 // full bucket, and the account must be served as before within two seconds.
 TEST(Quota, AfterAllDaemonsRestartTheLimitIsSoonUsedAndNotExceeded)
 {
-    quota_sim_options options;
-    options.limit = {100'000, 100'000};
-    quota_sim sim(options);
-    setDemandOfEach(sim, options, 15'000);
-    sim.run(seconds(8));
-    for (int round = 0; round < 5; ++round) {
-        for (int i = 0; i < options.daemons; ++i) {
-            sim.restart(i);
+    for (const bool byRank : {false, true}) {
+        quota_sim_options options;
+        options.byRank = byRank;
+        options.limit = {100'000, 100'000};
+        quota_sim sim(options);
+        setDemandOfEach(sim, options, 15'000, 0.5);
+        sim.run(seconds(8));
+        for (int round = 0; round < 5; ++round) {
+            for (int i = 0; i < options.daemons; ++i) {
+                sim.restart(i);
+            }
+            sim.moveHome(0, true);
+            sim.run(millis{400});
         }
-        sim.moveHome(0, true);
-        sim.run(millis{400});
+        sim.run(seconds(2));
+        const millis from = sim.now();
+        sim.run(seconds(6));
+        EXPECT_GE(shareOf(sim, options.limit, from, sim.now()), 0.9);
+        EXPECT_LE(sim.maxWindowUsage(), 1.0);
     }
-    sim.run(seconds(2));
-    const millis from = sim.now();
-    sim.run(seconds(6));
-    EXPECT_GE(shareOf(sim, options.limit, from, sim.now()), 0.9);
-    EXPECT_LE(sim.maxWindowUsage(), 1.0);
 }
 
 // The operator lowers the limit far below the account's demand and raises it again. The lower limit is kept
 // after one window, and the higher one is used within two seconds.
 TEST(Quota, LoweredAndRaisedLimitsTakeEffect)
 {
-    quota_sim_options options;
-    options.limit = {100'000, 100'000};
-    quota_sim sim(options);
-    setDemandOfEach(sim, options, 15'000);
-    sim.run(seconds(8));
-    const quota_limit low{10'000, 10'000};
-    sim.setLimit(low);
-    sim.run(seconds(8));
-    const millis lowered = sim.now();
-    sim.run(seconds(8));
-    EXPECT_LE(sim.used(lowered, sim.now()), (10'000 * 8 + 10'000) * 1.1 + 17'000);
-    EXPECT_GE(sim.used(lowered, sim.now()), 0.9 * 10'000 * 8);
-    sim.setLimit(options.limit);
-    sim.run(seconds(2));
-    const millis raised = sim.now();
-    sim.run(seconds(5));
-    EXPECT_GE(shareOf(sim, options.limit, raised, sim.now()), 0.9);
+    for (const bool byRank : {false, true}) {
+        quota_sim_options options;
+        options.byRank = byRank;
+        options.limit = {100'000, 100'000};
+        quota_sim sim(options);
+        setDemandOfEach(sim, options, 15'000, 0.5);
+        sim.run(seconds(8));
+        const quota_limit low{10'000, 10'000};
+        sim.setLimit(low);
+        sim.run(seconds(8));
+        const millis lowered = sim.now();
+        sim.run(seconds(8));
+        EXPECT_LE(sim.used(lowered, sim.now()), (10'000 * 8 + 10'000) * 1.1 + 17'000);
+        EXPECT_GE(sim.used(lowered, sim.now()), 0.9 * 10'000 * 8);
+        sim.setLimit(options.limit);
+        sim.run(seconds(2));
+        const millis raised = sim.now();
+        sim.run(seconds(5));
+        EXPECT_GE(shareOf(sim, options.limit, raised, sim.now()), 0.9);
+    }
 }
 
 TEST(Quota, ARequestLargerThanItsAccountMayEverUseIsRefusedAsTooLarge)
@@ -621,13 +643,15 @@
 {
     constexpr double maxRequestAndResponseBytes = 200;
     constexpr double perSecond = 34; // requests per daemon in the largest fleet
-    for (const std::size_t daemons : {70U, 300U, 1'200U}) {
-        const double withFewAccounts = bytesPerSecond(16, perSecond, daemons);
-        const double withManyAccounts = bytesPerSecond(10'000, perSecond, daemons);
-        std::cout << daemons << " daemons: " << withFewAccounts << " bytes a second with 16 accounts, "
-                  << withManyAccounts << " with 10,000\n";
-        EXPECT_LE(withFewAccounts, 2'000 * 0.75);
-        EXPECT_LE(withManyAccounts, perSecond * maxRequestAndResponseBytes);
+    for (const std::size_t daemons : {70U, 80U, 300U, 1'200U}) {
+        for (const bool byRank : {false, true}) {
+            const double withFewAccounts = bytesPerSecond(16, perSecond, daemons, byRank);
+            const double withManyAccounts = bytesPerSecond(10'000, perSecond, daemons, byRank);
+            std::cout << daemons << " daemons" << (byRank ? ", by rank: " : ": ") << withFewAccounts
+                      << " bytes a second with 16 accounts, " << withManyAccounts << " with 10,000\n";
+            EXPECT_LE(withFewAccounts, 2'000 * 0.75);
+            EXPECT_LE(withManyAccounts, perSecond * maxRequestAndResponseBytes);
+        }
     }
 }
 
