Spread the returns of callers that are refused for an account's limit

Cause: all callers refused while a limit is used up were told the same time, when the first units arrive, and most were refused again. Ruled out: more jitter alone: it doesn't follow from how many units the rank gets. Change: where limits go by rank, each caller refused at a daemon returns later than the last one by the time in which the units of its request were recently granted to its rank there, up to 3 s; the entry limits it to a third of the time that the caller has left.

--- a/packages/coordination/quota_client.h
+++ b/packages/coordination/quota_client.h
@@ -42,7 +42,7 @@
 struct quota_decision
 {
     quota_result result = quota_result::Granted;
-    millis retryAfter; ///< when there may be units, if it was refused
+    millis retryAfter; ///< when units are expected for it, if it was refused
 };
 
 /// The decision for a caller whose request was pending.
@@ -70,6 +70,15 @@
     millis shareUntil; ///< when the share expires
     demand_average demand;
     demand_average urgentDemand; ///< of the most urgent rank; only with quota_client::byRank
+    /// What this daemon was granted for requests of one urgency, and when the caller refused last was told to
+    /// return; only with quota_client::byRank.
+    struct granted_rank
+    {
+        demand_average units;
+        millis lastReturn;
+    };
+    granted_rank urgentGranted;
+    granted_rank lessUrgentGranted;
     double reportedDemand = 0; ///< as last sent to the home
     double reportedShare = 0; ///< likewise
     bool needRequested = false; ///< the latest request to the home asked for units
--- a/packages/serving/front_account.cpp
+++ b/packages/serving/front_account.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/rendezvous.h"
 
+#include <algorithm>
 #include <limits>
 
 // Authentication of callers, and the units of their account's limit.
@@ -13,6 +14,10 @@
 constexpr int tooManyRequestsStatus = 429;
 /// Retry-After for a request that exceeds what its account may ever use at once. Only a higher limit helps.
 constexpr millis retryAfterTooLarge{5'000};
+/// Callers return only if at least this many times the stated wait is left to them.
+constexpr std::int64_t minWaitsLeft = 3;
+/// Retry-After while almost no time is left, so that nobody returns in a loop.
+constexpr millis minLimitRetryAfter{20};
 
 }
 
@@ -131,11 +136,16 @@
         refuse(pending, "the account's limit can't be asked for",
             withJitter(decision.retryAfter, pending->request.id));
         return;
-    default:
-        refuse(pending, "the account's limit is used up",
-            withJitter(decision.retryAfter, pending->request.id), tooManyRequestsStatus);
+    default: {
+        millis wait = withJitter(decision.retryAfter, pending->request.id);
+        if (limitsByRank(*pending->config)) {
+            const millis honoured{timeLeft(*pending).count / minWaitsLeft};
+            wait = std::min(wait, std::max(honoured, minLimitRetryAfter));
+        }
+        refuse(pending, "the account's limit is used up", wait, tooManyRequestsStatus);
         return;
     }
+    }
 }
 
 /// Acquires units for a request whose server has already been chosen, and sends it there. Needed if its units
