Show the limit, share and use by rank of an account

Cause: the log line and metrics of a refusal didn't tell what the most urgent rank took of a limit. Change: quota_status has the limit, demand and use by rank at this daemon; quota.refused logs them, the rank and the time to return; metrics count decisions on the most urgent rank, and show limit and share of the accounts that have metrics of their own (64).

--- a/packages/coordination/quota_task.cpp
+++ b/packages/coordination/quota_task.cpp
@@ -304,7 +304,15 @@
     const auto found = m_client.accounts.find(account);
     quota_status result;
     result.share = localShare(m_client, account, now);
-    result.level = found == m_client.accounts.end() ? 0 : found->second.bucket.level;
+    if (found != m_client.accounts.end()) {
+        const quota_client_account &state = found->second;
+        result.limit = state.limit;
+        result.level = state.bucket.level;
+        result.demand = currentDemand(state.demand, now);
+        result.urgentDemand = currentDemand(state.urgentDemand, now);
+        result.urgentUse = currentDemand(state.urgentGranted.units, now);
+        result.lessUrgentUse = currentDemand(state.lessUrgentGranted.units, now);
+    }
     result.home = shard.home;
     result.contactAge = shard.lastContact ? now - *shard.lastContact : millis{-1};
     return result;
--- a/packages/coordination/quota_task.h
+++ b/packages/coordination/quota_task.h
@@ -82,10 +82,16 @@
     std::uint64_t responses = 0; ///< sent as a home
 };
 
-/// What a daemon holds of an account's limit, for log lines.
+/// What a daemon holds of an account's limit, for log lines and metrics. Rates are units per second at this
+/// daemon, as recent averages; those by rank only where limits go by rank.
 struct quota_status
 {
+    quota_limit limit; ///< as this daemon's latest request had it
     double share = 0; ///< fraction of the limit
+    double demand = 0;
+    double urgentDemand = 0; ///< of the most urgent rank
+    double urgentUse = 0; ///< granted to the most urgent rank
+    double lessUrgentUse = 0;
     double level = 0; ///< units in the local bucket
     std::string home;
     millis contactAge{-1}; ///< since the latest request that got a response was sent; negative: none was
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -278,7 +278,8 @@
                 m_store.onStoreUpdate(datagram.from, body);
             } else if constexpr (std::is_same_v<body_type, crash_report>) {
                 m_crashes.onReport(body);
-            } else if constexpr (std::is_same_v<body_type, quota_request>) {
+            } else if constexpr (std::is_same_v<body_type,
+                                     quota_request> || std::is_same_v<body_type, extended_quota_request>) {
                 onQuotaRequest(datagram, body);
             } else if constexpr (std::is_same_v<body_type,
                                      quota_response> || std::is_same_v<body_type, quota_release>) {
@@ -302,8 +303,6 @@
                     sendToNode(*m_port, m_store, m_settings.node, datagram.from,
                         features_notice{protocolLevel, false});
                 }
-            } else if constexpr (std::is_same_v<body_type, extended_quota_request>) {
-                onQuotaRequest(datagram, body);
             } else { // an entry's slot requests, and reports about granted slots
                 m_serverOwner.handle(datagram.from, body);
             }
--- a/packages/serving/edge_metrics.cpp
+++ b/packages/serving/edge_metrics.cpp
@@ -39,7 +39,13 @@
         const std::string label = "{account=\"" + (name.empty() ? "others" : name) + "\"} ";
         out << "briarhead_account_accepted_total" << label << account.accepted << '\n'
             << "briarhead_account_over_limit_total" << label << account.overLimit << '\n'
-            << "briarhead_account_units_total" << label << account.units << '\n';
+            << "briarhead_account_units_total" << label << account.units << '\n'
+            << "briarhead_account_urgent_accepted_total" << label << account.urgentAccepted << '\n'
+            << "briarhead_account_urgent_over_limit_total" << label << account.urgentOverLimit << '\n';
+        if (!name.empty() && account.limit > 0) { // the others have no common limit
+            out << "briarhead_account_limit_units_per_second" << label << account.limit << '\n'
+                << "briarhead_account_limit_share" << label << account.share << '\n';
+        }
     }
     put(out, "first_answer", front.firstResponse);
     put(out, "event_gap", front.eventGap);
--- a/packages/serving/front_account.cpp
+++ b/packages/serving/front_account.cpp
@@ -77,6 +77,13 @@
     }
 }
 
+/// The request's rank compared with the others of the configuration.
+quota_urgency front_task::urgencyOf(const pending_request &pending)
+{
+    const int rank = rankOf(*pending.matchedRoute, pending.account);
+    return rank <= mostUrgentRank(*pending.config) ? quota_urgency::MostUrgent : quota_urgency::LessUrgent;
+}
+
 /// Calls `proceed` once the request holds its units of the account's limit, or refuses the request.
 void front_task::acquireUnits(const request_ptr &pending, std::function<void()> proceed)
 {
@@ -97,10 +104,8 @@
         done({quota_result::Granted, {}});
         return;
     }
-    const int rank = rankOf(*pending->matchedRoute, pending->account);
-    const quota_urgency urgency =
-        rank <= mostUrgentRank(*pending->config) ? quota_urgency::MostUrgent : quota_urgency::LessUrgent;
-    pending->quotaWaitId = m_quota.acquire(pending->accountId, *limit, pending->cost, urgency, done);
+    pending->quotaWaitId =
+        m_quota.acquire(pending->accountId, *limit, pending->cost, urgencyOf(*pending), done);
 }
 
 void front_task::onQuotaDecision(
@@ -108,15 +113,20 @@
 {
     pending->quotaWaitId = 0;
     account_counters &counters = countersOf(*pending->account);
+    const bool urgent = urgencyOf(*pending) == quota_urgency::MostUrgent;
+    const quota_status standing = m_quota.status(pending->accountId);
+    counters.limit = standing.limit.rate;
+    counters.share = standing.share;
     if (decision.result == quota_result::Granted) {
         ++counters.accepted;
+        counters.urgentAccepted += urgent ? 1 : 0;
         pending->unitsHeld = pending->cost;
         pending->unitsAcquiredAt = bootNow();
         proceed();
         return;
     }
     ++counters.overLimit;
-    const quota_status standing = m_quota.status(pending->accountId);
+    counters.urgentOverLimit += urgent ? 1 : 0;
     m_log.important("quota.refused")
         .add("id", pending->request.id)
         .add("account", pending->account->name)
@@ -124,6 +134,13 @@
         .add("units", pending->cost)
         .add("share", standing.share)
         .add("level", standing.level)
+        .add("rank", rankOf(*pending->matchedRoute, pending->account))
+        .add("limit", standing.limit.rate)
+        .add("demand", standing.demand)
+        .add("urgent_demand", standing.urgentDemand)
+        .add("urgent_use", standing.urgentUse)
+        .add("less_urgent_use", standing.lessUrgentUse)
+        .add("retry_after_ms", decision.retryAfter)
         .add("home", standing.home)
         .add("contact_age_ms", standing.contactAge)
         .add("config", pending->config->version);
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -36,6 +36,10 @@
     std::uint64_t accepted = 0; ///< requests within the account's limit
     std::uint64_t overLimit = 0; ///< requests refused because of the limit
     double units = 0; ///< units of requests sent to servers
+    std::uint64_t urgentAccepted = 0; ///< of `accepted`, those of the configuration's most urgent rank
+    std::uint64_t urgentOverLimit = 0; ///< of `overLimit`, likewise
+    double limit = 0; ///< units per second, at the latest decision; 0: no limit
+    double share = 0; ///< fraction of the limit that this daemon held then
 };
 
 /// Number of accounts that have their own counters; all others share one set.
@@ -105,6 +109,7 @@
     void probeBlocked(const request_ptr &pending);
     void resolveRoute(const request_ptr &pending);
     bool authenticateCaller(const request_ptr &pending);
+    static quota_urgency urgencyOf(const pending_request &pending);
     void acquireUnits(const request_ptr &pending, std::function<void()> proceed);
     void onQuotaDecision(
         const request_ptr &pending, const quota_decision &decision, const std::function<void()> &proceed);
--- a/tests/unit/quota_task_test.cpp
+++ b/tests/unit/quota_task_test.cpp
@@ -85,6 +85,23 @@
     EXPECT_EQ(m_extended, 0U);
 }
 
+// An operator asks why an account is refused: its limit, and the demand of each rank, must be found here.
+TEST_F(quota_task_test, StatusShowsTheLimitAndTheDemandByRank)
+{
+    m_task->onLimitsChanged(true, true);
+    m_task->onRecordsChanged();
+    for (const quota_urgency urgency : {quota_urgency::MostUrgent, quota_urgency::LessUrgent}) {
+        (void)m_task->acquire(1, {1'000, 2'000}, 100, urgency, [](const quota_decision &) {});
+    }
+    const quota_status status = m_task->status(1);
+    EXPECT_EQ(status.limit.rate, 1'000);
+    EXPECT_EQ(status.limit.burst, 2'000);
+    EXPECT_GT(status.urgentDemand, 0);
+    EXPECT_GT(status.demand, status.urgentDemand);
+    EXPECT_EQ(status.urgentUse, 0); // nothing was granted
+    EXPECT_EQ(m_task->status(2).limit.rate, 0);
+}
+
 // A new configuration no longer has ranks. Nothing may differ from builds that don't know ranks.
 TEST_F(quota_task_test, WithoutRanksNoHomeIsSentThemOrAsked)
 {
