--- a/packages/serving/front_account.cpp
+++ b/packages/serving/front_account.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/rendezvous.h"
 
+#include <algorithm>
 #include <limits>
 
 // Authentication of callers, and the units of their account's limit.
@@ -13,6 +14,10 @@
 constexpr int tooManyRequestsStatus = 429;
 /// Retry-After for a request that exceeds what its account may ever use at once. Only a higher limit helps.
 constexpr millis retryAfterTooLarge{5'000};
+/// Callers return only if at least this many times the stated wait is left to them.
+constexpr std::int64_t minWaitsLeft = 3;
+/// Retry-After while almost no time is left, so that nobody returns in a loop.
+constexpr millis minLimitRetryAfter{20};
 
 }
 
@@ -72,6 +77,13 @@
     }
 }
 
+/// The request's rank compared with the others of the configuration.
+quota_urgency front_task::urgencyOf(const pending_request &pending)
+{
+    const int rank = rankOf(*pending.matchedRoute, pending.account);
+    return rank <= mostUrgentRank(*pending.config) ? quota_urgency::MostUrgent : quota_urgency::LessUrgent;
+}
+
 /// Calls `proceed` once the request holds its units of the account's limit, or refuses the request.
 void front_task::acquireUnits(const request_ptr &pending, std::function<void()> proceed)
 {
@@ -92,7 +104,8 @@
         done({quota_result::Granted, {}});
         return;
     }
-    pending->quotaWaitId = m_quota.acquire(pending->accountId, *limit, pending->cost, done);
+    pending->quotaWaitId =
+        m_quota.acquire(pending->accountId, *limit, pending->cost, urgencyOf(*pending), done);
 }
 
 void front_task::onQuotaDecision(
@@ -100,15 +113,20 @@
 {
     pending->quotaWaitId = 0;
     account_counters &counters = countersOf(*pending->account);
+    const bool urgent = urgencyOf(*pending) == quota_urgency::MostUrgent;
+    const quota_status standing = m_quota.status(pending->accountId);
+    counters.limit = standing.limit.rate;
+    counters.share = standing.share;
     if (decision.result == quota_result::Granted) {
         ++counters.accepted;
+        counters.urgentAccepted += urgent ? 1 : 0;
         pending->unitsHeld = pending->cost;
         pending->unitsAcquiredAt = bootNow();
         proceed();
         return;
     }
     ++counters.overLimit;
-    const quota_status standing = m_quota.status(pending->accountId);
+    counters.urgentOverLimit += urgent ? 1 : 0;
     m_log.important("quota.refused")
         .add("id", pending->request.id)
         .add("account", pending->account->name)
@@ -116,6 +134,13 @@
         .add("units", pending->cost)
         .add("share", standing.share)
         .add("level", standing.level)
+        .add("rank", rankOf(*pending->matchedRoute, pending->account))
+        .add("limit", standing.limit.rate)
+        .add("demand", standing.demand)
+        .add("urgent_demand", standing.urgentDemand)
+        .add("urgent_use", standing.urgentUse)
+        .add("less_urgent_use", standing.lessUrgentUse)
+        .add("retry_after_ms", decision.retryAfter)
         .add("home", standing.home)
         .add("contact_age_ms", standing.contactAge)
         .add("config", pending->config->version);
@@ -128,11 +153,16 @@
         refuse(pending, "the account's limit can't be asked for",
             withJitter(decision.retryAfter, pending->request.id));
         return;
-    default:
-        refuse(pending, "the account's limit is used up",
-            withJitter(decision.retryAfter, pending->request.id), tooManyRequestsStatus);
+    default: {
+        millis wait = withJitter(decision.retryAfter, pending->request.id);
+        if (limitsByRank(*pending->config)) {
+            const millis honoured{timeLeft(*pending).count / minWaitsLeft};
+            wait = std::min(wait, std::max(honoured, minLimitRetryAfter));
+        }
+        refuse(pending, "the account's limit is used up", wait, tooManyRequestsStatus);
         return;
     }
+    }
 }
 
 /// Acquires units for a request whose server has already been chosen, and sends it there. Needed if its units
