Compare an account's requests by their routes, within a service

Plain requests counted as less urgent than prompts of another service. Ruled out: homes that don't know ranks: they were asked and replied. Change: the route's rank counts, against the most urgent route of the same service.

--- a/packages/coordination/quota_client.cpp
+++ b/packages/coordination/quota_client.cpp
@@ -33,9 +33,6 @@
 constexpr millis homeDiscoveryTimeout{300};
 constexpr millis minRetryAfter{20};
 constexpr millis maxRetryAfter{1'000};
-/// Longest wait for units when ranks count: with the jitter that entries add, about a third of 12 s, the time
-/// of callers that may wait.
-constexpr millis maxReturnWait{3'000};
 /// Keeps a request and its response within one datagram.
 constexpr std::size_t maxWantsPerRequest = 500;
 constexpr double roundingUnits = 1e-6;
@@ -157,26 +154,7 @@
 
 void recordGrant(quota_client_account &account, bool urgent, double units, millis now)
 {
-    recordDemand((urgent ? account.urgentGranted : account.lessUrgentGranted).units, units, now);
-}
-
-/// The time until units are expected for a caller that is refused because the limit is used up. Callers that
-/// are refused one after the other return as far apart as units of their rank were granted here recently, so
-/// that they don't find the limit used up by each other.
-millis returnDelay(const quota_client &client, quota_client_account &account, std::uint64_t hash, double cost,
-    bool urgent, millis now)
-{
-    const millis earliest = retryDelay(client, account, hash, cost, urgent, now);
-    auto &granted = urgent ? account.urgentGranted : account.lessUrgentGranted;
-    const double rate = currentDemand(granted.units, now);
-    if (!client.byRank || rate <= 0) {
-        return earliest;
-    }
-    const double gapMs = std::min(cost * msPerSecond / rate, static_cast<double>(maxReturnWait.count));
-    const millis afterOthers = granted.lastReturn + millis{static_cast<std::int64_t>(gapMs)} - now;
-    const millis wait = std::min(std::max(earliest, afterOthers), maxReturnWait);
-    granted.lastReturn = now + wait;
-    return wait;
+    recordDemand(urgent ? account.urgentGranted : account.lessUrgentGranted, units, now);
 }
 
 /// The waiting caller to serve next: in their order, except that the minimum of the less urgent goes first.
@@ -223,10 +201,8 @@
 {
     for (const quota_client_account::waiter &each : account.waiting) {
         if (!each.urgent || !lessUrgentOnly) {
-            const millis wait = result == quota_result::LimitReached
-                ? returnDelay(client, account, hash, each.cost, each.urgent, now)
-                : retryDelay(client, account, hash, each.cost, each.urgent, now);
-            resolved.push_back({each.id, {result, wait}});
+            resolved.push_back(
+                {each.id, {result, retryDelay(client, account, hash, each.cost, each.urgent, now)}});
         }
     }
     std::erase_if(account.waiting, [lessUrgentOnly](const quota_client_account::waiter &each) {
@@ -399,7 +375,7 @@
         return {quota_result::Granted, {}};
     }
     if (exhaustedUntil(state, urgent) > now) {
-        return {quota_result::LimitReached, returnDelay(client, state, account, cost, urgent, now)};
+        return {quota_result::LimitReached, retryDelay(client, state, account, cost, urgent, now)};
     }
     if (shard.missedResponses >= maxMissedResponses) {
         return {quota_result::HomeUnavailable, retryDelay(client, state, account, cost, urgent, now)};
--- a/packages/coordination/quota_client.h
+++ b/packages/coordination/quota_client.h
@@ -70,15 +70,9 @@
     millis shareUntil; ///< when the share expires
     demand_average demand;
     demand_average urgentDemand; ///< of the most urgent rank; only with quota_client::byRank
-    /// What this daemon was granted for requests of one urgency, and when the caller refused last was told to
-    /// return; only with quota_client::byRank.
-    struct granted_rank
-    {
-        demand_average units;
-        millis lastReturn;
-    };
-    granted_rank urgentGranted;
-    granted_rank lessUrgentGranted;
+    /// Units granted here by urgency, recent averages; only with quota_client::byRank.
+    demand_average urgentGranted;
+    demand_average lessUrgentGranted;
     double reportedDemand = 0; ///< as last sent to the home
     double reportedShare = 0; ///< likewise
     bool needRequested = false; ///< the latest request to the home asked for units
--- a/packages/coordination/quota_task.cpp
+++ b/packages/coordination/quota_task.cpp
@@ -310,8 +310,8 @@
         result.level = state.bucket.level;
         result.demand = currentDemand(state.demand, now);
         result.urgentDemand = currentDemand(state.urgentDemand, now);
-        result.urgentUse = currentDemand(state.urgentGranted.units, now);
-        result.lessUrgentUse = currentDemand(state.lessUrgentGranted.units, now);
+        result.urgentUse = currentDemand(state.urgentGranted, now);
+        result.lessUrgentUse = currentDemand(state.lessUrgentGranted, now);
     }
     result.home = shard.home;
     result.contactAge = shard.lastContact ? now - *shard.lastContact : millis{-1};
--- a/packages/scheduling/service_features.cpp
+++ b/packages/scheduling/service_features.cpp
@@ -80,11 +80,15 @@
 
 bool limitsByRank(const serving_config &config)
 {
-    std::set<int> ranks;
+    std::map<std::string, std::set<int>> ranks;
     for (const route &each : config.routes) {
-        ranks.insert(each.rank);
+        for (const service_share &share : each.services) {
+            ranks[share.service].insert(each.rank);
+        }
     }
-    return hasLimitedAccounts(config) && ranks.size() > 1;
+    return hasLimitedAccounts(config) && std::any_of(ranks.begin(), ranks.end(), [](const auto &each) {
+        return each.second.size() > 1;
+    });
 }
 
 }
--- a/packages/scheduling/service_features.h
+++ b/packages/scheduling/service_features.h
@@ -34,8 +34,8 @@
 /// The features of each service, by name.
 std::map<std::string, service_features> featuresOf(const serving_config &config);
 
-/// Whether an account's limit goes to its urgent requests first: accounts have limits, and the routes have
-/// several ranks.
+/// Whether an account's limit goes to its urgent requests first: accounts have limits, and the routes of one
+/// service have several ranks.
 bool limitsByRank(const serving_config &config);
 
 }
--- a/packages/serving/account_check.cpp
+++ b/packages/serving/account_check.cpp
@@ -61,13 +61,19 @@
                                                    : std::optional(config.accounts[found->second].limit);
 }
 
-int mostUrgentRank(const serving_config &config)
+int mostUrgentRank(const serving_config &config, const std::string &service)
 {
-    const auto first =
-        std::min_element(config.routes.begin(), config.routes.end(), [](const route &a, const route &b) {
-            return a.rank < b.rank;
-        });
-    return first == config.routes.end() ? 0 : first->rank;
+    std::optional<int> rank;
+    for (const route &each : config.routes) {
+        const bool leadsThere =
+            std::any_of(each.services.begin(), each.services.end(), [&service](const service_share &share) {
+                return share.service == service;
+            });
+        if (leadsThere) {
+            rank = std::min(rank.value_or(each.rank), each.rank);
+        }
+    }
+    return rank.value_or(0);
 }
 
 int rankOf(const route &matchedRoute, const client_account *account)
--- a/packages/serving/account_check.h
+++ b/packages/serving/account_check.h
@@ -46,7 +46,8 @@
 
 /// The priority of a request, 0 being the most urgent. The account's rank overrides the route's.
 int rankOf(const route &matchedRoute, const client_account *account);
-/// The most urgent rank of the configuration's routes.
-int mostUrgentRank(const serving_config &config);
+/// The most urgent rank of the routes to a service. Routes of services that do other work are not compared: a
+/// plain service's requests cost an account little, whatever their rank.
+int mostUrgentRank(const serving_config &config, const std::string &service);
 
 }
--- a/packages/serving/front_account.cpp
+++ b/packages/serving/front_account.cpp
@@ -77,11 +77,13 @@
     }
 }
 
-/// The request's rank compared with the others of the configuration.
+/// How urgent the request is among those of its account. The account's own rank is the same for all of them,
+/// so the route's counts.
 quota_urgency front_task::urgencyOf(const pending_request &pending)
 {
-    const int rank = rankOf(*pending.matchedRoute, pending.account);
-    return rank <= mostUrgentRank(*pending.config) ? quota_urgency::MostUrgent : quota_urgency::LessUrgent;
+    return pending.matchedRoute->rank <= mostUrgentRank(*pending.config, pending.service)
+        ? quota_urgency::MostUrgent
+        : quota_urgency::LessUrgent;
 }
 
 /// Calls `proceed` once the request holds its units of the account's limit, or refuses the request.
--- a/tests/serving/account_test.cpp
+++ b/tests/serving/account_test.cpp
@@ -199,6 +199,22 @@
     EXPECT_EQ(rankOf(matchedRoute, &ana), 0);
 }
 
+// Guards against requests of an account that are all equally urgent, since its own rank is the same for them,
+// and against plain requests that wait behind prompts of another service.
+TEST(Accounts, MostUrgentRankIsThatOfTheService)
+{
+    serving_config config;
+    for (const auto &[rank, service] :
+        {std::pair{1, "models"}, std::pair{2, "models"}, std::pair{3, "plain"}}) {
+        route matchedRoute;
+        matchedRoute.rank = rank;
+        matchedRoute.services = {{service, 1}};
+        config.routes.push_back(matchedRoute);
+    }
+    EXPECT_EQ(mostUrgentRank(config, "models"), 1);
+    EXPECT_EQ(mostUrgentRank(config, "plain"), 3);
+}
+
 // A request without token counts costs the account's default. If only one of the two counts can't be parsed,
 // the other one is used.
 TEST(Accounts, RequestCostsTheTokensThatItAnnounces)
