Leave out what no landed decision uses, and document the rest

Cause: the interfaces carried fields, flags and a module for admission by priority, fair shares and extended waiting, which are not in this build.

--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -45,12 +45,8 @@
 /// Tags of extended_slot_request::fields. Numbers are not reused.
 enum class slot_field : std::uint32_t
 {
-    Account = 1, ///< accountHash() of the caller's account; default 0: it has none
-    WeightMilli = 2, ///< weight of the account in thousandths; default 1000
-    ArrivedAgoMs = 3, ///< since the caller's request arrived at the entry; default 0
-    MaxGapMs = 4, ///< longest inter-event gap with which the response is on time; default 0: none stated
-    Returned = 5, ///< 1: the caller returns at the time that a refusal stated; default 0
-    RouteRank = 6, ///< priority of the request's route; default: slot_request::rank
+    MaxGapMs = 1, ///< longest inter-event gap with which the response is on time; default 0: none stated
+    RouteRank = 2, ///< priority of the request's route; default: slot_request::rank
 };
 
 /// Entry -> owner: a slot_request with fields that older builds don't know. Sent only to daemons that
--- a/packages/scheduling/service_features.cpp
+++ b/packages/scheduling/service_features.cpp
@@ -16,17 +16,12 @@
     bool service_features::*value;
 };
 
-constexpr std::array<feature_name, 5> featureNames{{
-    {"priority_admission", &service_features::priorityAdmission},
-    {"fair_shares", &service_features::fairShares},
-    {"extended_waiting", &service_features::extendedWaiting},
+constexpr std::array<feature_name, 3> featureNames{{
+    {"route_ranks", &service_features::routeRanks},
     {"gap_prediction", &service_features::gapPrediction},
     {"plain_load", &service_features::plainLoad},
 }};
 
-/// A caller is worth keeping in line if it waits at least this many times the latency target.
-constexpr int minTimeoutTargets = 2;
-
 bool hasLimitedAccounts(const serving_config &config)
 {
     return config.accounts.size() > 1
@@ -57,7 +52,6 @@
 {
     std::map<std::string, std::set<int>> ranks;
     std::map<std::string, service_features> features;
-    const bool limited = hasLimitedAccounts(config);
     for (const route &each : config.routes) {
         for (const service_share &share : each.services) {
             service_features &service = features[share.service];
@@ -66,10 +60,7 @@
                 continue;
             }
             ranks[share.service].insert(each.rank);
-            service.priorityAdmission = ranks[share.service].size() > 1;
-            service.fairShares = limited;
-            service.extendedWaiting =
-                service.extendedWaiting || each.timeout.count >= each.target.count * minTimeoutTargets;
+            service.routeRanks = ranks[share.service].size() > 1;
             service.gapPrediction = service.gapPrediction || each.maxGap.count > 0;
             const bool shorter = service.shortestGap.count == 0 || each.maxGap < service.shortestGap;
             service.shortestGap = each.maxGap.count > 0 && shorter ? each.maxGap : service.shortestGap;
--- a/packages/scheduling/service_features.h
+++ b/packages/scheduling/service_features.h
@@ -11,12 +11,8 @@
 
 struct service_features
 {
-    /// Model servers admit requests by rank: the service's routes or the accounts' overrides have several.
-    bool priorityAdmission = false;
-    /// Room is shared out among client accounts: there are several, and at least one has a limit.
-    bool fairShares = false;
-    /// Requests may wait for a slot beyond their latency target, because their route's timeout is longer.
-    bool extendedWaiting = false;
+    /// Slot requests carry the rank of their route: the service's routes have several.
+    bool routeRanks = false;
     /// Model servers are chosen by predicted gaps: a route states the longest gap that is on time.
     bool gapPrediction = false;
     millis shortestGap; ///< the shortest such limit; 0: none
--- a/packages/scheduling/serving_config.h
+++ b/packages/scheduling/serving_config.h
@@ -87,9 +87,6 @@
     quota_limit limit;
     bool countsTokens = false; ///< the limit counts tokens; otherwise each request is one unit
     std::int64_t defaultTokens = 1; ///< counted for a request that announces no token counts
-    /// Share of contested room relative to other accounts: the limit against the mean of all limits, 1 for
-    /// accounts without one. Filled by indexAccounts().
-    double weight = 1;
 };
 
 /// One version of the configuration.
--- a/packages/scheduling/slot_queue.cpp
+++ b/packages/scheduling/slot_queue.cpp
@@ -16,7 +16,6 @@
 constexpr std::int64_t minMeasuredSpanMs = 100;
 constexpr double minTokensPerMs = 1.0;
 constexpr double maxTokensPerMs = 200.0;
-constexpr std::int64_t milliPerUnit = 1'000;
 /// Routes of larger ranks count as equal within an account.
 constexpr int maxRouteRank = 9;
 
@@ -112,27 +111,15 @@
 optional_fields encodeTerms(const slot_terms &terms)
 {
     optional_fields fields;
-    addField(fields, tagOf(slot_field::Account), static_cast<std::int64_t>(terms.account), 0);
-    addField(fields, tagOf(slot_field::WeightMilli), std::llround(terms.weight * milliPerUnit), milliPerUnit);
-    addField(fields, tagOf(slot_field::ArrivedAgoMs), terms.arrivedAgo.count, 0);
     addField(fields, tagOf(slot_field::MaxGapMs), terms.maxGap.count, 0);
-    addField(fields, tagOf(slot_field::Returned), terms.returned ? 1 : 0, 0);
     addField(fields, tagOf(slot_field::RouteRank), terms.routeRank, noRouteRank);
     return fields;
 }
 
 slot_terms decodeTerms(const optional_fields &fields)
 {
-    const auto nonNegative = [&fields](slot_field field) {
-        return millis{std::max<std::int64_t>(fieldValue(fields, tagOf(field), 0), 0)};
-    };
     slot_terms terms;
-    terms.account = static_cast<std::uint64_t>(fieldValue(fields, tagOf(slot_field::Account), 0));
-    const std::int64_t weight = fieldValue(fields, tagOf(slot_field::WeightMilli), milliPerUnit);
-    terms.weight = weight > 0 ? static_cast<double>(weight) / milliPerUnit : 1;
-    terms.arrivedAgo = nonNegative(slot_field::ArrivedAgoMs);
-    terms.maxGap = nonNegative(slot_field::MaxGapMs);
-    terms.returned = fieldValue(fields, tagOf(slot_field::Returned), 0) == 1;
+    terms.maxGap = millis{std::max<std::int64_t>(fieldValue(fields, tagOf(slot_field::MaxGapMs), 0), 0)};
     const std::int64_t routeRank = fieldValue(fields, tagOf(slot_field::RouteRank), noRouteRank);
     terms.routeRank = static_cast<int>(std::clamp<std::int64_t>(routeRank, noRouteRank, maxRouteRank));
     return terms;
--- a/packages/scheduling/slot_queue.h
+++ b/packages/scheduling/slot_queue.h
@@ -24,11 +24,7 @@
 /// The fields of an extended_slot_request, decoded. The defaults apply to requests of older builds.
 struct slot_terms
 {
-    std::uint64_t account = 0; ///< accountHash(); 0: none
-    double weight = 1; ///< of the account, relative to others
-    millis arrivedAgo; ///< since the caller's request arrived at the entry
     millis maxGap; ///< longest inter-event gap with which the response is on time; 0: none stated
-    bool returned = false; ///< the caller returns at the time that a refusal stated
     int routeRank = noRouteRank; ///< priority of the request's route
 };
 
--- a/packages/serving/account_check.cpp
+++ b/packages/serving/account_check.cpp
@@ -40,15 +40,6 @@
 
 void indexAccounts(serving_config &config)
 {
-    double totalRate = 0;
-    int limited = 0;
-    for (const client_account &account : config.accounts) {
-        totalRate += account.limit.rate;
-        limited += isLimited(account.limit) ? 1 : 0;
-    }
-    for (client_account &account : config.accounts) {
-        account.weight = isLimited(account.limit) ? account.limit.rate * limited / totalRate : 1;
-    }
     for (std::size_t i = 0; i < config.accounts.size(); ++i) {
         config.accountByNameHash.emplace(accountHash(config.accounts[i].name), i);
     }
--- a/packages/serving/account_check.h
+++ b/packages/serving/account_check.h
@@ -39,15 +39,14 @@
 /// Units of the account's limit that a request consumes: 1, or its tokens if the account counts tokens.
 double unitsOf(const client_account &account, const client_request &request);
 
-/// Fills `accountByNameHash` and the accounts' weights. Call once, after `accounts` has been filled.
+/// Fills `accountByNameHash`. Call once, after `accounts` has been filled.
 void indexAccounts(serving_config &config);
 /// The limit of the account with this accountHash(), or nothing if there is no such account.
 std::optional<quota_limit> limitOf(const serving_config &config, std::uint64_t account);
 
 /// The priority of a request, 0 being the most urgent. The account's rank overrides the route's.
 int rankOf(const route &matchedRoute, const client_account *account);
-/// The most urgent rank of the routes to a service. Routes of services that do other work are not compared: a
-/// plain service's requests cost an account little, whatever their rank.
+/// The most urgent rank of the routes to a service; 0 if there is none.
 int mostUrgentRank(const serving_config &config, const std::string &service);
 
 }
--- a/packages/serving/front_account.cpp
+++ b/packages/serving/front_account.cpp
@@ -78,10 +78,12 @@
 }
 
 /// How urgent the request is among those of its account. The account's own rank is the same for all of them,
-/// so the route's counts.
+/// so the route's counts. Plain requests are as urgent as any: they cost an account little, and their callers
+/// expect a response within tens of milliseconds.
 quota_urgency front_task::urgencyOf(const pending_request &pending)
 {
-    return pending.matchedRoute->rank <= mostUrgentRank(*pending.config, pending.service)
+    const bool plain = engineOf(*pending.config, pending.service) == nullptr;
+    return plain || pending.matchedRoute->rank <= mostUrgentRank(*pending.config, pending.service)
         ? quota_urgency::MostUrgent
         : quota_urgency::LessUrgent;
 }
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -180,11 +180,6 @@
 slot_terms front_task::termsOf(const pending_request &pending) const
 {
     slot_terms terms;
-    if (pending.account != nullptr) {
-        terms.account = accountHash(pending.account->name);
-        terms.weight = pending.account->weight;
-    }
-    terms.arrivedAgo = bootNow() - pending.arrived;
     terms.maxGap = pending.matchedRoute->maxGap;
     terms.routeRank = pending.matchedRoute->rank;
     return terms;
--- a/tests/serving/account_test.cpp
+++ b/tests/serving/account_test.cpp
@@ -199,8 +199,7 @@
     EXPECT_EQ(rankOf(matchedRoute, &ana), 0);
 }
 
-// Guards against requests of an account that are all equally urgent, since its own rank is the same for them,
-// and against plain requests that wait behind prompts of another service.
+// Guards against a route of another service that makes all prompts of an account less urgent.
 TEST(Accounts, MostUrgentRankIsThatOfTheService)
 {
     serving_config config;
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -78,6 +78,7 @@
 {
     start();
     other_daemon other(m_store, m_loop, m_settings.peers, "n2", "m-2");
+    other.send(features_notice{});
     setBehavior(m_plain, behavior::Silent);
     const auto caller = sendRequest("/once/x");
     EXPECT_TRUE(runUntil([&] {
@@ -92,6 +93,22 @@
     EXPECT_TRUE(other.plainLoads.empty());
 }
 
+// Guards against a release during which daemons of the build before drop the heartbeats of the new one: they
+// get the datagram that they know, and only a daemon that has shown that it understands it gets the other.
+TEST_F(edge_test, DaemonsOfOlderBuildsGetHeartbeatsThatTheyUnderstand)
+{
+    start();
+    other_daemon other(m_store, m_loop, m_settings.peers, "n2", "m-2");
+    EXPECT_TRUE(runUntil([&] {
+        return other.heartbeatsReceived >= 3;
+    }));
+    EXPECT_EQ(other.extendedHeartbeatsReceived, 0);
+    other.send(features_notice{});
+    EXPECT_TRUE(runUntil([&] {
+        return other.extendedHeartbeatsReceived >= 3;
+    }));
+}
+
 // If the response is lost, sending the request again could execute it twice, and a refusal would claim that
 // it was not executed.
 TEST_F(edge_test, NonIdempotentRequestFailsWithoutRetryWhenItsResponseIsLost)
