Give the test of older builds loads to report

Cause: edge_test.DaemonsOfOlderBuildsGetHeartbeatsThatTheyUnderstand failed once the flags without a reader were gone: no feature applied to its model servers, and without loads heartbeats stay as they were. Change: a plain request is in flight during the test. Measured: passes; seen failing without the request.

--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -99,6 +99,8 @@
 {
     start();
     other_daemon other(m_store, m_loop, m_settings.peers, "n2", "m-2");
+    setBehavior(m_plain, behavior::Silent);
+    const auto caller = sendRequest("/once/x"); // so that there are loads to report
     EXPECT_TRUE(runUntil([&] {
         return other.heartbeatsReceived >= 3;
     }));
