--- a/packages/scheduling/server_speed.cpp
+++ b/packages/scheduling/server_speed.cpp
@@ -12,8 +12,6 @@
 constexpr double minSampleMs = 1;
 constexpr double minTokensPerMs = 0.2;
 constexpr double maxTokensPerMs = 200;
-/// Weight of a new relative error.
-constexpr double errorWeight = 0.1;
 /// An adopted speed counts as much as samples of one prompt of this length.
 constexpr double adoptedTokens = 2'000;
 constexpr int inProgressFactor = 2;
@@ -44,9 +42,6 @@
     const bool changed = predicted > 0 && (ms > predicted * changeFactor || ms * changeFactor < predicted);
     add(speed.recent, changed ? changedWeight : recentWeight, length, ms);
     add(speed.usual, usualWeight, length, ms);
-    if (predicted > 0) {
-        speed.errorShare += errorWeight * (std::abs(ms - predicted) / predicted - speed.errorShare);
-    }
     speed.sampleCount = std::min(speed.sampleCount + 1, minSpeedSamples);
     speed.measuredAt = now;
 }
--- a/packages/scheduling/server_speed.h
+++ b/packages/scheduling/server_speed.h
@@ -22,7 +22,6 @@
     speed_sums recent;
     speed_sums usual; ///< over many more samples; what an avoided server is taken to return to
     int sampleCount = 0; ///< at most `minSpeedSamples`
-    double errorShare = 0; ///< moving average of the relative error of the predictions
     millis measuredAt; ///< when the latest sample was taken
 };
 
--- a/packages/serving/front_plain.cpp
+++ b/packages/serving/front_plain.cpp
@@ -232,8 +232,7 @@
     std::vector<plain_load> loads;
     for (const auto &[server, latency] : m_plainLatency) {
         if (!latency.outstanding.empty()) {
-            loads.push_back({server, static_cast<std::uint32_t>(latency.outstanding.size()),
-                static_cast<std::uint32_t>(latency.meanMs)});
+            loads.push_back({server, static_cast<std::uint32_t>(latency.outstanding.size())});
         }
     }
     const std::size_t count = std::min(loads.size(), maxPlainServersReported);
--- a/tests/scheduling/plain_choice_test.cpp
+++ b/tests/scheduling/plain_choice_test.cpp
@@ -390,7 +390,7 @@
     EXPECT_LE(stateBytes[2], 8'192U);
     load_heartbeat beat;
     for (int i = 0; i < 4; ++i) { // as many as a load heartbeat has at most
-        beat.plainServers.push_back({"pool-server-" + std::to_string(i), 3, 60});
+        beat.plainServers.push_back({"pool-server-" + std::to_string(i), 3});
     }
     const std::size_t reportBytes = encode(fleet_datagram{"node", 1, extended_heartbeat{{}, beat}}).size()
         - encode(fleet_datagram{"node", 1, extended_heartbeat{}}).size();
