Look ranks up instead of searching all routes for each request

Cause: each request of a limited account searched all routes for the most urgent rank of its service twice, and each refusal built a map of all services' ranks; configurations have thousands of routes at times. Change: indexRoutes() keeps the most urgent rank of each service; front_task keeps limitsByRank() with the features of the configuration in force. Measured: 109 of 109 scheduling tests and 22 of 22 account and limit tests pass; the time saved was not measured.

--- a/packages/scheduling/serving_config.cpp
+++ b/packages/scheduling/serving_config.cpp
@@ -24,8 +24,14 @@
 void indexRoutes(serving_config &config)
 {
     config.routesByHost.clear();
+    config.mostUrgentRanks.clear();
     for (std::size_t i = 0; i < config.routes.size(); ++i) {
-        config.routesByHost[config.routes[i].host].push_back(i);
+        const route &each = config.routes[i];
+        config.routesByHost[each.host].push_back(i);
+        for (const service_share &share : each.services) {
+            int &rank = config.mostUrgentRanks.try_emplace(share.service, each.rank).first->second;
+            rank = std::min(rank, each.rank);
+        }
     }
     for (auto &[host, indices] : config.routesByHost) {
         std::stable_sort(indices.begin(), indices.end(), [&config](std::size_t a, std::size_t b) {
--- a/packages/scheduling/serving_config.h
+++ b/packages/scheduling/serving_config.h
@@ -104,9 +104,11 @@
 
     /// Indices into `routes` by host, longest prefix first. Filled by indexRoutes().
     std::unordered_map<std::string, std::vector<std::size_t>> routesByHost;
+    /// The most urgent rank of the routes to each service. Filled by indexRoutes().
+    std::unordered_map<std::string, int> mostUrgentRanks;
 };
 
-/// Fills `routesByHost`. Call once, after `routes` has been filled.
+/// Fills `routesByHost` and `mostUrgentRanks`. Call once, after `routes` has been filled.
 void indexRoutes(serving_config &config);
 
 /// The route of the host with the longest prefix that matches the path, or null if none matches.
--- a/packages/serving/account_check.cpp
+++ b/packages/serving/account_check.cpp
@@ -1,7 +1,5 @@
 #include "serving/account_check.h"
 
-#include <algorithm>
-
 namespace briarhead {
 
 std::string_view nameOf(auth_status value)
@@ -54,17 +52,8 @@
 
 int mostUrgentRank(const serving_config &config, const std::string &service)
 {
-    std::optional<int> rank;
-    for (const route &each : config.routes) {
-        const bool leadsThere =
-            std::any_of(each.services.begin(), each.services.end(), [&service](const service_share &share) {
-                return share.service == service;
-            });
-        if (leadsThere) {
-            rank = std::min(rank.value_or(each.rank), each.rank);
-        }
-    }
-    return rank.value_or(0);
+    const auto found = config.mostUrgentRanks.find(service);
+    return found == config.mostUrgentRanks.end() ? 0 : found->second;
 }
 
 int rankOf(const route &matchedRoute, const client_account *account)
--- a/packages/serving/front_account.cpp
+++ b/packages/serving/front_account.cpp
@@ -159,7 +159,7 @@
         return;
     default: {
         millis wait = withJitter(decision.retryAfter, pending->request.id);
-        if (limitsByRank(*pending->config)) {
+        if (m_limitsByRank) {
             const millis honoured{timeLeft(*pending).count / minWaitsLeft};
             wait = std::min(wait, std::max(honoured, minLimitRetryAfter));
         }
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -118,6 +118,7 @@
         }
     }
     m_features = std::move(features);
+    m_limitsByRank = limitsByRank(*m_store.view().config);
 }
 
 service_features front_task::featuresFor(const std::string &service) const
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -200,6 +200,7 @@
     std::map<std::string, int> m_inFlight; ///< requests of this entry in flight, by server
     std::map<std::string, server_health> m_serverHealth; ///< by server
     std::map<std::string, service_features> m_features; ///< by service, of the configuration in force
+    bool m_limitsByRank = false; ///< see limitsByRank(), of the configuration in force
     peer_features m_peerFeatures;
     std::map<std::string, plain_service> m_plainServices; ///< by service
     std::map<std::string, plain_latency> m_plainLatency; ///< by server
--- a/tests/serving/account_test.cpp
+++ b/tests/serving/account_test.cpp
@@ -210,6 +210,7 @@
         matchedRoute.services = {{service, 1}};
         config.routes.push_back(matchedRoute);
     }
+    indexRoutes(config);
     EXPECT_EQ(mostUrgentRank(config, "models"), 1);
     EXPECT_EQ(mostUrgentRank(config, "plain"), 3);
 }
