Apply loads after the heartbeat that they came with

Cause: since loads travel in the heartbeat's datagram they were applied before it: the loads of a server that was not known yet were lost until the next one, and a comment said the opposite. Change: one place handles both, the heartbeat first.

--- a/packages/scheduling/choose_server.cpp
+++ b/packages/scheduling/choose_server.cpp
@@ -43,10 +43,6 @@
     return std::pow(std::clamp(ratio, minPromptRatio, maxPromptRatio), promptPenaltyExponent);
 }
 
-}
-
-namespace {
-
 /// From this share of prompts on that break the limit on gaps there, a server doesn't attract long responses:
 /// a long response meets more than four prompts, so that it would hardly ever be on time.
 constexpr double maxBreakingShare = 0.25;
--- a/packages/scheduling/gap_forecast.cpp
+++ b/packages/scheduling/gap_forecast.cpp
@@ -12,8 +12,7 @@
 /// Streams counted at most: where more would be harmed, the server is out of the question already.
 constexpr std::uint32_t maxStreamsCounted = 8;
 /// Prompts that break the limit of a server's streams are mostly sent elsewhere, so that a stream meets fewer
-/// of them than the lengths of all prompts suggest. At 1, long responses crowd onto few servers: over four
-/// seeds of the load model the score of uneven servers is 0.004 lower than without this term.
+/// of them than the lengths of all prompts suggest. Counted in full, long responses crowd onto few servers.
 constexpr double breakingPromptShare = 0.15;
 /// Responses are on average about a third as long as the maximum that their requests announce (8 of 30, 57 of
 /// 174 events).
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -298,8 +298,6 @@
             } else if constexpr (std::is_same_v<body_type, fleet_heartbeat>) {
                 onFleetHeartbeat(datagram, body, {});
             } else if constexpr (std::is_same_v<body_type, extended_heartbeat>) {
-                m_front.onLoadHeartbeat(datagram.from, body.loads);
-                m_serverOwner.onLoadHeartbeat(datagram.from, body.loads);
                 onFleetHeartbeat(datagram, body.heartbeat, body.loads);
             } else if constexpr (std::is_same_v<body_type, features_notice>) {
                 if (body.wantsReply) {
@@ -338,6 +336,8 @@
 {
     m_front.onHeartbeat(datagram.from, heartbeat);
     m_serverOwner.onHeartbeat(datagram.from, heartbeat);
+    m_front.onLoadHeartbeat(datagram.from, loads); // after the heartbeat, which makes its servers known
+    m_serverOwner.onLoadHeartbeat(datagram.from, loads);
     if (heartbeat.relay) {
         relayHeartbeat(datagram, heartbeat, loads);
     }
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -169,20 +169,16 @@
                 resendSlotRequest(locked);
             }
         });
-    const slot_terms terms = termsOf(*pending);
     if (anyFeature(featuresFor(pending->service)) && peerUnderstandsFeatures(pending->owner)) {
-        sendToOwner(pending->owner, extended_slot_request{message, encodeTerms(terms)});
+        sendToOwner(pending->owner, extended_slot_request{message, encodeTerms(termsOf(*pending))});
     } else {
         sendToOwner(pending->owner, message);
     }
 }
 
-slot_terms front_task::termsOf(const pending_request &pending) const
+slot_terms front_task::termsOf(const pending_request &pending)
 {
-    slot_terms terms;
-    terms.maxGap = pending.matchedRoute->maxGap;
-    terms.routeRank = pending.matchedRoute->rank;
-    return terms;
+    return {pending.matchedRoute->maxGap, pending.matchedRoute->rank};
 }
 
 void front_task::resendSlotRequest(const request_ptr &pending)
@@ -296,7 +292,7 @@
 {
     const millis now = bootNow();
     if (node != m_settings.node && peerUnderstandsFeatures(node)) {
-        countReport(m_plainReports, now); // with the load heartbeat that follows, or without any request
+        countReport(m_plainReports, now); // with the loads that follow, or without any request
     }
     for (const server_heartbeat &each : heartbeat.servers) {
         auto &observed = m_observed[each.server];
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -155,7 +155,7 @@
     void reportLimit(const pending_request &pending);
     void sendSlotRequest(const request_ptr &pending);
     void resendSlotRequest(const request_ptr &pending);
-    slot_terms termsOf(const pending_request &pending) const;
+    static slot_terms termsOf(const pending_request &pending);
     service_features featuresFor(const std::string &service) const;
     void onSlotRequestUnanswered(const request_ptr &pending);
     void send(const request_ptr &pending, const backend_server &server);
