--- a/tests/serving/edge_fixture.h
+++ b/tests/serving/edge_fixture.h
@@ -22,12 +22,14 @@
 protected:
     fake_store m_store{m_loop};
     fake_store_client m_client{m_store};
+    metadata_store *m_ownStore = &m_client; ///< the store as the daemon sees it
     decision_log m_log{-1, "n1"};
     node_settings m_settings;
     edge_dependencies m_dependencies;
     std::vector<std::unique_ptr<backend_standin>> m_models;
     std::vector<std::unique_ptr<backend_standin>> m_plain;
     std::unique_ptr<edge_daemon> m_daemon;
+    std::function<void()> m_beforeDaemon; ///< called by start() once the servers are there
     int m_timeoutMs = 4'000;
     int m_adapterSlots = 2;
     int m_promptTokens = 500;
@@ -55,11 +57,14 @@
         m_settings.ready = {http_testing::loopback, http_testing::freePort()};
         m_settings.peers = {http_testing::loopback, http_testing::freePort()};
         m_settings.metrics = {http_testing::loopback, http_testing::freePort()};
-        m_dependencies = {&m_client, platform::recordCodec(), platform::requestCodec(),
+        m_dependencies = {m_ownStore, platform::recordCodec(), platform::requestCodec(),
             [this](error &) {
                 return std::optional<node_settings>(m_settings);
             },
             {}};
+        if (m_beforeDaemon) {
+            m_beforeDaemon();
+        }
         error why;
         m_daemon = edge_daemon::start(m_loop, m_settings, m_dependencies, m_log, why);
         ASSERT_TRUE(m_daemon) << message(why);
