Relay requests through a peer while a daemon is cut off from servers

A daemon had one way to a server, its own connections; each request spent its time on up to three of them, all cut. The servers that the daemon owned got no orders meanwhile. Ruled out: servers that accept nothing, since the other daemons connected to the same ones in the same seconds; a daemon short of processor time or descriptors, since its other sockets worked. Change: a server that can't be connected to is checked with up to three peers, and by one more attempt of the daemon's own at the same time. If only a peer reaches it, its link is cut: requests to it go through a peer by HTTP on the port for peers, which passes the response on in parts. The daemon that took the request keeps slot, permit, units, retry budget and deadline; the peer uses its own connections only, so there is one hop at most. Two such links, and no connection since, mean that the daemon is cut off: the store says so under its lease, it hands its servers over, and peers neither relay through it nor propose it as owner. Peers are chosen by requests in flight, within the failure domain while half of it is left. A closed port counts as the end of a server only if peers find it closed too, and failures over a cut link are dropped from the server's record.

--- a/packages/coordination/crash_task.cpp
+++ b/packages/coordination/crash_task.cpp
@@ -99,6 +99,13 @@
     if (m_connectionChecks.count(target.incarnation) != 0) {
         return;
     }
+    if (m_callbacks.checkProcess) {
+        m_connectionChecks[target.incarnation] = nullptr;
+        m_callbacks.checkProcess(target, [this, incarnation = target.incarnation](connect_result result) {
+            onConnectResult(incarnation, result);
+        });
+        return;
+    }
     m_connectionChecks[target.incarnation] = probeConnect(m_loop, target.address, connectTimeout,
         [this, incarnation = target.incarnation](connect_result result) {
             onConnectResult(incarnation, result);
--- a/packages/coordination/crash_task.h
+++ b/packages/coordination/crash_task.h
@@ -75,6 +75,8 @@
         storeRecord;
     std::function<void(const std::string &fingerprint)> removeRecord;
     std::function<void(const crash_log_entry &entry)> log;
+    /// Finds out whether the server's process has ended. Empty: by one connection attempt of this daemon.
+    std::function<void(const crash_target &target, std::function<void(connect_result)> done)> checkProcess;
 };
 
 /// Events since the start of the process, for metrics.
--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -381,6 +381,26 @@
     return encodeMessage(record);
 }
 
+std::string encode(const relay_request &request)
+{
+    return encodeMessage(request);
+}
+
+std::string encode(const relay_part &part)
+{
+    return encodeMessage(part);
+}
+
+std::optional<relay_request> decodeRelayRequest(std::string_view bytes, error &why)
+{
+    return decodeExactly<relay_request>(bytes, why);
+}
+
+std::optional<relay_part> decodeRelayPart(std::string_view bytes, error &why)
+{
+    return decodeExactly<relay_part>(bytes, why);
+}
+
 std::optional<fleet_datagram> decodeFleetDatagram(std::string_view bytes, error &why)
 {
     return decodeExactly<fleet_datagram>(bytes, why);
--- a/packages/protocol/codec.h
+++ b/packages/protocol/codec.h
@@ -2,6 +2,7 @@
 
 #include "protocol/fleet_messages.h"
 #include "protocol/messages.h"
+#include "protocol/relay_messages.h"
 #include "state/error.h"
 
 #include <cstddef>
@@ -26,6 +27,8 @@
 std::string encode(const ownership_record &record);
 std::string encode(const quota_home_record &record);
 std::string encode(const crash_record &record);
+std::string encode(const relay_request &request);
+std::string encode(const relay_part &part);
 
 // Each decode function returns the message, or nothing with `why` of kind BadFrame if the bytes are not
 // exactly one valid message. They never throw. Except for decodeStoreUpdate(), which allocates the
@@ -40,5 +43,7 @@
 std::optional<ownership_record> decodeOwnershipRecord(std::string_view bytes, error &why);
 std::optional<quota_home_record> decodeQuotaHomeRecord(std::string_view bytes, error &why);
 std::optional<crash_record> decodeCrashRecord(std::string_view bytes, error &why);
+std::optional<relay_request> decodeRelayRequest(std::string_view bytes, error &why);
+std::optional<relay_part> decodeRelayPart(std::string_view bytes, error &why);
 
 }
--- a/packages/serving/crash_store.cpp
+++ b/packages/serving/crash_store.cpp
@@ -17,9 +17,11 @@
 }
 
 crash_callbacks crashLinks(store_task &store, const std::unique_ptr<fleet_port> &port,
-    const node_settings &settings, decision_log &log)
+    const node_settings &settings, decision_log &log,
+    std::function<void(const crash_target &, std::function<void(connect_result)>)> checkProcess)
 {
     crash_callbacks links;
+    links.checkProcess = std::move(checkProcess);
     links.self = settings.node;
     links.daemons = [&store] {
         return nodesOf(store.view().daemons);
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -37,6 +37,8 @@
 constexpr std::size_t maxInlineUpdateBytes = 16'000;
 /// The path from which other daemons fetch store updates, on the port for other daemons.
 const std::string updatePath = "/news?after=";
+/// A relayed request is larger than the caller's, by its head and by what this system adds.
+constexpr std::uint64_t maxRelayOverheadBytes = 256 * 1024;
 /// The process runs for at least this long after the termination signal, because the load balancer removes a
 /// daemon only after two failed checks one second apart and sends it new connections until then.
 constexpr millis minShutdownTime{2'500};
@@ -82,7 +84,11 @@
         , m_pool(eventLoop)
         , m_store(eventLoop, m_bus, *dependencies.store, dependencies.records, settings,
               static_cast<std::uint64_t>(wallNow().count), log)
-        , m_crashes(eventLoop, m_bus, crashLinks(m_store, m_port, m_settings, log))
+        , m_crashes(eventLoop, m_bus,
+              crashLinks(m_store, m_port, m_settings, log,
+                  [this](const crash_target &target, std::function<void(connect_result)> done) {
+                      m_paths.checkProcess(target, std::move(done));
+                  }))
         , m_quota(std::make_unique<quota_task>(eventLoop,
               quotaLinks(eventLoop, m_store, m_port, m_settings, log, m_quota,
                   [this](const std::string &node) {
@@ -90,8 +96,9 @@
                   }),
               defaultQuotaPlan, settings.quota))
         , m_notices(eventLoop, m_bus, m_store, settings, log)
-        , m_front(eventLoop, m_bus, m_store, m_crashes, *m_quota, m_notices, m_pool, m_dependencies.requests,
-              settings, log)
+        , m_paths(eventLoop, m_bus, m_store, m_notices, m_pool, m_dependencies.requests, settings, log)
+        , m_front(eventLoop, m_bus, m_store, m_crashes, *m_quota, m_notices, m_paths, m_pool,
+              m_dependencies.requests, settings, log)
         , m_serverOwner(eventLoop, m_bus, m_store, m_notices, m_pool, m_dependencies.requests, settings, log,
               [this](const std::string &entry, const slot_response &response) {
                   sendSlotResponse(entry, response);
@@ -140,6 +147,7 @@
     crash_task m_crashes;
     std::unique_ptr<quota_task> m_quota; ///< its own links refer to it through this pointer
     server_notice_task m_notices;
+    server_path_task m_paths;
     front_task m_front;
     server_owner_task m_serverOwner;
     std::unique_ptr<fleet_port> m_port;
@@ -180,7 +188,9 @@
     m_peers = front_server::listen(
         m_loop, m_settings.peers.ip, m_settings.peers.port,
         [this](const front_request &request, const std::shared_ptr<front_reply> &reply) {
-            onUpdateRequest(request, *reply);
+            if (!m_paths.onPeerRequest(request, reply)) {
+                onUpdateRequest(request, *reply);
+            }
         },
         why);
     if (!m_peers) {
@@ -219,6 +229,9 @@
     m_bus.on<view_changed>([this](const view_changed &change) {
         if (change.config) {
             m_callers->setLimits(m_store.view().config->limits);
+            front_limits relayLimits = m_store.view().config->limits;
+            relayLimits.maxBodyBytes += maxRelayOverheadBytes;
+            m_peers->setLimits(relayLimits);
         }
     });
     const millis firstHeartbeat = heartbeatInterval + heartbeatPhase(m_settings.node, heartbeatInterval);
@@ -488,10 +501,10 @@
 std::string daemon_impl::metricsPage() const
 {
     const store_view &view = m_store.view();
-    const std::string text = metricsText(
-        {&m_front.counters(), &m_crashes.counters(), &m_serverOwner.counters(), &m_pool.counters(),
-            &m_port->counters(), &m_loopLag, m_front.active(), m_callers->connections(), m_log.dropped(),
-            view.config ? view.config->version : 0, m_store.configConfirmedAt(), &m_quota->counters()});
+    const std::string text = metricsText({&m_front.counters(), &m_crashes.counters(),
+        &m_serverOwner.counters(), &m_pool.counters(), &m_port->counters(), &m_loopLag, m_front.active(),
+        m_callers->connections(), m_log.dropped(), view.config ? view.config->version : 0,
+        m_store.configConfirmedAt(), &m_quota->counters(), &m_paths.counters(), m_paths.isCutOff()});
     return m_dependencies.storeMetrics ? text + m_dependencies.storeMetrics() : text;
 }
 
@@ -526,11 +539,12 @@
 void daemon_impl::checkShutdown()
 {
     const millis elapsed = bootNow() - m_shutdownBeganAt;
-    const bool idle =
-        m_front.active() == 0 && m_callers->activeRequests() == 0 && m_callers->connections() == 0;
+    const bool idle = m_front.active() == 0 && m_callers->activeRequests() == 0
+        && m_callers->connections() == 0 && !m_paths.isRelaying();
     const bool timeUp = elapsed > m_settings.shutdown - shutdownMargin;
     if (elapsed > handOverAfter && !m_handedOver) {
         m_handedOver = true;
+        m_paths.stopRelaying();
         m_serverOwner.stop();
         m_quota->stop();
         m_store.releaseRecords();
--- a/packages/serving/edge_metrics.cpp
+++ b/packages/serving/edge_metrics.cpp
@@ -68,6 +68,18 @@
     put(out, "reports_total", orders.reports);
 }
 
+void putPaths(std::ostringstream &out, const path_counters &paths, bool cutOff)
+{
+    put(out, "cut_off_from_servers", cutOff ? 1 : 0);
+    put(out, "cuts_from_servers_total", paths.cuts);
+    put(out, "relayed_total{domain=\"same\"}", paths.relayedSameDomain);
+    put(out, "relayed_total{domain=\"other\"}", paths.relayedOtherDomain);
+    put(out, "relayed_bytes_total{domain=\"same\"}", paths.relayedBytesSameDomain);
+    put(out, "relayed_bytes_total{domain=\"other\"}", paths.relayedBytesOtherDomain);
+    put(out, "relayed_for_peers_total", paths.servedForPeers);
+    put(out, "relays_refused_total", paths.refusedForPeers);
+}
+
 }
 
 std::string metricsText(const edge_metric_sources &sources)
@@ -78,7 +90,9 @@
     put(out, "requests_blocked_total", sources.crashes->blocked);
     put(out, "requests_cleared_total", sources.crashes->cleared);
     putOrders(out, *sources.orders);
+    putPaths(out, *sources.paths, sources.cutOff);
     put(out, "connections_opened_total", sources.pool->opened);
+    put(out, "connections_failed_total", sources.pool->connectFailures);
     put(out, "connections_reused_total", sources.pool->reused);
     put(out, "connections_stray_total", sources.pool->stray);
     put(out, "caller_connections", sources.callerConnections);
--- a/packages/serving/edge_metrics.h
+++ b/packages/serving/edge_metrics.h
@@ -4,6 +4,7 @@
 #include "serving/fleet_port.h"
 #include "serving/front_task.h"
 #include "serving/server_owner_task.h"
+#include "serving/server_path_task.h"
 #include "state/latency.h"
 #include "transport/backend_pool.h"
 
@@ -28,6 +29,8 @@
     std::uint64_t configVersion = 0; ///< 0 if there is no configuration yet
     std::optional<millis> configConfirmedAt; ///< when the configuration was last confirmed to be the newest
     const quota_counters *quota = nullptr;
+    const path_counters *paths = nullptr;
+    bool cutOff = false; ///< from all backend servers
 };
 
 /// The metrics page in Prometheus text format. Latencies are given as quantiles since process start, with
--- a/packages/serving/front_closed.cpp
+++ b/packages/serving/front_closed.cpp
@@ -92,6 +92,13 @@
     }
 }
 
+/// Failures over a cut link say nothing about the server.
+void front_task::onServerLinkCut(const std::string &server)
+{
+    m_serverHealth.erase(server);
+    m_plainLatency.erase(server);
+}
+
 /// Gives up the server that the request was meant for, before anything was sent, and dispatches it again.
 void front_task::dispatchElsewhere(const request_ptr &pending, slot_event event)
 {
--- a/packages/serving/front_limit.cpp
+++ b/packages/serving/front_limit.cpp
@@ -50,7 +50,7 @@
             && !isFresh(observed->second, bootNow());
         return unresponsive ? std::string() : node;
     }
-    return preferredOwner(ownerCandidates(view.daemons), server);
+    return preferredOwner(ownerCandidates(view), server);
 }
 
 /// Requests a permit for a plain server with a limit.
--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -65,7 +65,7 @@
     millis slotRequestedAt;
     millis shortestRetryAfter{-1}; ///< shortest of all refusals so far; negative if there were none
 
-    std::optional<backend_pool::send_id> activeSend; ///< while a server is working on the request
+    std::optional<server_path_task::send_id> activeSend; ///< while a server is working on the request
     bool mayHaveRun = false; ///< a server may have executed the request, at least partly
     bool isProbe = false; ///< blocked, but sent to a server to find out whether it still crashes servers
     http_head responseHead; ///< of the latest send, as is the rest of the response
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -58,9 +58,6 @@
     send_options options;
     options.server = server.id;
     options.account = pending->account == nullptr ? std::string() : pending->account->name;
-    if (pending->request.deadline) {
-        options.timeLeft = timeLeft(*pending);
-    }
     const auto announced =
         m_store.view().versions.find(adapterKey(pending->request.model, pending->request.adapter));
     const std::int64_t newest = announced == m_store.view().versions.end() ? 0 : announced->second;
@@ -98,8 +95,20 @@
     if (pending->isTimed) {
         recordPlainSend(m_plainLatency[server.id], pending->sentAt);
     }
-    pending->activeSend = m_pool.start(server.address, m_codec.writeRequest(pending->request, options),
-        pending->request.head.method == "HEAD", std::move(handlers));
+    path_request request{pending->request.id, server.id, pending->granted,
+        pending->request.head.method == "HEAD", mayRetry(*pending), pending->deadlineAt, {}};
+    request.write = [this, weak, options]() -> std::optional<std::string> {
+        const auto locked = weak.lock();
+        if (!locked || isBlocked(*locked) || !maySend(m_notices.accessOf(options.server), locked->granted)) {
+            return std::nullopt;
+        }
+        send_options current = options;
+        if (locked->request.deadline) {
+            current.timeLeft = timeLeft(*locked);
+        }
+        return m_codec.writeRequest(locked->request, current);
+    };
+    pending->activeSend = m_paths.start(std::move(request), std::move(handlers));
     if (mayRetry(*pending)) {
         const millis timeout = pending->matchedRoute->kind == route_kind::Stream
             ? streamInactivityTimeout
@@ -328,7 +337,7 @@
         .add("id", pending->request.id)
         .add("server", server)
         .add("silent_ms", bootNow() - pending->lastEventAt);
-    m_pool.cancel(*pending->activeSend);
+    m_paths.cancel(*pending->activeSend);
     onSendEnd(pending, send_result::Broken,
         {error_kind::Timeout, server, "the server has sent nothing within the inactivity timeout"});
 }
@@ -337,7 +346,7 @@
 void front_task::abandonServer(const request_ptr &pending, slot_event event)
 {
     if (pending->activeSend) {
-        m_pool.cancel(*pending->activeSend);
+        m_paths.cancel(*pending->activeSend);
         pending->activeSend.reset();
         --m_inFlight[pending->server];
         onPlainSendEnd(*pending, false);
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -25,13 +25,14 @@
 }
 
 front_task::front_task(loop &eventLoop, bus &messages, store_task &store, crash_task &crashes,
-    quota_task &quota, server_notice_task &notices, backend_pool &pool, const request_codec &codec,
-    const node_settings &settings, decision_log &log)
+    quota_task &quota, server_notice_task &notices, server_path_task &paths, const backend_pool &pool,
+    const request_codec &codec, const node_settings &settings, decision_log &log)
     : m_loop(eventLoop)
     , m_store(store)
     , m_crashes(crashes)
     , m_quota(quota)
     , m_notices(notices)
+    , m_paths(paths)
     , m_pool(pool)
     , m_codec(codec)
     , m_settings(settings)
@@ -41,6 +42,9 @@
     messages.on<server_closed>([this](const server_closed &event) {
         onServerClosed(event.server);
     });
+    messages.on<server_link_cut>([this](const server_link_cut &event) {
+        onServerLinkCut(event.server);
+    });
     messages.on<view_changed>([this](const view_changed &change) {
         onViewChanged(change);
     });
@@ -85,10 +89,6 @@
         m_serverHealth.erase(id);
         m_plainLatency.erase(id);
         m_plainReports.inFlight.erase(id);
-        if (const auto restarted = m_store.view().servers.find(id);
-            restarted != m_store.view().servers.end()) {
-            m_pool.forget(restarted->second.address); // drop connections to the previous incarnation
-        }
     }
     const std::size_t groups =
         heartbeatGroupsIn({&m_store.view().daemons, m_store.view().servers.size()}, m_settings.failureDomain);
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -18,6 +18,7 @@
 #include "serving/peer_features.h"
 #include "serving/server_notice_task.h"
 #include "serving/server_owner_task.h"
+#include "serving/server_path_task.h"
 #include "serving/store_task.h"
 #include "state/latency.h"
 #include "transport/backend_pool.h"
@@ -70,8 +71,8 @@
 {
 public:
     front_task(loop &eventLoop, bus &messages, store_task &store, crash_task &crashes, quota_task &quota,
-        server_notice_task &notices, backend_pool &pool, const request_codec &codec,
-        const node_settings &settings, decision_log &log);
+        server_notice_task &notices, server_path_task &paths, const backend_pool &pool,
+        const request_codec &codec, const node_settings &settings, decision_log &log);
 
     void setServerOwner(server_owner_task &serverOwner);
     void setPort(fleet_port &port);
@@ -150,6 +151,7 @@
     millis earliestRetryAfter(const pending_request &pending, millis fallback) const;
     const char *noServerReason(const pending_request &pending) const;
     void onServerClosed(const std::string &server);
+    void onServerLinkCut(const std::string &server);
     void dispatchElsewhere(const request_ptr &pending, slot_event event);
     void requestPermit(const request_ptr &pending, const backend_server &server);
     void reportLimit(const pending_request &pending);
@@ -185,7 +187,8 @@
     crash_task &m_crashes;
     quota_task &m_quota;
     server_notice_task &m_notices;
-    backend_pool &m_pool;
+    server_path_task &m_paths;
+    const backend_pool &m_pool;
     const request_codec &m_codec;
     node_settings m_settings;
     decision_log &m_log;
--- a/packages/serving/server_owner_claims.cpp
+++ b/packages/serving/server_owner_claims.cpp
@@ -31,10 +31,14 @@
 
 }
 
-owner_candidates ownerCandidates(const daemon_map &daemons)
+owner_candidates ownerCandidates(const store_view &view)
 {
-    owner_candidates candidates{nodesOf(daemons), {}};
-    for (const auto &[node, record] : daemons) {
+    owner_candidates candidates;
+    for (const auto &[node, record] : view.daemons) {
+        if (view.cutOffDaemons.count(node) != 0) {
+            continue;
+        }
+        candidates.all.push_back(node);
         candidates.byDomain[record.failureDomain].push_back(node);
     }
     return candidates;
@@ -142,11 +146,11 @@
 void server_owner_task::claimUnownedServers()
 {
     const store_view &view = m_store.view();
-    if (m_stopped || !view.config || view.daemons.count(m_settings.node) == 0) {
+    if (m_stopped || m_cutOff || !view.config || view.daemons.count(m_settings.node) == 0) {
         return;
     }
     // Computed once for all servers: after a cold start none of possibly thousands has an owner.
-    const owner_candidates candidates = ownerCandidates(view.daemons);
+    const owner_candidates candidates = ownerCandidates(view);
     const bool othersRegistered = bootNow() - view.registeredAt >= claimDelay;
     for (const auto &[id, server] : view.servers) {
         const auto entry = view.serverOwners.find(id);
@@ -197,7 +201,7 @@
         const auto entry = view.serverOwners.find(each.first);
         return entry == view.serverOwners.end() || entry->second.record.node != each.second.node;
     });
-    if (m_stopped || !m_settings.serversCheckFencingTokens || !seesMostOwners(m_observedOwners, now)) {
+    if (m_stopped || m_cutOff || !m_settings.serversCheckFencingTokens || !seesMostOwners(m_observedOwners, now)) {
         return;
     }
     for (const auto &[id, holder] : m_observedOwners) {
@@ -211,6 +215,9 @@
         std::vector<std::string> all;
         std::vector<std::string> local;
         for (const auto &[node, record] : view.daemons) {
+            if (view.cutOffDaemons.count(node) != 0) {
+                continue;
+            }
             all.push_back(node);
             if (record.failureDomain == server->failureDomain
                 && heartbeatGroupOf(node, cells) == heartbeatGroupOf(id, cells)) {
@@ -231,7 +238,7 @@
 void server_owner_task::beginOwnership(const std::string &id, const ownership_entry &entry)
 {
     const backend_server *server = findServer(id);
-    if (server == nullptr || m_stopped || !needsOwner(*server)) {
+    if (server == nullptr || m_stopped || m_cutOff || !needsOwner(*server)) {
         return;
     }
     const auto fencingToken = static_cast<std::uint64_t>(entry.revision);
@@ -355,6 +362,21 @@
     m_servers.erase(found);
 }
 
+/// A daemon that can send no orders hands its servers over: store_task releases their records. Orders can't go
+/// through a peer, because a server takes them from one daemon at a time and tells daemons apart by their
+/// address.
+void server_owner_task::onServersReachable(bool reachable)
+{
+    m_cutOff = !reachable;
+    if (!m_cutOff) {
+        onViewChanged({});
+        return;
+    }
+    while (!m_servers.empty()) {
+        endOwnership(m_servers.begin()->first, "this daemon is cut off from the servers");
+    }
+}
+
 void server_owner_task::setIsolated(bool isolated)
 {
     m_isolated = isolated;
--- a/packages/serving/server_owner_task.cpp
+++ b/packages/serving/server_owner_task.cpp
@@ -38,6 +38,9 @@
     messages.on<view_changed>([this](const view_changed &change) {
         onViewChanged(change);
     });
+    messages.on<servers_reachable>([this](const servers_reachable &event) {
+        onServersReachable(event.reachable);
+    });
     m_processTimer = m_loop.timer(processInterval, processInterval, [this] {
         processAllServers();
     });
--- a/packages/serving/server_owner_task.h
+++ b/packages/serving/server_owner_task.h
@@ -41,7 +41,8 @@
     std::map<std::string, std::vector<std::string>> byDomain;
 };
 
-owner_candidates ownerCandidates(const daemon_map &daemons);
+/// All daemons that reach backend servers.
+owner_candidates ownerCandidates(const store_view &view);
 /// The daemon that is to claim a server without an owner: the first by rendezvous hash of those in the
 /// server's failure domain, or of all if there are none. Empty if there is no daemon.
 std::string preferredOwner(const owner_candidates &candidates, const backend_server &server);
@@ -121,6 +122,7 @@
     void replaceUnresponsiveOwners();
     void beginOwnership(const std::string &id, const ownership_entry &entry);
     void endOwnership(const std::string &id, const char *why);
+    void onServersReachable(bool reachable);
     void onServerRestarted(const std::string &id, std::int64_t startedAtMs);
     void configureScheduler(slot_scheduler &scheduler, const backend_server &server) const;
     bool needsOwner(const backend_server &server) const;
@@ -153,6 +155,7 @@
     server_owner_counters m_counters;
     bool m_stopped = false;
     bool m_isolated = false;
+    bool m_cutOff = false; ///< from all backend servers
     millis m_lastModelLoad;
     load_estimate m_pace;
     std::map<std::string, observed_loads> m_observedLoads; ///< by server
--- a/packages/serving/store_apply.cpp
+++ b/packages/serving/store_apply.cpp
@@ -50,6 +50,9 @@
     for (const auto &[node, record] : m_view.daemons) {
         keys.push_back(detail::daemonPrefix + node);
     }
+    for (const std::string &node : m_view.cutOffDaemons) {
+        keys.push_back(detail::cutOffPrefix + node);
+    }
     for (const auto &[id, entry] : m_view.serverOwners) {
         keys.push_back(detail::serverOwnerPrefix + id);
     }
@@ -243,6 +246,8 @@
 {
     if (isUnder(item.key, detail::daemonPrefix)) {
         applyDaemon(item);
+    } else if (isUnder(item.key, detail::cutOffPrefix)) {
+        applyCutOff(item);
     } else if (isUnder(item.key, detail::serverOwnerPrefix)) {
         applyServerOwner(item);
     } else if (isUnder(item.key, detail::quotaHomePrefix)) {
@@ -276,6 +281,18 @@
     }
 }
 
+void store_task::applyCutOff(const stored_item &item)
+{
+    const std::string node = item.key.substr(detail::cutOffPrefix.size());
+    const bool changed =
+        item.removed ? m_view.cutOffDaemons.erase(node) != 0 : m_view.cutOffDaemons.insert(node).second;
+    if (changed) {
+        m_log.important(item.removed ? "peer.reaches_servers" : "peer.cut_off")
+            .add("peer", node)
+            .add("revision", item.revision);
+    }
+}
+
 void store_task::applyServerOwner(const stored_item &item)
 {
     error why;
--- a/packages/serving/store_keys.h
+++ b/packages/serving/store_keys.h
@@ -8,6 +8,9 @@
 inline const std::string projectPrefix = "briarhead/";
 /// Followed by a daemon's node name: its registration, under its lease.
 inline const std::string daemonPrefix = projectPrefix + "daemon/";
+/// Followed by a daemon's node name, under its lease: present while the daemon is cut off from all backend
+/// servers.
+inline const std::string cutOffPrefix = projectPrefix + "cut/";
 /// Followed by a server's id: the claim of the server's owner, under the owner's lease.
 inline const std::string serverOwnerPrefix = projectPrefix + "orderer/";
 /// Followed by a request's fingerprint: the servers that crashed under it. Under no lease, since leases can
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -25,6 +25,7 @@
 constexpr millis expiredDaemonLifetime{30'000};
 /// The store counts as unreachable after two failed calls in a row and this long without a response.
 constexpr millis unreachableAfter{1'500};
+constexpr std::size_t maxEntriesPerChange = 30; ///< the store accepts 32
 
 /// Half a check less than a whole number of checks, since timers fire late now and then.
 millis renewalInterval(const node_settings &settings)
@@ -204,6 +205,7 @@
             return;
         }
         m_lease = lease;
+        m_publishedCutOff = false; // its record went with the previous lease
         onLeaseGranted(m_ownershipValidity, sentAt, ttl);
         onLeaseGranted(m_quotaHomeValidity, sentAt, ttl);
         store_change change;
@@ -239,6 +241,7 @@
         grantLease();
         return;
     }
+    maintainCutOff();
     const millis sentAt = bootNow();
     const bool due = m_lastCallFailed || sentAt - m_ownershipValidity.lastRenewal >= m_renewInterval;
     if (m_leaseCallInFlight || !due) {
@@ -415,15 +418,86 @@
     });
 }
 
+void store_task::setCutOff(bool cutOff)
+{
+    m_cutOff = cutOff;
+    maintainCutOff();
+}
+
+/// Brings the record of this daemon's cut and its ownership of servers in line with m_cutOff. Failed calls
+/// are repeated with the lease's maintenance.
+void store_task::maintainCutOff()
+{
+    if (m_leaving || m_lease == 0) {
+        return;
+    }
+    if (m_cutOff) {
+        releaseServers();
+    }
+    if (m_cutOff == m_publishedCutOff || m_cutOffCallInFlight) {
+        return;
+    }
+    m_cutOffCallInFlight = true;
+    store_change change;
+    const std::string key = detail::cutOffPrefix + m_settings.node;
+    if (m_cutOff) {
+        change.puts.push_back({key, "1", m_lease});
+    } else {
+        change.removes.push_back(key);
+    }
+    m_store.change(change, [this, cutOff = m_cutOff, lease = m_lease](store_status status, std::int64_t) {
+        m_cutOffCallInFlight = false;
+        onCallDone(status == store_status::Ok, "cut off");
+        if (status == store_status::Ok && lease == m_lease) {
+            m_publishedCutOff = cutOff;
+        }
+    });
+}
+
+/// Releases the ownership of servers to the daemons that reach them.
+void store_task::releaseServers()
+{
+    if (m_releaseInFlight) {
+        return;
+    }
+    store_change change;
+    for (const auto &[server, entry] : m_view.serverOwners) {
+        if (isOwn(entry.record) && change.puts.size() + change.expected.size() < maxEntriesPerChange) {
+            change.expected.emplace_back(detail::serverOwnerPrefix + server, entry.revision);
+            change.puts.push_back({detail::serverOwnerPrefix + server, encode(ownership_record{}), 0});
+        }
+    }
+    if (change.puts.empty()) {
+        return;
+    }
+    m_releaseInFlight = true;
+    m_store.change(change, [this, released = change.puts](store_status status, std::int64_t revision) {
+        m_releaseInFlight = false;
+        onCallDone(status == store_status::Ok || status == store_status::Conflict, "release");
+        m_log.important("servers.given_up")
+            .add("servers", static_cast<std::int64_t>(released.size()))
+            .add("outcome", status == store_status::Ok ? "done" : "not done")
+            .add("revision", revision);
+        if (status != store_status::Ok) {
+            return;
+        }
+        for (const store_put &put : released) {
+            recordOwnership(
+                m_view.serverOwners, put.key.substr(detail::serverOwnerPrefix.size()), {{}, revision});
+        }
+        publish({});
+        maintainCutOff(); // there may be more than one change takes
+    });
+}
+
 void store_task::releaseRecords()
 {
     m_leaving = true;
     store_change change;
     change.removes.push_back(detail::daemonPrefix + m_settings.node);
-    constexpr std::size_t maxEntries = 30; // the store accepts 32 in one change
     const auto release = [&](const std::string &prefix, const ownership_map &owners) {
         for (const auto &[name, entry] : owners) {
-            if (isOwn(entry.record) && change.puts.size() + change.expected.size() < maxEntries) {
+            if (isOwn(entry.record) && change.puts.size() + change.expected.size() < maxEntriesPerChange) {
                 change.expected.emplace_back(prefix + name, entry.revision);
                 change.puts.push_back({prefix + name,
                     &owners == &m_view.serverOwners ? encode(ownership_record{})
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -47,6 +47,7 @@
     /// Daemons whose record expired recently. Most of them have lost the store or are shutting down, but
     /// still reach the other daemons and have callers, so messages to them are still sent.
     daemon_map expiredDaemons;
+    std::set<std::string> cutOffDaemons; ///< daemons that reach no backend server, by node
     ownership_map serverOwners; ///< by server id
     ownership_map quotaHomes; ///< by the decimal number of a shard of client accounts
     std::map<std::string, stored_crash_record> crashes; ///< by request fingerprint
@@ -69,6 +70,12 @@
 constexpr millis longLeaseTtl{6'000};
 millis leaseTtlFor(const node_settings &settings);
 
+/// Posted on the bus when this daemon is cut off from all backend servers, or no longer is.
+struct servers_reachable
+{
+    bool reachable = true;
+};
+
 /// Posted on the bus after each change of the view.
 struct view_changed
 {
@@ -140,6 +147,9 @@
     void writeCrashRecord(
         const std::string &fingerprint, const crash_record &record, std::function<void(bool)> done);
     void removeCrashRecord(const std::string &fingerprint);
+    /// Publishes whether this daemon is cut off from all backend servers. While it is, the records of the
+    /// servers that it owns are released.
+    void setCutOff(bool cutOff);
     /// Releases all of this daemon's records at shutdown.
     void releaseRecords();
 
@@ -163,6 +173,7 @@
     void logUnreadable(const stored_item &item, const error &why);
     void applyProjectRecord(const stored_item &item, view_changed &change);
     void applyDaemon(const stored_item &item);
+    void applyCutOff(const stored_item &item);
     void applyServerOwner(const stored_item &item);
     void applyQuotaHome(const stored_item &item);
     static void recordOwnership(ownership_map &owners, const std::string &name, const ownership_entry &entry);
@@ -179,6 +190,8 @@
     void forgetExpiredDaemons();
     void onCallDone(bool answered, const char *call);
     void maintainLease();
+    void maintainCutOff();
+    void releaseServers();
     void grantLease();
     void publish(const view_changed &change);
     bool ownsQuotaHome() const;
@@ -201,6 +214,10 @@
     std::int64_t m_lease = 0;
     bool m_leaseCallInFlight = false;
     bool m_leaving = false;
+    bool m_cutOff = false; ///< to be published
+    bool m_publishedCutOff = false;
+    bool m_cutOffCallInFlight = false;
+    bool m_releaseInFlight = false;
     peer_calls m_peerCalls;
     std::map<std::string, stored_item> m_items; ///< by key, for daemons that fetch a snapshot
     std::deque<stored_item> m_recentChanges; ///< oldest first
--- a/packages/transport/backend_pool.cpp
+++ b/packages/transport/backend_pool.cpp
@@ -58,6 +58,13 @@
     (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probeCount, sizeof(probeCount));
 }
 
+/// Whether a connection attempt failed because of the link or the other end.
+bool isLinkError(int code)
+{
+    return code == ECONNREFUSED || code == ECONNRESET || code == ETIMEDOUT || code == EHOSTUNREACH
+        || code == ENETUNREACH;
+}
+
 /// How long to keep this connection idle, by the server's "Keep-Alive: timeout=SECONDS".
 millis idleTimeoutOf(const http_head &head)
 {
@@ -109,6 +116,7 @@
 
     loop &events;
     pool_counters counts;
+    connect_observer onConnectAttempt;
     send_id lastId = 0;
     std::unordered_map<send_id, request_ptr> requests;
     std::map<peer_address, std::vector<std::unique_ptr<connection>>> idle; ///< the last used at the back
@@ -141,6 +149,7 @@
     /// has maxIdlePerServer idle connections.
     void keepIdle(std::unique_ptr<connection> link, millis idleTimeout);
     void open(send_id id, request_state &request);
+    void reportConnect(const peer_address &to, bool connected);
     void watch(send_id id, connection &link, int mask);
     void onEvents(send_id id, int mask);
     void onWritable(send_id id, request_state &request);
@@ -215,7 +224,11 @@
     }
     setSocketOptions(link.fd.get());
     if (connect(link.fd.get(), address->raw(), address->size) != 0 && errno != EINPROGRESS) {
-        endLater(id, send_result::NotSent, std::string("connect: ") + std::strerror(errno));
+        const int code = errno;
+        if (isLinkError(code)) {
+            reportConnect(link.to, false);
+        }
+        endLater(id, send_result::NotSent, std::string("connect: ") + std::strerror(code));
         return;
     }
     ++counts.opened;
@@ -224,6 +237,14 @@
     watch(id, link, eventWrite);
 }
 
+void backend_pool::impl::reportConnect(const peer_address &to, bool connected)
+{
+    counts.connectFailures += connected ? 0 : 1;
+    if (onConnectAttempt) {
+        onConnectAttempt(to, connected);
+    }
+}
+
 void backend_pool::impl::watch(send_id id, connection &link, int mask)
 {
     if (link.watch && link.watchedEvents == mask) {
@@ -255,10 +276,17 @@
     if (request.connecting) {
         const int code = pendingError(request.link->fd.get());
         if (code != 0) {
+            if (isLinkError(code)) {
+                reportConnect(request.link->to, false);
+            }
             end(id, send_result::NotSent, std::strerror(code));
             return;
         }
         request.connecting = false;
+        reportConnect(request.link->to, true);
+        if (requests.count(id) == 0) {
+            return;
+        }
     }
     while (request.sent < request.out.size()) {
         const ssize_t count = send(request.link->fd.get(), request.out.data() + request.sent,
@@ -424,6 +452,11 @@
         }
     }
     for (const send_id id : timedOut) {
+        const auto found = requests.find(id);
+        if (found == requests.end()) {
+            continue; // cancelled by a callback of another one
+        }
+        reportConnect(peer_address(found->second->link->to), false);
         end(id, send_result::NotSent, "the server did not accept the connection in time");
     }
 }
@@ -498,6 +531,17 @@
     return found == m_impl->keepTimes.end() ? millis{} : found->second.value;
 }
 
+bool backend_pool::isConnecting(send_id id) const
+{
+    const auto found = m_impl->requests.find(id);
+    return found != m_impl->requests.end() && found->second->connecting;
+}
+
+void backend_pool::setConnectObserver(connect_observer observer)
+{
+    m_impl->onConnectAttempt = std::move(observer);
+}
+
 const pool_counters &backend_pool::counters() const
 {
     return m_impl->counts;
--- a/packages/transport/backend_pool.h
+++ b/packages/transport/backend_pool.h
@@ -40,6 +40,7 @@
 {
     std::uint64_t opened = 0; ///< connections opened
     std::uint64_t reused = 0; ///< requests sent on a kept connection
+    std::uint64_t connectFailures = 0; ///< refused, reset or not established in time
     std::uint64_t stray = 0; ///< connections closed because of bytes that belong to no response
 };
 
@@ -70,6 +71,12 @@
     std::optional<millis> reusableFor(const peer_address &to) const;
     /// How long connections to `to` are kept idle, according to its latest response; 0 if unknown.
     millis keepTime(const peer_address &to) const;
+    /// Whether a request's connection is still being established: nothing of it has been sent.
+    bool isConnecting(send_id id) const;
+    /// Called after each attempt to open a connection with whether it succeeded, before the request's onEnd.
+    /// Attempts that fail for lack of local resources are not reported.
+    using connect_observer = std::function<void(const peer_address &to, bool connected)>;
+    void setConnectObserver(connect_observer observer);
     const pool_counters &counters() const;
 
 private:
--- a/tests/serving/edge_cut_test.cpp
+++ b/tests/serving/edge_cut_test.cpp
@@ -1,10 +1,10 @@
-#include "serving/cut_link.h"
-#include "serving/edge_fixture.h"
-#include "serving/remapped_store.h"
+#include "serving/edge_fleet_fixture.h"
 
 #include <algorithm>
+#include <memory>
 #include <ostream>
 #include <string>
+#include <vector>
 
 // A daemon that is cut off from backend servers, while callers, the store and the other daemons reach it.
 namespace briarhead {
@@ -26,59 +26,9 @@
     return names[static_cast<std::size_t>(cut)];
 }
 
-/// n1 reaches the servers by links that can be cut; n2, in the same process, reaches them directly.
-class edge_cut_test : public edge_test
+class edge_cut_test : public edge_fleet_test
 {
 protected:
-    fake_store_client m_peerClient{m_store};
-    decision_log m_peerLog{-1, "n2"};
-    node_settings m_peerSettings;
-    edge_dependencies m_peerDependencies;
-    std::unique_ptr<edge_daemon> m_peer;
-    remapped_store m_remapped{m_client};
-    std::map<std::string, std::unique_ptr<cut_link>> m_links; ///< by server
-    std::string m_peerDomain = "z";
-
-    edge_cut_test()
-    {
-        m_ownStore = &m_remapped;
-        m_beforeDaemon = [this] {
-            for (const auto *servers : {&m_models, &m_plain}) {
-                for (const auto &server : *servers) {
-                    m_links[server->id] = std::make_unique<cut_link>(m_loop, server->port);
-                    m_remapped.ports[server->port] = m_links[server->id]->port();
-                }
-            }
-        };
-    }
-    void startPeer()
-    {
-        m_peerSettings = m_settings;
-        m_peerSettings.node = "n2";
-        m_peerSettings.failureDomain = m_peerDomain;
-        m_peerSettings.front = {http_testing::loopback, http_testing::freePort()};
-        m_peerSettings.ready = {http_testing::loopback, http_testing::freePort()};
-        m_peerSettings.peers = {http_testing::loopback, http_testing::freePort()};
-        m_peerSettings.metrics = {http_testing::loopback, http_testing::freePort()};
-        m_peerDependencies = {&m_peerClient, platform::recordCodec(), platform::requestCodec(),
-            [this](error &) {
-                return std::optional<node_settings>(m_peerSettings);
-            },
-            {}};
-        error why;
-        m_peer = edge_daemon::start(m_loop, m_peerSettings, m_peerDependencies, m_peerLog, why);
-        ASSERT_TRUE(m_peer) << message(why);
-        ASSERT_TRUE(runUntil([this] {
-            return m_store.items.count("briarhead/daemon/n2") == 1;
-        }));
-        runRounds(1'000);
-    }
-    void setCut(link_cut cut)
-    {
-        for (const auto &[id, link] : m_links) {
-            link->setCut(cut);
-        }
-    }
     /// Sends a request to n1 every 100 ms, whatever its outcome, for `span`.
     void runTraffic(millis span)
     {
@@ -137,20 +87,15 @@
 /// Guards against first attempts that fail at a daemon which reaches its peers but no server.
 TEST_P(cut_kinds_test, RequestsAreServedThroughAPeer)
 {
-    m_initialAdapters = {{"m-1", {"a1"}}, {"m-2", {"a1"}}};
     start();
-    for (auto *servers : {&m_models, &m_plain}) {
-        setBehavior(*servers, backend_standin::behavior::Slow);
-        for (const auto &server : *servers) {
-            server->responseDelay = serverTime;
-        }
-    }
-    startPeer();
+    setServerTime(serverTime);
+    startPeer("n2", "z");
     const std::string adapter = GetParam().model ? "a1" : "";
     ASSERT_EQ(countFailures(GetParam().path, adapter, concurrency), 0);
-    setCut(GetParam().cut);
+    setCut(m_links, GetParam().cut);
     runTraffic(contactTime);
     EXPECT_LE(countFailures(GetParam().path, adapter, attempts), maxFailures);
+    EXPECT_LE(mostRunsOfOneRequest(), std::string(GetParam().path) == "/safe/x" ? 2 : 1);
 }
 
 INSTANTIATE_TEST_SUITE_P(EachKind, cut_kinds_test,
@@ -166,4 +111,207 @@
         return nameOfCut(each.param.cut) + '_' + name;
     });
 
+/// Guards against servers without orders while their owner is cut off from them.
+TEST_F(edge_cut_test, ServersOfACutOffOwnerAreTakenOverAndLoadAdapters)
+{
+    start();
+    startPeer("n2", "z");
+    ASSERT_FALSE(isOwnedByPeers("m-1"));
+    setCut(m_links, link_cut::Hangs);
+    runTraffic(contactTime);
+    ASSERT_TRUE(runUntil([this] {
+        return isOwnedByPeers("m-1") && isOwnedByPeers("m-2");
+    }));
+    runRounds(1'500);
+    EXPECT_EQ(statusOf(responseTo("/gen/x", "a5")), "200") << "an adapter that has to be loaded";
+}
+
+/// Guards against a cut that a daemon takes for the end of all servers, and blocks its callers' requests for.
+TEST_F(edge_cut_test, RequestsBrokenOffByACutAreNotBlocked)
+{
+    start();
+    setServerTime({400});
+    startPeer("n2", "z");
+    for (int i = 0; i < 4; ++i) {
+        setCut(m_links, link_cut::None);
+        runRounds(1'200);
+        const auto caller = sendRequest("/safe/x");
+        runRounds(150);
+        setCut(m_links, link_cut::Resets);
+        std::string received;
+        EXPECT_TRUE(runUntil([&] {
+            return !caller->receive(received);
+        }));
+        EXPECT_EQ(statusOf(received), "200");
+    }
+    EXPECT_EQ(metric(m_settings, "server_ends_total"), 0);
+    EXPECT_EQ(metric(m_settings, "requests_blocked_total"), 0);
+}
+
+/// Guards against dead servers that are taken for a cut: their requests would be relayed in vain, and the
+/// daemon's servers handed over.
+TEST_F(edge_cut_test, DeadServersAreNotTakenForACut)
+{
+    start();
+    startPeer("n2", "z");
+    ASSERT_EQ(countFailures("/safe/x", "", concurrency), 0);
+    for (const char *id : {"m-1", "p-1"}) {
+        m_links.at(id)->setCut(link_cut::Resets);
+        m_peers[0]->links.at(id)->setCut(link_cut::Resets);
+    }
+    runTraffic({2'000});
+    EXPECT_LE(countFailures("/safe/x", "", attempts), maxFailures);
+    EXPECT_EQ(metric(m_settings, "cuts_from_servers_total"), 0);
+    EXPECT_EQ(metric(m_settings, "relayed_total{domain=\"same\"}"), 0);
+    EXPECT_FALSE(isOwnedByPeers("m-2"));
+}
+
+/// Guards against servers that are silent for a second and then taken for unreachable.
+TEST_F(edge_cut_test, SilenceOfASecondIsNotTakenForACut)
+{
+    start();
+    setServerTime({1'200});
+    startPeer("n2", "z");
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_EQ(countFailures("/once/x", "", concurrency), 0);
+        EXPECT_EQ(countFailures("/safe/x", "", concurrency), 0);
+    }
+    EXPECT_EQ(mostRunsOfOneRequest(), 1);
+    EXPECT_EQ(metric(m_settings, "cuts_from_servers_total"), 0);
+    EXPECT_EQ(metric(m_settings, "relayed_total{domain=\"same\"}"), 0);
+}
+
+/// Guards against a server that accepts nothing for a second, and is then reached by a peer first.
+TEST_F(edge_cut_test, PauseOfOneServerIsNotTakenForACut)
+{
+    start();
+    setServerTime(serverTime);
+    startPeer("n2", "z");
+    for (int i = 0; i < 3; ++i) {
+        for (const char *id : {"m-1", "p-1"}) {
+            m_links.at(id)->setCut(link_cut::Hangs);
+            m_peers[0]->links.at(id)->setCut(link_cut::Hangs);
+        }
+        runTraffic({1'000});
+        for (const char *id : {"m-1", "p-1"}) {
+            m_links.at(id)->setCut(link_cut::None);
+            m_peers[0]->links.at(id)->setCut(link_cut::None);
+        }
+        runTraffic({800});
+    }
+    EXPECT_EQ(metric(m_settings, "cuts_from_servers_total"), 0);
+    EXPECT_EQ(metric(m_settings, "relayed_total{domain=\"same\"}"), 0);
+    EXPECT_FALSE(isOwnedByPeers("m-1"));
+}
+
+/// Guards against relays within a failure domain that is cut off as a whole.
+TEST_F(edge_cut_test, CutOffFailureDomainIsServedByAnother)
+{
+    start();
+    setServerTime(serverTime);
+    startPeer("n2", "z");
+    startPeer("n3", "y");
+    ASSERT_EQ(countFailures("/once/x", "", concurrency), 0);
+    setCut(m_links, link_cut::Hangs);
+    setCut(m_peers[0]->links, link_cut::Hangs);
+    runTraffic(contactTime);
+    const double accepted = metric(m_peers[0]->settings, "relayed_for_peers_total");
+    EXPECT_LE(countFailures("/once/x", "", attempts), maxFailures);
+    EXPECT_LE(countFailures("/gen/x", "a1", attempts), maxFailures);
+    EXPECT_EQ(metric(m_peers[0]->settings, "relayed_for_peers_total"), accepted)
+        << "a peer that is cut off itself has to be known by now";
+    EXPECT_GT(metric(m_settings, "relayed_bytes_total{domain=\"other\"}"), 0);
+}
+
+/// Guards against a daemon that goes on relaying when its links are back, or fails when they are cut again.
+TEST_F(edge_cut_test, LinksAreUsedAgainAfterEachOfSeveralCuts)
+{
+    start();
+    setServerTime(serverTime);
+    startPeer("n2", "z");
+    for (const link_cut cut : {link_cut::Hangs, link_cut::Resets, link_cut::RefusesNew, link_cut::Hangs}) {
+        setCut(m_links, cut);
+        runTraffic(contactTime);
+        EXPECT_LE(countFailures("/once/x", "", concurrency), maxFailures) << nameOfCut(cut);
+        setCut(m_links, link_cut::None);
+        runTraffic({2'500});
+        EXPECT_EQ(metric(m_settings, "cut_off_from_servers"), 0) << nameOfCut(cut);
+        const double relayed = metric(m_settings, "relayed_total{domain=\"same\"}");
+        EXPECT_LE(countFailures("/once/x", "", attempts), maxFailures) << nameOfCut(cut);
+        EXPECT_EQ(metric(m_settings, "relayed_total{domain=\"same\"}"), relayed) << nameOfCut(cut);
+    }
+}
+
+/// Guards against a resumable stream that a cut ends in the middle, and against events lost or repeated
+/// there.
+TEST_F(edge_cut_test, ResumableStreamContinuesThroughAPeer)
+{
+    start();
+    startPeer("n2", "z");
+    const std::string whole = responseTo("/resume/x", "a1");
+    setBehavior(m_models, backend_standin::behavior::HoldsStream);
+    const auto caller = sendRequest("/resume/x", "a1");
+    std::string received;
+    ASSERT_TRUE(runUntil([&] {
+        caller->receive(received);
+        return received.find("id: 2") != std::string::npos || received.find("id: 1") != std::string::npos;
+    }));
+    runRounds(100);
+    setBehavior(m_models, backend_standin::behavior::Serves);
+    setCut(m_links, link_cut::Hangs);
+    EXPECT_TRUE(runUntil([&] {
+        return !caller->receive(received);
+    }));
+    const auto events = [](const std::string &response) {
+        std::string ids;
+        for (std::size_t at = response.find("id: "); at != std::string::npos;
+             at = response.find("id: ", at + 1)) {
+            ids += response.substr(at + 4, response.find('\n', at) - at - 4) + ' ';
+        }
+        return ids;
+    };
+    EXPECT_EQ(events(received), events(whole));
+}
+
+/// Guards against requests that wait until their deadline although no daemon reaches a server.
+TEST_F(edge_cut_test, RequestsAreRefusedAtOnceWhereNoPeerReachesTheServers)
+{
+    start();
+    startPeer("n2", "z");
+    setCut(m_links, link_cut::Resets);
+    setCut(m_peers[0]->links, link_cut::Resets);
+    runTraffic({1'000});
+    const millis from = bootNow();
+    const std::string received = responseTo("/once/x");
+    EXPECT_EQ(statusOf(received), "503");
+    EXPECT_NE(received.find("Retry-After"), std::string::npos);
+    EXPECT_LT(bootNow() - from, millis{m_timeoutMs / 2});
+    EXPECT_EQ(metric(m_settings, "cuts_from_servers_total"), 0);
+}
+
+/// Guards against relayed requests that a peer relays again, or sends to a server that is closed to it.
+TEST_F(edge_cut_test, PeerRefusesToRelayWhereItIsCutOffItself)
+{
+    start();
+    startPeer("n2", "z");
+    startPeer("n3", "y");
+    setCut(m_links, link_cut::Resets);
+    runTraffic({1'000});
+    ASSERT_EQ(metric(m_settings, "cut_off_from_servers"), 1);
+    const backend_standin &server = *m_plain[0];
+    const std::string body = encode(relay_request{"x1", server.id, server.id, false, false, 1'000,
+        "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: x1\r\n\r\n"});
+    for (const std::string &content : {body, std::string("no relay request")}) {
+        const auto caller = http_testing::raw_socket::connectTo(m_settings.peers.port);
+        caller->send("POST /relay HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: "
+            + std::to_string(content.size()) + "\r\n\r\n" + content);
+        std::string received;
+        EXPECT_TRUE(runUntil([&] {
+            return !caller->receive(received);
+        }));
+        EXPECT_EQ(statusOf(received), content == body ? "503" : "400");
+    }
+    EXPECT_EQ(runsById().count("x1"), 0U);
+}
+
 }
