--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -11,6 +11,10 @@
 using json = nlohmann::json;
 
 constexpr int streamEvents = 4;
+constexpr int slotCount = 4;
+/// The shortest time of the deployments after which a brittle server lets fewer requests wait.
+constexpr millis brittleNoticeTime{3'000};
+constexpr millis brittleWindow{1'000};
 /// How long a fatal request runs before it crashes the server.
 constexpr millis fatalRunTime{60};
 
@@ -44,7 +48,7 @@
 {
     json object{{"service", m_service},
         {"address", "127.0.0.1:" + std::to_string(advertisedPort == 0 ? port : advertisedPort)},
-        {"zone", "z"}, {"slots", 4}, {"state", state}, {"models", json::array()}};
+        {"zone", "z"}, {"slots", slotCount}, {"state", state}, {"models", json::array()}};
     if (startedAtMs != 0) {
         object["born"] = startedAtMs;
     }
@@ -64,6 +68,38 @@
     }
 }
 
+void backend_standin::setBrittle(std::optional<int> maxRejections)
+{
+    m_maxRejections = maxRejections;
+    m_brittleSince = bootNow();
+    brittleRejections.clear();
+}
+
+/// Rejects the request if all slots are in use, and lets none wait once the notice time is over.
+bool backend_standin::rejectsForLackOfRoom(const std::string &requestId, front_reply &reply)
+{
+    const bool strict = m_maxRejections && bootNow() - m_brittleSince >= brittleNoticeTime;
+    if (!m_maxRejections || m_running < slotCount + (strict ? 0 : slotCount)) {
+        return false;
+    }
+    ++rejected;
+    reply.respond(
+        503, withNotices({{"X-Briarhead-Not-Executed", "1"}, {"X-Briarhead-Request-Id", requestId}}), "");
+    if (!strict) {
+        return true;
+    }
+    brittleRejections.push_back(bootNow());
+    const auto recent = std::count_if(
+        brittleRejections.begin(), brittleRejections.end(), [now = bootNow()](const millis &at) {
+            return now - at < brittleWindow;
+        });
+    if (recent > *m_maxRejections) {
+        ++brittleCrashes;
+        brittleRejections.clear();
+    }
+    return true;
+}
+
 std::optional<std::string> backend_standin::findLimitViolation(const std::string &excused) const
 {
     std::vector<millis> times;
@@ -83,6 +119,9 @@
     if (!limitText.empty()) {
         fields.push_back({"Server-Limit", limitText});
     }
+    if (m_maxRejections) {
+        fields.push_back({"Server-Brittle", std::to_string(*m_maxRejections)});
+    }
     if (leaving) {
         fields.push_back({"Server-Leaving", "1"});
         sentNotices.push_back({requestId, bootNow(), true, {}});
@@ -211,6 +250,9 @@
         reject(requestId, *reply);
         return;
     }
+    if (rejectsForLackOfRoom(requestId, *reply)) {
+        return;
+    }
     ran.push_back(request);
     ranAt.push_back(bootNow());
     if (!fatalBody.empty() && request.body == fatalBody) {
@@ -241,7 +283,12 @@
         m_held.emplace_back(requestId, reply);
         return;
     case behavior::Slow:
+        ++m_running;
+        reply->onDisconnect([this] {
+            --m_running;
+        });
         m_timers.push_back(m_loop.timer(responseDelay, {}, [this, reply, model, requestId, first] {
+            --m_running;
             respond(reply, requestId, model.empty() ? 0 : first);
         }));
         return;
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -33,6 +33,13 @@
     /// ids start with `excused` are not counted.
     std::optional<std::string> findLimitViolation(const std::string &excused = "-") const;
 
+    /// Announces in all responses from now on that the server is brittle. After `brittleNoticeTime` it lets
+    /// no requests wait, and crashes if it rejects more than `maxRejections` within a second.
+    void setBrittle(std::optional<int> maxRejections);
+    /// How often the server has crashed because it rejected too many requests.
+    int brittleCrashes = 0;
+    std::vector<millis> brittleRejections; ///< while crashes are possible, since the last crash
+
     /// Responds to the requests that were received while Silent.
     void respondToHeld(const std::string &body);
 
@@ -93,7 +100,12 @@
     /// Sends a stream that begins at `firstEvent`, or a plain response if it is 0.
     void respond(const std::shared_ptr<front_reply> &reply, const std::string &requestId, int firstEvent);
 
+    bool rejectsForLackOfRoom(const std::string &requestId, front_reply &reply);
+
     loop &m_loop;
+    std::optional<int> m_maxRejections; ///< per second; empty: not brittle
+    millis m_brittleSince;
+    int m_running = 0; ///< requests with a delayed response
     std::optional<millis> m_modelLoadedAt; ///< when the load of the base model in progress ends
     std::string m_service;
     std::unique_ptr<front_server> m_server;
