Keep the port of a cut link reserved in tests

Cause: edge_cut_test.RequestsBrokenOffByACutAreNotBlocked failed once in a full run (ctest -j 6 beside a build): "a link can't listen on the loopback interface". While a link refuses connections nothing listened on its port, and another test's process took it. Change: a bound socket that never listens keeps the port.

--- a/tests/serving/cut_link.cpp
+++ b/tests/serving/cut_link.cpp
@@ -41,12 +41,14 @@
     : m_loop(eventLoop)
     , m_target(target)
 {
+    m_reserved = bindPort();
     listenOnPort(openBacklog);
 }
 
 cut_link::~cut_link()
 {
     closeListener();
+    ::close(m_reserved);
     const auto pipes = m_pipes;
     for (const pipe_ptr &link : pipes) {
         close(link, false);
@@ -58,20 +60,30 @@
     return m_port;
 }
 
-void cut_link::listenOnPort(int backlog)
+/// Returns a socket bound to the port, or to a free one if there is none yet. Several sockets may have it.
+int cut_link::bindPort()
 {
-    closeListener();
-    m_listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int enabled = 1;
-    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &enabled, sizeof(enabled));
     sockaddr_in address = loopbackAddress(m_port);
     socklen_t length = sizeof(address);
-    if (bind(m_listener, reinterpret_cast<const sockaddr *>(&address), length) != 0
-        || listen(m_listener, backlog) != 0
-        || getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &length) != 0) {
-        throw std::runtime_error("a link can't listen on the loopback interface");
+    if (bind(fd, reinterpret_cast<const sockaddr *>(&address), length) != 0
+        || getsockname(fd, reinterpret_cast<sockaddr *>(&address), &length) != 0) {
+        throw std::runtime_error("a link can't bind a port of the loopback interface");
     }
     m_port = ntohs(address.sin_port);
+    return fd;
+}
+
+void cut_link::listenOnPort(int backlog)
+{
+    closeListener();
+    m_listener = bindPort();
+    if (listen(m_listener, backlog) != 0) {
+        throw std::runtime_error("a link can't listen on the loopback interface");
+    }
     if (backlog > 0) {
         m_watch = m_loop.watch(m_listener, eventRead, [this](int) {
             accept();
--- a/tests/serving/cut_link.h
+++ b/tests/serving/cut_link.h
@@ -43,6 +43,7 @@
     };
     using pipe_ptr = std::shared_ptr<pipe>;
 
+    int bindPort();
     void listenOnPort(int backlog);
     void closeListener();
     /// Fills the listen queue, so that the kernel drops the opening packets of further connections.
@@ -57,6 +58,7 @@
     std::uint16_t m_target;
     std::uint16_t m_port = 0;
     link_cut m_cut = link_cut::None;
+    int m_reserved = -1; ///< keeps the port from other processes while nothing listens
     int m_listener = -1;
     std::list<int> m_queued; ///< connections that fill the listen queue
     std::shared_ptr<void> m_watch;
