Keep requests at brittle servers below the rejections that they bear

Cause: a server may announce that it crashes if it rejects more than N requests in a second for want of room. Daemons choose plain servers by themselves, so that together they send more than fits. Change: the announcement is read with the server's limit and pause, and the server then needs permits as one with a rate limit does: one owner grants them, at most as many at a time as the server has slots. A rejection is reported to the owner in place of the request's end; for 1.2 s after it, rejections and requests in progress together stay below N.

--- a/packages/coordination/server_notices.h
+++ b/packages/coordination/server_notices.h
@@ -2,19 +2,27 @@
 
 #include "state/clock.h"
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
 // What backend servers announce about themselves in their responses. A daemon keeps all of it here.
 namespace briarhead {
 
-/// The rate limit that a server announced: requests per second that it accepts from all daemons together.
+/// The rate of a server that announces none, but whose requests need permits since it is brittle.
+constexpr double unlimitedPerSecond = 1'000'000;
+
+/// The limits that a server announced for all daemons together: a rate, or that it is brittle, or both.
 struct announced_limit
 {
-    double perSecond = 0;
+    double perSecond = 0; ///< requests; unlimitedPerSecond if no rate was announced
     millis receivedAt; ///< last received in a response, or first received from another daemon
     millis nextPermitAt; ///< when the next request may be sent, as far as this daemon knows
+    /// Requests that the server bears to reject per second for want of room; empty: not brittle, or this
+    /// daemon has not seen the announcement itself.
+    std::optional<std::int64_t> maxRejections = {};
 };
 
 using announced_limits = std::map<std::string, announced_limit>; ///< by server
--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -47,6 +47,7 @@
 {
     MaxGapMs = 1, ///< longest inter-event gap with which the response is on time; default 0: none stated
     RouteRank = 2, ///< priority of the request's route; default: slot_request::rank
+    MaxRejections = 3, ///< rejections per second that a brittle server bears; default -1: it isn't brittle
 };
 
 /// Entry -> owner: a slot_request with fields that older builds don't know. Sent only to daemons that
@@ -163,6 +164,20 @@
     }
 };
 
+/// Entry -> owner: a brittle server rejected the request for want of room. Replaces the slot_report about its
+/// end, and is sent only to daemons that understand it, see serving/peer_features.h.
+struct server_rejection
+{
+    std::string id; ///< of the request
+    std::string server;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, server);
+    }
+};
+
 /// What a server announced about itself in a response to the sender. Sent to the server's owner, so that it
 /// grants no slot that cannot be used; the notice that a server will shut down also goes to all other
 /// daemons.
@@ -338,7 +353,8 @@
     std::uint64_t incarnation = 0; ///< of the sender
     std::variant<slot_request, slot_response, slot_report, running_request, fleet_heartbeat, store_update,
         compressed_update, crash_report, quota_request, quota_response, quota_release, limit_report,
-        server_notice, extended_slot_request, extended_quota_request, features_notice, extended_heartbeat>
+        server_notice, extended_slot_request, extended_quota_request, features_notice, extended_heartbeat,
+        server_rejection>
         body;
 
     template <class Archive>
--- a/packages/scheduling/server_limit.cpp
+++ b/packages/scheduling/server_limit.cpp
@@ -36,8 +36,9 @@
 }
 
 limit_change applyResponseLimit(announced_limits &limits, const std::string &server,
-    std::optional<double> limit, millis sentAt, millis now)
+    std::optional<double> limit, std::optional<std::int64_t> maxRejections, millis sentAt, millis now)
 {
+    limit = rateOf(limit, maxRejections);
     const auto known = limits.find(server);
     if (!limit) {
         if (known == limits.end() || sentAt <= known->second.receivedAt) {
@@ -47,15 +48,21 @@
         return limit_change::Withdrawn;
     }
     if (known == limits.end()) {
-        limits[server] = {*limit, now, now};
+        limits[server] = {*limit, now, now, maxRejections};
         return limit_change::Announced;
     }
-    const bool same = known->second.perSecond == *limit;
+    const bool same = known->second.perSecond == *limit && known->second.maxRejections == maxRejections;
     known->second.perSecond = *limit;
+    known->second.maxRejections = maxRejections;
     known->second.receivedAt = now;
     return same ? limit_change::None : limit_change::Changed;
 }
 
+std::optional<double> rateOf(std::optional<double> limit, std::optional<std::int64_t> maxRejections)
+{
+    return limit || !maxRejections ? limit : std::optional(unlimitedPerSecond);
+}
+
 std::optional<double> decodeLimit(std::int64_t milli)
 {
     return milli < 0 ? std::nullopt : std::optional(fromMilli(milli));
@@ -76,8 +83,9 @@
         }
         return;
     }
-    const millis lastSeen = known == limits.end() ? now : known->second.receivedAt;
-    limits[server] = {*limit, lastSeen, now + wait};
+    announced_limit &announced = limits.try_emplace(server, announced_limit{*limit, now, now}).first->second;
+    announced.perSecond = *limit;
+    announced.nextPermitAt = now + wait;
 }
 
 void applyPeerLimit(
@@ -116,6 +124,7 @@
 {
     if (permits.perSecond && grantedAt > permits.lastSeen) {
         permits.perSecond.reset();
+        permits.maxRejections.reset();
         permits.withdrawnAt = now;
     }
 }
@@ -135,6 +144,29 @@
     return static_cast<std::size_t>(std::max(permits.bucket.level + rounding, 0.0));
 }
 
+void recordRejection(limit_permits &permits, millis now)
+{
+    permits.rejections.push_back(now);
+}
+
+std::size_t roomLeft(limit_permits &permits, std::size_t running, int slots, millis now)
+{
+    while (!permits.rejections.empty() && now - permits.rejections.front() >= rejectionWindow) {
+        permits.rejections.pop_front();
+    }
+    if (!permits.maxRejections) {
+        return std::numeric_limits<std::size_t>::max();
+    }
+    if (now < permits.grantsFrom) {
+        return 0;
+    }
+    const auto rejected = static_cast<std::int64_t>(permits.rejections.size());
+    const auto trusted = static_cast<std::int64_t>(std::floor(std::max(slots, 1) * permits.share));
+    const std::int64_t bound =
+        rejected == 0 ? trusted : std::min(trusted, *permits.maxRejections - 1 - rejected);
+    return static_cast<std::size_t>(std::max<std::int64_t>(bound - static_cast<std::int64_t>(running), 0));
+}
+
 void acquirePermit(limit_permits &permits)
 {
     if (permits.perSecond) {
--- a/packages/scheduling/server_limit.h
+++ b/packages/scheduling/server_limit.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,8 +28,11 @@
 
 /// Applies the limit that a response announces, or its absence. Only a response to a request that was sent
 /// after the limit was last seen withdraws it; an earlier one may have been written before the limit.
+/// `maxRejections`: if the server announces that it is brittle.
 limit_change applyResponseLimit(announced_limits &limits, const std::string &server,
-    std::optional<double> limit, millis sentAt, millis now);
+    std::optional<double> limit, std::optional<std::int64_t> maxRejections, millis sentAt, millis now);
+/// The rate that is applied for a server's announcements; nothing if it needs no permits.
+std::optional<double> rateOf(std::optional<double> limit, std::optional<std::int64_t> maxRejections);
 
 /// A limit as it is encoded in messages, in thousandths; negative values mean none.
 std::optional<double> decodeLimit(std::int64_t milli);
@@ -53,8 +57,15 @@
     millis withdrawnAt; ///< when a response last showed that the limit is gone
     quota_bucket bucket; ///< permits available
     double share = 1; ///< fraction of the limit that this daemon may grant
+    std::optional<std::int64_t> maxRejections; ///< per second; empty if the server isn't brittle
+    std::deque<millis> rejections; ///< by a brittle server within rejectionWindow; oldest first
+    millis grantsFrom; ///< a brittle server's new owner waits for reports of running requests
 };
 
+/// A brittle server counts the requests that it rejects within this time. Longer than the second that it
+/// announces, since a rejection is reported a little later than it happened.
+constexpr millis rejectionWindow{1'200};
+
 /// Lower limits are treated as this one. Without any requests nobody would learn that a limit has risen.
 constexpr double minPerSecond = 0.1;
 /// Permits that may accumulate: `maxSavedPermits` plus those of `maxSavedSeconds`.
@@ -79,6 +90,12 @@
 void setShare(limit_permits &permits, double share, millis now);
 /// The number of requests that may be sent now.
 std::size_t permitsLeft(limit_permits &permits, millis now);
+/// Records that a brittle server rejected a request for want of room.
+void recordRejection(limit_permits &permits, millis now);
+/// How many more requests a server with so many slots may be sent while `running` are in progress there. A
+/// brittle server gets as many as it has slots. After a rejection it evidently has less room, and all that
+/// are in progress may be rejected too: together they have to stay below what it bears.
+std::size_t roomLeft(limit_permits &permits, std::size_t running, int slots, millis now);
 /// Consumes a permit. Call only if permitsLeft() isn't 0.
 void acquirePermit(limit_permits &permits);
 /// Returns the permit of a request that never reached the server.
--- a/packages/scheduling/slot_queue.cpp
+++ b/packages/scheduling/slot_queue.cpp
@@ -113,6 +113,7 @@
     optional_fields fields;
     addField(fields, tagOf(slot_field::MaxGapMs), terms.maxGap.count, 0);
     addField(fields, tagOf(slot_field::RouteRank), terms.routeRank, noRouteRank);
+    addField(fields, tagOf(slot_field::MaxRejections), terms.maxRejections, -1);
     return fields;
 }
 
@@ -122,6 +123,8 @@
     terms.maxGap = millis{std::max<std::int64_t>(fieldValue(fields, tagOf(slot_field::MaxGapMs), 0), 0)};
     const std::int64_t routeRank = fieldValue(fields, tagOf(slot_field::RouteRank), noRouteRank);
     terms.routeRank = static_cast<int>(std::clamp<std::int64_t>(routeRank, noRouteRank, maxRouteRank));
+    terms.maxRejections =
+        std::max<std::int64_t>(fieldValue(fields, tagOf(slot_field::MaxRejections), -1), -1);
     return terms;
 }
 
--- a/packages/scheduling/slot_queue.h
+++ b/packages/scheduling/slot_queue.h
@@ -26,6 +26,8 @@
 {
     millis maxGap; ///< longest inter-event gap with which the response is on time; 0: none stated
     int routeRank = noRouteRank; ///< priority of the request's route
+    /// What a brittle server bears to reject per second, as known to the entry; negative: it isn't brittle.
+    std::int64_t maxRejections = -1;
 };
 
 optional_fields encodeTerms(const slot_terms &terms);
--- a/packages/scheduling/slot_scheduler.cpp
+++ b/packages/scheduling/slot_scheduler.cpp
@@ -100,6 +100,9 @@
     if (request.limitMilli >= 0) {
         applyLimit(scheduler.limit, fromMilli(request.limitMilli), timeFromAge(request.limitAgeMs, now), now);
     }
+    if (scheduler.limit.perSecond && terms.maxRejections >= 0) {
+        scheduler.limit.maxRejections = terms.maxRejections;
+    }
     const millis permitWait = isWaiting(scheduler.queue, request.id)
         ? millis{}
         : permitDelay(scheduler.limit, scheduler.queue.waiting.size(), now);
@@ -168,6 +171,14 @@
     }
 }
 
+void onRejection(slot_scheduler &scheduler, const std::string &id, millis now)
+{
+    if (const auto run = removePrompt(scheduler.queue, id, now)) {
+        endUse(scheduler.ledger, run->prompt.model, run->prompt.adapter);
+        recordRejection(scheduler.limit, now);
+    }
+}
+
 void onLimitReport(slot_scheduler &scheduler, const limit_report &report, millis now)
 {
     if (report.limitMilli >= 0) {
@@ -205,8 +216,9 @@
     const auto ready = [&scheduler](const waiting_prompt &prompt) {
         return isReady(scheduler, prompt);
     };
-    for (const waiting_prompt &prompt :
-        admitReady(scheduler.queue, ready, late, now, permitsLeft(scheduler.limit, now))) {
+    const std::size_t mayBeSent = std::min(permitsLeft(scheduler.limit, now),
+        roomLeft(scheduler.limit, scheduler.queue.running.size(), scheduler.serverSlots, now));
+    for (const waiting_prompt &prompt : admitReady(scheduler.queue, ready, late, now, mayBeSent)) {
         acquirePermit(scheduler.limit);
         beginUse(scheduler.ledger, prompt.model, prompt.adapter, now);
         responses.push_back({prompt.entry, grant(scheduler.ledger, prompt)});
--- a/packages/scheduling/slot_scheduler.h
+++ b/packages/scheduling/slot_scheduler.h
@@ -25,6 +25,7 @@
     slot_queue queue;
     response_mix outputLengths; ///< of the prompts requested here
     limit_permits limit;
+    int serverSlots = 1; ///< requests that the server processes at a time
     bool plain = false; ///< of a service without an engine: only its limit is scheduled
 };
 
@@ -55,6 +56,8 @@
 void onRequestEvent(slot_scheduler &scheduler, const slot_report &report, millis now);
 /// An entry reports the limit that a server's response named, or that a response named none.
 void onLimitReport(slot_scheduler &scheduler, const limit_report &report, millis now);
+/// An entry reports that the server rejected a request for want of room. Reports may be repeated.
+void onRejection(slot_scheduler &scheduler, const std::string &id, millis now);
 /// Reclaims the slots of requests past their deadline whose end was not reported.
 void releaseExpired(slot_scheduler &scheduler, millis now);
 /// Applies the server's own report. The use counts of adapters are taken from the running prompts.
--- a/packages/serving/client_request.h
+++ b/packages/serving/client_request.h
@@ -51,6 +51,9 @@
     bool notExecuted = false; ///< the server did not and will not run the request
     std::optional<double>
         limit; ///< requests/s that the server accepts from all daemons; empty if not announced
+    /// The server is brittle: it crashes if it has to reject more requests than this in a second for want of
+    /// room; empty if not announced.
+    std::optional<std::int64_t> maxRejections;
     bool leaving = false; ///< the server announces that it is leaving
     /// The server rejected the request and asks this daemon to send nothing for so long; 0 if not announced.
     millis pause;
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -68,7 +68,8 @@
     return std::holds_alternative<extended_heartbeat>(datagram.body)
         || std::holds_alternative<features_notice>(datagram.body)
         || std::holds_alternative<extended_slot_request>(datagram.body)
-        || std::holds_alternative<extended_quota_request>(datagram.body);
+        || std::holds_alternative<extended_quota_request>(datagram.body)
+        || std::holds_alternative<server_rejection>(datagram.body);
 }
 
 class daemon_impl final : public edge_daemon
--- a/packages/serving/front_limit.cpp
+++ b/packages/serving/front_limit.cpp
@@ -82,34 +82,53 @@
         owner = server == m_store.view().servers.end() ? owner : limitOwner(server->second);
     }
     if (!owner.empty()) {
-        sendToOwner(owner,
-            limit_report{pending.request.id, pending.server,
-                pending.responseMeta.limit ? toMilli(*pending.responseMeta.limit) : -1});
+        const auto rate = rateOf(pending.responseMeta.limit, pending.responseMeta.maxRejections);
+        sendToOwner(owner, limit_report{pending.request.id, pending.server, rate ? toMilli(*rate) : -1});
     }
 }
 
+/// Whether the response is a brittle server's rejection for want of room. A missing adapter is none.
+bool front_task::isBrittleRejection(const pending_request &pending) const
+{
+    const bool rejected =
+        pending.responseMeta.notExecuted && pending.responseHead.status != misdirectedStatus;
+    const auto limit = m_limits.find(pending.server);
+    return rejected && limit != m_limits.end() && limit->second.maxRejections.has_value();
+}
+
+/// Reports the rejection to the owner in place of the request's end. Datagrams may be lost, and the owner
+/// counts a request as running until it hears of its end, so two are sent.
+void front_task::reportRejection(const pending_request &pending)
+{
+    const server_rejection message{pending.request.id, pending.server};
+    sendToOwner(pending.owner, message);
+    sendToOwner(pending.owner, message);
+}
+
 /// Applies the server's limit, or its absence, from the head of a response.
 void front_task::onResponseLimit(const pending_request &pending)
 {
     // Rejected requests and unsigned responses don't prove the absence of a limit, since they may come from a
     // part of the server, or from an intermediary, that doesn't know it.
-    const bool conveysLimit = pending.responseMeta.limit
+    const auto rate = rateOf(pending.responseMeta.limit, pending.responseMeta.maxRejections);
+    const bool conveysLimit = rate
         || (pending.responseMeta.signedByServer && !pending.responseMeta.notExecuted
             && pending.responseMeta.unreadable.empty());
     if (!conveysLimit) {
         return;
     }
     const bool wasKnown = m_limits.count(pending.server) != 0;
-    const auto change = briarhead::applyResponseLimit(
-        m_limits, pending.server, pending.responseMeta.limit, pending.sentAt, bootNow());
+    const auto change = briarhead::applyResponseLimit(m_limits, pending.server, pending.responseMeta.limit,
+        pending.responseMeta.maxRejections, pending.sentAt, bootNow());
     if (change != limit_change::None) {
         m_log.important("server.limit")
             .add("id", pending.request.id)
             .add("server", pending.server)
             .add("change", nameOf(change))
-            .add("per_second", pending.responseMeta.limit.value_or(-1));
+            .add("per_second", pending.responseMeta.limit.value_or(-1))
+            .add("max_rejections", pending.responseMeta.maxRejections.value_or(-1));
     }
-    if (pending.responseMeta.limit || wasKnown) {
+    if (rate || wasKnown) {
         reportLimit(pending);
     }
 }
--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -19,6 +19,8 @@
 /// An owner that didn't respond to a permit request is not asked again for this long, unless its heartbeats
 /// report the limit.
 constexpr millis unresponsiveOwnerBackoff{2'000};
+/// The status of a server that lacks the adapter, or has another address's request.
+constexpr int misdirectedStatus = 421;
 /// A server that has been silent for less than this is never considered unresponsive.
 constexpr millis minServerSilence{1'000};
 
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -169,16 +169,20 @@
                 resendSlotRequest(locked);
             }
         });
-    if (anyFeature(featuresFor(pending->service)) && peerUnderstandsFeatures(pending->owner)) {
-        sendToOwner(pending->owner, extended_slot_request{message, encodeTerms(termsOf(*pending))});
+    const slot_terms terms = termsOf(*pending);
+    const bool extended = anyFeature(featuresFor(pending->service)) || terms.maxRejections >= 0;
+    if (extended && peerUnderstandsFeatures(pending->owner)) {
+        sendToOwner(pending->owner, extended_slot_request{message, encodeTerms(terms)});
     } else {
         sendToOwner(pending->owner, message);
     }
 }
 
-slot_terms front_task::termsOf(const pending_request &pending)
+slot_terms front_task::termsOf(const pending_request &pending) const
 {
-    return {pending.matchedRoute->maxGap, pending.matchedRoute->rank};
+    const auto limit = m_limits.find(pending.server);
+    return {pending.matchedRoute->maxGap, pending.matchedRoute->rank,
+        limit == m_limits.end() ? -1 : limit->second.maxRejections.value_or(-1)};
 }
 
 void front_task::resendSlotRequest(const request_ptr &pending)
@@ -318,7 +322,8 @@
 void front_task::announceRunning(const std::string &server, const std::string &owner)
 {
     for (const auto &[number, pending] : m_requests) {
-        if (!pending->usesModelServer || pending->server != server || !pending->activeSend) {
+        const bool counted = pending->usesModelServer || m_limits.count(server) != 0;
+        if (!counted || pending->server != server || !pending->activeSend) {
             continue;
         }
         pending->owner = owner;
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -17,7 +17,6 @@
 /// Number of servers tried if connections are refused or time out before anything has been sent.
 constexpr int maxUnsentAttempts = 3;
 constexpr int firstServerError = 500;
-constexpr int misdirectedStatus = 421;
 
 }
 
@@ -215,7 +214,11 @@
         }
         pending->mayHaveRun = pending->mayHaveRun || !notExecuted;
         const bool adapterMissing = notExecuted && pending->usesModelServer && pending->granted;
-        notifyOwner(*pending, adapterMissing ? slot_event::AdapterNotLoaded : slot_event::Ended);
+        if (isBrittleRejection(*pending) && peerUnderstandsFeatures(pending->owner)) {
+            reportRejection(*pending);
+        } else {
+            notifyOwner(*pending, adapterMissing ? slot_event::AdapterNotLoaded : slot_event::Ended);
+        }
         onResponseComplete(pending);
         return;
     }
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -155,9 +155,11 @@
     void dispatchElsewhere(const request_ptr &pending, slot_event event);
     void requestPermit(const request_ptr &pending, const backend_server &server);
     void reportLimit(const pending_request &pending);
+    bool isBrittleRejection(const pending_request &pending) const;
+    void reportRejection(const pending_request &pending);
     void sendSlotRequest(const request_ptr &pending);
     void resendSlotRequest(const request_ptr &pending);
-    static slot_terms termsOf(const pending_request &pending);
+    slot_terms termsOf(const pending_request &pending) const;
     service_features featuresFor(const std::string &service) const;
     void onSlotRequestUnanswered(const request_ptr &pending);
     void send(const request_ptr &pending, const backend_server &server);
--- a/packages/serving/server_owner_claims.cpp
+++ b/packages/serving/server_owner_claims.cpp
@@ -201,7 +201,8 @@
         const auto entry = view.serverOwners.find(each.first);
         return entry == view.serverOwners.end() || entry->second.record.node != each.second.node;
     });
-    if (m_stopped || m_cutOff || !m_settings.serversCheckFencingTokens || !seesMostOwners(m_observedOwners, now)) {
+    if (m_stopped || m_cutOff || !m_settings.serversCheckFencingTokens
+        || !seesMostOwners(m_observedOwners, now)) {
         return;
     }
     for (const auto &[id, holder] : m_observedOwners) {
@@ -254,11 +255,17 @@
     }
     server_state state;
     state.fencingToken = fencingToken;
+    const bool hadOwner =
+        m_replacedServers.count(id) != 0 || m_releasedAt.count(id) != 0 || m_removedOwnerships.count(id) != 0;
     state.ordersAllowedFrom = earliestOrderTime(id);
+    if (hadOwner) {
+        state.scheduler.limit.grantsFrom = bootNow() + runningReportDelay + heartbeatDelay;
+    }
     state.startedAtMs = server->startedAtMs;
     configureScheduler(state.scheduler, *server);
     if (const auto known = m_limits.find(id); known != m_limits.end()) {
         applyLimit(state.scheduler.limit, known->second.perSecond, known->second.receivedAt, bootNow());
+        state.scheduler.limit.maxRejections = known->second.maxRejections;
     }
     if (const auto known = m_reportedSpeeds.find(id);
         known != m_reportedSpeeds.end() && known->second.startedAtMs == server->startedAtMs) {
@@ -276,6 +283,7 @@
     const engine_spec *engine = findEngine(server);
     scheduler.ledger.server = server.id;
     scheduler.plain = engine == nullptr;
+    scheduler.serverSlots = server.slots;
     if (const auto features = m_features.find(server.service); features != m_features.end()) {
         scheduler.features = features->second;
     }
@@ -362,8 +370,8 @@
     m_servers.erase(found);
 }
 
-/// A daemon that can send no orders hands its servers over: store_task releases their records. Orders can't go
-/// through a peer, because a server takes them from one daemon at a time and tells daemons apart by their
+/// A daemon that can send no orders hands its servers over: store_task releases their records. Orders can't
+/// go through a peer, because a server takes them from one daemon at a time and tells daemons apart by their
 /// address.
 void server_owner_task::onServersReachable(bool reachable)
 {
--- a/packages/serving/server_owner_orders.cpp
+++ b/packages/serving/server_owner_orders.cpp
@@ -114,8 +114,10 @@
         server_state &current = found->second;
         current.reportRequested = false;
         recordNotices(target, result);
-        if (const auto limit = m_codec.readUnsignedResponse(result.head).limit) {
-            applyLimit(current.scheduler.limit, *limit, bootNow(), bootNow());
+        const response_meta meta = m_codec.readUnsignedResponse(result.head);
+        if (const auto rate = rateOf(meta.limit, meta.maxRejections)) {
+            applyLimit(current.scheduler.limit, *rate, bootNow(), bootNow());
+            current.scheduler.limit.maxRejections = meta.maxRejections;
         }
         error why;
         const auto report =
--- a/packages/serving/server_owner_task.cpp
+++ b/packages/serving/server_owner_task.cpp
@@ -144,6 +144,22 @@
     processServer(report.server);
 }
 
+void server_owner_task::handle(const std::string &, const server_rejection &rejection)
+{
+    const auto found = m_servers.find(rejection.server);
+    if (found == m_servers.end()) {
+        return;
+    }
+    onRejection(found->second.scheduler, rejection.id, bootNow());
+    m_log.important("server.rejected")
+        .add("id", rejection.id)
+        .add("server", rejection.server)
+        .add("recent", static_cast<std::int64_t>(found->second.scheduler.limit.rejections.size()))
+        .add("running", static_cast<std::int64_t>(found->second.scheduler.queue.running.size()))
+        .add("max_rejections", found->second.scheduler.limit.maxRejections.value_or(-1));
+    processServer(rejection.server);
+}
+
 /// Updates the share of the server's limit that this daemon grants: all of it only while its lease is valid,
 /// nothing once it knows of a successor, and unconfirmedShare in between. Otherwise an isolated daemon that
 /// does not know that it was replaced would grant permits beside its successor, and the server would get
@@ -161,6 +177,9 @@
     if (!state.scheduler.limit.perSecond) {
         return;
     }
+    if (const auto known = m_limits.find(id); known != m_limits.end() && known->second.maxRejections) {
+        state.scheduler.limit.maxRejections = known->second.maxRejections;
+    }
     const bool ownershipValid = m_store.ownsServer(id) && m_store.isLeaseValid();
     setShare(state.scheduler.limit, state.fenced ? 0 : ownershipValid ? 1 : unconfirmedShare, bootNow());
 }
--- a/packages/serving/server_owner_task.h
+++ b/packages/serving/server_owner_task.h
@@ -66,6 +66,7 @@
     void handle(const std::string &entry, const slot_report &report);
     void handle(const std::string &entry, const running_request &run);
     void handle(const std::string &entry, const limit_report &report);
+    void handle(const std::string &entry, const server_rejection &rejection);
     /// Handles another daemon's heartbeat about the servers that it owns.
     void onHeartbeat(const std::string &node, const fleet_heartbeat &beat);
     /// While this daemon is isolated from the others, they replace it on servers that check fencing tokens.
--- a/tests/scheduling/server_limit_test.cpp
+++ b/tests/scheduling/server_limit_test.cpp
@@ -152,11 +152,12 @@
     EXPECT_TRUE(permits.perSecond);
 
     announced_limits limits;
-    EXPECT_EQ(applyResponseLimit(limits, "s", 1, begin, begin + millis{5}), limit_change::Announced);
-    EXPECT_EQ(applyResponseLimit(limits, "s", {}, begin + millis{4}, begin + millis{6}), limit_change::None);
-    EXPECT_EQ(applyResponseLimit(limits, "s", 2, begin, begin + millis{7}), limit_change::Changed);
+    EXPECT_EQ(applyResponseLimit(limits, "s", 1, {}, begin, begin + millis{5}), limit_change::Announced);
     EXPECT_EQ(
-        applyResponseLimit(limits, "s", {}, begin + millis{8}, begin + millis{9}), limit_change::Withdrawn);
+        applyResponseLimit(limits, "s", {}, {}, begin + millis{4}, begin + millis{6}), limit_change::None);
+    EXPECT_EQ(applyResponseLimit(limits, "s", 2, {}, begin, begin + millis{7}), limit_change::Changed);
+    EXPECT_EQ(applyResponseLimit(limits, "s", {}, {}, begin + millis{8}, begin + millis{9}),
+        limit_change::Withdrawn);
     EXPECT_TRUE(limits.empty());
 }
 
