Let a second of silence pass on connections to servers, and notice engines that are gone

Cause: where TCP_USER_TIMEOUT is set it decides when keep-alive probes give up, whatever their count. To servers it was 2 s with a first probe after 1 s: a server that fell silent right before the probe lost its connections after a second. Change: 2.5 s to servers; at most 5 s to engines, within maxOrderLatencyMs.

--- a/packages/transport/backend_pool.cpp
+++ b/packages/transport/backend_pool.cpp
@@ -38,8 +38,9 @@
 constexpr std::size_t maxIdlePerServer = 16;
 constexpr millis sweepInterval{250};
 /// A dead connection is detected by unacknowledged bytes or, while waiting for a response, by keep-alive
-/// probes. It fails after about 3 s.
-constexpr unsigned unackedTimeoutMs = 2'000;
+/// probes. The user timeout also decides when probes give up, at the first one due after it, whatever their
+/// count; so it leaves a server that falls silent right before the first probe a second and a half.
+constexpr unsigned unackedTimeoutMs = 2'500;
 constexpr int probeIdleSeconds = 1;
 constexpr int probeIntervalSeconds = 1;
 constexpr int probeCount = 2;
--- a/packages/transport/engine_client.cpp
+++ b/packages/transport/engine_client.cpp
@@ -17,6 +17,8 @@
 
 constexpr int httpOk = 200;
 constexpr millis cancelTimeout{1'000};
+/// Within maxOrderLatencyMs, in which an order or run has to reach the engine.
+constexpr millis maxUserTimeout{5'000};
 constexpr int httpUnavailable = 503;
 constexpr millis maxRetryAfter{24LL * 3'600 * 1'000};
 /// The engine's deadline precedes the caller's by an eighth of the time left, but at most by this.
@@ -236,8 +238,9 @@
     // 0 would mean no timeout; a deadline that has passed becomes the shortest one.
     call.timeout = {std::max<std::int64_t>(timeout.count, 1)};
     // At the timeout the kernel drops the bytes that it still buffers, also while this process is paused. So
-    // no order or run reaches the engine long after its sender has abandoned it.
-    call.userTimeout = call.timeout;
+    // no order or run reaches the engine long after its sender has abandoned it. It also decides when
+    // keep-alive probes give up, so a long run's would not notice an engine that is gone.
+    call.userTimeout = std::min(call.timeout, maxUserTimeout);
     // When a kept connection turns out to be dead and no byte of a response has arrived, libcurl silently
     // resends the request on a new one. A run would then be executed twice if the engine had begun it and
     // then crashed or closed the connection before its first byte. An order would be sent again after the
--- a/packages/transport/http_client.h
+++ b/packages/transport/http_client.h
@@ -23,7 +23,9 @@
     std::string body;
     millis timeout{10'000}; ///< of the whole call; 0: no limit (for a watch)
     millis connectTimeout{1'000};
-    millis userTimeout; ///< TCP_USER_TIMEOUT of the connection; 0: the system's default
+    /// TCP_USER_TIMEOUT of the connection; 0: the system's default. If set, it decides when keep-alive probes
+    /// give up, whatever their count.
+    millis userTimeout;
     bool freshConnection =
         false; ///< uses a new connection, so that libcurl cannot resend the request silently
 };
--- a/packages/transport/peer_socket.cpp
+++ b/packages/transport/peer_socket.cpp
@@ -19,6 +19,7 @@
 
 // A connection ends when sent bytes stay unacknowledged for this long. Without the option, the kernel would
 // retry for about 15 minutes, and buffered orders could arrive long after they were sent.
+// It also decides when keep-alive probes give up, whatever their count: at the second unanswered one.
 constexpr unsigned tcpUserTimeoutMs = 5'000;
 // An idle link costs about two bytes per second. Membership detects a dead peer long before keep-alive does.
 constexpr int keepAliveIdleSeconds = 60;
