Let the soak cut failure domains off from servers, and make servers brittle

Cause: the soak's store showed all daemons the same address of a server, so that no link could be cut for some of them; stand-ins that crash from rejecting too much were used by one test only. Change: a store stand-in and links to the servers for each failure domain; cuts that hang, reset or refuse, in series beside all other faults; some plain servers are brittle. The witness compares first attempts at cut off daemons with those at the others from 3 s after a cut began, and counts the crashes of brittle servers.

--- a/packages/serving/server_path_task.cpp
+++ b/packages/serving/server_path_task.cpp
@@ -29,7 +29,7 @@
 constexpr std::size_t peersAsked = 3;
 constexpr std::size_t maxRelaysTried = 3;
 /// A peer that failed to relay is not tried again for this long.
-constexpr millis relayBackoff{2'000};
+constexpr millis relayBackoff{1'000};
 /// Requests of peers relayed at once, so that a daemon whose neighbours are cut off can still serve its own
 /// callers.
 constexpr std::size_t maxRelayed = 128;
@@ -246,24 +246,38 @@
     return peer == nullptr || peer->failureDomain != m_settings.failureDomain;
 }
 
-/// The peer to send a request through, or null.
+/// The peer to send a request through, or null. Peers whose record has expired have lost the store, but may
+/// still reach servers; those and the ones that failed lately are used only if there is no other.
 const daemon_record *server_path_task::nextRelay(
     const std::string &id, const std::set<std::string> &tried) const
 {
     const store_view &view = m_store.view();
+    for (const auto &[daemons, evenFailed] : {std::pair(&view.daemons, false),
+             std::pair(&view.expiredDaemons, false), std::pair(&view.daemons, true)}) {
+        if (const daemon_record *peer = chooseRelayOf(*daemons, evenFailed, id, tried)) {
+            return peer;
+        }
+    }
+    return nullptr;
+}
+
+const daemon_record *server_path_task::chooseRelayOf(const daemon_map &daemons, bool evenFailed,
+    const std::string &id, const std::set<std::string> &tried) const
+{
     const millis now = bootNow();
     std::vector<const daemon_record *> peers;
     std::vector<relay_candidate> candidates;
-    for (const auto &[node, record] : view.daemons) {
+    for (const auto &[node, record] : daemons) {
         if (node == m_settings.node) {
             continue;
         }
         const auto failed = m_relayFailedAt.find(node);
         const auto inFlight = m_relaysInFlight.find(node);
-        const bool backsOff = failed != m_relayFailedAt.end() && now - failed->second < relayBackoff;
+        const bool backsOff =
+            !evenFailed && failed != m_relayFailedAt.end() && now - failed->second < relayBackoff;
         peers.push_back(&record);
         candidates.push_back({record.failureDomain == m_settings.failureDomain,
-            tried.count(node) != 0 || view.cutOffDaemons.count(node) != 0 || backsOff,
+            tried.count(node) != 0 || m_store.view().cutOffDaemons.count(node) != 0 || backsOff,
             inFlight == m_relaysInFlight.end() ? 0 : inFlight->second, rendezvousScore(id, node)});
     }
     const auto chosen = chooseRelay(candidates);
--- a/packages/serving/server_path_task.h
+++ b/packages/serving/server_path_task.h
@@ -108,6 +108,9 @@
     void end(const send_ptr &send, send_result result, const error &why);
     void endLater(const send_ptr &send, send_result result, const error &why);
     const daemon_record *nextRelay(const std::string &id, const std::set<std::string> &tried) const;
+    const daemon_record *chooseRelayOf(const daemon_map &daemons, bool evenFailed, const std::string &id,
+        const std::set<std::string> &tried) const;
+    void onRelaySlow(const send_ptr &send);
     void releaseRelay(active_send &send);
     void checkReach(const std::string &server, reach_callback done);
     void retryOwnPath(const std::string &server, const std::shared_ptr<reach_check> &check);
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -15,6 +15,8 @@
 /// The shortest time of the deployments after which a brittle server lets fewer requests wait.
 constexpr millis brittleNoticeTime{3'000};
 constexpr millis brittleWindow{1'000};
+/// How long a request occupies a slot of a brittle server.
+constexpr millis brittleServiceTime{60};
 /// How long a fatal request runs before it crashes the server.
 constexpr millis fatalRunTime{60};
 
@@ -283,14 +285,7 @@
         m_held.emplace_back(requestId, reply);
         return;
     case behavior::Slow:
-        ++m_running;
-        reply->onDisconnect([this] {
-            --m_running;
-        });
-        m_timers.push_back(m_loop.timer(responseDelay, {}, [this, reply, model, requestId, first] {
-            --m_running;
-            respond(reply, requestId, model.empty() ? 0 : first);
-        }));
+        respondLater(reply, requestId, model.empty() ? 0 : first, responseDelay);
         return;
     case behavior::HoldsStream:
         respondWithStream(reply, requestId, first, first + 1);
@@ -304,7 +299,27 @@
     default:
         break;
     }
-    respond(reply, requestId, model.empty() ? 0 : first);
+    if (m_maxRejections) {
+        respondLater(reply, requestId, model.empty() ? 0 : first, brittleServiceTime);
+    } else {
+        respond(reply, requestId, model.empty() ? 0 : first);
+    }
+}
+
+/// Occupies a slot until the response is sent, or the connection is closed.
+void backend_standin::respondLater(
+    const std::shared_ptr<front_reply> &reply, const std::string &requestId, int firstEvent, millis delay)
+{
+    ++m_running;
+    const auto running = std::make_shared<bool>(true);
+    const auto leave = [this, running] {
+        m_running -= std::exchange(*running, false) ? 1 : 0;
+    };
+    reply->onDisconnect(leave);
+    m_timers.push_back(m_loop.timer(delay, {}, [this, leave, reply, requestId, firstEvent] {
+        leave();
+        respond(reply, requestId, firstEvent);
+    }));
 }
 
 void backend_standin::runFatalRequest(
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -99,6 +99,8 @@
         const std::string &requestId, const std::shared_ptr<front_reply> &reply, bool stream);
     /// Sends a stream that begins at `firstEvent`, or a plain response if it is 0.
     void respond(const std::shared_ptr<front_reply> &reply, const std::string &requestId, int firstEvent);
+    void respondLater(const std::shared_ptr<front_reply> &reply, const std::string &requestId, int firstEvent,
+        millis delay);
 
     bool rejectsForLackOfRoom(const std::string &requestId, front_reply &reply);
 
--- a/tests/serving/store_standin.cpp
+++ b/tests/serving/store_standin.cpp
@@ -104,11 +104,11 @@
 {
     const std::string &target = request.head.target;
     if (target.starts_with("/v1/kv-range?")) {
-        client.list(queryOf(target, "prefix"), [reply](const store_read &read) {
+        view.list(queryOf(target, "prefix"), [reply](const store_read &read) {
             respondToRead(*reply, read, "items");
         });
     } else if (target.starts_with("/v1/kv-watch?")) {
-        client.watch(queryOf(target, "prefix"), std::stoll(queryOf(target, "after")),
+        view.watch(queryOf(target, "prefix"), std::stoll(queryOf(target, "after")),
             millis{std::stoll(queryOf(target, "waitMs"))}, [reply](const store_read &read) {
                 respondToRead(*reply, read, "events");
             });
--- a/tests/serving/store_standin.h
+++ b/tests/serving/store_standin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "serving/fake_store.h"
+#include "serving/remapped_store.h"
 #include "transport/front_server.h"
 
 #include <memory>
@@ -16,6 +17,8 @@
     std::uint16_t port() const;
     /// Executes the calls that arrive over HTTP; its fault applies to all of them.
     fake_store_client client;
+    /// What its readers see: addresses of servers may differ from the stored ones.
+    remapped_store view{client};
 
 private:
     void onRequest(const front_request &request, const std::shared_ptr<front_reply> &reply);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -10,16 +10,22 @@
     : m_options(options)
     , m_random(options.seed * 7 + 1)
 {
+    for (std::size_t i = 0; i < failureDomains; ++i) {
+        m_storeServers.push_back(std::make_unique<store_standin>(m_store));
+        m_cuts.push_back(link_cut::None);
+    }
     m_servers.reserve(options.modelServers + options.plainServers); // callbacks refer to them
     for (std::size_t i = 0; i < options.modelServers + options.plainServers; ++i) {
         const bool model = i < options.modelServers;
-        m_servers.push_back({(model ? "m-" : "p-") + std::to_string(i), model ? "llm" : "app", 0, {}, {}});
+        m_servers.push_back(
+            {(model ? "m-" : "p-") + std::to_string(i), model ? "llm" : "app", 0, {}, {}, {}});
         startServer(m_servers.back());
     }
     putConfig();
     for (std::size_t i = 0; i < options.daemons; ++i) {
-        m_storeLinks.push_back(std::make_unique<fault_proxy>(m_loop, m_storeServer.port()));
-        m_daemons.push_back(makeDaemon("n" + std::to_string(i), "z" + std::to_string(i % 2),
+        m_storeLinks.push_back(
+            std::make_unique<fault_proxy>(m_loop, m_storeServers[i % failureDomains]->port()));
+        m_daemons.push_back(makeDaemon("n" + std::to_string(i), "z" + std::to_string(i % failureDomains),
             m_storeLinks.back()->port(), options.folder));
     }
 }
@@ -63,6 +69,16 @@
             say(each);
         });
     }
+    for (const cut_plan &each : drawCuts(m_options.seed, m_options.length, failureDomains)) {
+        after(each.at, [this, each] {
+            cutDomain(each);
+        });
+    }
+    for (const brittle_plan &each : drawBrittle(m_options.seed, m_options.modelServers, m_servers.size())) {
+        after(each.at, [this, each] {
+            makeBrittle(each);
+        });
+    }
     runFor(m_options.length);
     traffic.reset();
     heal();
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -132,6 +132,9 @@
             + "\r\nX-Briarhead-Token-Count: 500,50\r\n"
                   : "";
     m_witness.sent(id, repeatable, daemon.name, bootNow(), daemon.terminated);
+    if (body != fatalBody && key == freeKey && isCalm(daemon.name)) {
+        m_witness.countsForCuts(id);
+    }
     struct heard
     {
         http_head head;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_run.h"
 
 #include <algorithm>
+#include <set>
 #include <sstream>
 
 // What is done to daemons, servers, the store and the configuration, and how it ends.
@@ -12,6 +13,11 @@
     server.standin = std::make_unique<backend_standin>(m_loop, id, server.service);
     server.proxy = std::make_unique<fault_proxy>(m_loop, server.standin->port);
     server.standin->advertisedPort = server.proxy->port();
+    for (std::size_t i = 0; i < failureDomains; ++i) {
+        server.links.push_back(std::make_unique<cut_link>(m_loop, server.proxy->port()));
+        server.links.back()->setCut(m_cuts[i]);
+        m_storeServers[i]->view.ports[server.proxy->port()] = server.links.back()->port();
+    }
     server.standin->fatalBody = fatalBody;
     server.standin->onFatal = [this, &server](const std::string &requestId) {
         crashUnder(server, requestId);
@@ -149,10 +155,10 @@
         return;
     }
     ++m_storeTroubles;
-    m_storeServer.client.fault = troubles[what.variant % std::size(troubles)];
+    setStoreFault(troubles[what.variant % std::size(troubles)]);
     after(what.lasts, [this] {
         if (--m_storeTroubles == 0) {
-            m_storeServer.client.fault = store_fault::None;
+            setStoreFault(store_fault::None);
         }
     });
 }
@@ -169,6 +175,61 @@
     });
 }
 
+void soak_run::setStoreFault(store_fault value)
+{
+    for (const auto &each : m_storeServers) {
+        each->client.fault = value;
+    }
+}
+
+void soak_run::cutDomain(const cut_plan &cut)
+{
+    static constexpr link_cut variants[] = {link_cut::Hangs, link_cut::Resets, link_cut::RefusesNew};
+    if (m_healed || m_cuts[cut.domain] != link_cut::None) {
+        return;
+    }
+    m_cuts[cut.domain] = variants[cut.variant % std::size(variants)];
+    std::ostringstream line;
+    line << cut.at.count << " ms, for " << cut.lasts.count << ": cut failure domain " << cut.domain
+         << " off from all servers, variant " << cut.variant % std::size(variants);
+    m_report.faults.push_back(line.str());
+    for (served_server &server : m_servers) {
+        if (!server.links.empty()) {
+            server.links[cut.domain]->setCut(m_cuts[cut.domain]);
+        }
+    }
+    m_witness.disturbed(bootNow() + cut.lasts);
+    std::set<std::string> daemons;
+    for (std::size_t i = cut.domain; i < m_daemons.size(); i += failureDomains) {
+        daemons.insert(m_daemons[i].name);
+    }
+    m_witness.cutOff(daemons, bootNow(), bootNow() + cut.lasts);
+    after(cut.lasts, [this, cut] {
+        endCut(cut.domain);
+    });
+}
+
+void soak_run::endCut(std::size_t domain)
+{
+    m_cuts[domain] = link_cut::None;
+    for (served_server &server : m_servers) {
+        if (!server.links.empty()) {
+            server.links[domain]->setCut(link_cut::None);
+        }
+    }
+}
+
+void soak_run::makeBrittle(const brittle_plan &plan)
+{
+    const served_server &server = m_servers[plan.server];
+    if (server.standin && !m_healed) {
+        std::ostringstream line;
+        line << plan.at.count << " ms: " << server.standin->id << " is brittle, " << plan.maxRejections;
+        m_report.faults.push_back(line.str());
+        server.standin->setBrittle(plan.maxRejections);
+    }
+}
+
 void soak_run::nameLimit(const limit_change_plan &change)
 {
     const served_server &server = m_servers[change.server];
@@ -188,6 +249,7 @@
     }
     collect(server);
     m_store.remove("servers/" + server.standin->id);
+    server.links.clear();
     server.proxy.reset();
     server.standin.reset();
     startServer(server);
@@ -233,15 +295,19 @@
 void soak_run::heal()
 {
     m_healed = true;
-    m_storeServer.client.fault = store_fault::None;
+    setStoreFault(store_fault::None);
     for (const auto &link : m_storeLinks) {
         link->setFault(link_fault::None);
     }
+    for (std::size_t i = 0; i < failureDomains; ++i) {
+        endCut(i);
+    }
     for (served_server &server : m_servers) {
         setLink(server, link_fault::None);
         setMood(server, behavior::Serves);
         if (server.standin) {
             server.standin->setLimit({});
+            server.standin->setBrittle({});
             unsay(server, std::string(server.standin->id));
         }
     }
@@ -267,6 +333,7 @@
     const std::string id = server.standin->id;
     m_witness.endedUnder(id, bootNow(), isCalm(m_witness.daemonOf(requestId)));
     collect(server);
+    server.links.clear();
     server.proxy.reset();
     server.standin.reset();
     after(entryStays, [this, id] {
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -12,6 +12,8 @@
 constexpr std::int64_t calmStartMs = 2'000;
 constexpr std::int64_t shortestMs = 100;
 constexpr std::int64_t longestMs = 2'500;
+/// Long enough for the rule on first attempts to bind for a while.
+constexpr std::int64_t shortestCutMs = 4'500;
 constexpr double seriesShare = 0.33;
 constexpr std::size_t variants = 8;
 constexpr std::int64_t shortestFatalMs = 150;
@@ -117,6 +119,38 @@
     return changes;
 }
 
+std::vector<cut_plan> drawCuts(std::uint64_t seed, millis length, std::size_t domains)
+{
+    std::mt19937_64 random(seed * 97 + 5);
+    const auto below = [&random](std::int64_t bound) {
+        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
+    };
+    std::vector<cut_plan> cuts;
+    std::int64_t at = calmStartMs / 2 + below(calmStartMs);
+    while (at + shortestCutMs < length.count) {
+        const std::int64_t lasts = std::min(shortestCutMs + below(shortestCutMs), length.count - at);
+        cuts.push_back({{at}, {lasts}, static_cast<std::size_t>(below(static_cast<std::int64_t>(domains))),
+            static_cast<std::size_t>(below(variants))});
+        at += lasts + shortestMs + below(longestMs);
+    }
+    return cuts;
+}
+
+std::vector<brittle_plan> drawBrittle(std::uint64_t seed, std::size_t first, std::size_t last)
+{
+    std::mt19937_64 random(seed * 101 + 3);
+    const auto below = [&random](std::int64_t bound) {
+        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
+    };
+    std::vector<brittle_plan> plans;
+    for (std::size_t server = first; server < last; ++server) {
+        if (below(2) == 0) {
+            plans.push_back({{below(calmStartMs)}, server, static_cast<int>(3 + below(6))});
+        }
+    }
+    return plans;
+}
+
 std::vector<word_plan> drawWords(std::uint64_t seed, millis length, std::size_t servers)
 {
     std::mt19937_64 random(seed * 71 + 41);
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -74,6 +74,29 @@
 /// Drawn apart from the faults.
 std::vector<word_plan> drawWords(std::uint64_t seed, millis length, std::size_t servers);
 
+/// All daemons of a failure domain are cut off from all servers.
+struct cut_plan
+{
+    millis at; ///< since the start of traffic
+    millis lasts;
+    std::size_t domain = 0;
+    std::size_t variant = 0; ///< of how links are cut
+};
+
+/// Drawn apart from the faults; they come in series.
+std::vector<cut_plan> drawCuts(std::uint64_t seed, millis length, std::size_t domains);
+
+/// A plain server announces from then on that it is brittle.
+struct brittle_plan
+{
+    millis at; ///< since the start of traffic
+    std::size_t server = 0;
+    int maxRejections = 0; ///< per second
+};
+
+/// Drawn apart from the faults, for servers `first` to `last`, without the last.
+std::vector<brittle_plan> drawBrittle(std::uint64_t seed, std::size_t first, std::size_t last);
+
 /// Drawn apart from the faults. Several servers name limits at once; some rise, fall or end midway.
 std::vector<limit_change_plan> drawLimits(std::uint64_t seed, millis length, std::size_t servers);
 
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "serving/backend_standin.h"
+#include "serving/cut_link.h"
 #include "serving/store_standin.h"
 #include "soak/daemon_process.h"
 #include "soak/fault_proxy.h"
@@ -22,6 +23,7 @@
 
 constexpr millis shortLeaseTtl{3'000};
 constexpr millis lookEvery{20};
+constexpr std::size_t failureDomains = 2;
 constexpr millis deadline{3'000};
 /// Beyond its deadline a request of an undisturbed daemon is overdue; wide, since the machine may be loaded.
 constexpr millis overdue{2'000};
@@ -61,6 +63,7 @@
     int starts = 0;
     std::unique_ptr<backend_standin> standin;
     std::unique_ptr<fault_proxy> proxy;
+    std::vector<std::unique_ptr<cut_link>> links; ///< to the proxy, by failure domain
 };
 
 /// A server that has ended has no behavior, and no bytes reach it.
@@ -94,6 +97,10 @@
     void checkConfig(int version, millis changed);
     void checkLog(const daemon_process &daemon);
     void checkKey(daemon_process &daemon, int version, millis since);
+    void cutDomain(const cut_plan &cut);
+    void endCut(std::size_t domain);
+    void makeBrittle(const brittle_plan &plan);
+    void setStoreFault(store_fault value);
     void nameLimit(const limit_change_plan &change);
     void say(const word_plan &plan);
     void unsay(served_server &server, const std::string &id);
@@ -118,11 +125,12 @@
     loop m_loop;
     std::mt19937_64 m_random;
     fake_store m_store{m_loop};
-    store_standin m_storeServer{m_store};
+    std::vector<std::unique_ptr<store_standin>> m_storeServers; ///< by failure domain
     backend_pool m_pool{m_loop};
     std::vector<served_server> m_servers;
     std::vector<std::unique_ptr<fault_proxy>> m_storeLinks; ///< by daemon
     std::vector<daemon_process> m_daemons;
+    std::vector<link_cut> m_cuts; ///< of each failure domain from all servers
     std::vector<std::shared_ptr<void>> m_timers;
     witness m_witness;
     soak_report m_report;
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -1,6 +1,7 @@
 #include "soak/witness.h"
 
 #include <algorithm>
+#include <array>
 #include <sstream>
 
 namespace briarhead::soak {
@@ -16,6 +17,9 @@
 constexpr std::size_t sendsAllowed = 3;
 /// A daemon that has passed on a server's limit keeps to it from this long after.
 constexpr millis toldBefore{500};
+/// The rule on cut off daemons binds from this long after the cut.
+constexpr millis cutBindsAfter{3'000};
+constexpr millis comparedSpan{500};
 const std::string stampBegin = "by-";
 
 bool promisesNotRun(int status)
@@ -40,7 +44,54 @@
 void witness::sent(
     const std::string &id, bool repeatable, const std::string &daemon, millis at, millis terminated)
 {
-    m_requests[id] = {repeatable, daemon, at, terminated.count != 0, false, false, 0};
+    m_requests[id] = {repeatable, daemon, at, terminated.count != 0, false, false, false, false, 0};
+}
+
+void witness::countsForCuts(const std::string &id)
+{
+    m_requests.at(id).countsForCuts = true;
+}
+
+void witness::cutOff(const std::set<std::string> &daemons, millis from, millis until)
+{
+    m_cuts.push_back({daemons, from, until});
+}
+
+/// First attempts at cut off daemons are served two thirds as often as at the others, or all but a few are,
+/// from when the rule binds to the end of each cut.
+void witness::checkCuts(soak_report &report) const
+{
+    for (const cut_daemons &cut : m_cuts) {
+        std::array<double, 2> sent{};
+        std::array<double, 2> served{};
+        // Other faults come and go meanwhile, so only spans in which both sides got requests are compared.
+        std::map<std::int64_t, std::array<std::vector<bool>, 2>> spans;
+        for (const auto &[id, request] : m_requests) {
+            if (request.countsForCuts && request.at >= cut.from + cutBindsAfter && request.at < cut.until) {
+                spans[(request.at - cut.from).count / comparedSpan.count][cut.daemons.count(request.daemon)]
+                    .push_back(request.served);
+            }
+        }
+        for (const auto &[number, sides] : spans) {
+            for (std::size_t side = 0; side < sides.size() && !sides[0].empty() && !sides[1].empty();
+                 ++side) {
+                sent[side] += static_cast<double>(sides[side].size());
+                served[side] += static_cast<double>(std::count(sides[side].begin(), sides[side].end(), true));
+            }
+        }
+        const double failed = sent[1] - served[1];
+        const bool fewer = served[1] * sent[0] < served[0] * sent[1] * 2 / 3;
+        if (fewer && failed > 10 + sent[1] / 50) {
+            std::ostringstream text;
+            text << "RECOVER cut off daemons served " << served[1] << " of " << sent[1]
+                 << " first attempts, the others " << served[0] << " of " << sent[0];
+            report.violations.push_back(text.str());
+        }
+    }
+    if (m_brittleCrashes > 2 + static_cast<int>(m_servers) / 10) {
+        report.violations.push_back("LIMIT brittle servers crashed " + std::to_string(m_brittleCrashes)
+            + " times for rejecting too much");
+    }
 }
 
 void witness::answered(const caller_answer &answer, millis at, bool calm)
@@ -64,6 +115,7 @@
     }
     if (status >= 200 && status < 300) {
         ++m_served;
+        request.served = true;
         const std::string *id = findField(answer.head, "x-briarhead-request-id");
         if (id == nullptr || *id != answer.id) {
             wrong("MIXED " + who + "the answer of another request");
@@ -238,6 +290,8 @@
 
 void witness::saw(const backend_standin &server, std::size_t places)
 {
+    ++m_servers;
+    m_brittleCrashes += server.brittleCrashes;
     for (std::size_t i = 0; i < server.ran.size(); ++i) {
         const front_request &run = server.ran[i];
         checkAccount(server, run, server.ranAt[i]);
@@ -317,6 +371,7 @@
     report.cut = m_cut;
     report.violations.insert(report.violations.end(), m_violations.begin(), m_violations.end());
     checkLimit(report);
+    checkCuts(report);
     for (const auto &[id, request] : m_requests) {
         if (request.promised && request.runs > 0) {
             report.violations.push_back(
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -41,6 +41,11 @@
 public:
     void sent(
         const std::string &id, bool repeatable, const std::string &daemon, millis at, millis terminated);
+    /// The latest request sent is a first attempt that counts for the comparison of cut off daemons with
+    /// others.
+    void countsForCuts(const std::string &id);
+    /// Daemons are cut off from all servers, and their callers, the store and the other daemons reach them.
+    void cutOff(const std::set<std::string> &daemons, millis from, millis until);
     /// `calm`: the daemon was undisturbed since before the request.
     void answered(const caller_answer &answer, millis at, bool calm);
     /// A request's time is over; it must have been answered unless its daemon was disturbed since it was
@@ -72,11 +77,14 @@
         millis at;
         bool ending = false; ///< its daemon had been told to end
         bool answered = false;
+        bool countsForCuts = false;
+        bool served = false;
         bool promised = false; ///< its answer says that it has not run
         std::size_t runs = 0;
     };
     void checkAccount(const backend_standin &server, const front_request &run, millis at);
     void checkLimit(soak_report &report) const;
+    void checkCuts(soak_report &report) const;
     void checkServerLimit(const backend_standin &server);
     void checkWords(const backend_standin &server);
     std::string senderAt(const std::string &server, const std::string &id, millis at, bool cutsExcuse) const;
@@ -104,6 +112,15 @@
     std::size_t m_refused = 0;
     std::size_t m_failed = 0;
     std::size_t m_cut = 0;
+    struct cut_daemons
+    {
+        std::set<std::string> daemons;
+        millis from;
+        millis until;
+    };
+    std::vector<cut_daemons> m_cuts;
+    std::size_t m_servers = 0; ///< seen
+    int m_brittleCrashes = 0;
 };
 
 }
