--- a/tests/scheduling/server_paths_test.cpp
+++ b/tests/scheduling/server_paths_test.cpp
@@ -93,6 +93,7 @@
     const int local = *rc::gen::inRange(0, 8);
     const int remote = *rc::gen::inRange(0, 8);
     std::vector<relay_candidate> candidates;
+    candidates.reserve(static_cast<std::size_t>(local) + static_cast<std::size_t>(remote));
     for (int i = 0; i < local + remote; ++i) {
         candidates.push_back(
             {i < local, *rc::gen::arbitrary<bool>(), 0, *rc::gen::arbitrary<std::uint64_t>()});
--- a/tests/serving/edge_brittle_test.cpp
+++ b/tests/serving/edge_brittle_test.cpp
@@ -27,9 +27,9 @@
     bool model = false;
 };
 
-void PrintTo(const brittle_case &each, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const brittle_case &each)
 {
-    *out << each.path;
+    return out << each.path;
 }
 
 class brittle_test : public edge_fleet_test, public testing::WithParamInterface<brittle_case>
--- a/tests/serving/edge_cut_test.cpp
+++ b/tests/serving/edge_cut_test.cpp
@@ -46,6 +46,7 @@
         int failures = 0;
         for (int sent = 0; sent < count; sent += concurrency) {
             std::vector<std::unique_ptr<http_testing::raw_socket>> callers;
+            callers.reserve(concurrency);
             std::vector<std::string> received(concurrency);
             for (int i = 0; i < concurrency; ++i) {
                 callers.push_back(sendRequest(path, adapter));
@@ -75,9 +76,9 @@
     bool model = false;
 };
 
-void PrintTo(const cut_case &each, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const cut_case &each)
 {
-    *out << nameOfCut(each.cut) << ' ' << each.path;
+    return out << nameOfCut(each.cut) << ' ' << each.path;
 }
 
 class cut_kinds_test : public edge_cut_test, public testing::WithParamInterface<cut_case>
--- a/tests/unit/socket_timeouts_test.cpp
+++ b/tests/unit/socket_timeouts_test.cpp
@@ -75,10 +75,10 @@
     return timeouts.userTimeoutMs == 0 ? idle : std::min(idle, timeouts.userTimeoutMs);
 }
 
-void PrintTo(const tcp_timeouts &timeouts, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const tcp_timeouts &timeouts)
 {
-    *out << "user timeout " << timeouts.userTimeoutMs << " ms, probes " << timeouts.probes << " after "
-         << timeouts.idleMs << " ms, each " << timeouts.intervalMs << " ms, " << timeouts.count;
+    return out << "user timeout " << timeouts.userTimeoutMs << " ms, probes " << timeouts.probes << " after "
+               << timeouts.idleMs << " ms, each " << timeouts.intervalMs << " ms, " << timeouts.count;
 }
 
 /// The connected TCP sockets of this process.
