--- a/packages/serving/server_path_task.cpp
+++ b/packages/serving/server_path_task.cpp
@@ -14,7 +14,7 @@
 /// A peer that failed to relay is not tried again for this long, unless there is no other.
 constexpr millis relayBackoff{1'000};
 constexpr millis probeInterval{500};
-constexpr millis silenceCheckInterval{100};
+constexpr millis silenceCheckInterval{200};
 
 }
 
