Count an engine's pause in a test from when the engine asked for it

Cause: owner_guard_test.AnEngineThatAsksForAPauseIsSpared stamped the pause's start when the caller's answer had arrived, later than the daemon, whose own count may then be a millisecond shorter: "516 vs 517", once. Change: the start is the time at which the stand-in engine refused, by its own record. The bound stays; the engine's time is the one that the promise is about.

--- a/tests/failure/owner_guard_test.cpp
+++ b/tests/failure/owner_guard_test.cpp
@@ -267,7 +267,7 @@
     m_engine->setFaults({{"refuse_runs", true}, {"pause", "1.5"}});
     const auto turnedAway = ask("a0", 2);
     ASSERT_TRUE(ended(turnedAway));
-    const millis paused = bootNow();
+    const millis paused{m_engine->recorded("refused").back()["at_ms"].get<std::int64_t>()};
     const auto refusals = [this] {
         return m_engine->recorded("refused").size();
     };
