--- a/packages/serving/crash_store.h
+++ b/packages/serving/crash_store.h
@@ -11,8 +11,8 @@
 
 namespace briarhead {
 
-/// Connects a crash_task to the platform: datagrams to other daemons, and crash records in the store. `checkProcess`:
-/// see crash_callbacks.
+/// Connects a crash_task to the platform: datagrams to other daemons, and crash records in the store.
+/// `checkProcess`: see crash_callbacks.
 crash_callbacks crashLinks(store_task &store, const std::unique_ptr<fleet_port> &port,
     const node_settings &settings, decision_log &log,
     std::function<void(const crash_target &, std::function<void(connect_result)>)> checkProcess = {});
