Share the release of ownership records, and drop code that nothing uses

Cause: releaseServers() repeated the loop of releaseRecords(); nameOf(peer_reach) was used nowhere, a header was included for nothing, and both branches of onRelayBytes() began with the same line. Ruled out: one framing for relayed parts and links between daemons: those frames are sealed under a connection's keys and carry no length of their own. Change: addReleases() serves both; the rest is taken out. Behaviour is as it was.

--- a/packages/protocol/relay_frames.cpp
+++ b/packages/protocol/relay_frames.cpp
@@ -1,8 +1,6 @@
 #include "protocol/codec.h"
 #include "protocol/relay_messages.h"
 
-#include <array>
-
 namespace briarhead {
 
 namespace {
--- a/packages/scheduling/server_paths.cpp
+++ b/packages/scheduling/server_paths.cpp
@@ -1,18 +1,11 @@
 #include "scheduling/server_paths.h"
 
 #include <algorithm>
-#include <array>
 #include <tuple>
 #include <utility>
 
 namespace briarhead {
 
-std::string_view nameOf(peer_reach value)
-{
-    static constexpr std::array<std::string_view, 3> names{"unknown", "reached", "unreached"};
-    return names[static_cast<std::size_t>(value)];
-}
-
 namespace {
 
 /// The cut links that failed after the latest successful connection to any server. Earlier failures concern
--- a/packages/scheduling/server_paths.h
+++ b/packages/scheduling/server_paths.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 // Which way a daemon sends requests to backend servers: over connections of its own, or through a peer while
@@ -23,8 +22,6 @@
     Unreached, ///< no peer connected: the server itself is down
 };
 
-std::string_view nameOf(peer_reach value);
-
 /// A server that this daemon's connection attempts fail to reach.
 struct failing_path
 {
--- a/packages/serving/server_path_task.cpp
+++ b/packages/serving/server_path_task.cpp
@@ -284,11 +284,10 @@
 void server_path_task::onRelayBytes(const send_ptr &send, const std::string &bytes)
 {
     countBytes(*send, bytes.size());
+    send->relayBytes += bytes;
     if (send->relayStatus != relayedStatus) {
-        send->relayBytes += bytes; // the reason of a refusal
-        return;
+        return; // the bytes are the reason of a refusal
     }
-    send->relayBytes += bytes;
     bool valid = true;
     while (m_sends.count(send->id) != 0) {
         const auto part = takePart(send->relayBytes, valid);
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -461,12 +461,7 @@
         return;
     }
     store_change change;
-    for (const auto &[server, entry] : m_view.serverOwners) {
-        if (isOwn(entry.record) && change.puts.size() + change.expected.size() < maxEntriesPerChange) {
-            change.expected.emplace_back(detail::serverOwnerPrefix + server, entry.revision);
-            change.puts.push_back({detail::serverOwnerPrefix + server, encode(ownership_record{}), 0});
-        }
-    }
+    addReleases(change, detail::serverOwnerPrefix, m_view.serverOwners);
     if (change.puts.empty()) {
         return;
     }
@@ -490,24 +485,28 @@
     });
 }
 
+/// Adds the release of this daemon's ownership records to a change, as far as there is room in it.
+void store_task::addReleases(
+    store_change &change, const std::string &prefix, const ownership_map &owners) const
+{
+    for (const auto &[name, entry] : owners) {
+        if (isOwn(entry.record) && change.puts.size() + change.expected.size() < maxEntriesPerChange) {
+            change.expected.emplace_back(prefix + name, entry.revision);
+            change.puts.push_back({prefix + name,
+                &owners == &m_view.serverOwners ? encode(ownership_record{})
+                                                : encode(quota_home_record{{}, entry.predecessorExpired}),
+                0});
+        }
+    }
+}
+
 void store_task::releaseRecords()
 {
     m_leaving = true;
     store_change change;
     change.removes.push_back(detail::daemonPrefix + m_settings.node);
-    const auto release = [&](const std::string &prefix, const ownership_map &owners) {
-        for (const auto &[name, entry] : owners) {
-            if (isOwn(entry.record) && change.puts.size() + change.expected.size() < maxEntriesPerChange) {
-                change.expected.emplace_back(prefix + name, entry.revision);
-                change.puts.push_back({prefix + name,
-                    &owners == &m_view.serverOwners ? encode(ownership_record{})
-                                                    : encode(quota_home_record{{}, entry.predecessorExpired}),
-                    0});
-            }
-        }
-    };
-    release(detail::quotaHomePrefix, m_view.quotaHomes);
-    release(detail::serverOwnerPrefix, m_view.serverOwners);
+    addReleases(change, detail::quotaHomePrefix, m_view.quotaHomes);
+    addReleases(change, detail::serverOwnerPrefix, m_view.serverOwners);
     m_store.change(change, [this](store_status status, std::int64_t revision) {
         m_log.important("records.given_up")
             .add("outcome", status == store_status::Ok ? "done" : "not done")
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -192,6 +192,7 @@
     void maintainLease();
     void maintainCutOff();
     void releaseServers();
+    void addReleases(store_change &change, const std::string &prefix, const ownership_map &owners) const;
     void grantLease();
     void publish(const view_changed &change);
     bool ownsQuotaHome() const;
