Drop failed paths to servers that are gone, and ask peers elsewhere by their domain

Cause: an attempt that ended after its server's removal recorded a failing path that nothing dropped any more; while there is one, each new connection searches all servers. checkReach() copied the names of the whole failure domain for each peer that it asked elsewhere. Ruled out: pruning on each change of the view: it would be done far more often than attempts fail. Change: failures of servers that the view does not have are not recorded; nextRelay() takes which peers are meant. The path left behind has no effect that a test sees but time and memory; it was found by reading.

--- a/packages/serving/server_path_check.cpp
+++ b/packages/serving/server_path_check.cpp
@@ -71,6 +71,9 @@
 
 void server_path_task::onConnectFailed(const std::string &server)
 {
+    if (findServer(server) == nullptr) {
+        return; // removed during the attempt: nothing would drop its path any more
+    }
     recordConnectFailed(m_paths, server, bootNow());
     if (needsReachCheck(m_paths, server, bootNow())) {
         checkReach(server, {});
@@ -94,17 +97,9 @@
     }
     std::set<std::string> asked;
     for (std::size_t i = 0; i < peersAsked; ++i) {
-        // The first is of the own failure domain if possible, the others are not.
-        std::set<std::string> excluded = asked;
-        if (i > 0) {
-            for (const auto &[node, record] : m_store.view().daemons) {
-                if (record.failureDomain == m_settings.failureDomain) {
-                    excluded.insert(node);
-                }
-            }
-        }
-        const daemon_record *peer = nextRelay(server, excluded);
-        peer = peer == nullptr ? nextRelay(server, asked) : peer;
+        const relay_scope scope = i == 0 ? relay_scope::All : relay_scope::OtherDomains;
+        const daemon_record *peer = nextRelay(server, asked, scope);
+        peer = peer == nullptr ? nextRelay(server, asked, relay_scope::All) : peer;
         if (peer != nullptr) {
             asked.insert(peer->node);
             askPeer(*peer, server, check);
@@ -336,7 +331,9 @@
                 return;
             }
             // A cut can refuse connections too.
-            recordConnectFailed(m_paths, target.server, bootNow());
+            if (findServer(target.server) != nullptr) {
+                recordConnectFailed(m_paths, target.server, bootNow());
+            }
             checkReach(target.server, [done](bool reached) {
                 done(reached ? connect_result::Accepted : connect_result::Refused);
             });
--- a/packages/serving/server_path_task.cpp
+++ b/packages/serving/server_path_task.cpp
@@ -181,12 +181,12 @@
 /// The peer to send a request through, or null. Peers whose record has expired have lost the store, but may
 /// still reach servers; those and the ones that failed lately are used only if there is no other.
 const daemon_record *server_path_task::nextRelay(
-    const std::string &id, const std::set<std::string> &tried) const
+    const std::string &id, const std::set<std::string> &tried, relay_scope scope) const
 {
     const store_view &view = m_store.view();
     for (const auto &[daemons, evenFailed] : {std::pair(&view.daemons, false),
              std::pair(&view.expiredDaemons, false), std::pair(&view.daemons, true)}) {
-        if (const daemon_record *peer = chooseRelayOf(*daemons, evenFailed, id, tried)) {
+        if (const daemon_record *peer = chooseRelayOf(*daemons, evenFailed, id, tried, scope)) {
             return peer;
         }
     }
@@ -194,13 +194,14 @@
 }
 
 const daemon_record *server_path_task::chooseRelayOf(const daemon_map &daemons, bool evenFailed,
-    const std::string &id, const std::set<std::string> &tried) const
+    const std::string &id, const std::set<std::string> &tried, relay_scope scope) const
 {
     const millis now = bootNow();
     std::vector<const daemon_record *> peers;
     std::vector<relay_candidate> candidates;
     for (const auto &[node, record] : daemons) {
-        if (node == m_settings.node) {
+        const bool sameDomain = record.failureDomain == m_settings.failureDomain;
+        if (node == m_settings.node || (sameDomain && scope == relay_scope::OtherDomains)) {
             continue;
         }
         const auto failed = m_relayFailedAt.find(node);
@@ -208,9 +209,9 @@
         const bool backsOff =
             !evenFailed && failed != m_relayFailedAt.end() && now - failed->second < relayBackoff;
         peers.push_back(&record);
-        candidates.push_back({record.failureDomain == m_settings.failureDomain,
-            tried.count(node) != 0 || m_store.view().cutOffDaemons.count(node) != 0 || backsOff,
-            inFlight == m_relaysInFlight.end() ? 0 : inFlight->second, rendezvousScore(id, node)});
+        candidates.push_back(
+            {sameDomain, tried.count(node) != 0 || m_store.view().cutOffDaemons.count(node) != 0 || backsOff,
+                inFlight == m_relaysInFlight.end() ? 0 : inFlight->second, rendezvousScore(id, node)});
     }
     const auto chosen = chooseRelay(candidates);
     return chosen ? peers[*chosen] : nullptr;
@@ -219,8 +220,9 @@
 void server_path_task::startRelayed(const send_ptr &send)
 {
     const path_request &request = send->request;
-    const daemon_record *peer =
-        send->relaysTried.size() < maxRelaysTried ? nextRelay(request.id, send->relaysTried) : nullptr;
+    const daemon_record *peer = send->relaysTried.size() < maxRelaysTried
+        ? nextRelay(request.id, send->relaysTried, relay_scope::All)
+        : nullptr;
     const backend_server *server = findServer(request.server);
     const auto bytes = peer == nullptr || server == nullptr ? std::nullopt : request.write();
     if (!bytes) {
--- a/packages/serving/server_path_task.h
+++ b/packages/serving/server_path_task.h
@@ -94,6 +94,12 @@
     using send_ptr = std::shared_ptr<active_send>;
     using reach_callback = std::function<void(bool reached)>;
     struct reach_check;
+    /// Which peers are considered.
+    enum class relay_scope : std::uint8_t
+    {
+        All,
+        OtherDomains, ///< than this daemon's failure domain
+    };
     struct relayed_request;
 
     void onConnectAttempt(const peer_address &to, bool connected);
@@ -107,9 +113,10 @@
     void onRelayEnd(const send_ptr &send, send_result result, const error &why);
     void end(const send_ptr &send, send_result result, const error &why);
     void endLater(const send_ptr &send, send_result result, const error &why);
-    const daemon_record *nextRelay(const std::string &id, const std::set<std::string> &tried) const;
+    const daemon_record *nextRelay(
+        const std::string &id, const std::set<std::string> &tried, relay_scope scope) const;
     const daemon_record *chooseRelayOf(const daemon_map &daemons, bool evenFailed, const std::string &id,
-        const std::set<std::string> &tried) const;
+        const std::set<std::string> &tried, relay_scope scope) const;
     void onRelaySlow(const send_ptr &send);
     void releaseRelay(active_send &send);
     void checkReach(const std::string &server, reach_callback done);
