Cut links in tests with the proxy that was there

Cause: cut_link forwarded connections as fault_proxy did, with faults of its own, and a third copy of the loopback address. Ruled out: both side by side: they differed in the faults alone. Change: fault_proxy, now in tests/serving, also hangs, refuses, and refuses only new connections, and keeps its port; cut_link is gone. loopbackAddress() stands once. All assertions are as they were.

--- a/tests/serving/edge_cut_test.cpp
+++ b/tests/serving/edge_cut_test.cpp
@@ -20,10 +20,9 @@
 /// Of `attempts`; the rule allows one in fifty, and ten more that a short test must not use up.
 constexpr int maxFailures = 0;
 
-std::string nameOfCut(link_cut cut)
+std::string nameOfCut(link_fault cut)
 {
-    static constexpr const char *names[] = {"None", "Hangs", "Resets", "RefusesNew"};
-    return names[static_cast<std::size_t>(cut)];
+    return cut == link_fault::Hangs ? "Hangs" : cut == link_fault::Refused ? "Refused" : "RefusesNew";
 }
 
 class edge_cut_test : public edge_fleet_test
@@ -71,7 +70,7 @@
 
 struct cut_case
 {
-    link_cut cut = link_cut::None;
+    link_fault cut = link_fault::None;
     const char *path = "";
     bool model = false;
 };
@@ -100,12 +99,13 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(EachKind, cut_kinds_test,
-    testing::Values(cut_case{link_cut::Hangs, "/once/x", false}, cut_case{link_cut::Hangs, "/safe/x", false},
-        cut_case{link_cut::Hangs, "/gen/x", true}, cut_case{link_cut::Hangs, "/resume/x", true},
-        cut_case{link_cut::Resets, "/once/x", false}, cut_case{link_cut::Resets, "/safe/x", false},
-        cut_case{link_cut::Resets, "/gen/x", true}, cut_case{link_cut::Resets, "/resume/x", true},
-        cut_case{link_cut::RefusesNew, "/once/x", false}, cut_case{link_cut::RefusesNew, "/safe/x", false},
-        cut_case{link_cut::RefusesNew, "/gen/x", true}, cut_case{link_cut::RefusesNew, "/resume/x", true}),
+    testing::Values(cut_case{link_fault::Hangs, "/once/x", false},
+        cut_case{link_fault::Hangs, "/safe/x", false}, cut_case{link_fault::Hangs, "/gen/x", true},
+        cut_case{link_fault::Hangs, "/resume/x", true}, cut_case{link_fault::Refused, "/once/x", false},
+        cut_case{link_fault::Refused, "/safe/x", false}, cut_case{link_fault::Refused, "/gen/x", true},
+        cut_case{link_fault::Refused, "/resume/x", true}, cut_case{link_fault::RefusesNew, "/once/x", false},
+        cut_case{link_fault::RefusesNew, "/safe/x", false}, cut_case{link_fault::RefusesNew, "/gen/x", true},
+        cut_case{link_fault::RefusesNew, "/resume/x", true}),
     [](const testing::TestParamInfo<cut_case> &each) {
         std::string name = each.param.path;
         std::erase(name, '/');
@@ -118,7 +118,7 @@
     start();
     startPeer("n2", "z");
     ASSERT_FALSE(isOwnedByPeers("m-1"));
-    setCut(m_links, link_cut::Hangs);
+    setCut(m_links, link_fault::Hangs);
     runTraffic(contactTime);
     ASSERT_TRUE(runUntil([this] {
         return isOwnedByPeers("m-1") && isOwnedByPeers("m-2");
@@ -134,11 +134,11 @@
     setServerTime({400});
     startPeer("n2", "z");
     for (int i = 0; i < 4; ++i) {
-        setCut(m_links, link_cut::None);
+        setCut(m_links, link_fault::None);
         runRounds(1'200);
         const auto caller = sendRequest("/safe/x");
         runRounds(150);
-        setCut(m_links, link_cut::Resets);
+        setCut(m_links, link_fault::Refused);
         std::string received;
         EXPECT_TRUE(runUntil([&] {
             return !caller->receive(received);
@@ -157,8 +157,8 @@
     startPeer("n2", "z");
     ASSERT_EQ(countFailures("/safe/x", "", concurrency), 0);
     for (const char *id : {"m-1", "p-1"}) {
-        m_links.at(id)->setCut(link_cut::Resets);
-        m_peers[0]->links.at(id)->setCut(link_cut::Resets);
+        m_links.at(id)->setFault(link_fault::Refused);
+        m_peers[0]->links.at(id)->setFault(link_fault::Refused);
     }
     runTraffic({2'000});
     EXPECT_LE(countFailures("/safe/x", "", attempts), maxFailures);
@@ -190,13 +190,13 @@
     startPeer("n2", "z");
     for (int i = 0; i < 3; ++i) {
         for (const char *id : {"m-1", "p-1"}) {
-            m_links.at(id)->setCut(link_cut::Hangs);
-            m_peers[0]->links.at(id)->setCut(link_cut::Hangs);
+            m_links.at(id)->setFault(link_fault::Hangs);
+            m_peers[0]->links.at(id)->setFault(link_fault::Hangs);
         }
         runTraffic({1'000});
         for (const char *id : {"m-1", "p-1"}) {
-            m_links.at(id)->setCut(link_cut::None);
-            m_peers[0]->links.at(id)->setCut(link_cut::None);
+            m_links.at(id)->setFault(link_fault::None);
+            m_peers[0]->links.at(id)->setFault(link_fault::None);
         }
         runTraffic({800});
     }
@@ -213,8 +213,8 @@
     startPeer("n2", "z");
     startPeer("n3", "y");
     ASSERT_EQ(countFailures("/once/x", "", concurrency), 0);
-    setCut(m_links, link_cut::Hangs);
-    setCut(m_peers[0]->links, link_cut::Hangs);
+    setCut(m_links, link_fault::Hangs);
+    setCut(m_peers[0]->links, link_fault::Hangs);
     runTraffic(contactTime);
     const double accepted = metric(m_peers[0]->settings, "relayed_for_peers_total");
     EXPECT_LE(countFailures("/once/x", "", attempts), maxFailures);
@@ -230,11 +230,12 @@
     start();
     setServerTime(serverTime);
     startPeer("n2", "z");
-    for (const link_cut cut : {link_cut::Hangs, link_cut::Resets, link_cut::RefusesNew, link_cut::Hangs}) {
+    for (const link_fault cut :
+        {link_fault::Hangs, link_fault::Refused, link_fault::RefusesNew, link_fault::Hangs}) {
         setCut(m_links, cut);
         runTraffic(contactTime);
         EXPECT_LE(countFailures("/once/x", "", concurrency), maxFailures) << nameOfCut(cut);
-        setCut(m_links, link_cut::None);
+        setCut(m_links, link_fault::None);
         runTraffic({2'500});
         EXPECT_EQ(metric(m_settings, "cut_off_from_servers"), 0) << nameOfCut(cut);
         const double relayed = metric(m_settings, "relayed_total{domain=\"same\"}");
@@ -259,7 +260,7 @@
     }));
     runRounds(100);
     setBehavior(m_models, backend_standin::behavior::Serves);
-    setCut(m_links, link_cut::Hangs);
+    setCut(m_links, link_fault::Hangs);
     EXPECT_TRUE(runUntil([&] {
         return !caller->receive(received);
     }));
@@ -279,8 +280,8 @@
 {
     start();
     startPeer("n2", "z");
-    setCut(m_links, link_cut::Resets);
-    setCut(m_peers[0]->links, link_cut::Resets);
+    setCut(m_links, link_fault::Refused);
+    setCut(m_peers[0]->links, link_fault::Refused);
     runTraffic({1'000});
     const millis from = bootNow();
     const std::string received = responseTo("/once/x");
@@ -296,7 +297,7 @@
     start();
     startPeer("n2", "z");
     startPeer("n3", "y");
-    setCut(m_links, link_cut::Resets);
+    setCut(m_links, link_fault::Refused);
     runTraffic({1'000});
     ASSERT_EQ(metric(m_settings, "cut_off_from_servers"), 1);
     const backend_standin &server = *m_plain[0];
--- a/tests/serving/edge_fleet_fixture.h
+++ b/tests/serving/edge_fleet_fixture.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "protocol/codec.h"
-#include "serving/cut_link.h"
 #include "serving/edge_fixture.h"
+#include "serving/fault_proxy.h"
 #include "serving/remapped_store.h"
 
 #include <algorithm>
@@ -27,14 +27,14 @@
     decision_log log;
     node_settings settings;
     edge_dependencies dependencies;
-    std::map<std::string, std::unique_ptr<cut_link>> links; ///< by server
+    std::map<std::string, std::unique_ptr<fault_proxy>> links; ///< by server
     std::unique_ptr<edge_daemon> daemon;
 };
 
-inline void setCut(const std::map<std::string, std::unique_ptr<cut_link>> &links, link_cut cut)
+inline void setCut(const std::map<std::string, std::unique_ptr<fault_proxy>> &links, link_fault cut)
 {
     for (const auto &[id, link] : links) {
-        link->setCut(cut);
+        link->setFault(cut);
     }
 }
 
@@ -43,7 +43,7 @@
 {
 protected:
     remapped_store m_remapped{m_client};
-    std::map<std::string, std::unique_ptr<cut_link>> m_links; ///< of n1, by server
+    std::map<std::string, std::unique_ptr<fault_proxy>> m_links; ///< of n1, by server
     std::vector<std::unique_ptr<peer_daemon>> m_peers;
 
     edge_fleet_test()
@@ -54,11 +54,11 @@
             openLinks(m_links, m_remapped);
         };
     }
-    void openLinks(std::map<std::string, std::unique_ptr<cut_link>> &links, remapped_store &view)
+    void openLinks(std::map<std::string, std::unique_ptr<fault_proxy>> &links, remapped_store &view)
     {
         for (const auto *servers : {&m_models, &m_plain}) {
             for (const auto &server : *servers) {
-                links[server->id] = std::make_unique<cut_link>(m_loop, server->port);
+                links[server->id] = std::make_unique<fault_proxy>(m_loop, server->port);
                 view.ports[server->port] = links[server->id]->port();
             }
         }
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/serving/fault_proxy.cpp
@@ -1,4 +1,6 @@
-#include "soak/fault_proxy.h"
+#include "serving/fault_proxy.h"
+
+#include "unit/free_port.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -10,23 +12,25 @@
 #include <stdexcept>
 #include <vector>
 
-namespace briarhead::soak {
+namespace briarhead {
 
 namespace {
 
 constexpr int eventRead = 1;
-constexpr int backlog = 64;
+constexpr int openBacklog = 64;
+/// More than a listen queue of length 0 holds.
+constexpr int connectionsToFillQueue = 4;
 constexpr millis delay{250};
 /// A socket that takes no more is tried again after this long.
 constexpr millis flushAgain{5};
 
-sockaddr_in loopbackAddress(std::uint16_t port)
+int connectTo(std::uint16_t port, bool &failed)
 {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = http_testing::loopbackAddress(port);
+    const int connected = connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+    failed = connected != 0 && errno != EINPROGRESS;
+    return fd;
 }
 
 }
@@ -46,28 +50,72 @@
     : m_loop(eventLoop)
     , m_target(target)
 {
-    m_listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    sockaddr_in address = loopbackAddress(0);
+    m_reserved = bindPort();
+    listenOnPort(openBacklog);
+}
+
+fault_proxy::~fault_proxy()
+{
+    const auto pipes = m_pipes;
+    for (const auto &one : pipes) {
+        close(one, false);
+    }
+    closeListener();
+    ::close(m_reserved);
+}
+
+/// Returns a socket bound to the port, or to a free one if there is none yet. Several sockets may have it.
+int fault_proxy::bindPort()
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int enabled = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &enabled, sizeof(enabled));
+    sockaddr_in address = http_testing::loopbackAddress(m_port);
     socklen_t length = sizeof(address);
-    const bool listens = bind(m_listener, reinterpret_cast<const sockaddr *>(&address), length) == 0
-        && listen(m_listener, backlog) == 0
-        && getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &length) == 0;
-    if (!listens) {
-        throw std::runtime_error("a proxy can't listen on the loopback");
+    if (bind(fd, reinterpret_cast<const sockaddr *>(&address), length) != 0
+        || getsockname(fd, reinterpret_cast<sockaddr *>(&address), &length) != 0) {
+        throw std::runtime_error("a proxy can't bind a port of the loopback interface");
     }
     m_port = ntohs(address.sin_port);
+    return fd;
+}
+
+void fault_proxy::listenOnPort(int backlog)
+{
+    closeListener();
+    m_listener = bindPort();
+    if (listen(m_listener, backlog) != 0) {
+        throw std::runtime_error("a proxy can't listen on the loopback interface");
+    }
+    if (backlog == 0) {
+        fillListenQueue();
+        return;
+    }
     m_watch = m_loop.watch(m_listener, eventRead, [this](int) {
         accept();
     });
 }
 
-fault_proxy::~fault_proxy()
+void fault_proxy::closeListener()
 {
-    const auto pipes = m_pipes;
-    for (const auto &one : pipes) {
-        close(one, false);
+    m_watch.reset();
+    for (const int fd : m_queued) {
+        ::close(fd);
+    }
+    m_queued.clear();
+    if (m_listener >= 0) {
+        ::close(m_listener);
+    }
+    m_listener = -1;
+}
+
+void fault_proxy::fillListenQueue()
+{
+    for (int i = 0; i < connectionsToFillQueue; ++i) {
+        bool failed = false;
+        m_queued.push_back(connectTo(m_port, failed));
     }
-    ::close(m_listener);
 }
 
 std::uint16_t fault_proxy::port() const
@@ -80,10 +128,23 @@
     m_fault = fault;
     const auto pipes = m_pipes;
     for (const auto &one : pipes) {
-        if (fault == link_fault::Reset || one->lostBytes) {
+        if (fault == link_fault::Reset || fault == link_fault::Refused || one->lostBytes) {
             close(one, true);
         }
     }
+    switch (fault) {
+    case link_fault::Hangs:
+        listenOnPort(0);
+        return;
+    case link_fault::Refused:
+    case link_fault::RefusesNew:
+        closeListener();
+        return;
+    default:
+        if (!m_watch) {
+            listenOnPort(openBacklog);
+        }
+    }
 }
 
 void fault_proxy::accept()
@@ -93,11 +154,10 @@
         return;
     }
     const auto one = std::make_shared<pipe>();
-    one->fds = {fd, socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+    bool failed = false;
+    one->fds = {fd, connectTo(m_target, failed)};
     m_pipes.push_back(one);
-    const sockaddr_in address = loopbackAddress(m_target);
-    const int connected = connect(one->fds[1], reinterpret_cast<const sockaddr *>(&address), sizeof(address));
-    if (m_fault == link_fault::Reset || (connected != 0 && errno != EINPROGRESS)) {
+    if (m_fault == link_fault::Reset || failed) {
         close(one, true);
         return;
     }
@@ -122,7 +182,8 @@
         close(one, got < 0);
         return;
     }
-    if (m_fault == link_fault::Silent || (m_fault == link_fault::NoAnswers && !fromCaller)) {
+    if (m_fault == link_fault::Silent || m_fault == link_fault::Hangs
+        || (m_fault == link_fault::NoAnswers && !fromCaller)) {
         one->lostBytes = true;
         return;
     }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -12,7 +12,7 @@
 {
     for (std::size_t i = 0; i < failureDomains; ++i) {
         m_storeServers.push_back(std::make_unique<store_standin>(m_store));
-        m_cuts.push_back(link_cut::None);
+        m_cuts.push_back(link_fault::None);
     }
     m_servers.reserve(options.modelServers + options.plainServers); // callbacks refer to them
     for (std::size_t i = 0; i < options.modelServers + options.plainServers; ++i) {
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -14,8 +14,8 @@
     server.proxy = std::make_unique<fault_proxy>(m_loop, server.standin->port);
     server.standin->advertisedPort = server.proxy->port();
     for (std::size_t i = 0; i < failureDomains; ++i) {
-        server.links.push_back(std::make_unique<cut_link>(m_loop, server.proxy->port()));
-        server.links.back()->setCut(m_cuts[i]);
+        server.links.push_back(std::make_unique<fault_proxy>(m_loop, server.proxy->port()));
+        server.links.back()->setFault(m_cuts[i]);
         m_storeServers[i]->view.ports[server.proxy->port()] = server.links.back()->port();
     }
     server.standin->fatalBody = fatalBody;
@@ -184,8 +184,8 @@
 
 void soak_run::cutDomain(const cut_plan &cut)
 {
-    static constexpr link_cut variants[] = {link_cut::Hangs, link_cut::Resets, link_cut::RefusesNew};
-    if (m_healed || m_cuts[cut.domain] != link_cut::None) {
+    static constexpr link_fault variants[] = {link_fault::Hangs, link_fault::Refused, link_fault::RefusesNew};
+    if (m_healed || m_cuts[cut.domain] != link_fault::None) {
         return;
     }
     m_cuts[cut.domain] = variants[cut.variant % std::size(variants)];
@@ -195,7 +195,7 @@
     m_report.faults.push_back(line.str());
     for (served_server &server : m_servers) {
         if (!server.links.empty()) {
-            server.links[cut.domain]->setCut(m_cuts[cut.domain]);
+            server.links[cut.domain]->setFault(m_cuts[cut.domain]);
         }
     }
     m_witness.disturbed(bootNow() + cut.lasts);
@@ -211,10 +211,10 @@
 
 void soak_run::endCut(std::size_t domain)
 {
-    m_cuts[domain] = link_cut::None;
+    m_cuts[domain] = link_fault::None;
     for (served_server &server : m_servers) {
         if (!server.links.empty()) {
-            server.links[domain]->setCut(link_cut::None);
+            server.links[domain]->setFault(link_fault::None);
         }
     }
 }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "serving/backend_standin.h"
-#include "serving/cut_link.h"
+#include "serving/fault_proxy.h"
 #include "serving/store_standin.h"
 #include "soak/daemon_process.h"
-#include "soak/fault_proxy.h"
 #include "soak/soak.h"
 #include "soak/soak_plan.h"
 #include "soak/witness.h"
@@ -63,7 +62,7 @@
     int starts = 0;
     std::unique_ptr<backend_standin> standin;
     std::unique_ptr<fault_proxy> proxy;
-    std::vector<std::unique_ptr<cut_link>> links; ///< to the proxy, by failure domain
+    std::vector<std::unique_ptr<fault_proxy>> links; ///< to the proxy, by failure domain
 };
 
 /// A server that has ended has no behavior, and no bytes reach it.
@@ -130,7 +129,7 @@
     std::vector<served_server> m_servers;
     std::vector<std::unique_ptr<fault_proxy>> m_storeLinks; ///< by daemon
     std::vector<daemon_process> m_daemons;
-    std::vector<link_cut> m_cuts; ///< of each failure domain from all servers
+    std::vector<link_fault> m_cuts; ///< of each failure domain from all servers
     std::vector<std::shared_ptr<void>> m_timers;
     witness m_witness;
     soak_report m_report;
--- a/tests/unit/http_fixture.h
+++ b/tests/unit/http_fixture.h
@@ -26,15 +26,6 @@
 inline constexpr std::size_t bodyLimit = 100'000;
 inline constexpr auto loopback = "127.0.0.1";
 
-inline sockaddr_in loopbackAddress(std::uint16_t port)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    inet_pton(AF_INET, loopback, &address.sin_addr);
-    return address;
-}
-
 /// A plain TCP socket, for tests that send what an HTTP client would not.
 class raw_socket
 {
