Test relays and brittle servers at the sizes of fleets

Cause: how relays spread over peers, what they add in bytes, and the bound on rejections were tested without regard to the number of daemons. Change: chooseRelay() at 80, 300 and 1,200 daemons with one daemon, half, all but one or all of a failure domain cut off, held against maxRelayed, which moves beside the decision; bytes of a relayed request and of the parts of its response; a server's owner with 6, 70 and 1,200 daemons.

--- a/packages/scheduling/server_paths.h
+++ b/packages/scheduling/server_paths.h
@@ -68,6 +68,10 @@
 /// Whether the link to the server is known to be cut, so that it has to be tried again now and then.
 bool isCut(const server_paths &paths, const std::string &server);
 
+/// Requests of peers that a daemon relays at once, so that one whose neighbours are cut off can still serve
+/// its own callers.
+constexpr std::size_t maxRelayed = 128;
+
 /// A peer that may relay a request.
 struct relay_candidate
 {
--- a/packages/serving/server_path_relay.cpp
+++ b/packages/serving/server_path_relay.cpp
@@ -7,14 +7,6 @@
 // Relays requests of peers, and tells them which servers are reached from here.
 namespace briarhead {
 
-namespace {
-
-/// Requests of peers relayed at once, so that a daemon whose neighbours are cut off can still serve its own
-/// callers.
-constexpr std::size_t maxRelayed = 128;
-
-}
-
 /// A request of a peer, from its arrival until the end of its response.
 struct server_path_task::relayed_request
 {
--- a/tests/scheduling/brittle_server_test.cpp
+++ b/tests/scheduling/brittle_server_test.cpp
@@ -1,10 +1,13 @@
 #include "scheduling/server_limit.h"
+#include "scheduling/slot_scheduler.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
 #include <deque>
+#include <limits>
+#include <string>
 #include <vector>
 
 namespace briarhead {
@@ -98,4 +101,91 @@
     EXPECT_EQ(roomLeft(permits, 0, 10, millis{1'999}), 0U) << "running requests aren't known yet";
 }
 
+namespace {
+
+struct sent_request
+{
+    std::string id;
+    std::string entry;
+    millis endsAt;
+    bool rejected = false;
+};
+
+/// The most rejections of a brittle plain server within a second, while `daemons` daemons together ask for
+/// twice what it bears, and it loses half of its room after a second.
+std::size_t mostRejections(std::size_t daemons, std::int64_t maxRejections)
+{
+    constexpr int slots = 6;
+    constexpr millis serviceTime{60};
+    constexpr millis reportTime{10};
+    constexpr millis step{5};
+    slot_scheduler scheduler;
+    scheduler.plain = true;
+    scheduler.serverSlots = slots;
+    scheduler.ledger.server = "p-1";
+    scheduler.queue.maxRunning = std::numeric_limits<int>::max();
+    applyLimit(scheduler.limit, unlimitedPerSecond, millis{1}, millis{1});
+    std::vector<sent_request> atServer;
+    std::deque<millis> rejections;
+    std::size_t most = 0;
+    std::size_t asked = 0;
+    for (millis now{1'000}; now < millis{5'000}; now = now + step) {
+        const int room = now < millis{2'000} ? slots : slots / 2;
+        for (; asked < static_cast<std::size_t>((now.count - 1'000) / step.count); ++asked) {
+            slot_request request;
+            request.id = "r" + std::to_string(asked);
+            request.server = "p-1";
+            request.waitMs = 200;
+            request.deadlineMs = 1'000;
+            request.targetMs = 300;
+            slot_terms terms;
+            terms.maxRejections = maxRejections;
+            handleSlotRequest(scheduler, "n" + std::to_string(asked % daemons), request, now, terms);
+        }
+        std::erase_if(atServer, [&](const sent_request &each) {
+            if (each.endsAt + reportTime > now) {
+                return false;
+            }
+            if (each.rejected) {
+                onRejection(scheduler, each.id, now);
+                onRejection(scheduler, each.id, now);
+            } else {
+                onRequestEvent(scheduler, {each.id, "p-1", slot_event::Ended}, now);
+            }
+            return true;
+        });
+        for (const addressed_response &each : dueResponses(scheduler, now)) {
+            if (each.response.decision != slot_decision::Granted) {
+                continue;
+            }
+            const auto working = std::count_if(atServer.begin(), atServer.end(), [now](const auto &other) {
+                return !other.rejected && other.endsAt > now;
+            });
+            const bool rejected = working >= room;
+            atServer.push_back({each.response.id, each.entry, rejected ? now : now + serviceTime, rejected});
+            if (rejected) {
+                rejections.push_back(now);
+            }
+        }
+        while (!rejections.empty() && now - rejections.front() >= window) {
+            rejections.pop_front();
+        }
+        most = std::max(most, rejections.size());
+    }
+    return most;
+}
+
+}
+
+/// Guards against a bound on rejections that grows with the number of daemons that send to the server.
+TEST(BrittleServer, AllDaemonsTogetherStayBelowTheBoundAtEachFleetSize)
+{
+    constexpr std::int64_t maxRejections = 8;
+    for (const std::size_t daemons : {6U, 70U, 1'200U}) {
+        const std::size_t most = mostRejections(daemons, maxRejections);
+        EXPECT_LT(most, static_cast<std::size_t>(maxRejections)) << daemons << " daemons";
+        EXPECT_GT(most, 0U) << "the server has to reject something for the test to show anything";
+    }
+}
+
 }
--- a/tests/scheduling/server_paths_test.cpp
+++ b/tests/scheduling/server_paths_test.cpp
@@ -1,8 +1,15 @@
+#include "coordination/rendezvous.h"
+#include "protocol/codec.h"
 #include "scheduling/server_paths.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
 namespace briarhead {
 
 namespace {
@@ -125,4 +132,76 @@
     }
 }
 
+namespace {
+
+/// Requests that a daemon has in flight at letter 1's size: 34 a second, half a second each.
+constexpr int requestsInFlight = 17;
+constexpr std::size_t failureDomains = 8;
+
+/// The most requests that one peer relays, if the first `cut` daemons of a failure domain are cut off and
+/// have all their requests relayed. Each of them knows its own requests only.
+int mostRelayedByOnePeer(std::size_t daemons, std::size_t cut)
+{
+    const std::size_t perDomain = daemons / failureDomains;
+    std::vector<int> relayed(daemons);
+    for (std::size_t self = 0; self < cut; ++self) {
+        std::vector<relay_candidate> candidates(daemons);
+        for (std::size_t peer = 0; peer < daemons; ++peer) {
+            candidates[peer].sameDomain = peer < perDomain;
+            candidates[peer].excluded = peer < cut;
+        }
+        for (int i = 0; i < requestsInFlight; ++i) {
+            for (std::size_t peer = 0; peer < daemons; ++peer) {
+                candidates[peer].tieBreak =
+                    rendezvousScore(std::to_string(self) + '/' + std::to_string(i), std::to_string(peer));
+            }
+            const std::size_t chosen = chooseRelay(candidates).value();
+            ++candidates[chosen].inFlight;
+            ++relayed[chosen];
+        }
+    }
+    return *std::max_element(relayed.begin(), relayed.end());
+}
+
+}
+
+/// Guards against peers that have to refuse the requests of cut off daemons, in fleets of each size.
+TEST(ServerPaths, NoPeerRelaysMoreThanItMayWhileAFailureDomainIsCut)
+{
+    for (const std::size_t daemons : {80U, 300U, 1'200U}) {
+        const std::size_t perDomain = daemons / failureDomains;
+        for (const std::size_t cut : {std::size_t{1}, perDomain / 2, perDomain - 1, perDomain}) {
+            const int most = mostRelayedByOnePeer(daemons, cut);
+            std::printf(
+                "%zu daemons, %zu of a domain of %zu cut off: one peer relays up to %d of %d requests\n",
+                daemons, cut, perDomain, most, static_cast<int>(cut) * requestsInFlight);
+            EXPECT_LE(most, static_cast<int>(maxRelayed)) << daemons << " daemons, " << cut << " cut off";
+        }
+    }
+}
+
+/// Guards against relayed requests that cost more bytes than the request itself and a little.
+TEST(ServerPaths, RelayAddsFewBytesToARequest)
+{
+    const std::string request(1'000, 'x');
+    const relay_request relayed{
+        "9c41d07be2a35f68", "i-7f3a91c2", "i-7f3a91c2@1776964554472", true, false, 5'000, request};
+    const std::size_t added = encode(relayed).size() - request.size();
+    relay_head head{200, "OK", {}};
+    std::size_t fields = 0;
+    for (const char *name : {"X-Request-Id", "Content-Type", "Transfer-Encoding"}) {
+        head.fields.emplace_back(name, "text/event-stream");
+        fields += std::string(name).size() + std::string("text/event-stream").size();
+    }
+    const std::size_t addedToHead = frame(head).size() - fields;
+    const std::size_t addedToPart = frame(relay_body{request}).size() - request.size();
+    const std::size_t end = frame(relay_end{true, ""}).size();
+    std::printf("bytes that a relay adds: request %zu, head %zu, part %zu, end %zu\n", added, addedToHead,
+        addedToPart, end);
+    EXPECT_LE(added, 128U);
+    EXPECT_LE(addedToHead, 64U);
+    EXPECT_LE(addedToPart, 16U);
+    EXPECT_LE(end, 16U);
+}
+
 }
