--- a/tests/serving/edge_cut_test.cpp
+++ b/tests/serving/edge_cut_test.cpp
@@ -275,6 +275,22 @@
     EXPECT_EQ(events(received), events(whole));
 }
 
+/// Guards against a request that waits for its deadline on a connection over a link that is known to be cut.
+TEST_F(edge_cut_test, RepeatableRequestInFlightIsRepeatedThroughAPeer)
+{
+    start();
+    setServerTime({600});
+    startPeer("n2", "z");
+    const auto caller = sendRequest("/safe/x");
+    runRounds(150);
+    setCut(m_links, link_fault::Hangs);
+    std::string received;
+    EXPECT_TRUE(runUntil([&] {
+        return !caller->receive(received);
+    }));
+    EXPECT_EQ(statusOf(received), "200");
+}
+
 /// Guards against requests that wait until their deadline although no daemon reaches a server.
 TEST_F(edge_cut_test, RequestsAreRefusedAtOnceWhereNoPeerReachesTheServers)
 {
