Log how servers frame their responses, and what is left of an event

Cause: the lines of a cut answer that was taken for whole don't say how the server framed it, nor whether part of an event was held back at its end, which is what the hypotheses differ in. Change: framingOf() of a response's head; `framing` and `rest_bytes` in request.ended and request.broken. Measured: not measured; no decision reads them.

--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -77,6 +77,7 @@
     bool headSent = false; ///< the response head has been sent to the caller
     bool firstEventReceived = false; ///< from the server of the latest send
     event_stream eventStream;
+    std::size_t restBytes = 0; ///< of an incomplete event, when the latest send ended
     millis lastEventAt; ///< when the server last sent anything
     millis sentAt;
     bool isTimed = false; ///< the latest send counts towards its plain server's response times
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -177,6 +177,7 @@
     const std::string server = pending->server;
     pending->activeSend.reset();
     pending->inactivityTimer.reset();
+    pending->restBytes = pending->eventStream.partial.size();
     --m_inFlight[server];
     const bool answered = end == send_result::Complete
         && (pending->responseMeta.signedByServer || pending->responseMeta.notExecuted);
@@ -237,6 +238,8 @@
         .add("status", pending->responseHead.status)
         .add("begun", pending->headSent ? 1 : 0)
         .add("last_event", pending->eventStream.lastId)
+        .add("framing", framingName(*pending))
+        .add("rest_bytes", static_cast<std::int64_t>(pending->restBytes))
         .add("why", why.detail.empty() ? "the response is not signed by the server" : why.detail);
     pending->eventStream.partial.clear();
     pending->responseHead = {};
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -388,6 +388,8 @@
         .add("outcome", outcome)
         .add("server", pending->server)
         .add("status", pending->responseHead.status)
+        .add("framing", framingName(*pending))
+        .add("rest_bytes", static_cast<std::int64_t>(pending->restBytes))
         .add("route", pending->matchedRoute == nullptr ? std::string() : pending->matchedRoute->name)
         .add("prompt_tokens", pending->request.promptTokens)
         .add("place_ms", pending->slotWait)
@@ -406,6 +408,14 @@
     m_requests.erase(pending->number);
 }
 
+/// How the server framed its latest response, for the log; empty without one.
+std::string_view front_task::framingName(const pending_request &pending)
+{
+    return pending.responseHead.status == 0
+        ? std::string_view()
+        : nameOf(framingOf(pending.responseHead, pending.request.head.method == "HEAD"));
+}
+
 bool front_task::knowsAnyOwner() const
 {
     return !m_observed.empty();
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -23,6 +23,7 @@
 #include "state/latency.h"
 #include "transport/backend_pool.h"
 #include "transport/front_server.h"
+#include "transport/response_end.h"
 
 #include <cstdint>
 #include <map>
@@ -30,6 +31,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace briarhead {
 
@@ -175,6 +177,7 @@
     void refuse(const request_ptr &pending, const char *reason, millis retryAfter, int status = 503);
     void fail(const request_ptr &pending, int status, const char *reason);
     void finish(const request_ptr &pending, const std::string &outcome);
+    static std::string_view framingName(const pending_request &pending);
     void abandonServer(const request_ptr &pending, slot_event event);
     void announceRunning(const std::string &server, const std::string &orderer);
     void notifyOwner(const pending_request &pending, slot_event event);
