Test that cut responses are never framed as complete, failing

Change: response_end_test: three real daemons, servers that frame responses by length, chunks or the connection, cut them at each byte and end them in order or by a reset; four kinds of request, HTTP/1.0 callers. For its stand-ins front_reply can begin a response with any framing, and reset its connection; daemons use neither yet.

--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -141,7 +141,7 @@
     if (pending->streaming && !pending->headSent) {
         pending->headSent = true;
         record(m_counters.firstResponse, static_cast<double>((bootNow() - pending->arrived).count));
-        pending->reply->begin(head.status, m_codec.responseFields(head));
+        pending->reply->begin(head.status, m_codec.responseFields(head), body_framing::Chunked);
     }
     return true;
 }
--- a/packages/serving/server_path_relay.cpp
+++ b/packages/serving/server_path_relay.cpp
@@ -21,7 +21,7 @@
     {
         if (!begun) {
             begun = true;
-            reply->begin(relayedStatus, {});
+            reply->begin(relayedStatus, {}, body_framing::Chunked);
         }
         reply->write(frame(part));
     }
--- a/packages/transport/front_server.cpp
+++ b/packages/transport/front_server.cpp
@@ -75,6 +75,13 @@
     return hostFields == 1;
 }
 
+/// Whether closing the socket, also by the end of the process, resets the connection.
+void setResetOnClose(int fd, bool resets)
+{
+    const linger option{resets ? 1 : 0, 0};
+    (void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 enum class connection_phase : std::uint8_t
 {
     Reading,
@@ -103,6 +110,7 @@
     bool closeAfterResponse = false;
     bool isHeadRequest = false;
     bool isHttp10Request = false;
+    body_framing framing = body_framing::Length; ///< of the response in progress
     bool sentContinue = false; ///< "100 Continue" was sent for the current request
     std::uint64_t requestNumber = 0; ///< number of the current request on this connection
     std::function<void()> onDisconnect;
@@ -232,17 +240,19 @@
         m_server->startResponse(
             *connection, head, connection->isHeadRequest ? std::string_view{} : body, true);
     }
-    void begin(int status, const std::vector<http_field> &fields) override
+    void begin(int status, const std::vector<http_field> &fields, body_framing framing) override
     {
         auto connection = current();
         if (!connection || connection->phase != connection_phase::Handling) {
             return;
         }
-        if (connection->isHttp10Request) {
+        const bool unsupported = connection->isHttp10Request && framing == body_framing::Chunked;
+        connection->framing = unsupported ? body_framing::Connection : framing;
+        if (connection->framing == body_framing::Connection) {
             connection->closeAfterResponse = true;
         }
         std::string head = m_server->headText(*connection, status, fields);
-        head += connection->isHttp10Request ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
+        head += connection->framing == body_framing::Chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
         m_server->startResponse(*connection, head, {}, false);
     }
     void write(std::string_view bytes) override
@@ -252,7 +262,7 @@
             || connection->isHeadRequest) {
             return;
         }
-        if (connection->isHttp10Request) {
+        if (connection->framing != body_framing::Chunked) {
             m_server->append(*connection, bytes);
             return;
         }
@@ -268,7 +278,7 @@
         if (!connection || connection->phase != connection_phase::Streaming) {
             return;
         }
-        if (!connection->isHttp10Request && !connection->isHeadRequest) {
+        if (connection->framing == body_framing::Chunked && !connection->isHeadRequest) {
             m_server->append(*connection, "0\r\n\r\n");
         }
         m_server->finishResponse(*connection);
@@ -279,6 +289,13 @@
             m_server->close(*connection);
         }
     }
+    void reset() override
+    {
+        if (auto connection = current()) {
+            setResetOnClose(connection->fd.get(), true);
+            m_server->close(*connection);
+        }
+    }
     void onDisconnect(std::function<void()> call) override
     {
         if (auto connection = current()) {
--- a/packages/transport/front_server.h
+++ b/packages/transport/front_server.h
@@ -4,6 +4,7 @@
 #include "state/error.h"
 #include "transport/http_wire.h"
 #include "transport/loop.h"
+#include "transport/response_end.h"
 
 #include <cstdint>
 #include <functional>
@@ -37,12 +38,15 @@
 public:
     virtual ~front_reply() = default;
     virtual void respond(int status, const std::vector<http_field> &fields, std::string_view body) = 0;
-    /// Begins a response of unknown length.
-    virtual void begin(int status, const std::vector<http_field> &fields) = 0;
+    /// Begins a response. With body_framing::Length, `fields` has the Content-Length. A response to an
+    /// HTTP/1.0 caller that is not framed by length ends with its connection.
+    virtual void begin(int status, const std::vector<http_field> &fields, body_framing framing) = 0;
     virtual void write(std::string_view bytes) = 0;
     virtual void end() = 0;
     /// Closes the connection, so that the caller can tell that the response is incomplete.
     virtual void abort() = 0;
+    /// The same with a reset. Bytes that the caller has not received may be lost.
+    virtual void reset() = 0;
     /// Sets a function that is called once if the connection is lost before the response is complete.
     virtual void onDisconnect(std::function<void()> call) = 0;
     /// Bytes written but not yet accepted by the socket.
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -229,9 +229,43 @@
     reply->begin(200,
         withNotices({{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id},
                         {"Content-Type", "text/event-stream"}},
-            requestId));
+            requestId),
+        body_framing::Chunked);
     for (int i = from; i <= to; ++i) {
-        reply->write("id: " + std::to_string(i) + "\ndata: " + id + "\n\n");
+        reply->write(eventText(i));
+    }
+}
+
+std::string backend_standin::eventText(int number) const
+{
+    return "id: " + std::to_string(number) + "\ndata: " + id + "\n\n";
+}
+
+/// Sends a response with the framing and the end that `ending` asks for.
+void backend_standin::respondWithEnding(front_reply &reply, const std::string &requestId, int firstEvent)
+{
+    std::string body;
+    for (int i = firstEvent; firstEvent != 0 && i <= streamEvents; ++i) {
+        body += eventText(i);
+    }
+    body = firstEvent == 0 ? "served by " + id : body;
+    auto fields = withNotices(
+        {{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id}}, requestId);
+    if (firstEvent != 0) {
+        fields.push_back({"Content-Type", "text/event-stream"});
+    }
+    if (ending->framing == body_framing::Length) {
+        fields.push_back({"Content-Length", std::to_string(body.size())});
+    }
+    const bool cut = ending->cutAt && cutRequests->insert(requestId).second;
+    reply.begin(200, fields, ending->framing);
+    reply.write(cut ? body.substr(0, *ending->cutAt) : body);
+    if (cut && ending->resets) {
+        reply.reset();
+    } else if (cut && ending->framing != body_framing::Connection) {
+        reply.abort();
+    } else {
+        reply.end();
     }
 }
 
@@ -340,6 +374,10 @@
 void backend_standin::respond(
     const std::shared_ptr<front_reply> &reply, const std::string &requestId, int firstEvent)
 {
+    if (ending) {
+        respondWithEnding(*reply, requestId, firstEvent);
+        return;
+    }
     if (firstEvent == 0) {
         reply->respond(200,
             withNotices(
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -15,6 +15,14 @@
 
 namespace briarhead {
 
+/// How a server frames its responses, and where it cuts them.
+struct response_ending
+{
+    body_framing framing = body_framing::Chunked;
+    std::optional<std::size_t> cutAt; ///< bytes of the body that are sent; empty: all
+    bool resets = false; ///< a cut response ends with a reset of the connection, else with an orderly close
+};
+
 /// Simulates a backend server of the platform: runs requests, executes orders and returns reports. Tests
 /// control and observe it through its public fields.
 class backend_standin
@@ -59,6 +67,9 @@
         HoldsStream, ///< sends two events and keeps the stream open
     };
     behavior currentBehavior = behavior::Serves;
+    std::optional<response_ending> ending; ///< of responses while Serves; empty: framed and whole
+    /// Ids of requests whose response was cut. Servers that share it cut one response of each request.
+    std::shared_ptr<std::set<std::string>> cutRequests = std::make_shared<std::set<std::string>>();
     std::string id;
     std::int64_t startedAtMs = 0; ///< included in the entry and in reports unless it is 0
     std::set<std::string> adapters; ///< resident
@@ -101,6 +112,8 @@
     void respond(const std::shared_ptr<front_reply> &reply, const std::string &requestId, int firstEvent);
     void respondLater(const std::shared_ptr<front_reply> &reply, const std::string &requestId, int firstEvent,
         millis delay);
+    void respondWithEnding(front_reply &reply, const std::string &requestId, int firstEvent);
+    std::string eventText(int number) const;
 
     bool rejectsForLackOfRoom(const std::string &requestId, front_reply &reply);
 
--- a/tests/serving/wire_test.cpp
+++ b/tests/serving/wire_test.cpp
@@ -158,7 +158,7 @@
     ASSERT_TRUE(runUntil([&] {
         return m_replies.size() == 1;
     }));
-    m_replies[0]->begin(200, {});
+    m_replies[0]->begin(200, {}, body_framing::Chunked);
     m_replies[0]->write("data: 1\n\n");
     m_replies[0]->abort();
     std::string seen;
--- /dev/null
+++ b/tests/soak/response_end_test.cpp
@@ -0,0 +1,244 @@
+#include "soak/fleet_fixture.h"
+
+#include <algorithm>
+#include <cerrno>
+
+namespace briarhead::soak {
+
+namespace {
+
+constexpr int streamEvents = 4; ///< of a stand-in's stream
+
+/// A response as its caller received it.
+struct caller_response
+{
+    std::string text;
+    bool wasReset = false; ///< the connection ended with a reset, not with an orderly close
+
+    std::string head() const
+    {
+        return text.substr(0, text.find("\r\n\r\n"));
+    }
+    bool hasField(const std::string &line) const
+    {
+        return head().find("\r\n" + line) != std::string::npos;
+    }
+    bool isSuccess() const
+    {
+        return text.starts_with("HTTP/1.1 200");
+    }
+    /// The body without its chunk headers, as far as it was received.
+    std::string body() const
+    {
+        const std::size_t end = text.find("\r\n\r\n");
+        std::string rest = end == std::string::npos ? "" : text.substr(end + 4);
+        if (!hasField("Transfer-Encoding: chunked")) {
+            return rest;
+        }
+        std::string out;
+        while (!rest.empty()) {
+            const std::size_t lineEnd = rest.find("\r\n");
+            const std::size_t size = lineEnd == std::string::npos ? 0 : std::stoul(rest, nullptr, 16);
+            if (size == 0) {
+                break;
+            }
+            out += rest.substr(lineEnd + 2, size);
+            rest.erase(0, lineEnd + 2 + size + 2);
+        }
+        return out;
+    }
+    /// Whether its framing says that it is complete.
+    bool isFramedAsComplete() const
+    {
+        if (hasField("Transfer-Encoding: chunked")) {
+            return text.ends_with("0\r\n\r\n");
+        }
+        return hasField("Content-Length: " + std::to_string(body().size()) + "\r\n")
+            || text.find("\r\nContent-Length: " + std::to_string(body().size()) + "\r\n")
+            != std::string::npos;
+    }
+    /// Whether it has neither length nor chunks, and its connection was closed in order.
+    bool endsWithConnection() const
+    {
+        return isSuccess() && !wasReset && head().find("\r\nContent-Length:") == std::string::npos
+            && !hasField("Transfer-Encoding: chunked");
+    }
+};
+
+/// Receives what has arrived. Returns false once the connection has ended.
+bool receive(const raw_socket &caller, caller_response &response)
+{
+    char buffer[4096];
+    for (;;) {
+        const ssize_t count = recv(caller.fd(), buffer, sizeof(buffer), MSG_DONTWAIT);
+        if (count > 0) {
+            response.text.append(buffer, static_cast<std::size_t>(count));
+            continue;
+        }
+        response.wasReset = count < 0 && errno != EAGAIN;
+        return count < 0 && errno == EAGAIN;
+    }
+}
+
+std::size_t countEvents(const std::string &body)
+{
+    std::size_t count = 0;
+    for (std::size_t at = body.find("id: "); at != std::string::npos; at = body.find("id: ", at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+struct ending_case
+{
+    const char *path;
+    body_framing framing;
+    bool resets;
+};
+
+std::ostream &operator<<(std::ostream &out, const ending_case &each)
+{
+    return out << each.path << ' ' << nameOf(each.framing) << (each.resets ? " reset" : " closed");
+}
+
+/// Servers frame their responses in one way and cut them.
+class response_end_test : public fleet_fixture, public testing::WithParamInterface<ending_case>
+{
+protected:
+    std::string m_httpVersion = "1.1";
+    std::shared_ptr<std::set<std::string>> m_cutRequests = std::make_shared<std::set<std::string>>();
+
+    void setEnding(const response_ending &ending)
+    {
+        for (const auto &[id, server] : m_servers) {
+            server->ending = ending;
+            server->cutRequests = m_cutRequests;
+        }
+    }
+    bool isStream(const std::string &path) const
+    {
+        return path == "/gen/" || path == "/resume/";
+    }
+    std::string send(raw_socket &caller, const std::string &path)
+    {
+        const std::string id = "e" + std::to_string(++m_lastId);
+        caller.send("POST " + path + "x HTTP/" + m_httpVersion + "\r\nHost: h\r\nX-Briarhead-Request-Id: "
+            + id + "\r\nX-Briarhead-Deadline-Ms: 4000\r\nContent-Length: 0\r\nConnection: close\r\n"
+            + (isStream(path) ? "X-Briarhead-Model: m0/a1\r\nX-Briarhead-Token-Count: 50,50\r\n" : "")
+            + "\r\n");
+        return id;
+    }
+    caller_response responseTo(const std::string &path)
+    {
+        const auto caller = raw_socket::connectTo(m_daemons[m_lastId % m_daemons.size()].frontPort);
+        send(*caller, path);
+        caller_response response;
+        EXPECT_TRUE(runUntil([&] {
+            return !receive(*caller, response);
+        }));
+        return response;
+    }
+    std::size_t bodySize(const std::string &path) const
+    {
+        // The longest id and body of a stand-in; cuts beyond the end of a shorter one leave it whole.
+        return isStream(path) ? streamEvents * std::string("id: 1\ndata: llm.10\n\n").size()
+                              : std::string("served by app.10").size();
+    }
+    bool isWhole(const std::string &path, const std::string &body) const
+    {
+        return isStream(path) ? countEvents(body) == streamEvents && body.ends_with("\n\n")
+                              : body.starts_with("served by app.") && isdigit(body.back()) != 0;
+    }
+    std::size_t mostRuns() const
+    {
+        std::map<std::string, std::size_t> runs;
+        std::size_t most = 0;
+        for (const auto &[id, server] : m_servers) {
+            for (const front_request &request : server->ran) {
+                most = std::max(most, ++runs[*findField(request.head, "X-Briarhead-Request-Id")]);
+            }
+        }
+        return most;
+    }
+};
+
+}
+
+/// Guards against cut responses that reach their caller framed as complete, and against half events.
+TEST_P(response_end_test, ResponseCutAtAnyByteIsNotFramedAsComplete)
+{
+    const std::string path = GetParam().path;
+    const bool once = path == "/once/" || path == "/gen/";
+    for (std::size_t cut = 0; cut < bodySize(path); ++cut) {
+        setEnding({GetParam().framing, cut, GetParam().resets});
+        const caller_response response = responseTo(path);
+        const std::string body = response.body();
+        if (response.isSuccess() && response.isFramedAsComplete()) {
+            EXPECT_TRUE(isWhole(path, body)) << "cut at " << cut << ": " << response.text;
+        }
+        if (response.isSuccess() && isStream(path)) {
+            EXPECT_TRUE(body.empty() || body.ends_with("\n\n")) << "cut at " << cut << ": " << response.text;
+        }
+        if (response.endsWithConnection() && GetParam().framing != body_framing::Connection) {
+            EXPECT_TRUE(isWhole(path, body)) << "cut at " << cut << ": " << response.text;
+        }
+        if (response.endsWithConnection() && GetParam().resets) {
+            EXPECT_TRUE(isWhole(path, body)) << "cut at " << cut << ": " << response.text;
+        }
+    }
+    if (once) {
+        EXPECT_EQ(mostRuns(), 1U);
+    }
+}
+
+/// Guards against aborted streams that look complete to HTTP/1.0 callers, which have no last chunk.
+TEST_P(response_end_test, Http10CallerSeesAResetWhereAResponseIsCutOff)
+{
+    const std::string path = GetParam().path;
+    m_httpVersion = "1.0";
+    for (std::size_t cut = 1; cut < bodySize(path); cut += 5) {
+        setEnding({GetParam().framing, cut, GetParam().resets});
+        const caller_response response = responseTo(path);
+        const bool known = GetParam().framing != body_framing::Connection || GetParam().resets
+            || (isStream(path) && !response.body().ends_with("\n\n"));
+        if (known && response.isSuccess() && !response.wasReset) {
+            EXPECT_TRUE(isWhole(path, response.body())) << "cut at " << cut << ": " << response.text;
+        }
+    }
+}
+
+/// Guards against whole responses that are refused or broken off because their end proves nothing.
+TEST_P(response_end_test, WholeResponsesAreServed)
+{
+    setEnding({GetParam().framing, {}, false});
+    for (int i = 0; i < 12; ++i) {
+        const caller_response response = responseTo(GetParam().path);
+        EXPECT_TRUE(response.isSuccess() && !response.wasReset && isWhole(GetParam().path, response.body()))
+            << response.text;
+        EXPECT_TRUE(response.isFramedAsComplete() || response.endsWithConnection()) << response.text;
+        EXPECT_EQ(response.endsWithConnection(), GetParam().framing == body_framing::Connection)
+            << "a caller is told what this daemon knows: " << response.text;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Ends, response_end_test,
+    testing::Values(ending_case{"/gen/", body_framing::Connection, false},
+        ending_case{"/gen/", body_framing::Connection, true},
+        ending_case{"/gen/", body_framing::Chunked, false}, ending_case{"/gen/", body_framing::Length, true},
+        ending_case{"/resume/", body_framing::Connection, false},
+        ending_case{"/resume/", body_framing::Connection, true},
+        ending_case{"/resume/", body_framing::Chunked, true},
+        ending_case{"/once/", body_framing::Connection, false},
+        ending_case{"/once/", body_framing::Connection, true},
+        ending_case{"/once/", body_framing::Length, false},
+        ending_case{"/safe/", body_framing::Connection, false},
+        ending_case{"/safe/", body_framing::Connection, true},
+        ending_case{"/safe/", body_framing::Chunked, false}),
+    [](const testing::TestParamInfo<ending_case> &each) {
+        std::string name = each.param.path;
+        std::erase(name, '/');
+        return name + '_' + std::string(nameOf(each.param.framing))
+            + (each.param.resets ? "_reset" : "_closed");
+    });
+
+}
