--- a/packages/protocol/relay_messages.h
+++ b/packages/protocol/relay_messages.h
@@ -56,10 +56,12 @@
     }
 };
 
-/// The last part. Without it the outcome is unknown.
+/// The last part, for peers that don't know relay_response_end. Without a last part the outcome is unknown.
 struct relay_end
 {
-    bool complete = false; ///< the server's response is complete
+    /// The server's response is complete. Builds without relay_response_end set it too if the response ended
+    /// with its connection, in order.
+    bool complete = false;
     std::string detail; ///< if it is not
 
     template <class Archive>
@@ -69,9 +71,27 @@
     }
 };
 
+/// The last part, for peers that announce relayEndsField: what is known about the end of the response.
+struct relay_response_end
+{
+    std::uint8_t framing = 0; ///< a body_framing
+    bool framingComplete = false;
+    std::uint8_t connection = 0; ///< a connection_end
+    std::string detail; ///< if the response is not known to be complete
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(framing, framingComplete, connection, detail);
+    }
+};
+
+/// Header field of a relay_request whose sender understands relay_response_end.
+inline const std::string relayEndsField = "Relay-Ends";
+
 /// The response to a relay_request has status 200 and consists of these parts if the request may have reached
 /// the server. Any other status means that the relaying daemon sent nothing.
-using relay_part = std::variant<relay_head, relay_body, relay_end>;
+using relay_part = std::variant<relay_head, relay_body, relay_end, relay_response_end>;
 
 /// The status of a relay's response that has parts.
 constexpr int relayedStatus = 200;
--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -73,8 +73,10 @@
     http_head responseHead; ///< of the latest send, as is the rest of the response
     response_meta responseMeta;
     std::string responseBody;
+    send_result responseResult = send_result::Broken; ///< Complete or Unknown, once the response has ended
     bool streaming = false; ///< events are forwarded to the caller as they arrive
     bool headSent = false; ///< the response head has been sent to the caller
+    body_framing callerFraming = body_framing::Chunked; ///< of the response to the caller, once headSent
     bool firstEventReceived = false; ///< from the server of the latest send
     event_stream eventStream;
     std::size_t restBytes = 0; ///< of an incomplete event, when the latest send ended
--- a/packages/serving/front_plain.cpp
+++ b/packages/serving/front_plain.cpp
@@ -168,7 +168,7 @@
     if (!chosen) {
         // A failure response from an earlier server is better than none. A "not executed" response isn't
         // forwarded, because it lacks a useful Retry-After.
-        const bool hasResponse = !pending->responseBody.empty() || pending->responseHead.status != 0;
+        const bool hasResponse = pending->responseHead.status != 0;
         if (hasResponse && !pending->responseMeta.notExecuted) {
             forwardResponse(pending);
             return;
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -17,6 +17,20 @@
 /// Number of servers tried if connections are refused or time out before anything has been sent.
 constexpr int maxUnsentAttempts = 3;
 constexpr int firstServerError = 500;
+constexpr std::string_view eventStreamType = "text/event-stream";
+
+bool isEventStream(const http_head &head)
+{
+    const std::string *type = findField(head, "content-type");
+    return type == nullptr
+        || equalsIgnoreCase(std::string_view(*type).substr(0, eventStreamType.size()), eventStreamType);
+}
+
+/// The outcome in logs and metrics. A caller is not told that a response of unknown end is whole.
+const char *servedOutcome(send_result result)
+{
+    return result == send_result::Unknown ? "served_unverified" : "served";
+}
 
 }
 
@@ -83,7 +97,7 @@
             onResponseBody(locked, bytes);
         }
     };
-    handlers.onEnd = [this, weak](send_result end, const error &why) {
+    handlers.onEnd = [this, weak](const response_end &end, const error &why) {
         if (const auto locked = weak.lock()) {
             onSendEnd(locked, end, why);
         }
@@ -136,12 +150,16 @@
     pending->lastEventAt = bootNow();
     m_notices.onResponse(pending->request.id, pending->server, pending->target.incarnation, meta);
     onResponseLimit(*pending);
-    pending->streaming =
-        pending->matchedRoute->kind == route_kind::Stream && isSuccess(head.status) && meta.signedByServer;
+    pending->streaming = pending->matchedRoute->kind == route_kind::Stream && isSuccess(head.status)
+        && meta.signedByServer && isEventStream(head);
     if (pending->streaming && !pending->headSent) {
         pending->headSent = true;
+        // The caller is promised an end only if the server has announced one.
+        const bool framed =
+            framingOf(head, pending->request.head.method == "HEAD") != body_framing::Connection;
+        pending->callerFraming = framed ? body_framing::Chunked : body_framing::Connection;
         record(m_counters.firstResponse, static_cast<double>((bootNow() - pending->arrived).count));
-        pending->reply->begin(head.status, m_codec.responseFields(head), body_framing::Chunked);
+        pending->reply->begin(head.status, m_codec.responseFields(head), pending->callerFraming);
     }
     return true;
 }
@@ -159,6 +177,12 @@
         return;
     }
     const std::string events = extractEvents(pending->eventStream, bytes);
+    if (pending->eventStream.partial.size() > maxEventBytes) {
+        m_paths.cancel(*pending->activeSend);
+        onSendEnd(pending, brokenEnd(connection_end::Open),
+            {error_kind::TooLarge, pending->server, "an event of the stream is too large"});
+        return;
+    }
     if (events.empty()) {
         return;
     }
@@ -172,15 +196,45 @@
     pending->reply->write(events);
 }
 
-void front_task::onSendEnd(const request_ptr &pending, send_result end, const error &why)
+void front_task::onSendEnd(const request_ptr &pending, response_end end, const error &why)
 {
-    const std::string server = pending->server;
     pending->activeSend.reset();
     pending->inactivityTimer.reset();
     pending->restBytes = pending->eventStream.partial.size();
-    --m_inFlight[server];
-    const bool answered = end == send_result::Complete
-        && (pending->responseMeta.signedByServer || pending->responseMeta.notExecuted);
+    --m_inFlight[pending->server];
+    end.insideEvent = pending->streaming && isInsideEvent(pending->eventStream);
+    end.endPromised = pending->headSent && pending->callerFraming != body_framing::Connection;
+    const bool executed = pending->responseMeta.signedByServer && !pending->responseMeta.notExecuted;
+    if (resultOf(end) == send_result::Unknown && executed) {
+        checkServerProcess(pending, end, why);
+    } else {
+        concludeSend(pending, end, why);
+    }
+}
+
+/// The kernel closes the connections of a crashed process in order, mostly between two events. So where an
+/// orderly close is all that ended a response, a server whose process has ended has cut it off.
+void front_task::checkServerProcess(const request_ptr &pending, const response_end &end, const error &why)
+{
+    m_paths.checkProcess(pending->target,
+        [this, weak = std::weak_ptr<pending_request>(pending), end, why](connect_result result) {
+            const auto locked = weak.lock();
+            if (!locked || m_requests.count(locked->number) == 0) {
+                return;
+            }
+            response_end known = end;
+            known.connection = result == connect_result::Refused ? connection_end::Reset : end.connection;
+            concludeSend(locked, known, why);
+        });
+}
+
+void front_task::concludeSend(const request_ptr &pending, const response_end &end, const error &why)
+{
+    const std::string server = pending->server;
+    const send_result result = resultOf(end);
+    const bool ended = result == send_result::Complete || result == send_result::Unknown;
+    const bool answered =
+        ended && (pending->responseMeta.signedByServer || pending->responseMeta.notExecuted);
     const bool notExecuted = answered && pending->responseMeta.notExecuted;
     onPlainSendEnd(*pending, answered && !notExecuted);
     const bool failed = !answered || (pending->responseHead.status >= firstServerError && !notExecuted);
@@ -190,59 +244,72 @@
     if (overloaded || !notExecuted) {
         recordOutcome(m_serverHealth[server], failed || overloaded, bootNow());
     }
-    if (end == send_result::NotSent || notExecuted) {
+    if (result == send_result::NotSent || notExecuted) {
         pending->unitsHeld = std::exchange(pending->unitsSpent, 0); // the request did not run
     }
-    if (end == send_result::NotSent) {
-        ++pending->unsentCount;
-        notifyOwner(*pending, slot_event::NotSent);
-        m_log.important("request.unsent")
-            .add("id", pending->request.id)
-            .add("server", server)
-            .add("why", why.detail);
-        pending->excludedServers.insert(server);
-        pending->sentTo.erase(server);
-        if (pending->unsentCount < maxUnsentAttempts) {
-            dispatch(pending);
-        } else {
-            refuse(pending, "no server could be reached", retryAfterTransient);
-        }
+    if (result == send_result::NotSent) {
+        onUnsent(pending, why);
         return;
     }
-    if (answered) {
-        if (!notExecuted) {
-            m_crashes.onResponseComplete(pending->fingerprint);
-        }
-        pending->mayHaveRun = pending->mayHaveRun || !notExecuted;
-        const bool adapterMissing = notExecuted && pending->usesModelServer && pending->granted;
-        if (isBrittleRejection(*pending) && peerUnderstandsFeatures(pending->owner)) {
-            reportRejection(*pending);
-        } else {
-            notifyOwner(*pending, adapterMissing ? slot_event::AdapterNotLoaded : slot_event::Ended);
-        }
-        onResponseComplete(pending);
+    if (!answered) {
+        onResponseBroken(pending, end, why);
         return;
     }
+    if (!notExecuted && result == send_result::Complete) {
+        m_crashes.onResponseComplete(pending->fingerprint);
+    }
+    pending->mayHaveRun = pending->mayHaveRun || !notExecuted;
+    const bool adapterMissing = notExecuted && pending->usesModelServer && pending->granted;
+    if (isBrittleRejection(*pending) && peerUnderstandsFeatures(pending->owner)) {
+        reportRejection(*pending);
+    } else {
+        notifyOwner(*pending, adapterMissing ? slot_event::AdapterNotLoaded : slot_event::Ended);
+    }
+    pending->responseResult = result;
+    onResponseEnd(pending);
+}
+
+void front_task::onUnsent(const request_ptr &pending, const error &why)
+{
+    ++pending->unsentCount;
+    notifyOwner(*pending, slot_event::NotSent);
+    m_log.important("request.unsent")
+        .add("id", pending->request.id)
+        .add("server", pending->server)
+        .add("why", why.detail);
+    pending->excludedServers.insert(pending->server);
+    pending->sentTo.erase(pending->server);
+    if (pending->unsentCount < maxUnsentAttempts) {
+        dispatch(pending);
+    } else {
+        refuse(pending, "no server could be reached", retryAfterTransient);
+    }
+}
+
+void front_task::onResponseBroken(const request_ptr &pending, const response_end &end, const error &why)
+{
     pending->mayHaveRun = true;
     // Connections that a leaving or removed server closes don't count as crashes.
-    const server_access access = m_notices.accessOf(server);
+    const server_access access = m_notices.accessOf(pending->server);
     const bool notLeaving = access != server_access::Leaving && access != server_access::Removed;
-    if (end == send_result::Broken && notLeaving) {
+    if (resultOf(end) == send_result::Broken && notLeaving) {
         m_crashes.onResponseBroken(pending->fingerprint, pending->target);
     }
     notifyOwner(*pending, slot_event::Failed);
     m_log.important("request.broken")
         .add("id", pending->request.id)
         .add("fingerprint", pending->fingerprint)
-        .add("server", server)
+        .add("server", pending->server)
         .add("status", pending->responseHead.status)
         .add("begun", pending->headSent ? 1 : 0)
         .add("last_event", pending->eventStream.lastId)
         .add("framing", framingName(*pending))
+        .add("connection", nameOf(end.connection))
         .add("rest_bytes", static_cast<std::int64_t>(pending->restBytes))
         .add("why", why.detail.empty() ? "the response is not signed by the server" : why.detail);
-    pending->eventStream.partial.clear();
+    beginNextResponse(pending->eventStream);
     pending->responseHead = {};
+    pending->responseBody.clear();
     if (retryElsewhere(pending, true, "broken")) {
         return;
     }
@@ -288,7 +355,8 @@
     return true;
 }
 
-void front_task::onResponseComplete(const request_ptr &pending)
+/// Handles a response that is whole, or whose end is unknown.
+void front_task::onResponseEnd(const request_ptr &pending)
 {
     if (pending->responseMeta.notExecuted) {
         if (!retryElsewhere(pending, false, "not run")) {
@@ -297,11 +365,8 @@
         return;
     }
     if (pending->streaming) {
-        if (!pending->eventStream.partial.empty()) {
-            pending->reply->write(std::exchange(pending->eventStream.partial, {}));
-        }
         pending->reply->end();
-        finish(pending, "served");
+        finish(pending, servedOutcome(pending->responseResult));
         return;
     }
     if (pending->headSent) { // the stream was resumed, and the resumed response is a failure
@@ -325,9 +390,16 @@
 void front_task::forwardResponse(const request_ptr &pending)
 {
     record(m_counters.firstResponse, static_cast<double>((bootNow() - pending->arrived).count));
-    pending->reply->respond(
-        pending->responseHead.status, m_codec.responseFields(pending->responseHead), pending->responseBody);
-    finish(pending, isSuccess(pending->responseHead.status) ? "served" : "server_failed");
+    const int status = pending->responseHead.status;
+    const auto fields = m_codec.responseFields(pending->responseHead);
+    if (pending->responseResult == send_result::Unknown) {
+        pending->reply->begin(status, fields, body_framing::Connection);
+        pending->reply->write(pending->responseBody);
+        pending->reply->end();
+    } else {
+        pending->reply->respond(status, fields, pending->responseBody);
+    }
+    finish(pending, isSuccess(status) ? servedOutcome(pending->responseResult) : "server_failed");
 }
 
 void front_task::onServerUnresponsive(const request_ptr &pending)
@@ -344,7 +416,7 @@
         .add("server", server)
         .add("silent_ms", bootNow() - pending->lastEventAt);
     m_paths.cancel(*pending->activeSend);
-    onSendEnd(pending, send_result::Broken,
+    onSendEnd(pending, brokenEnd(connection_end::Timeout),
         {error_kind::Timeout, server, "the server has sent nothing within the inactivity timeout"});
 }
 
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -256,7 +256,8 @@
 bool front_task::mayRetry(const pending_request &pending) const
 {
     return pending.matchedRoute->kind == route_kind::Idempotent
-        || (pending.matchedRoute->kind == route_kind::Stream && pending.matchedRoute->resumable);
+        || (pending.matchedRoute->kind == route_kind::Stream && pending.matchedRoute->resumable
+            && canResume(pending.eventStream));
 }
 
 void front_task::dispatch(const request_ptr &pending)
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -12,7 +12,6 @@
 #include "serving/client_request.h"
 #include "serving/crash_store.h"
 #include "serving/decision_log.h"
-#include "serving/event_stream.h"
 #include "serving/fleet_port.h"
 #include "serving/node_settings.h"
 #include "serving/peer_features.h"
@@ -22,6 +21,7 @@
 #include "serving/store_task.h"
 #include "state/latency.h"
 #include "transport/backend_pool.h"
+#include "transport/event_stream.h"
 #include "transport/front_server.h"
 #include "transport/response_end.h"
 
@@ -168,8 +168,12 @@
     bool onResponseHead(const request_ptr &pending, const http_head &head);
     void onResponseLimit(const pending_request &pending);
     void onResponseBody(const request_ptr &pending, const std::string &bytes);
-    void onSendEnd(const request_ptr &pending, send_result end, const error &why);
-    void onResponseComplete(const request_ptr &pending);
+    void onSendEnd(const request_ptr &pending, response_end end, const error &why);
+    void checkServerProcess(const request_ptr &pending, const response_end &end, const error &why);
+    void concludeSend(const request_ptr &pending, const response_end &end, const error &why);
+    void onUnsent(const request_ptr &pending, const error &why);
+    void onResponseEnd(const request_ptr &pending);
+    void onResponseBroken(const request_ptr &pending, const response_end &end, const error &why);
     void onServerUnresponsive(const request_ptr &pending);
     void onDeadline(const request_ptr &pending);
     bool retryElsewhere(const request_ptr &pending, bool mayHaveRun, const char *reason);
--- a/packages/serving/server_owner_orders.cpp
+++ b/packages/serving/server_owner_orders.cpp
@@ -91,7 +91,7 @@
 /// Records the server notices in the response to one of this daemon's own calls.
 void server_owner_task::recordNotices(const backend_server &server, const call_result &result)
 {
-    if (result.how == send_result::Complete) {
+    if (endedInOrder(result)) {
         m_words.onResponse("", server.id, incarnationOf(server), m_codec.readUnsignedResponse(result.head));
     }
 }
@@ -120,8 +120,7 @@
             current.scheduler.limit.maxRejections = meta.maxRejections;
         }
         error why;
-        const auto report =
-            result.how == send_result::Complete ? m_codec.readReport(result.body, why) : std::nullopt;
+        const auto report = endedInOrder(result) ? m_codec.readReport(result.body, why) : std::nullopt;
         const millis now = bootNow();
         if (!report) {
             current.scheduler.ledger.notBefore = now + reportRetryPause;
@@ -180,6 +179,7 @@
         recordNotices(target, result);
         switch (result.how) {
         case send_result::Complete:
+        case send_result::Unknown: // the status says it all
             onOrderDone(id, startedAtMs, fencingToken, sent, m_codec.readOrderResult(result.status));
             return;
         case send_result::NotSent:
--- a/packages/serving/server_path_check.cpp
+++ b/packages/serving/server_path_check.cpp
@@ -182,7 +182,7 @@
         if (isCut(m_paths, server)) {
             startRelayed(send);
         } else {
-            end(send, send_result::NotSent,
+            end(send, unsentEnd(),
                 {error_kind::NoServer, server, "neither this daemon nor its peers reach it"});
         }
     }
@@ -275,7 +275,8 @@
     for (const send_ptr &send : silent) {
         m_pool.abort(*send->poolId);
         send->poolId.reset();
-        end(send, send_result::Broken, {error_kind::Timeout, send->request.server, "the link to it is cut"});
+        end(send, brokenEnd(connection_end::Timeout),
+            {error_kind::Timeout, send->request.server, "the link to it is cut"});
     }
 }
 
--- a/packages/serving/server_path_relay.cpp
+++ b/packages/serving/server_path_relay.cpp
@@ -13,6 +13,7 @@
     relay_request request;
     std::shared_ptr<front_reply> reply;
     std::optional<backend_pool::send_id> poolId;
+    bool understandsEnds = false; ///< the peer understands relay_response_end
     bool begun = false; ///< the response to the peer has begun
     std::shared_ptr<void> timer; ///< at the deadline
     std::shared_ptr<void> slowTimer; ///< while connecting
@@ -25,6 +26,17 @@
         }
         reply->write(frame(part));
     }
+    /// Writes the last part. An older build can't be told that an end is unknown.
+    void writeEnd(const response_end &end, const std::string &detail)
+    {
+        if (understandsEnds) {
+            write(relay_response_end{static_cast<std::uint8_t>(end.framing), end.framingComplete,
+                static_cast<std::uint8_t>(end.connection), detail});
+        } else {
+            write(relay_end{resultOf(end) == send_result::Complete, detail});
+        }
+        reply->end();
+    }
 };
 
 bool server_path_task::onPeerRequest(const front_request &request, const std::shared_ptr<front_reply> &reply)
@@ -39,7 +51,7 @@
     }
     error why;
     if (const auto decoded = decodeRelayRequest(request.body, why)) {
-        onRelayRequest(*decoded, reply);
+        onRelayRequest(*decoded, findField(request.head, relayEndsField) != nullptr, reply);
     } else {
         reply->respond(400, {}, message(why));
     }
@@ -102,7 +114,8 @@
     return m_relayed.size() >= maxRelayed ? "too many relayed requests" : nullptr;
 }
 
-void server_path_task::onRelayRequest(const relay_request &request, const std::shared_ptr<front_reply> &reply)
+void server_path_task::onRelayRequest(
+    const relay_request &request, bool understandsEnds, const std::shared_ptr<front_reply> &reply)
 {
     const backend_server *server = findServer(request.server);
     if (const char *refusal = relayRefusal(request, server)) {
@@ -114,6 +127,7 @@
     const auto relayed = std::make_shared<relayed_request>();
     relayed->request = request;
     relayed->reply = reply;
+    relayed->understandsEnds = understandsEnds;
     m_relayed.insert(relayed);
     const std::weak_ptr<relayed_request> weak = relayed;
     const auto finish = [this, weak](bool cancel) {
@@ -133,8 +147,7 @@
     relayed->timer = m_loop.timer(millis{std::max<std::int64_t>(request.timeLeftMs, 1)}, {}, [weak, finish] {
         if (const auto locked = weak.lock()) {
             const auto timer = std::exchange(locked->timer, nullptr); // kept alive until the end of this call
-            locked->write(relay_end{false, "no response in time"});
-            locked->reply->end();
+            locked->writeEnd(brokenEnd(connection_end::Timeout), "no response in time");
             finish(true);
         }
     });
@@ -161,17 +174,16 @@
             locked->write(relay_body{std::move(bytes)});
         }
     };
-    handlers.onEnd = [weak, finish](send_result result, const error &why) {
+    handlers.onEnd = [weak, finish](const response_end &end, const error &why) {
         const auto locked = weak.lock();
         if (!locked) {
             return;
         }
         locked->poolId.reset();
-        if (result == send_result::NotSent) {
+        if (resultOf(end) == send_result::NotSent) {
             locked->reply->respond(relayUnreachedStatus, {}, why.detail);
         } else {
-            locked->write(relay_end{result == send_result::Complete, why.detail});
-            locked->reply->end();
+            locked->writeEnd(end, why.detail);
         }
         finish(false);
     };
--- a/packages/serving/server_path_send.h
+++ b/packages/serving/server_path_send.h
@@ -18,9 +18,10 @@
 constexpr millis slowConnect{250};
 constexpr millis probeTimeout{350};
 
-inline std::string peerCall(const std::string &method, const std::string &target, const std::string &body)
+inline std::string peerCall(const std::string &method, const std::string &target, const std::string &body,
+    const std::string &fields = {})
 {
-    std::string text = method + ' ' + target + " HTTP/1.1\r\nHost: peer\r\n";
+    std::string text = method + ' ' + target + " HTTP/1.1\r\nHost: peer\r\n" + fields;
     if (method != "GET") {
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
@@ -37,6 +38,7 @@
     std::string relay; ///< node of the relaying peer; empty: direct
     std::set<std::string> relaysTried;
     int relayStatus = 0; ///< of the relay's response
+    body_framing framing = body_framing::None; ///< of the server's response that is being relayed
     std::string relayBytes; ///< received and not decoded yet
     millis lastByteAt; ///< from the server, or when the send began
     std::shared_ptr<void> slowTimer;
--- a/packages/serving/server_path_task.cpp
+++ b/packages/serving/server_path_task.cpp
@@ -101,7 +101,7 @@
     const backend_server *server = findServer(send->request.server);
     const auto bytes = server == nullptr ? std::nullopt : send->request.write();
     if (!bytes) {
-        endLater(send, send_result::NotSent, {error_kind::NoServer, send->request.server, "it is closed"});
+        endUnsentLater(send, {error_kind::NoServer, send->request.server, "it is closed"});
         return;
     }
     const std::weak_ptr<active_send> weak = send;
@@ -122,9 +122,9 @@
             locked->handlers.onBody(std::move(received));
         }
     };
-    handlers.onEnd = [this, weak](send_result result, const error &why) {
+    handlers.onEnd = [this, weak](const response_end &how, const error &why) {
         if (const auto locked = weak.lock()) {
-            onDirectEnd(locked, result, why);
+            onDirectEnd(locked, how, why);
         }
     };
     send->poolId = m_pool.start(server->address, *bytes, send->request.noBody, std::move(handlers));
@@ -138,12 +138,12 @@
     }
 }
 
-void server_path_task::onDirectEnd(const send_ptr &send, send_result result, const error &why)
+void server_path_task::onDirectEnd(const send_ptr &send, const response_end &how, const error &why)
 {
     send->poolId.reset();
     send->slowTimer.reset();
-    if (result != send_result::NotSent) {
-        end(send, result, why);
+    if (resultOf(how) != send_result::NotSent) {
+        end(send, how, why);
         return;
     }
     if (isCut(m_paths, send->request.server)) {
@@ -151,24 +151,25 @@
     } else if (m_reachChecks.count(send->request.server) != 0) {
         m_waitingForReach[send->request.server].push_back(send);
     } else {
-        end(send, result, why);
+        end(send, how, why);
     }
 }
 
-/// Ends a request in the next round of the loop, so that no handler runs inside start().
-void server_path_task::endLater(const send_ptr &send, send_result result, const error &why)
+/// Ends a request of which nothing was sent, in the next round of the loop, so that no handler runs inside
+/// start().
+void server_path_task::endUnsentLater(const send_ptr &send, const error &why)
 {
-    m_loop.post([this, weak = std::weak_ptr<active_send>(send), result, why] {
+    m_loop.post([this, weak = std::weak_ptr<active_send>(send), why] {
         if (const auto locked = weak.lock()) {
-            end(locked, result, why);
+            end(locked, unsentEnd(), why);
         }
     });
 }
 
-void server_path_task::end(const send_ptr &send, send_result result, const error &why)
+void server_path_task::end(const send_ptr &send, const response_end &how, const error &why)
 {
     if (m_sends.erase(send->id) != 0) {
-        send->handlers.onEnd(result, why);
+        send->handlers.onEnd(how, why);
     }
 }
 
@@ -227,7 +228,7 @@
     const auto bytes = peer == nullptr || server == nullptr ? std::nullopt : request.write();
     if (!bytes) {
         const char *detail = peer == nullptr ? "the link is cut and no peer reaches it" : "it is closed";
-        endLater(send, send_result::NotSent, {error_kind::NoServer, request.server, detail});
+        endUnsentLater(send, {error_kind::NoServer, request.server, detail});
         return;
     }
     send->relay = peer->node;
@@ -259,13 +260,13 @@
             onRelayBytes(locked, received);
         }
     };
-    handlers.onEnd = [this, weak](send_result result, const error &why) {
+    handlers.onEnd = [this, weak](const response_end &how, const error &why) {
         if (const auto locked = weak.lock()) {
-            onRelayEnd(locked, result, why);
+            onRelayEnd(locked, how, why);
         }
     };
-    send->poolId =
-        m_pool.start({peer->ip, peer->port}, peerCall("POST", relayTarget, body), false, std::move(handlers));
+    send->poolId = m_pool.start({peer->ip, peer->port},
+        peerCall("POST", relayTarget, body, relayEndsField + ": 1\r\n"), false, std::move(handlers));
 }
 
 void server_path_task::countBytes(const active_send &send, std::size_t bytes)
@@ -296,7 +297,7 @@
         if (!valid) {
             m_pool.cancel(*send->poolId);
             releaseRelay(*send);
-            end(send, send_result::Broken,
+            end(send, brokenEnd(connection_end::Open),
                 {error_kind::BadFrame, "peer", "its relayed response is malformed"});
             return;
         }
@@ -307,6 +308,36 @@
     }
 }
 
+namespace {
+
+/// The end of a relayed response as an older build describes it, which takes an orderly close for its end.
+response_end endOf(const relay_end &last, body_framing framing)
+{
+    if (!last.complete) {
+        return brokenEnd(connection_end::Reset);
+    }
+    response_end end;
+    end.framing = framing;
+    end.framingComplete = framing != body_framing::Connection;
+    end.connection = end.framingComplete ? connection_end::Open : connection_end::Orderly;
+    return end;
+}
+
+response_end endOf(const relay_response_end &last)
+{
+    const auto framing = static_cast<body_framing>(last.framing);
+    const auto connection = static_cast<connection_end>(last.connection);
+    if (framing > lastOf(body_framing{}) || connection > lastOf(connection_end{})) {
+        return brokenEnd(connection_end::Reset); // of a newer build
+    }
+    response_end end = brokenEnd(connection);
+    end.framing = framing;
+    end.framingComplete = last.framingComplete;
+    return end;
+}
+
+}
+
 void server_path_task::onRelayPart(const send_ptr &send, const relay_part &part)
 {
     if (const auto *head = std::get_if<relay_head>(&part)) {
@@ -316,11 +347,12 @@
         for (const auto &[name, value] : head->fields) {
             converted.fields.push_back({name, value});
         }
+        send->framing = framingOf(converted, send->request.noBody);
         // The peer has discarded the responses to other requests.
         if (!send->handlers.onHead(converted) && m_sends.count(send->id) != 0) {
             m_pool.cancel(*send->poolId);
             releaseRelay(*send);
-            end(send, send_result::Broken,
+            end(send, brokenEnd(connection_end::Open),
                 {error_kind::ConnectionLost, "backend server", "its response belongs to another request"});
         }
     } else if (const auto *body = std::get_if<relay_body>(&part)) {
@@ -328,18 +360,21 @@
     } else if (const auto *last = std::get_if<relay_end>(&part)) {
         // The peer's connection completes by itself and is kept.
         releaseRelay(*send);
-        end(send, last->complete ? send_result::Complete : send_result::Broken,
-            {error_kind::ConnectionLost, "backend server", last->detail});
+        end(send, endOf(*last, send->framing), {error_kind::ConnectionLost, "backend server", last->detail});
+    } else if (const auto *ended = std::get_if<relay_response_end>(&part)) {
+        releaseRelay(*send);
+        end(send, endOf(*ended), {error_kind::ConnectionLost, "backend server", ended->detail});
     }
 }
 
-void server_path_task::onRelayEnd(const send_ptr &send, send_result result, const error &why)
+void server_path_task::onRelayEnd(const send_ptr &send, const response_end &how, const error &why)
 {
     const std::string peer = send->relay;
     releaseRelay(*send);
+    const send_result result = resultOf(how);
     const bool refused = send->relayStatus != 0 && send->relayStatus != relayedStatus;
     if (!refused && result != send_result::NotSent) {
-        end(send, send_result::Broken,
+        end(send, brokenEnd(connection_end::Reset),
             {error_kind::ConnectionLost, "backend server", "the relaying peer broke off: " + why.detail});
         return;
     }
--- a/packages/serving/server_path_task.h
+++ b/packages/serving/server_path_task.h
@@ -106,13 +106,13 @@
     void onConnected(const std::string &server);
     void onConnectFailed(const std::string &server);
     void startDirect(const send_ptr &send);
-    void onDirectEnd(const send_ptr &send, send_result result, const error &why);
+    void onDirectEnd(const send_ptr &send, const response_end &how, const error &why);
     void startRelayed(const send_ptr &send);
     void onRelayBytes(const send_ptr &send, const std::string &bytes);
     void onRelayPart(const send_ptr &send, const relay_part &part);
-    void onRelayEnd(const send_ptr &send, send_result result, const error &why);
-    void end(const send_ptr &send, send_result result, const error &why);
-    void endLater(const send_ptr &send, send_result result, const error &why);
+    void onRelayEnd(const send_ptr &send, const response_end &how, const error &why);
+    void end(const send_ptr &send, const response_end &how, const error &why);
+    void endUnsentLater(const send_ptr &send, const error &why);
     const daemon_record *nextRelay(
         const std::string &id, const std::set<std::string> &tried, relay_scope scope) const;
     const daemon_record *chooseRelayOf(const daemon_map &daemons, bool evenFailed, const std::string &id,
@@ -133,7 +133,8 @@
     void probeServer(const std::string &server);
     void setCutOff(bool cutOff);
     void onReachRequest(const std::string &server, const std::shared_ptr<front_reply> &reply);
-    void onRelayRequest(const relay_request &request, const std::shared_ptr<front_reply> &reply);
+    void onRelayRequest(
+        const relay_request &request, bool understandsEnds, const std::shared_ptr<front_reply> &reply);
     const char *relayRefusal(const relay_request &request, const backend_server *server) const;
     const backend_server *findServer(const std::string &id) const;
     bool isOtherDomain(const std::string &node) const;
--- a/packages/transport/backend_call.cpp
+++ b/packages/transport/backend_call.cpp
@@ -40,8 +40,8 @@
     handlers.onBody = [call](const std::string &chunk) {
         call->result.body += chunk;
     };
-    handlers.onEnd = [call](send_result how, const error &) {
-        call->end(how);
+    handlers.onEnd = [call](const response_end &end, const error &) {
+        call->end(resultOf(end));
     };
     const auto sendId = pool.start(to, std::move(bytes), false, std::move(handlers));
     // The pool's callbacks own the call until it ends. The call owns the timer, so the timer must not own the
--- a/packages/transport/backend_call.h
+++ b/packages/transport/backend_call.h
@@ -16,6 +16,13 @@
     std::string body;
 };
 
+/// Whether the response is whole, or nothing but its status and a JSON body could be cut off, which then
+/// doesn't parse.
+inline bool endedInOrder(const call_result &result)
+{
+    return result.how == send_result::Complete || result.how == send_result::Unknown;
+}
+
 /// Sends a complete request and collects the response. If none arrives within `timeout`, the call ends as
 /// Broken and its connection is reset: some bytes may have been delivered, but bytes still delayed by a
 /// broken link are never delivered later. `done` is called exactly once, never from inside callServer().
--- a/packages/transport/backend_pool.cpp
+++ b/packages/transport/backend_pool.cpp
@@ -66,6 +66,11 @@
         || code == ENETUNREACH;
 }
 
+connection_end endOf(int code)
+{
+    return code == ETIMEDOUT ? connection_end::Timeout : connection_end::Reset;
+}
+
 /// How long to keep this connection idle, by the server's "Keep-Alive: timeout=SECONDS".
 millis idleTimeoutOf(const http_head &head)
 {
@@ -156,11 +161,14 @@
     void onWritable(send_id id, request_state &request);
     void onReadable(send_id id, request_state &request);
     bool parse(send_id id, request_state &request);
+    /// What is known about the end of the current response.
+    static response_end responseEnd(const request_state &request, connection_end connection);
     /// Calls onHead with the head of the current response.
     void deliverHead(request_state &request);
-    void end(send_id id, send_result how, const char *detail);
-    /// Ends a request in the next round of the loop, so that no callback runs inside start().
-    void endLater(send_id id, send_result how, std::string detail);
+    void end(send_id id, const response_end &how, const char *detail);
+    /// Ends a request of which nothing was sent, in the next round of the loop, so that no callback runs
+    /// inside start().
+    void endUnsentLater(send_id id, std::string detail);
     /// Ends a request whose response is complete and keeps its connection if it is reusable.
     void onComplete(send_id id, request_state &request);
     /// Closes expired idle connections and fails requests whose connection attempt timed out.
@@ -215,12 +223,12 @@
     connection &link = *request.link;
     const auto address = toSocketAddress(link.to);
     if (!address) {
-        endLater(id, send_result::NotSent, "the server's address is not a numeric IP address");
+        endUnsentLater(id, "the server's address is not a numeric IP address");
         return;
     }
     link.fd = owned_fd(socket(address->storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!link.fd) {
-        endLater(id, send_result::NotSent, std::string("socket: ") + std::strerror(errno));
+        endUnsentLater(id, std::string("socket: ") + std::strerror(errno));
         return;
     }
     setSocketOptions(link.fd.get());
@@ -229,7 +237,7 @@
         if (isLinkError(code)) {
             reportConnect(link.to, false);
         }
-        endLater(id, send_result::NotSent, std::string("connect: ") + std::strerror(code));
+        endUnsentLater(id, std::string("connect: ") + std::strerror(code));
         return;
     }
     ++counts.opened;
@@ -280,7 +288,7 @@
             if (isLinkError(code)) {
                 reportConnect(request.link->to, false);
             }
-            end(id, send_result::NotSent, std::strerror(code));
+            end(id, unsentEnd(), std::strerror(code));
             return;
         }
         request.connecting = false;
@@ -299,9 +307,10 @@
         if (count < 0) {
             // The server may have responded before it had received the whole body; that response may still be
             // in the receive buffer.
+            const int code = errno;
             onReadable(id, request);
             if (requests.count(id) != 0) {
-                end(id, request.sent == 0 ? send_result::NotSent : send_result::Broken, std::strerror(errno));
+                end(id, request.sent == 0 ? unsentEnd() : brokenEnd(endOf(code)), std::strerror(code));
             }
             return;
         }
@@ -318,16 +327,16 @@
         return;
     }
     if (count < 0) {
-        end(id, send_result::Broken, std::strerror(errno));
+        const int code = errno;
+        end(id, responseEnd(request, endOf(code)), std::strerror(code));
         return;
     }
     if (count == 0) {
-        const bool complete = request.headDelivered && !request.discarding && request.reader.finishAtEof();
-        if (complete) {
-            onComplete(id, request);
-        } else {
-            end(id, send_result::Broken, "the server closed the connection before its response was complete");
-        }
+        const response_end ended = responseEnd(request, connection_end::Orderly);
+        end(id, ended,
+            resultOf(ended) == send_result::Unknown
+                ? "the response has no length and no chunks, and the server closed the connection"
+                : "the server closed the connection before its response was complete");
         return;
     }
     request.in.append(block.data(), static_cast<std::size_t>(count));
@@ -335,6 +344,16 @@
     }
 }
 
+response_end backend_pool::impl::responseEnd(const request_state &request, connection_end connection)
+{
+    response_end end = brokenEnd(connection);
+    if (request.headDelivered && !request.discarding) {
+        end.framing = framingOf(request.reader.head(), request.noBody);
+        end.framingComplete = request.reader.state() == read_state::Done;
+    }
+    return end;
+}
+
 void backend_pool::impl::deliverHead(request_state &request)
 {
     request.headDelivered = true;
@@ -353,7 +372,7 @@
     const read_state state = request.reader.feed(request.in, used);
     request.in.erase(0, used);
     if (state == read_state::Invalid) {
-        end(id, send_result::Broken, "the server's response is not valid HTTP");
+        end(id, brokenEnd(connection_end::Open), "the server's response is not valid HTTP");
         return false;
     }
     if (state == read_state::Head) {
@@ -404,10 +423,10 @@
         keepTimes[link->to] = {keepTime, bootNow()};
         keepIdle(std::move(link), keepTime);
     }
-    end(id, send_result::Complete, "");
+    end(id, responseEnd(request, connection_end::Open), "");
 }
 
-void backend_pool::impl::end(send_id id, send_result how, const char *detail)
+void backend_pool::impl::end(send_id id, const response_end &how, const char *detail)
 {
     const auto found = requests.find(id);
     if (found == requests.end()) {
@@ -419,17 +438,17 @@
         request->link->watch.reset();
     }
     error why;
-    if (how != send_result::Complete) {
+    if (resultOf(how) != send_result::Complete) {
         why = {error_kind::ConnectionLost, "backend server", detail};
     }
     request->handlers.onEnd(how, why);
 }
 
-void backend_pool::impl::endLater(send_id id, send_result how, std::string detail)
+void backend_pool::impl::endUnsentLater(send_id id, std::string detail)
 {
-    events.post([this, stillAlive = alive, id, how, text = std::move(detail)] {
+    events.post([this, stillAlive = alive, id, text = std::move(detail)] {
         if (*stillAlive) {
-            end(id, how, text.c_str());
+            end(id, unsentEnd(), text.c_str());
         }
     });
 }
@@ -458,7 +477,7 @@
             continue; // cancelled by a callback of another one
         }
         reportConnect(peer_address(found->second->link->to), false);
-        end(id, send_result::NotSent, "the server did not accept the connection in time");
+        end(id, unsentEnd(), "the server did not accept the connection in time");
     }
 }
 
--- a/packages/transport/backend_pool.h
+++ b/packages/transport/backend_pool.h
@@ -5,6 +5,7 @@
 #include "transport/http_wire.h"
 #include "transport/loop.h"
 #include "transport/peer_link.h"
+#include "transport/response_end.h"
 
 #include <cstdint>
 #include <functional>
@@ -15,14 +16,6 @@
 
 namespace briarhead {
 
-/// How sending one request to a backend server ended.
-enum class send_result : std::uint8_t
-{
-    Complete, ///< the complete response arrived
-    NotSent, ///< certain that no byte of the request was sent
-    Broken, ///< bytes were sent, but the response is missing, truncated or not HTTP
-};
-
 /// Callbacks of one request, none of them called from inside start().
 struct send_handlers
 {
@@ -31,8 +24,8 @@
     std::function<bool(const http_head &)> onHead;
     /// Receives the next bytes of the response's body.
     std::function<void(std::string bytes)> onBody;
-    /// Receives the result; the error says why it is not Complete.
-    std::function<void(send_result, const error &)> onEnd;
+    /// Receives how the response ended; the error says why it is not known to be complete.
+    std::function<void(const response_end &, const error &)> onEnd;
 };
 
 /// Counts since the start of the process, for the metrics.
--- a/packages/transport/front_server.cpp
+++ b/packages/transport/front_server.cpp
@@ -250,6 +250,8 @@
         connection->framing = unsupported ? body_framing::Connection : framing;
         if (connection->framing == body_framing::Connection) {
             connection->closeAfterResponse = true;
+            // Until the end, however this process ends: an orderly close would say that this is all.
+            setResetOnClose(connection->fd.get(), true);
         }
         std::string head = m_server->headText(*connection, status, fields);
         head += connection->framing == body_framing::Chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
@@ -591,6 +593,7 @@
     connection.output.clear();
     connection.sentBytes = 0;
     if (connection.phase == connection_phase::Lingering) {
+        setResetOnClose(connection.fd.get(), false);
         shutdown(connection.fd.get(), SHUT_WR);
     }
 }
--- a/packages/transport/front_server.h
+++ b/packages/transport/front_server.h
@@ -43,7 +43,8 @@
     virtual void begin(int status, const std::vector<http_field> &fields, body_framing framing) = 0;
     virtual void write(std::string_view bytes) = 0;
     virtual void end() = 0;
-    /// Closes the connection, so that the caller can tell that the response is incomplete.
+    /// Closes the connection, so that the caller can tell that the response is incomplete. It is reset where
+    /// an orderly close would end the response.
     virtual void abort() = 0;
     /// The same with a reset. Bytes that the caller has not received may be lost.
     virtual void reset() = 0;
--- a/packages/transport/http_wire.cpp
+++ b/packages/transport/http_wire.cpp
@@ -31,11 +31,9 @@
 public:
     virtual ~message_collector() = default;
     virtual std::size_t parse(std::string_view bytes, error_code &code) = 0;
-    virtual void parseEof(error_code &code) = 0;
     virtual bool isHeadDone() const = 0;
     virtual bool done() const = 0;
     virtual bool keepsConnection() const = 0;
-    virtual bool needsEof() const = 0;
     virtual void skipBody() = 0;
     virtual std::optional<std::uint64_t> contentLength() const = 0;
 
@@ -60,10 +58,6 @@
     {
         return base::put(boost::asio::const_buffer(bytes.data(), bytes.size()), code);
     }
-    void parseEof(error_code &code) override
-    {
-        base::put_eof(code);
-    }
     bool isHeadDone() const override
     {
         return base::is_header_done();
@@ -76,10 +70,6 @@
     {
         return base::keep_alive();
     }
-    bool needsEof() const override
-    {
-        return base::need_eof();
-    }
     void skipBody() override
     {
         base::skip(true);
@@ -218,17 +208,6 @@
     return m_impl->state;
 }
 
-bool http_reader::finishAtEof()
-{
-    if (m_impl->state != read_state::Body || !m_impl->parser->needsEof()) {
-        return m_impl->state == read_state::Done;
-    }
-    error_code code;
-    m_impl->parser->parseEof(code);
-    m_impl->updateState();
-    return !code && m_impl->state == read_state::Done;
-}
-
 read_state http_reader::state() const
 {
     return m_impl->state;
--- a/packages/transport/http_wire.h
+++ b/packages/transport/http_wire.h
@@ -76,9 +76,6 @@
     /// Parses bytes from the front of `bytes` and sets `used` to their number. Pass the rest again, followed
     /// by further bytes.
     read_state feed(std::string_view bytes, std::size_t &used);
-    /// Call when the stream has ended in an orderly way. Returns whether the message is complete; one
-    /// without a length is completed by the end of the stream.
-    bool finishAtEof();
 
     read_state state() const;
     read_fault fault() const;
--- a/packages/transport/response_end.cpp
+++ b/packages/transport/response_end.cpp
@@ -53,4 +53,39 @@
     return hasLength ? body_framing::Length : body_framing::Connection;
 }
 
+std::string_view nameOf(connection_end value)
+{
+    static constexpr std::array<std::string_view, 4> names{"open", "orderly", "reset", "timeout"};
+    return names[static_cast<std::size_t>(value)];
+}
+
+send_result resultOf(const response_end &end)
+{
+    if (!end.sent) {
+        return send_result::NotSent;
+    }
+    if (end.insideEvent) {
+        return send_result::Broken;
+    }
+    if (end.framing != body_framing::Connection) {
+        return end.framingComplete ? send_result::Complete : send_result::Broken;
+    }
+    const bool mayBeWhole = end.connection == connection_end::Orderly && !end.endPromised;
+    return mayBeWhole ? send_result::Unknown : send_result::Broken;
+}
+
+response_end unsentEnd()
+{
+    response_end end;
+    end.sent = false;
+    return end;
+}
+
+response_end brokenEnd(connection_end connection)
+{
+    response_end end;
+    end.connection = connection;
+    return end;
+}
+
 }
--- a/tests/scheduling/decisions_test.cpp
+++ b/tests/scheduling/decisions_test.cpp
@@ -5,7 +5,7 @@
 #include "scheduling/service_retry_budget.h"
 #include "scheduling/serving_config.h"
 #include "scheduling/slot_queue.h"
-#include "serving/event_stream.h"
+#include "transport/event_stream.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -223,6 +223,14 @@
     m_held.clear();
 }
 
+void backend_standin::closeHeldStreams()
+{
+    for (const auto &[requestId, reply] : m_held) {
+        reply->end();
+    }
+    m_held.clear();
+}
+
 void backend_standin::respondWithStream(
     const std::shared_ptr<front_reply> &reply, const std::string &requestId, int from, int to)
 {
@@ -230,7 +238,7 @@
         withNotices({{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id},
                         {"Content-Type", "text/event-stream"}},
             requestId),
-        body_framing::Chunked);
+        ending ? ending->framing : body_framing::Chunked);
     for (int i = from; i <= to; ++i) {
         reply->write(eventText(i));
     }
@@ -238,7 +246,7 @@
 
 std::string backend_standin::eventText(int number) const
 {
-    return "id: " + std::to_string(number) + "\ndata: " + id + "\n\n";
+    return (numbersEvents ? "id: " + std::to_string(number) + '\n' : std::string()) + "data: " + id + "\n\n";
 }
 
 /// Sends a response with the framing and the end that `ending` asks for.
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -32,6 +32,7 @@
 
     /// The server's entry in the store.
     std::string entry(const std::string &state = "ready") const;
+    /// Begins a stream with some events, framed as `ending` says.
     void respondWithStream(
         const std::shared_ptr<front_reply> &reply, const std::string &requestId, int from, int to);
 
@@ -50,6 +51,8 @@
 
     /// Responds to the requests that were received while Silent.
     void respondToHeld(const std::string &body);
+    /// Closes the connections of held streams in order, as the kernel does for a process that has crashed.
+    void closeHeldStreams();
 
     /// What the server does with requests. "Run" means that it executes them.
     enum class behavior : std::uint8_t
@@ -68,6 +71,7 @@
     };
     behavior currentBehavior = behavior::Serves;
     std::optional<response_ending> ending; ///< of responses while Serves; empty: framed and whole
+    bool numbersEvents = true; ///< events have ids
     /// Ids of requests whose response was cut. Servers that share it cut one response of each request.
     std::shared_ptr<std::set<std::string>> cutRequests = std::make_shared<std::set<std::string>>();
     std::string id;
--- a/tests/serving/edge_cut_test.cpp
+++ b/tests/serving/edge_cut_test.cpp
@@ -332,4 +332,93 @@
     EXPECT_EQ(runsById().count("x1"), 0U);
 }
 
+/// Whether the framing of a response says that it is complete.
+bool isFramedAsComplete(const std::string &response)
+{
+    return response.ends_with("\r\n0\r\n\r\n") || response.find("Content-Length: ") != std::string::npos;
+}
+
+/// Guards against a cut response that looks complete because it came through a peer.
+TEST_F(edge_cut_test, ResponseCutBehindAPeerIsNotFramedAsComplete)
+{
+    start();
+    startPeer("n2", "z");
+    setCut(m_links, link_fault::Refused);
+    runTraffic(contactTime);
+    for (const body_framing framing : {body_framing::Connection, body_framing::Chunked}) {
+        for (const std::size_t cut : {0U, 5U, 9U, 27U}) {
+            for (auto *servers : {&m_models, &m_plain}) {
+                for (const auto &server : *servers) {
+                    server->ending = response_ending{framing, cut, false};
+                }
+            }
+            const std::string stream = responseTo("/gen/x", "a1");
+            EXPECT_FALSE(isFramedAsComplete(stream) && statusOf(stream) == "200") << stream;
+            const std::string once = responseTo("/once/x");
+            EXPECT_FALSE(isFramedAsComplete(once) && statusOf(once) == "200") << once;
+        }
+    }
+    for (const auto &server : m_plain) {
+        server->ending = response_ending{body_framing::Connection, {}, false};
+    }
+    const std::string whole = responseTo("/once/x");
+    EXPECT_NE(whole.find("served by p-"), std::string::npos) << whole;
+    EXPECT_FALSE(isFramedAsComplete(whole)) << whole;
+    EXPECT_GT(metric(m_settings, "relayed_total{domain=\"same\"}"), 0);
+}
+
+/// A peer of a build that reports a response as complete where its connection closed in order.
+class older_peer
+{
+public:
+    older_peer(loop &eventLoop, fake_store &store)
+    {
+        error why;
+        m_server = front_server::listen(
+            eventLoop, http_testing::loopback, 0,
+            [this](const front_request &request, const std::shared_ptr<front_reply> &reply) {
+                onRequest(request, reply);
+            },
+            why);
+        store.put("briarhead/daemon/n0",
+            encode(daemon_record{"n0", http_testing::loopback, m_server->port(), "z", 1}));
+    }
+    int relayed = 0;
+
+private:
+    void onRequest(const front_request &request, const std::shared_ptr<front_reply> &reply)
+    {
+        error why;
+        const auto decoded = decodeRelayRequest(request.body, why);
+        if (!decoded) { // asks whether a server is reached
+            reply->respond(200, {}, "reached");
+            return;
+        }
+        ++relayed;
+        reply->begin(relayedStatus, {}, body_framing::Chunked);
+        reply->write(frame(relay_head{
+            200, "OK", {{"X-Briarhead-Request-Id", decoded->id}, {"X-Briarhead-Server-Stamp", "by-it"}}}));
+        reply->write(frame(relay_body{"cut o"}));
+        reply->write(frame(relay_end{true, ""}));
+        reply->end();
+    }
+
+    std::unique_ptr<front_server> m_server;
+};
+
+/// Guards against a response that a peer of an older build takes for complete.
+TEST_F(edge_cut_test, UnframedResponseThroughAnOlderPeerIsPassedOnUnframed)
+{
+    start();
+    const older_peer peer(m_loop, m_store);
+    runRounds(500);
+    setCut(m_links, link_fault::Refused);
+    runTraffic(contactTime);
+    const int before = peer.relayed;
+    const std::string received = responseTo("/once/x");
+    EXPECT_GT(peer.relayed, before);
+    EXPECT_NE(received.find("cut o"), std::string::npos) << received;
+    EXPECT_FALSE(isFramedAsComplete(received)) << received;
+}
+
 }
--- a/tests/serving/wire_test.cpp
+++ b/tests/serving/wire_test.cpp
@@ -241,9 +241,9 @@
         calls.onBody = [outcome](const std::string &bytes) {
             outcome->body += bytes;
         };
-        calls.onEnd = [outcome](send_result how, const error &) {
+        calls.onEnd = [outcome](const response_end &end, const error &) {
             outcome->done = true;
-            outcome->how = how;
+            outcome->how = resultOf(end);
         };
         m_pool.start({http_testing::loopback, m_port},
             "POST /" + id + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", false, std::move(calls));
@@ -366,9 +366,9 @@
     EXPECT_TRUE(runUntilReceived(1, "b"));
 }
 
-// A response without a length ends with its connection. If the connection is reset, it is incomplete,
-// although its bytes so far look complete.
-TEST_F(pool_test, ResponseWithoutLengthIsCompleteOnlyAtAnOrderlyClose)
+// A response without a length ends with its connection. An orderly close doesn't prove that it is complete,
+// and if the connection is reset, it is incomplete, although its bytes so far look complete.
+TEST_F(pool_test, ResponseWithoutLengthIsNeverCompleteAndBrokenByAReset)
 {
     const std::string open = "HTTP/1.1 200 OK\r\nX-Id: a\r\nConnection: close\r\n\r\nsome";
     const auto closed = send("a");
@@ -376,7 +376,7 @@
     respond(0, open);
     m_connections[0]->socket->hangUp();
     ASSERT_TRUE(runUntilDone(*closed));
-    EXPECT_EQ(closed->how, send_result::Complete);
+    EXPECT_EQ(closed->how, send_result::Unknown);
     const auto reset = send("a");
     ASSERT_TRUE(runUntilReceived(1, "a"));
     respond(1, open);
@@ -430,9 +430,9 @@
         return true;
     };
     calls.onBody = [](const std::string &) {};
-    calls.onEnd = [outcome](send_result how, const error &) {
+    calls.onEnd = [outcome](const response_end &end, const error &) {
         outcome->done = true;
-        outcome->how = how;
+        outcome->how = resultOf(end);
     };
     constexpr std::size_t bodyBytes = 64 * 1024 * 1024; // more than the socket buffers hold
     m_pool.start({http_testing::loopback, m_port},
@@ -475,7 +475,7 @@
         return true;
     };
     calls.onBody = [](const std::string &) {};
-    calls.onEnd = [](send_result, const error &) {
+    calls.onEnd = [](const response_end &, const error &) {
         FAIL() << "a cancelled send must not call back";
     };
     const auto id =
--- a/tests/soak/callers_fixture.h
+++ b/tests/soak/callers_fixture.h
@@ -56,8 +56,8 @@
             return true;
         };
         calls.onBody = [](const std::string &) {};
-        calls.onEnd = [this, seen, sent](send_result how, const error &) {
-            const bool whole = how == send_result::Complete;
+        calls.onEnd = [this, seen, sent](const response_end &end, const error &) {
+            const bool whole = resultOf(end) == send_result::Complete;
             m_served += whole && seen->status == 200 ? 1 : 0;
             m_failed += !whole || (seen->status != 200 && seen->status != 503) ? 1 : 0;
             if (whole && seen->status == 503) {
--- a/tests/soak/response_end_test.cpp
+++ b/tests/soak/response_end_test.cpp
@@ -102,7 +102,7 @@
 }
 
 /// Servers frame their responses in one way and cut them.
-class response_end_test : public fleet_fixture, public testing::WithParamInterface<ending_case>
+class response_end_fixture : public fleet_fixture
 {
 protected:
     std::string m_httpVersion = "1.1";
@@ -160,8 +160,130 @@
         }
         return most;
     }
+    std::vector<backend_standin *> modelServers()
+    {
+        std::vector<backend_standin *> out;
+        for (const auto &[id, server] : m_servers) {
+            if (id.starts_with("llm")) {
+                out.push_back(server.get());
+            }
+        }
+        return out;
+    }
+    /// Sends a request for a stream, and lets its server crash after two events. All others serve.
+    caller_response responseOfACrashedServer(const std::string &path, const response_ending &ending)
+    {
+        setEnding(ending);
+        for (backend_standin *server : modelServers()) {
+            server->currentBehavior = backend_standin::behavior::HoldsStream;
+        }
+        const auto caller = raw_socket::connectTo(m_daemons[0].frontPort);
+        send(*caller, path);
+        caller_response response;
+        EXPECT_TRUE(runUntil([&] {
+            receive(*caller, response);
+            return countEvents(response.text) == 2;
+        }));
+        for (backend_standin *server : modelServers()) {
+            server->currentBehavior = backend_standin::behavior::Serves;
+        }
+        for (backend_standin *server : modelServers()) {
+            if (!server->ran.empty()) {
+                server->closeHeldStreams();
+                m_servers.erase(server->id);
+                break;
+            }
+        }
+        EXPECT_TRUE(runUntil([&] {
+            return !receive(*caller, response);
+        }));
+        return response;
+    }
+};
+
+class response_end_test : public response_end_fixture, public testing::WithParamInterface<ending_case>
+{
 };
 
+using crashed_server_test = response_end_fixture;
+using resumed_stream_test = response_end_fixture;
+
+}
+
+/// Guards against streams that a crash cuts between two events, where nothing is left of an event.
+TEST_F(crashed_server_test, ResumableStreamGoesOnThoughTheConnectionWasClosedInOrder)
+{
+    const caller_response response =
+        responseOfACrashedServer("/resume/", {body_framing::Connection, {}, false});
+    EXPECT_TRUE(isWhole("/resume/", response.body())) << response.text;
+    EXPECT_TRUE(response.endsWithConnection()) << response.text;
+}
+
+/// Guards against a last chunk for a resumed stream whose second server announces no end.
+TEST_F(crashed_server_test, StreamThatBeganInChunksEndsInChunksOrIsCutOff)
+{
+    setEnding({body_framing::Chunked, {}, false});
+    for (backend_standin *server : modelServers()) {
+        server->currentBehavior = backend_standin::behavior::HoldsStream;
+    }
+    const auto caller = raw_socket::connectTo(m_daemons[0].frontPort);
+    send(*caller, "/resume/");
+    caller_response response;
+    ASSERT_TRUE(runUntil([&] {
+        receive(*caller, response);
+        return countEvents(response.text) == 2;
+    }));
+    setEnding({body_framing::Connection, {}, false});
+    for (backend_standin *server : modelServers()) {
+        server->currentBehavior = backend_standin::behavior::Serves;
+        server->closeHeldStreams();
+    }
+    ASSERT_TRUE(runUntil([&] {
+        return !receive(*caller, response);
+    }));
+    EXPECT_TRUE(response.isFramedAsComplete()) << "a chunked response that its server ends is whole";
+    response = responseOfACrashedServer("/resume/", {body_framing::Chunked, {}, false});
+    EXPECT_EQ(response.isFramedAsComplete(), isWhole("/resume/", response.body())) << response.text;
+}
+
+/// Guards against an orderly end where the server is known to have crashed.
+TEST_F(crashed_server_test, StreamThatCannotGoOnIsReset)
+{
+    const caller_response response = responseOfACrashedServer("/gen/", {body_framing::Connection, {}, false});
+    EXPECT_TRUE(response.wasReset) << response.text;
+    EXPECT_FALSE(response.isFramedAsComplete()) << response.text;
+}
+
+/// Guards against streams that are cut off although another server could go on with them.
+TEST_F(resumed_stream_test, GoesOnAfterACutInsideAnEventOrAReset)
+{
+    const struct
+    {
+        response_ending ending;
+        std::size_t first;
+    } cases[] = {{{body_framing::Connection, {}, true}, 0}, {{body_framing::Connection, {}, false}, 5},
+        {{body_framing::Chunked, {}, false}, 0}, {{body_framing::Length, {}, true}, 7}};
+    for (const auto &each : cases) {
+        for (std::size_t cut = each.first; cut < bodySize("/resume/"); cut += 19) {
+            response_ending ending = each.ending;
+            ending.cutAt = cut;
+            setEnding(ending);
+            const caller_response response = responseTo("/resume/");
+            EXPECT_TRUE(isWhole("/resume/", response.body())) << "cut at " << cut << ": " << response.text;
+        }
+    }
+}
+
+/// Guards against a stream that starts again from its first event, since no event names a place to go on.
+TEST_F(resumed_stream_test, StreamWithoutIdsIsNotResumed)
+{
+    for (backend_standin *server : modelServers()) {
+        server->numbersEvents = false;
+    }
+    setEnding({body_framing::Chunked, 15, true});
+    const caller_response response = responseTo("/resume/");
+    EXPECT_FALSE(response.isFramedAsComplete()) << response.text;
+    EXPECT_EQ(response.body().find("data: "), response.body().rfind("data: ")) << response.text;
 }
 
 /// Guards against cut responses that reach their caller framed as complete, and against half events.
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -149,8 +149,8 @@
     calls.onBody = [answer](const std::string &bytes) {
         answer->body += bytes;
     };
-    calls.onEnd = [this, answer, id, model, &daemon](send_result how, const error &) {
-        m_witness.answered({id, model, how, answer->head, answer->body}, bootNow(),
+    calls.onEnd = [this, answer, id, model, &daemon](const response_end &end, const error &) {
+        m_witness.answered({id, model, resultOf(end), answer->head, answer->body}, bootNow(),
             bootNow() - deadline - overdue > daemon.disturbedUntil);
     };
     m_pool.start({"127.0.0.1", daemon.frontPort}, text + "\r\n" + body, false, std::move(calls));
--- a/tests/unit/socket_timeouts_test.cpp
+++ b/tests/unit/socket_timeouts_test.cpp
@@ -125,7 +125,7 @@
     send_handlers handlers{[](const http_head &) {
                                return true;
                            },
-        [](const std::string &) {}, [](send_result, const error &) {}};
+        [](const std::string &) {}, [](const response_end &, const error &) {}};
     const auto id = pool.start({http_testing::loopback, port}, "GET / HTTP/1.1\r\n\r\n", false, handlers);
     ASSERT_TRUE(runUntil([&] {
         return !pool.isConnecting(id);
