--- a/packages/transport/http_exchange.cpp
+++ b/packages/transport/http_exchange.cpp
@@ -107,6 +107,14 @@
     m_target->wake();
 }
 
+void reply_handle::beginUnframed(int status, const header_list &headers)
+{
+    if (m_target->phase == reply_phase::Waiting) {
+        m_target->unframed = true;
+        begin(status, headers);
+    }
+}
+
 void reply_handle::write(std::string_view bytes)
 {
     if (!m_target->isOpen() || m_target->phase != reply_phase::Streaming || bytes.empty()) {
--- a/packages/transport/http_exchange.h
+++ b/packages/transport/http_exchange.h
@@ -43,7 +43,8 @@
     connection_state *peer = nullptr;
     http_request request;
     reply_phase phase = reply_phase::Reading;
-    bool streamed = false; ///< the response was started with begin()
+    bool streamed = false; ///< the response was started with begin() or beginUnframed()
+    bool unframed = false; ///< the response was started with beginUnframed()
     bool queued = false; ///< the response was passed to libmicrohttpd
     bool suspended = false; ///< libmicrohttpd does not process the connection until wake()
     int status = 0;
@@ -90,6 +91,7 @@
 
     void respond(int status, const header_list &headers, std::string body) override;
     void begin(int status, const header_list &headers) override;
+    void beginUnframed(int status, const header_list &headers) override;
     void write(std::string_view bytes) override;
     void end() override;
     void abort() override;
--- a/packages/transport/http_server.cpp
+++ b/packages/transport/http_server.cpp
@@ -453,6 +453,9 @@
         return MHD_NO;
     }
     static_cast<void>(owner.release());
+    if (httpExchange.unframed) {
+        MHD_set_response_options(response.get(), MHD_RF_HTTP_1_0_COMPATIBLE_STRICT, MHD_RO_END);
+    }
     for (const auto &[name, value] : httpExchange.headers) {
         const std::string lowerName = detail::lowerCase(name);
         // libmicrohttpd sets the framing headers itself.
--- a/packages/transport/http_server.h
+++ b/packages/transport/http_server.h
@@ -39,6 +39,9 @@
     virtual void respond(int status, const header_list &headers, std::string body) = 0;
     /// Begins a response of unknown length.
     virtual void begin(int status, const header_list &headers) = 0;
+    /// The same without chunks: nothing but an orderly close of the connection ends the response. It is reset
+    /// if the response is aborted.
+    virtual void beginUnframed(int status, const header_list &headers) = 0;
     virtual void write(std::string_view bytes) = 0;
     virtual void end() = 0;
     /// Closes the connection, so that the caller can tell that a streamed response is incomplete.
--- a/tests/standins/engine_batch.cpp
+++ b/tests/standins/engine_batch.cpp
@@ -96,6 +96,11 @@
     }
 }
 
+void engine_batch::dropInsideEvent(bool inside)
+{
+    m_dropInsideEvent = inside;
+}
+
 void engine_batch::dropAfter(std::int64_t tokens)
 {
     m_dropAfter = tokens;
@@ -174,6 +179,11 @@
         --run->prefillLeft;
         return true;
     }
+    if (m_dropInsideEvent && m_dropAfter > 0 && run->made >= m_dropAfter) {
+        run->reply->abort();
+        finishWith(run, "dropped");
+        return false;
+    }
     emitToken(*run);
     if (run->made == run->tokens) {
         run->reply->write("data: [DONE]\n\n");
@@ -181,6 +191,10 @@
         finishWith(run, "finished");
         return false;
     }
+    if (m_dropInsideEvent && m_dropAfter > 0 && run->made >= m_dropAfter) {
+        run->reply->write("data: {\"ha"); // leaves before the next step
+        return true;
+    }
     if (m_dropAfter > 0 && run->made >= m_dropAfter) {
         run->reply->abort();
         finishWith(run, "dropped");
--- a/tests/standins/engine_batch.h
+++ b/tests/standins/engine_batch.h
@@ -66,6 +66,8 @@
     void setPaused(bool paused);
     /// Breaks each stream off after so many tokens, before its first byte for 0; negative switches it off.
     void dropAfter(std::int64_t tokens);
+    /// Dropped runs end in the middle of an event.
+    void dropInsideEvent(bool inside);
     void clearCache();
 
     const std::vector<standin_run_ptr> &running() const;
@@ -97,6 +99,7 @@
     double m_nextStepMs = 0;
     bool m_paused = false;
     std::int64_t m_dropAfter = -1;
+    bool m_dropInsideEvent = false;
     std::uint64_t m_busySteps = 0;
     std::uint64_t m_tokensMade = 0;
     double m_fillSum = 0;
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -204,6 +204,9 @@
     if (faults.contains("drop_after_tokens")) {
         m_batch->dropAfter(faults["drop_after_tokens"].get<std::int64_t>());
     }
+    if (faults.contains("drop_inside_event")) {
+        m_batch->dropInsideEvent(faults["drop_inside_event"].get<bool>());
+    }
     if (faults.contains("paused")) {
         m_batch->setPaused(faults["paused"].get<bool>());
     }
--- a/tests/standins/service_standin.cpp
+++ b/tests/standins/service_standin.cpp
@@ -26,6 +26,9 @@
 void service_standin::setFaults(const json &faults)
 {
     m_refuse = faults.value("refuse", m_refuse);
+    m_unframed = faults.value("unframed", m_unframed);
+    m_cutBytes = faults.value("cut_bytes", m_cutBytes);
+    m_reset = faults.value("reset", m_reset);
     standin_server::setFaults(faults);
 }
 
@@ -37,7 +40,7 @@
         {{"id", id}, {"path", request.path}, {"body", request.body},
             {"idempotency_key", headerOf(request, "idempotency-key")},
             {"request_id", headerOf(request, "x-request-id")}});
-    answer(reply, 201, m_orders[id]);
+    respond(reply, 201, m_orders[id]);
 }
 
 void service_standin::onGet(const http_request &request, const reply_ptr &reply)
@@ -46,7 +49,25 @@
     if (found == m_orders.end()) {
         answer(reply, 404, {{"error", {{"code", "unknown_order"}}}});
     } else {
-        answer(reply, 200, found->second);
+        respond(reply, 200, found->second);
+    }
+}
+
+void service_standin::respond(const reply_ptr &reply, int status, const json &body)
+{
+    if (!m_unframed) {
+        answer(reply, status, body);
+        return;
+    }
+    const std::string text = body.dump();
+    reply->beginUnframed(status, {{"Content-Type", "application/json"}});
+    reply->write(m_cutBytes < 0 ? text : text.substr(0, static_cast<std::size_t>(m_cutBytes)));
+    if (m_reset) {
+        later(millis{50}, [reply] { // what was written leaves first
+            reply->abort();
+        });
+    } else {
+        reply->end();
     }
 }
 
