Let briarheadd claim no more about the end of a response than it knows

Cause: a plain service's response without framing was passed on with a length, kept as the answer to its idempotency key, and cleared the request's crash record, wherever its connection closed in order. Runs of engines were passed on byte by byte, so that a cut stream ended in half an event, before the error event that follows it. An aborted stream of an HTTP/1.0 caller was closed in order. Ruled out: streams of engines that close between two events: they need their end mark, and had it before. Change: http_result has the response_end, and resultOf() decides; a status or a JSON object needs no more than an orderly end (endedInOrder). A plain response of unknown end goes to its caller unframed, its key is told that the outcome is unknown, and a server whose port is closed has cut it. Entries pass whole events on. Connections that end a response are reset where it is aborted and where the process ends.

--- a/packages/daemon/entry_admit.cpp
+++ b/packages/daemon/entry_admit.cpp
@@ -5,6 +5,7 @@
 #include "daemon/entry_task.h"
 #include "daemon/responses.h"
 #include "state/key_hash.h"
+#include "transport/connect_probe.h"
 #include "transport/response_notice.h"
 
 #include <nlohmann/json.hpp>
@@ -27,6 +28,8 @@
 /// A plain server that announced that it is leaving is tried again after this long, because nothing tells
 /// this daemon whether it has restarted.
 constexpr millis serviceLeavingRetention{60'000};
+/// A host answers for a closed port within a round trip.
+constexpr millis processProbeTimeout{350};
 
 std::string headerOf(const http_request &httpRequest, const char *name)
 {
@@ -535,23 +538,49 @@
         spdlog::info("entry: Server {} asked for a pause of {} ms; no requests are sent to it until it ends.",
             request->server, notice.pause.count);
     }
+    if (resultOf(result.end) == send_result::Unknown) {
+        checkServiceProcess(request, result);
+    } else {
+        concludeServiceCall(request, result);
+    }
+}
+
+/// The kernel closes the connections of a crashed process in order. So where an orderly close is all that
+/// ended a response, a server whose process has ended has cut it off.
+void entry_task::checkServiceProcess(const request_ptr &request, const http_result &result)
+{
     const auto server = m_serviceServers.find(request->server);
-    if (result.complete) {
-        m_crashes.onResponseComplete(request->fingerprint);
-        const auto type = result.headers.find("content-type");
-        request->responseType = type == result.headers.end() ? "application/octet-stream" : type->second;
-        if (server != m_serviceServers.end()) {
-            breakerSuccess(server->second.circuitBreaker);
-        }
-        countSuccess(m_retryBudget);
-        reportToKeyHome(*request, outcome::Done, result.status, result.body);
-        request->reply->respond(result.status,
-            {{"Content-Type", request->responseType}, {"X-Briarhead-Server", request->server},
-                {"X-Request-Id", toString(id)}},
-            result.body);
-        recordResult(*request, outcome::Done, error_kind::None);
+    if (server == m_serviceServers.end()) {
+        concludeServiceCall(request, result);
+        return;
+    }
+    m_pending[request->id] = request;
+    request->processProbe =
+        probeConnect(m_loop, {server->second.instance.address, server->second.instance.port},
+            processProbeTimeout, [this, id = request->id, result](connect_result probed) {
+                const request_ptr checked = removePending(id);
+                if (!checked) {
+                    return;
+                }
+                const auto probe =
+                    std::exchange(checked->processProbe, nullptr); // kept until the end of this call
+                http_result known = result;
+                if (probed == connect_result::Refused) {
+                    known.end.connection = connection_end::Reset;
+                    known.why = {error_kind::ConnectionLost, checked->server, "the server ended"};
+                }
+                concludeServiceCall(checked, known);
+            });
+}
+
+void entry_task::concludeServiceCall(const request_ptr &request, const http_result &result)
+{
+    const send_result ended = resultOf(result.end);
+    if (ended == send_result::Complete || ended == send_result::Unknown) {
+        respondFromService(request, result);
         return;
     }
+    const auto server = m_serviceServers.find(request->server);
     if (server != m_serviceServers.end()) {
         breakerFailure(server->second.circuitBreaker, bootNow());
         if (result.sent && !server->second.instance.leaving) {
@@ -578,4 +607,30 @@
     respondFailure(request, {end.result, request->lastError, {1'000}});
 }
 
+/// Passes on a response that is whole, or one of unknown end without framing: its caller then knows no more
+/// than this daemon, and a repetition by its key is told that the outcome is unknown.
+void entry_task::respondFromService(const request_ptr &request, const http_result &result)
+{
+    const bool whole = resultOf(result.end) == send_result::Complete;
+    if (const auto server = m_serviceServers.find(request->server); server != m_serviceServers.end()) {
+        breakerSuccess(server->second.circuitBreaker);
+    }
+    countSuccess(m_retryBudget);
+    const auto type = result.headers.find("content-type");
+    request->responseType = type == result.headers.end() ? "application/octet-stream" : type->second;
+    const header_list headers{{"Content-Type", request->responseType},
+        {"X-Briarhead-Server", request->server}, {"X-Request-Id", toString(request->id)}};
+    if (whole) {
+        m_crashes.onResponseComplete(request->fingerprint);
+        reportToKeyHome(*request, outcome::Done, result.status, result.body);
+        request->reply->respond(result.status, headers, result.body);
+    } else {
+        reportToKeyHome(*request, outcome::Unknown, result.status, {});
+        request->reply->beginUnframed(result.status, headers);
+        request->reply->write(result.body);
+        request->reply->end();
+    }
+    recordResult(*request, outcome::Done, error_kind::None);
+}
+
 }
--- a/packages/daemon/entry_task.cpp
+++ b/packages/daemon/entry_task.cpp
@@ -338,6 +338,10 @@
     if (!request.stream) {
         return;
     }
+    const std::string complete = extractEvents(request.events, event.bytes);
+    if (complete.empty()) {
+        return;
+    }
     if (!request.responseStarted) {
         request.responseStarted = true;
         request.reply->begin(200,
@@ -345,7 +349,7 @@
                 {"X-Briarhead-Adapter", toString(request.adapter)}, {"X-Briarhead-Server", request.server},
                 {"X-Request-Id", toString(request.id)}});
     }
-    request.reply->write(event.bytes);
+    request.reply->write(complete);
 }
 
 void entry_task::onEnd(const run_end &event)
@@ -399,6 +403,7 @@
     case retry_decision::RetryOtherServer:
         request->tried.push_back(request->server);
         request->responseEvents.clear();
+        beginNextResponse(request->events);
         request->tokens = 0;
         route(request);
         return;
@@ -446,6 +451,8 @@
         if (!request->responseStarted) {
             request->reply->begin(200, {{"Content-Type", "text/event-stream"}});
         }
+        // The end mark has come, so this is a last event without its empty line.
+        request->reply->write(request->events.partial);
         request->reply->end();
     } else {
         const std::string body =
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -9,6 +9,7 @@
 #include "coordination/server_notices.h"
 #include "daemon/metrics.h"
 #include "transport/bus.h"
+#include "transport/event_stream.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 
@@ -94,10 +95,12 @@
         bool engineStarted = false; ///< the engine has started the current attempt
         std::string
             responseEvents; ///< SSE text, collected for non-streaming responses and for the key's home
+        event_stream events; ///< of a streamed response
         std::uint32_t tokens = 0;
         std::string limitKey; ///< key in m_callerLimits; empty: not counted there
         http_client::call_id serviceCall = 0; ///< 0: none is open
         std::shared_ptr<void> retryTimer;
+        std::shared_ptr<void> processProbe; ///< while the server of an unknown end is probed
         error lastError; ///< of the last attempt
         millis lastRetryAfter;
     };
@@ -143,6 +146,9 @@
     void route(const request_ptr &request);
     void routeService(const request_ptr &request);
     void onServiceResult(const request_id &id, const http_result &result);
+    void checkServiceProcess(const request_ptr &request, const http_result &result);
+    void concludeServiceCall(const request_ptr &request, const http_result &result);
+    void respondFromService(const request_ptr &request, const http_result &result);
     millis serviceRetryAfter(const std::string &service);
     void sendToOwner(const request_ptr &request, const std::string &owner);
     /// Routes the request again after a pause, or responds with an error after maxRedirects.
--- a/packages/transport/engine_client.cpp
+++ b/packages/transport/engine_client.cpp
@@ -199,7 +199,7 @@
 
 engine_run_end toRunEnd(const http_result &result, const run_progress &progress, const std::string &url)
 {
-    if (result.status == httpOk && result.complete && progress.stream.complete()) {
+    if (result.status == httpOk && endedInOrder(result) && progress.stream.complete()) {
         return {outcome::Done, {}, {}};
     }
     if (!result.sent) {
@@ -213,7 +213,7 @@
 
 engine_order_end toOrderEnd(const http_result &result, const std::string &url)
 {
-    if (result.status == httpOk && result.complete) {
+    if (result.status == httpOk && endedInOrder(result)) {
         return {true, true, {}, numberIn(parseObject(result.body), "fencing")};
     }
     const refusal refused = parseRefusal(result, result.body);
@@ -269,7 +269,7 @@
 /// Returns the JSON object of a complete response with status 200, or nothing and the reason in `why`.
 std::optional<json> parseObjectResponse(const http_result &result, const std::string &url, error &why)
 {
-    if (result.status != httpOk || !result.complete) {
+    if (result.status != httpOk || !endedInOrder(result)) {
         why = failureOf(result, url);
         return std::nullopt;
     }
--- a/packages/transport/front_server.cpp
+++ b/packages/transport/front_server.cpp
@@ -75,13 +75,6 @@
     return hostFields == 1;
 }
 
-/// Whether closing the socket, also by the end of the process, resets the connection.
-void setResetOnClose(int fd, bool resets)
-{
-    const linger option{resets ? 1 : 0, 0};
-    (void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
-}
-
 enum class connection_phase : std::uint8_t
 {
     Reading,
--- a/packages/transport/http_client.cpp
+++ b/packages/transport/http_client.cpp
@@ -62,6 +62,31 @@
     }
 }
 
+/// libcurl takes an orderly close for the end of a response that has neither a length nor chunks.
+response_end endOf(const http_result &result, CURLcode code, bool noBody)
+{
+    if (!result.sent) {
+        return unsentEnd();
+    }
+    http_head head;
+    head.status = result.status;
+    for (const auto &[name, value] : result.headers) {
+        head.fields.push_back({name, value});
+    }
+    const bool ended = code == CURLE_OK && result.status != 0;
+    response_end end = brokenEnd(connection_end::Open);
+    end.framing = result.status == 0 ? body_framing::None : framingOf(head, noBody);
+    end.framingComplete = ended && end.framing != body_framing::Connection;
+    if (code == CURLE_OPERATION_TIMEDOUT) {
+        end.connection = connection_end::Timeout;
+    } else if (!ended) {
+        end.connection = connection_end::Reset;
+    } else if (!end.framingComplete) {
+        end.connection = connection_end::Orderly;
+    }
+    return end;
+}
+
 /// Returns why a call must not be made, if so. A line break in a header, the method or the URL would allow
 /// whoever chose that text to smuggle a second request onto the connection.
 std::optional<error> findFault(const http_call &call)
@@ -420,7 +445,8 @@
 
 void http_client::impl::finish(transfer_state &transfer, CURLcode code)
 {
-    transfer.result.complete = code == CURLE_OK;
+    transfer.result.end = endOf(transfer.result, code, transfer.call.method == "HEAD");
+    transfer.result.complete = resultOf(transfer.result.end) == send_result::Complete;
     transfer.result.why.kind = kindOf(code);
     if (code != CURLE_OK) {
         transfer.result.why.where = transfer.call.url;
--- a/packages/transport/http_client.h
+++ b/packages/transport/http_client.h
@@ -3,6 +3,7 @@
 #include "state/clock.h"
 #include "state/error.h"
 #include "transport/loop.h"
+#include "transport/response_end.h"
 
 #include <cstdint>
 #include <functional>
@@ -36,11 +37,19 @@
     int status = 0; ///< 0: no status line arrived
     std::map<std::string, std::string> headers; ///< names in lower case
     std::string body; ///< empty if the call has an onData
-    bool complete = false; ///< the complete response arrived
+    response_end end; ///< what is known about how the response ended
+    bool complete = false; ///< the response is proven to be whole, see resultOf()
     bool sent = false;
     error why; ///< set if not `complete`
 };
 
+/// Whether the response is whole, or ended with its connection in order. That is enough where a status or a
+/// JSON object is expected, since an object that was cut off doesn't parse.
+inline bool endedInOrder(const http_result &result)
+{
+    return result.complete || resultOf(result.end) == send_result::Unknown;
+}
+
 /// HTTP client for engines, services and the platform: libcurl's multi interface on the event loop.
 class http_client
 {
--- a/packages/transport/http_exchange.cpp
+++ b/packages/transport/http_exchange.cpp
@@ -2,6 +2,8 @@
 
 #include <sys/socket.h>
 
+#include "transport/peer_socket.h"
+
 #include <algorithm>
 #include <cstring>
 
@@ -39,6 +41,10 @@
     onClosed = nullptr;
     out.clear();
     consumed = 0;
+    if (queued && endsWithConnection()) {
+        // libmicrohttpd would shut the connection down in order first.
+        resetConnection(peer->fd);
+    }
     if (suspended) {
         wake();
         return;
@@ -57,6 +63,9 @@
     const std::size_t count = std::min(size, out.size() - consumed);
     if (count == 0) {
         if (phase == reply_phase::Finished) {
+            if (endsWithConnection()) {
+                setResetOnClose(peer->fd, false);
+            }
             return MHD_CONTENT_READER_END_OF_STREAM;
         }
         suspend();
--- a/packages/transport/http_exchange.h
+++ b/packages/transport/http_exchange.h
@@ -45,6 +45,7 @@
     reply_phase phase = reply_phase::Reading;
     bool streamed = false; ///< the response was started with begin() or beginUnframed()
     bool unframed = false; ///< the response was started with beginUnframed()
+    bool isHttp10 = false; ///< the caller uses HTTP/1.0, which has no chunks
     bool queued = false; ///< the response was passed to libmicrohttpd
     bool suspended = false; ///< libmicrohttpd does not process the connection until wake()
     int status = 0;
@@ -57,6 +58,11 @@
     {
         return connection != nullptr && phase != reply_phase::Aborted;
     }
+    /// Whether nothing but an orderly close of the connection ends the response.
+    bool endsWithConnection() const
+    {
+        return streamed && (unframed || isHttp10);
+    }
     /// Resumes the connection if it is suspended.
     void wake();
     void suspend();
--- a/packages/transport/http_server.cpp
+++ b/packages/transport/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/header_text.h"
 #include "transport/http_exchange.h"
+#include "transport/peer_socket.h"
 
 #include <arpa/inet.h>
 #include <ev.h>
@@ -105,8 +106,8 @@
     void notifyHandlers();
     void collectHangups();
     void onHangup(connection_state &connection);
-    MHD_Result onAccess(MHD_Connection *connection, const char *url, const char *method, const char *upload,
-        std::size_t *uploadSize, void **context);
+    MHD_Result onAccess(MHD_Connection *connection, const char *url, const char *method, const char *version,
+        const char *upload, std::size_t *uploadSize, void **context);
     MHD_Result onFirstCall(MHD_Connection *connection, const char *url, const char *method, void **context);
     void appendUpload(exchange &httpExchange, const char *upload, std::size_t size) const;
     MHD_Result queueResponse(exchange &httpExchange);
@@ -159,6 +160,9 @@
     // aborted and resumed, and MHD_run() closes them.
     for (const auto &[raw, openExchange] : m_exchanges) {
         openExchange->phase = reply_phase::Aborted;
+        if (openExchange->queued && openExchange->endsWithConnection()) {
+            resetConnection(openExchange->peer->fd);
+        }
         if (openExchange->suspended) {
             openExchange->suspended = false;
             MHD_resume_connection(openExchange->connection);
@@ -394,10 +398,12 @@
 }
 
 MHD_Result server_impl::onAccess(MHD_Connection *connection, const char *url, const char *method,
-    const char *upload, std::size_t *uploadSize, void **context)
+    const char *version, const char *upload, std::size_t *uploadSize, void **context)
 {
     if (*context == nullptr) {
-        return onFirstCall(connection, url, method, context);
+        const MHD_Result result = onFirstCall(connection, url, method, context);
+        static_cast<exchange *>(*context)->isHttp10 = std::string_view(version) == MHD_HTTP_VERSION_1_0;
+        return result;
     }
     auto &httpExchange = *static_cast<exchange *>(*context);
     if (*uploadSize > 0) {
@@ -472,6 +478,10 @@
         MHD_add_response_header(response.get(), MHD_HTTP_HEADER_CONNECTION, "close");
     }
     httpExchange.queued = true;
+    if (httpExchange.endsWithConnection()) {
+        // Until the end, however this process ends: an orderly close would say that this is all.
+        setResetOnClose(httpExchange.peer->fd, true);
+    }
     return MHD_queue_response(
         httpExchange.connection, static_cast<unsigned int>(httpExchange.status), response.get());
 }
@@ -520,9 +530,10 @@
 }
 
 MHD_Result server_impl::accessThunk(void *self, MHD_Connection *connection, const char *url,
-    const char *method, const char *, const char *upload, std::size_t *uploadSize, void **context)
+    const char *method, const char *version, const char *upload, std::size_t *uploadSize, void **context)
 {
-    return static_cast<server_impl *>(self)->onAccess(connection, url, method, upload, uploadSize, context);
+    return static_cast<server_impl *>(self)->onAccess(
+        connection, url, method, version, upload, uploadSize, context);
 }
 
 void server_impl::completedThunk(
--- a/packages/transport/kv_client.cpp
+++ b/packages/transport/kv_client.cpp
@@ -120,11 +120,11 @@
 /// says that it was rejected, proves that nothing was written; a lost response proves nothing.
 kv_status writeStatus(const http_result &result)
 {
-    if (result.complete && result.status == httpOk) {
+    if (endedInOrder(result) && result.status == httpOk) {
         return kv_status::Ok;
     }
     const bool rejected =
-        result.complete && std::ranges::find(rejectedStatuses, result.status) != rejectedStatuses.end();
+        endedInOrder(result) && std::ranges::find(rejectedStatuses, result.status) != rejectedStatuses.end();
     return !result.sent || rejected ? kv_status::Unavailable : kv_status::Ambiguous;
 }
 
@@ -209,7 +209,7 @@
 kv_read readRange(const http_result &result)
 {
     kv_read read;
-    if (!result.complete || result.status != httpOk) {
+    if (!endedInOrder(result) || result.status != httpOk) {
         return read;
     }
     const auto body = parseObject(result.body);
@@ -386,7 +386,7 @@
 
     void recordResult(std::size_t index, const http_result &result)
     {
-        if (!result.complete || result.status >= httpServerError) {
+        if (!endedInOrder(result) || result.status >= httpServerError) {
             switchUrl(index);
         }
     }
@@ -633,7 +633,7 @@
     ++m_impl->counters.leaseCalls;
     const auto finish = [this, done = std::move(done)](const http_result &result) {
         // A lease that no longer exists counts as revoked.
-        const bool notFound = result.complete && isNotFound(parseObject(result.body));
+        const bool notFound = endedInOrder(result) && isNotFound(parseObject(result.body));
         const auto status = notFound ? kv_status::Ok : writeStatus(result);
         m_impl->recordStatus(status);
         done(status);
--- a/packages/transport/live_list.cpp
+++ b/packages/transport/live_list.cpp
@@ -135,7 +135,7 @@
     call.timeout = pollTimeout;
     m_http.start(call, [this, done = std::move(done)](const http_result &result) {
         auto response =
-            result.complete && result.status == statusOk ? parseResponse(result.body) : std::nullopt;
+            endedInOrder(result) && result.status == statusOk ? parseResponse(result.body) : std::nullopt;
         const bool ok = response && applyResponse(m_view, std::move(*response));
         done(m_view, ok);
     });
--- a/packages/transport/peer_socket.cpp
+++ b/packages/transport/peer_socket.cpp
@@ -218,4 +218,16 @@
     return code;
 }
 
+void setResetOnClose(int fd, bool resets)
+{
+    setOption(fd, SOL_SOCKET, SO_LINGER, linger{resets ? 1 : 0, 0});
+}
+
+void resetConnection(int fd)
+{
+    sockaddr unspecified{};
+    unspecified.sa_family = AF_UNSPEC;
+    (void)connect(fd, &unspecified, sizeof(unspecified));
+}
+
 }
--- a/packages/transport/peer_socket.h
+++ b/packages/transport/peer_socket.h
@@ -60,5 +60,9 @@
 void tuneConnection(int fd);
 /// The error that ended a connection attempt, or 0.
 int pendingError(int fd);
+/// Whether closing the socket, also by the end of the process, resets the connection.
+void setResetOnClose(int fd, bool resets);
+/// Resets the connection and leaves the descriptor open. Bytes that were not sent yet are discarded.
+void resetConnection(int fd);
 
 }
