Log software versions of servers, and which streams callers take up

Cause: the lines of streams over two software versions name no version, and don't tell callers' resumed attempts from others. Measured: not measured; no decision reads them yet.

--- a/packages/scheduling/backend_server.h
+++ b/packages/scheduling/backend_server.h
@@ -38,6 +38,8 @@
     std::vector<resident_model> models; ///< as of when the entry was written
     /// When this incarnation started, in ms since the epoch by the server's clock; 0 if unknown.
     std::int64_t startedAtMs = 0;
+    /// The version of the server's software, not of weights or adapters. Versions have no order.
+    std::string softwareVersion;
 };
 
 /// Identifies the current incarnation of a server, because a restarted server may keep its id.
--- a/packages/serving/client_request.h
+++ b/packages/serving/client_request.h
@@ -29,6 +29,8 @@
     std::string keyHash;
     std::optional<millis> deadline; ///< how long the caller waits, counted from arrival
     std::string lastEventId; ///< last event the caller received of a stream that it resumes
+    /// The id of the attempt that brought the resumed stream's first event; empty if not stated.
+    std::string resumes;
     http_head head;
     std::string body;
 };
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -232,6 +232,8 @@
         .add("kind", nameOf(pending->matchedRoute->kind))
         .add("config", pending->config->version)
         .add("adapter", adapterKey(pending->request.model, pending->request.adapter))
+        .add("resumes", pending->request.resumes)
+        .add("last_event", pending->request.lastEventId)
         .add("left_ms", pending->deadlineAt - pending->arrived)
         .add("waited_ms", bootNow() - pending->arrived);
     countRequest(m_retryBudget, pending->service, m_settings.retries, pending->arrived);
--- a/packages/serving/store_apply.cpp
+++ b/packages/serving/store_apply.cpp
@@ -210,6 +210,7 @@
             .add("server", id)
             .add("service", server->service)
             .add("born", server->startedAtMs)
+            .add("software", server->softwareVersion)
             .add("revision", item.revision);
     }
     m_view.servers[id] = std::move(*server);
--- a/scripts/check-wire-names.sh
+++ b/scripts/check-wire-names.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 names=(
-  'X-Briarhead-(Credential|Tenant|Request-Id|Deadline-Ms|Model|Token-Count|Prompt-Prefix|Expect|Server-Stamp|Not-Executed|Instance-Id|Hold|Pin-Ms|Kv-Backup)' 'Kv-From' 'Kv-Fetch' 'Server-Limit' 'Server-Leaving' 'BRIARHEAD_NODE_FILE'
+  'X-Briarhead-(Credential|Tenant|Request-Id|Deadline-Ms|Model|Token-Count|Prompt-Prefix|Expect|Server-Stamp|Not-Executed|Instance-Id|Hold|Pin-Ms|Kv-Backup)' 'Kv-From' 'Kv-Fetch' '"Resumes"' 'Server-Limit' 'Server-Leaving' 'BRIARHEAD_NODE_FILE'
   'expectedRev' 'fenceToken' 'opcode' 'kv-key' 'kv-range' 'kv-watch' 'kv-txn' 'kv-lease' 'kv-keep'
   'currentRev' 'createdRev' 'allowStale' 'routeType' 'targetLatencyMs' 'targetGapMs' 'maxAttempts"' 'trafficSplit'
   'coldRemainingMs' 'adapterSlots' 'adapterMb"' 'weightsMb"' 'kvTokens' 'apiKeys' '"tenants"' 'ratePerS' 'plainTokens"' 'allowAnonymous' 'strictRevoke' 'quotaWindowS' 'loadsPerS"' 'headerTimeoutMs' 'idleTimeoutMs'
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -54,6 +54,9 @@
     if (startedAtMs != 0) {
         object["born"] = startedAtMs;
     }
+    if (!softwareVersion.empty()) {
+        object["version"] = softwareVersion;
+    }
     return object.dump();
 }
 
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -75,6 +75,7 @@
     /// Ids of requests whose response was cut. Servers that share it cut one response of each request.
     std::shared_ptr<std::set<std::string>> cutRequests = std::make_shared<std::set<std::string>>();
     std::string id;
+    std::string softwareVersion; ///< included in the entry unless it is empty
     std::int64_t startedAtMs = 0; ///< included in the entry and in reports unless it is 0
     std::set<std::string> adapters; ///< resident
     bool holdsModel = true; ///< the base model is loaded
