Keep each stream at the software version that began it

Cause: nothing read the version in a server's entry, so that a stream went on at any server of its service: within an answer, and wherever its caller took it up, since no daemon knew where it had begun. Change: a stream is bound with its first event to the version that its server's entry named when the request was sent; each choice, send and relay checks it. While a service has one version nothing is sent. Once it has several, the beginning daemon tells two homes by rendezvous hash, of two failure domains, in one datagram beside the first event, and tells them of all streams in progress when a second version appears. Whoever's caller takes a stream up asks up to four homes, and goes on at the version of the record. Without one only a version counts that no other can have preceded: a record in the store by service names the versions of the last 120 s, for daemons that have just started, and neither this daemon nor a home may have seen another. Else the caller is refused at once, told to begin anew; so too where no server of the version is left. A server that keeps its id over restarts confirms its start before its events go on.

--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -381,6 +381,11 @@
     return encodeMessage(record);
 }
 
+std::string encode(const service_versions_record &record)
+{
+    return encodeMessage(record);
+}
+
 std::string encode(const relay_request &request)
 {
     return encodeMessage(request);
@@ -449,6 +454,11 @@
     return decodeExactly<crash_record>(bytes, why);
 }
 
+std::optional<service_versions_record> decodeServiceVersions(std::string_view bytes, error &why)
+{
+    return decodeExactly<service_versions_record>(bytes, why);
+}
+
 std::optional<peer_message> decodePeerMessage(std::string_view bytes, error &why)
 {
     return decodeExactly<peer_message>(bytes, why);
--- a/packages/protocol/codec.h
+++ b/packages/protocol/codec.h
@@ -27,6 +27,7 @@
 std::string encode(const ownership_record &record);
 std::string encode(const quota_home_record &record);
 std::string encode(const crash_record &record);
+std::string encode(const service_versions_record &record);
 std::string encode(const relay_request &request);
 std::string encode(const relay_part &part);
 
@@ -43,6 +44,7 @@
 std::optional<ownership_record> decodeOwnershipRecord(std::string_view bytes, error &why);
 std::optional<quota_home_record> decodeQuotaHomeRecord(std::string_view bytes, error &why);
 std::optional<crash_record> decodeCrashRecord(std::string_view bytes, error &why);
+std::optional<service_versions_record> decodeServiceVersions(std::string_view bytes, error &why);
 std::optional<relay_request> decodeRelayRequest(std::string_view bytes, error &why);
 std::optional<relay_part> decodeRelayPart(std::string_view bytes, error &why);
 
--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -2,6 +2,7 @@
 
 #include "protocol/crash_messages.h"
 #include "protocol/load_messages.h"
+#include "protocol/origin_messages.h"
 #include "protocol/quota_messages.h"
 
 #include <cstdint>
@@ -354,7 +355,7 @@
     std::variant<slot_request, slot_response, slot_report, running_request, fleet_heartbeat, store_update,
         compressed_update, crash_report, quota_request, quota_response, quota_release, limit_report,
         server_notice, extended_slot_request, extended_quota_request, features_notice, extended_heartbeat,
-        server_rejection>
+        server_rejection, stream_origins_report, stream_origin_query, stream_origin_answer>
         body;
 
     template <class Archive>
--- a/packages/scheduling/backend_server.h
+++ b/packages/scheduling/backend_server.h
@@ -54,7 +54,7 @@
 {
     return a.startedAtMs == b.startedAtMs && a.service == b.service && a.address.ip == b.address.ip
         && a.address.port == b.address.port && a.failureDomain == b.failureDomain && a.slots == b.slots
-        && a.draining == b.draining;
+        && a.draining == b.draining && a.softwareVersion == b.softwareVersion;
 }
 
 /// A model server's response to a report request. It may be several hundred ms old.
--- /dev/null
+++ b/packages/scheduling/stream_versions.cpp
@@ -0,0 +1,104 @@
+#include "scheduling/stream_versions.h"
+
+namespace briarhead {
+
+namespace {
+
+/// Drops expired origins, and the oldest ones beyond maxOrigins.
+void dropOldOrigins(stream_origins &origins, millis now)
+{
+    while (!origins.byUse.empty()) {
+        const auto &[usedAt, id] = origins.byUse.front();
+        const auto found = origins.byId.find(id);
+        const bool outdated = found == origins.byId.end() || found->second.usedAt != usedAt;
+        if (!outdated && now - usedAt <= originLifetime && origins.byId.size() <= maxOrigins) {
+            return;
+        }
+        if (!outdated) {
+            origins.byId.erase(found);
+        }
+        origins.byUse.pop_front();
+    }
+}
+
+}
+
+void recordOrigin(stream_origins &origins, const std::string &id, const stream_origin &origin, millis now)
+{
+    const auto [found, isNew] = origins.byId.try_emplace(id, stream_origins::entry{origin, now});
+    if (!isNew && found->second.usedAt == now && found->second.origin == origin) {
+        return;
+    }
+    found->second = {origin, now};
+    origins.byUse.emplace_back(now, id);
+    dropOldOrigins(origins, now);
+}
+
+const stream_origin *findOrigin(stream_origins &origins, const std::string &id, millis now)
+{
+    const auto found = origins.byId.find(id);
+    if (found == origins.byId.end() || now - found->second.usedAt > originLifetime) {
+        return nullptr;
+    }
+    if (found->second.usedAt != now) {
+        found->second.usedAt = now;
+        origins.byUse.emplace_back(now, id);
+    }
+    return &found->second.origin;
+}
+
+void recordVersions(
+    version_sightings &sightings, const std::map<std::string, backend_server> &servers, millis now)
+{
+    for (const auto &[id, server] : servers) {
+        sightings[server.service][server.softwareVersion] = now;
+    }
+    for (auto service = sightings.begin(); service != sightings.end();) {
+        std::erase_if(service->second, [now](const auto &version) {
+            return now - version.second > originLifetime;
+        });
+        service = service->second.empty() ? sightings.erase(service) : std::next(service);
+    }
+}
+
+void recordVersions(version_sightings &sightings, const std::string &service,
+    const std::vector<std::string> &versions, millis now)
+{
+    for (const std::string &version : versions) {
+        sightings[service].try_emplace(version, now);
+    }
+}
+
+std::vector<std::string> versionsOf(const version_sightings &sightings, const std::string &service)
+{
+    std::vector<std::string> versions;
+    if (const auto found = sightings.find(service); found != sightings.end()) {
+        for (const auto &[version, seenAt] : found->second) {
+            versions.push_back(version);
+        }
+    }
+    return versions;
+}
+
+std::optional<std::string> versionToGoOnAt(const origin_evidence &evidence)
+{
+    if (evidence.record) {
+        return evidence.record->softwareVersion;
+    }
+    const bool sole =
+        evidence.ownSight == version_sight::Sole && evidence.anyAnswer && !evidence.contradicted;
+    return sole ? std::optional(evidence.ownVersion) : std::nullopt;
+}
+
+void applyAnswer(origin_evidence &evidence, const stream_origin_answer &answer)
+{
+    if (answer.recorded) {
+        evidence.record = answer.origin;
+        return;
+    }
+    evidence.anyAnswer = true;
+    const bool another = answer.sight == version_sight::Sole && answer.soleVersion != evidence.ownVersion;
+    evidence.contradicted = evidence.contradicted || another || answer.sight == version_sight::Several;
+}
+
+}
--- /dev/null
+++ b/packages/scheduling/stream_versions.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "protocol/origin_messages.h"
+#include "scheduling/backend_server.h"
+#include "state/clock.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+// At which software version of its service a stream may go on.
+namespace briarhead {
+
+/// How long the origin of a stream, and a version that no server has any more, are remembered: callers take a
+/// stream up within their deadlines.
+constexpr millis originLifetime{120'000};
+/// Origins that a daemon remembers, at about 150 bytes each; the least recently used go first.
+constexpr std::size_t maxOrigins = 32'768;
+
+/// Origins of streams, by the id of the attempt that brought the first event.
+struct stream_origins
+{
+    struct entry
+    {
+        stream_origin origin;
+        millis usedAt;
+    };
+    std::unordered_map<std::string, entry> byId;
+    std::deque<std::pair<millis, std::string>> byUse; ///< oldest first; may have outdated entries
+};
+
+void recordOrigin(stream_origins &origins, const std::string &id, const stream_origin &origin, millis now);
+/// The origin of a stream, or null. Extends its lifetime.
+const stream_origin *findOrigin(stream_origins &origins, const std::string &id, millis now);
+
+/// When each software version of each service was last seen.
+using version_sightings = std::map<std::string, std::map<std::string, millis>>;
+
+/// Records the versions of the listed servers and forgets those that have not been seen for originLifetime.
+void recordVersions(
+    version_sightings &sightings, const std::map<std::string, backend_server> &servers, millis now);
+/// Records versions that another daemon has seen.
+void recordVersions(version_sightings &sightings, const std::string &service,
+    const std::vector<std::string> &versions, millis now);
+/// The versions of a service, sorted.
+std::vector<std::string> versionsOf(const version_sightings &sightings, const std::string &service);
+
+/// What is known about where a stream began when its caller takes it up.
+struct origin_evidence
+{
+    std::optional<stream_origin> record; ///< of any daemon
+    version_sight ownSight = version_sight::Unsure;
+    std::string ownVersion; ///< if ownSight is Sole
+    bool anyAnswer = false; ///< a home has answered that it has no record, or there is none to ask
+    bool contradicted = false; ///< a home has seen another version
+};
+
+/// The version that the stream may go on at; nothing if it isn't known. Without a record, a version is known
+/// only if no other can have begun the stream.
+std::optional<std::string> versionToGoOnAt(const origin_evidence &evidence);
+/// Adds a home's answer to the evidence.
+void applyAnswer(origin_evidence &evidence, const stream_origin_answer &answer);
+
+}
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -11,6 +11,7 @@
 #include "serving/server_notice_task.h"
 #include "serving/server_owner_task.h"
 #include "serving/store_task.h"
+#include "serving/stream_origin_task.h"
 #include "transport/backend_call.h"
 #include "transport/backend_pool.h"
 #include "transport/bus.h"
@@ -69,7 +70,10 @@
         || std::holds_alternative<features_notice>(datagram.body)
         || std::holds_alternative<extended_slot_request>(datagram.body)
         || std::holds_alternative<extended_quota_request>(datagram.body)
-        || std::holds_alternative<server_rejection>(datagram.body);
+        || std::holds_alternative<server_rejection>(datagram.body)
+        || std::holds_alternative<stream_origins_report>(datagram.body)
+        || std::holds_alternative<stream_origin_query>(datagram.body)
+        || std::holds_alternative<stream_origin_answer>(datagram.body);
 }
 
 class daemon_impl final : public edge_daemon
@@ -98,7 +102,8 @@
               defaultQuotaPlan, settings.quota))
         , m_notices(eventLoop, m_bus, m_store, settings, log)
         , m_paths(eventLoop, m_bus, m_store, m_notices, m_pool, m_dependencies.requests, settings, log)
-        , m_front(eventLoop, m_bus, m_store, m_crashes, *m_quota, m_notices, m_paths, m_pool,
+        , m_origins(eventLoop, m_bus, m_store, settings, log)
+        , m_front(eventLoop, m_bus, m_store, m_crashes, *m_quota, m_notices, m_paths, m_origins, m_pool,
               m_dependencies.requests, settings, log)
         , m_serverOwner(eventLoop, m_bus, m_store, m_notices, m_pool, m_dependencies.requests, settings, log,
               [this](const std::string &entry, const slot_response &response) {
@@ -149,6 +154,7 @@
     std::unique_ptr<quota_task> m_quota; ///< its own links refer to it through this pointer
     server_notice_task m_notices;
     server_path_task m_paths;
+    stream_origin_task m_origins;
     front_task m_front;
     server_owner_task m_serverOwner;
     std::unique_ptr<fleet_port> m_port;
@@ -184,6 +190,7 @@
     }
     m_front.setPort(*m_port);
     m_notices.setPort(*m_port);
+    m_origins.setPort(*m_port);
     subscribeToStore(m_bus, m_store, m_crashes);
     subscribeToStore(m_bus, m_store, *m_quota);
     m_peers = front_server::listen(
@@ -309,6 +316,12 @@
                 m_quota->onMessage(body);
             } else if constexpr (std::is_same_v<body_type, server_notice>) {
                 m_notices.onNotice(datagram.from, body);
+            } else if constexpr (std::is_same_v<body_type, stream_origins_report>) {
+                m_origins.onReport(body);
+            } else if constexpr (std::is_same_v<body_type, stream_origin_query>) {
+                m_origins.onQuery(datagram.from, body);
+            } else if constexpr (std::is_same_v<body_type, stream_origin_answer>) {
+                m_origins.onAnswer(datagram.from, body);
             } else if constexpr (std::is_same_v<body_type, fleet_heartbeat>) {
                 onFleetHeartbeat(datagram, body, {});
             } else if constexpr (std::is_same_v<body_type, extended_heartbeat>) {
@@ -502,10 +515,11 @@
 std::string daemon_impl::metricsPage() const
 {
     const store_view &view = m_store.view();
-    const std::string text = metricsText({&m_front.counters(), &m_crashes.counters(),
-        &m_serverOwner.counters(), &m_pool.counters(), &m_port->counters(), &m_loopLag, m_front.active(),
-        m_callers->connections(), m_log.dropped(), view.config ? view.config->version : 0,
-        m_store.configConfirmedAt(), &m_quota->counters(), &m_paths.counters(), m_paths.isCutOff()});
+    const std::string text =
+        metricsText({&m_front.counters(), &m_crashes.counters(), &m_serverOwner.counters(),
+            &m_pool.counters(), &m_port->counters(), &m_loopLag, m_front.active(), m_callers->connections(),
+            m_log.dropped(), view.config ? view.config->version : 0, m_store.configConfirmedAt(),
+            &m_quota->counters(), &m_paths.counters(), m_paths.isCutOff(), &m_origins.counters()});
     return m_dependencies.storeMetrics ? text + m_dependencies.storeMetrics() : text;
 }
 
--- a/packages/serving/edge_metrics.cpp
+++ b/packages/serving/edge_metrics.cpp
@@ -91,6 +91,9 @@
     put(out, "requests_cleared_total", sources.crashes->cleared);
     putOrders(out, *sources.orders);
     putPaths(out, *sources.paths, sources.cutOff);
+    put(out, "stream_origins_sent_total", sources.origins->recordsSent);
+    put(out, "streams_taken_up_total{version=\"known\"}", sources.origins->found);
+    put(out, "streams_taken_up_total{version=\"unknown\"}", sources.origins->unknown);
     put(out, "connections_opened_total", sources.pool->opened);
     put(out, "connections_failed_total", sources.pool->connectFailures);
     put(out, "connections_reused_total", sources.pool->reused);
--- a/packages/serving/edge_metrics.h
+++ b/packages/serving/edge_metrics.h
@@ -5,6 +5,7 @@
 #include "serving/front_task.h"
 #include "serving/server_owner_task.h"
 #include "serving/server_path_task.h"
+#include "serving/stream_origin_task.h"
 #include "state/latency.h"
 #include "transport/backend_pool.h"
 
@@ -31,6 +32,7 @@
     const quota_counters *quota = nullptr;
     const path_counters *paths = nullptr;
     bool cutOff = false; ///< from all backend servers
+    const origin_counters *origins = nullptr;
 };
 
 /// The metrics page in Prometheus text format. Latencies are given as quantiles since process start, with
--- a/packages/serving/front_closed.cpp
+++ b/packages/serving/front_closed.cpp
@@ -10,7 +10,7 @@
 {
     bool hasServers = false;
     for (const auto &[id, server] : m_store.view().servers) {
-        if (server.service == pending.service) {
+        if (server.service == pending.service && isOfStreamVersion(pending, server)) {
             hasServers = true;
             if (!isClosed(m_notices.accessOf(server))) {
                 return false;
@@ -24,6 +24,7 @@
 {
     return allServersClosed(pending) ? "all servers leave or want a pause"
         : lacksPermit(pending)       ? "the limits of the servers are used up"
+        : pending.origin             ? "no server of the stream's software version can take it"
                                      : "no server";
 }
 
@@ -42,7 +43,7 @@
     bool anyClosed = false;
     bool anyOpen = false;
     for (const auto &[id, server] : m_store.view().servers) {
-        if (server.service != pending.service) {
+        if (server.service != pending.service || !isOfStreamVersion(pending, server)) {
             continue;
         }
         switch (m_notices.accessOf(server)) {
--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -54,12 +54,18 @@
     millis arrived;
     millis deadlineAt;
 
+    /// Where the stream began: set once its first event has gone to the caller, or if the caller takes it up.
+    std::optional<stream_origin> origin;
+    bool versionUncertain = false; ///< its server's version changed while the first event came
+
     std::set<std::string> excludedServers; ///< servers that must not be tried (again)
     std::set<std::string> sentTo; ///< servers that the request has been sent to
     int unsentCount = 0; ///< sends that failed before anything was sent
     int serversTried = 0; ///< servers that a slot or permit was requested for
     std::string server; ///< that a slot is requested for, or that the request was sent to
     crash_target target; ///< server and incarnation of the latest send
+    std::string targetVersion; ///< software version of that server
+    std::int64_t targetStartedAtMs = 0; ///< as in backend_server
     std::string owner; ///< node that the slot was requested from; empty if none was
     int slotRequestsSent = 0; ///< for `server`
     bool granted = false; ///< the slot or permit for `server` has been granted
@@ -72,6 +78,14 @@
     bool isProbe = false; ///< blocked, but sent to a server to find out whether it still crashes servers
     http_head responseHead; ///< of the latest send, as is the rest of the response
     response_meta responseMeta;
+    /// A resumed response, held back until its server has confirmed that it hasn't restarted.
+    struct held_response
+    {
+        std::string body;
+        std::optional<std::pair<response_end, error>> end; ///< once it has ended
+    };
+    std::optional<held_response> held;
+    std::shared_ptr<void> confirmTimer;
     std::string responseBody;
     send_result responseResult = send_result::Broken; ///< Complete or Unknown, once the response has ended
     bool streaming = false; ///< events are forwarded to the caller as they arrive
--- a/packages/serving/front_plain.cpp
+++ b/packages/serving/front_plain.cpp
@@ -83,8 +83,8 @@
     const pending_request &pending, const backend_server &server, millis now) const
 {
     plain_candidate candidate;
-    candidate.excluded =
-        isClosed(m_notices.accessOf(server)) || pending.excludedServers.count(server.id) != 0;
+    candidate.excluded = isClosed(m_notices.accessOf(server)) || pending.excludedServers.count(server.id) != 0
+        || !isOfStreamVersion(pending, server);
     candidate.sameDomain = server.failureDomain == m_settings.failureDomain;
     candidate.slots = server.slots;
     const auto inFlight = m_inFlight.find(server.id);
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -37,7 +37,7 @@
             candidate.excluded = unobservedOwner(id).empty();
         }
         candidate.excluded = candidate.excluded || isClosed(m_notices.accessOf(server))
-            || pending.excludedServers.count(id) != 0;
+            || pending.excludedServers.count(id) != 0 || !isOfStreamVersion(pending, server);
         const bool own = observed != m_observed.end() && observed->second.owner == m_settings.node;
         candidate.excluded = candidate.excluded || (m_isolated && !own);
         if (const auto wait = permitWait(id)) {
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -44,11 +44,13 @@
     }
     pending->server = server.id;
     const server_access access = m_notices.accessOf(server);
-    if (!maySend(access, pending->granted)) {
+    const bool fits = isOfStreamVersion(*pending, server);
+    if (!fits || !maySend(access, pending->granted)) {
         m_log.important("send.withheld")
             .add("id", pending->request.id)
             .add("server", server.id)
-            .add("access", nameOf(access));
+            .add("software", server.softwareVersion)
+            .add("access", fits ? nameOf(access) : "other_version");
         dispatchElsewhere(pending, slot_event::NotSent);
         return;
     }
@@ -61,10 +63,13 @@
         countersOf(*pending->account).units += pending->unitsSpent;
     }
     pending->target = targetOf(server);
+    pending->targetVersion = server.softwareVersion;
+    pending->targetStartedAtMs = server.startedAtMs;
     pending->sentTo.insert(server.id);
     pending->responseHead = {};
     pending->responseMeta = {};
     pending->responseBody.clear();
+    pending->held.reset();
     pending->firstEventReceived = false;
     ++m_inFlight[server.id];
     ++m_counters.sends;
@@ -114,7 +119,10 @@
         pending->request.head.method == "HEAD", mayRetry(*pending), pending->deadlineAt, {}};
     request.write = [this, weak, options]() -> std::optional<std::string> {
         const auto locked = weak.lock();
-        if (!locked || isBlocked(*locked) || !maySend(m_notices.accessOf(options.server), locked->granted)) {
+        const auto known = m_store.view().servers.find(options.server);
+        if (!locked || known == m_store.view().servers.end() || isBlocked(*locked)
+            || !maySend(m_notices.accessOf(known->second), locked->granted)
+            || !isOfStreamVersion(*locked, known->second)) {
             return std::nullopt;
         }
         send_options current = options;
@@ -154,18 +162,29 @@
     onResponseLimit(*pending);
     pending->streaming = pending->matchedRoute->kind == route_kind::Stream && isSuccess(head.status)
         && meta.signedByServer && isEventStream(head);
-    if (pending->streaming && !pending->headSent) {
-        pending->headSent = true;
-        // The caller is promised an end only if the server has announced one.
-        const bool framed =
-            framingOf(head, pending->request.head.method == "HEAD") != body_framing::Connection;
-        pending->callerFraming = framed ? body_framing::Chunked : body_framing::Connection;
-        record(m_counters.firstResponse, static_cast<double>((bootNow() - pending->arrived).count));
-        pending->reply->begin(head.status, m_codec.responseFields(head), pending->callerFraming);
+    if (pending->streaming && pending->origin && pending->targetStartedAtMs != 0) {
+        confirmServer(pending);
+    } else if (pending->streaming) {
+        beginReply(*pending);
     }
     return true;
 }
 
+/// Sends the head of a stream to the caller, unless an earlier server's was sent.
+void front_task::beginReply(pending_request &pending)
+{
+    if (pending.headSent) {
+        return;
+    }
+    pending.headSent = true;
+    // The caller is promised an end only if the server has announced one.
+    const http_head &head = pending.responseHead;
+    const bool framed = framingOf(head, pending.request.head.method == "HEAD") != body_framing::Connection;
+    pending.callerFraming = framed ? body_framing::Chunked : body_framing::Connection;
+    record(m_counters.firstResponse, static_cast<double>((bootNow() - pending.arrived).count));
+    pending.reply->begin(head.status, m_codec.responseFields(head), pending.callerFraming);
+}
+
 void front_task::onResponseBody(const request_ptr &pending, const std::string &bytes)
 {
     const millis now = bootNow();
@@ -174,6 +193,10 @@
         pending->longestEventGap = std::max(pending->longestEventGap, now - pending->lastEventAt);
     }
     pending->lastEventAt = now;
+    if (pending->held) {
+        pending->held->body += bytes;
+        return;
+    }
     if (!pending->streaming) {
         pending->responseBody += bytes;
         return;
@@ -195,11 +218,18 @@
             pending->firstEventDelay.count < 0 ? now - pending->arrived : pending->firstEventDelay;
         notifyOwner(*pending, slot_event::FirstToken);
     }
+    if (pending->eventStream.anyEvent && !pending->origin) {
+        onFirstEvent(*pending);
+    }
     pending->reply->write(events);
 }
 
 void front_task::onSendEnd(const request_ptr &pending, response_end end, const error &why)
 {
+    if (pending->held) {
+        pending->held->end = {end, why};
+        return;
+    }
     pending->activeSend.reset();
     pending->inactivityTimer.reset();
     pending->restBytes = pending->eventStream.partial.size();
@@ -291,6 +321,11 @@
 void front_task::onResponseBroken(const request_ptr &pending, const response_end &end, const error &why)
 {
     pending->mayHaveRun = true;
+    const auto known = m_store.view().servers.find(pending->server);
+    const bool restarted =
+        known != m_store.view().servers.end() && known->second.startedAtMs != pending->targetStartedAtMs;
+    // The server may have restarted before the request was sent, with the view one update behind.
+    pending->versionUncertain = pending->versionUncertain || (restarted && pending->eventStream.anyEvent);
     // Connections that a leaving or removed server closes don't count as crashes.
     const server_access access = m_notices.accessOf(pending->server);
     const bool notLeaving = access != server_access::Leaving && access != server_access::Removed;
@@ -367,6 +402,9 @@
         return;
     }
     if (pending->streaming) {
+        if (pending->responseResult == send_result::Complete) {
+            m_origins.onStreamComplete(pending->request.id);
+        }
         pending->reply->end();
         finish(pending, servedOutcome(pending->responseResult));
         return;
@@ -418,6 +456,7 @@
         .add("server", server)
         .add("silent_ms", bootNow() - pending->lastEventAt);
     m_paths.cancel(*pending->activeSend);
+    pending->held.reset();
     onSendEnd(pending, brokenEnd(connection_end::Timeout),
         {error_kind::Timeout, server, "the server has sent nothing within the inactivity timeout"});
 }
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -25,14 +25,15 @@
 }
 
 front_task::front_task(loop &eventLoop, bus &messages, store_task &store, crash_task &crashes,
-    quota_task &quota, server_notice_task &notices, server_path_task &paths, const backend_pool &pool,
-    const request_codec &codec, const node_settings &settings, decision_log &log)
+    quota_task &quota, server_notice_task &notices, server_path_task &paths, stream_origin_task &origins,
+    const backend_pool &pool, const request_codec &codec, const node_settings &settings, decision_log &log)
     : m_loop(eventLoop)
     , m_store(store)
     , m_crashes(crashes)
     , m_quota(quota)
     , m_notices(notices)
     , m_paths(paths)
+    , m_origins(origins)
     , m_pool(pool)
     , m_codec(codec)
     , m_settings(settings)
@@ -210,9 +211,7 @@
         fingerprintOf({pending->account == nullptr ? std::string_view() : pending->account->name,
             pending->request.head.method, pending->request.host, pending->request.head.target,
             pending->request.body});
-    pending->service = pickService(*pending->matchedRoute, pending->request.id);
-    pending->usesModelServer =
-        !pending->request.model.empty() && engineOf(*pending->config, pending->service) != nullptr;
+    useService(*pending, pickService(*pending->matchedRoute, pending->request.id));
     pending->deadlineAt = pending->arrived
         + std::min(pending->matchedRoute->timeout,
             pending->request.deadline.value_or(pending->matchedRoute->timeout));
@@ -237,6 +236,23 @@
         .add("left_ms", pending->deadlineAt - pending->arrived)
         .add("waited_ms", bootNow() - pending->arrived);
     countRequest(m_retryBudget, pending->service, m_settings.retries, pending->arrived);
+    const bool takenUp =
+        pending->matchedRoute->kind == route_kind::Stream && !pending->request.lastEventId.empty();
+    if (takenUp) {
+        findStreamOrigin(pending);
+    } else {
+        startDispatch(pending);
+    }
+}
+
+void front_task::useService(pending_request &pending, const std::string &service) const
+{
+    pending.service = service;
+    pending.usesModelServer = !pending.request.model.empty() && engineOf(*pending.config, service) != nullptr;
+}
+
+void front_task::startDispatch(const request_ptr &pending)
+{
     acquireUnits(pending, [this, weak = std::weak_ptr<pending_request>(pending)] {
         if (const auto locked = weak.lock()) {
             dispatch(locked);
@@ -259,11 +275,14 @@
 {
     return pending.matchedRoute->kind == route_kind::Idempotent
         || (pending.matchedRoute->kind == route_kind::Stream && pending.matchedRoute->resumable
-            && canResume(pending.eventStream));
+            && canResume(pending.eventStream) && !pending.versionUncertain);
 }
 
 void front_task::dispatch(const request_ptr &pending)
 {
+    if (refuseWithoutVersion(pending)) {
+        return;
+    }
     if (isBlocked(*pending)) {
         probeBlocked(pending);
     } else if (pending->usesModelServer) {
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -19,6 +19,7 @@
 #include "serving/server_owner_task.h"
 #include "serving/server_path_task.h"
 #include "serving/store_task.h"
+#include "serving/stream_origin_task.h"
 #include "state/latency.h"
 #include "transport/backend_pool.h"
 #include "transport/event_stream.h"
@@ -73,8 +74,9 @@
 {
 public:
     front_task(loop &eventLoop, bus &messages, store_task &store, crash_task &crashes, quota_task &quota,
-        server_notice_task &notices, server_path_task &paths, const backend_pool &pool,
-        const request_codec &codec, const node_settings &settings, decision_log &log);
+        server_notice_task &notices, server_path_task &paths, stream_origin_task &origins,
+        const backend_pool &pool, const request_codec &codec, const node_settings &settings,
+        decision_log &log);
 
     void setServerOwner(server_owner_task &serverOwner);
     void setPort(fleet_port &port);
@@ -122,6 +124,16 @@
     void probeBlocked(const request_ptr &pending);
     void resolveRoute(const request_ptr &pending);
     bool authenticateCaller(const request_ptr &pending);
+    void findStreamOrigin(const request_ptr &pending);
+    void onStreamOrigin(const request_ptr &pending, const std::optional<stream_origin> &origin);
+    void useService(pending_request &pending, const std::string &service) const;
+    void startDispatch(const request_ptr &pending);
+    bool isOfStreamVersion(const pending_request &pending, const backend_server &server) const;
+    bool refuseWithoutVersion(const request_ptr &pending);
+    void onFirstEvent(pending_request &pending);
+    void confirmServer(const request_ptr &pending);
+    void onServerConfirmed(const request_ptr &pending, bool confirmed);
+    void beginReply(pending_request &pending);
     static quota_urgency urgencyOf(const pending_request &pending);
     void acquireUnits(const request_ptr &pending, std::function<void()> proceed);
     void onQuotaDecision(
@@ -197,6 +209,7 @@
     quota_task &m_quota;
     server_notice_task &m_notices;
     server_path_task &m_paths;
+    stream_origin_task &m_origins;
     const backend_pool &m_pool;
     const request_codec &m_codec;
     node_settings m_settings;
--- a/packages/serving/store_apply.cpp
+++ b/packages/serving/store_apply.cpp
@@ -59,6 +59,9 @@
     for (const auto &[shard, entry] : m_view.quotaHomes) {
         keys.push_back(detail::quotaHomePrefix + shard);
     }
+    for (const auto &[service, versions] : m_view.serviceVersions) {
+        keys.push_back(detail::serviceVersionsPrefix + service);
+    }
     for (const auto &[fingerprint, crash] : m_view.crashes) {
         keys.push_back(detail::crashPrefix + fingerprint);
     }
@@ -255,6 +258,8 @@
         applyQuotaHome(item);
     } else if (isUnder(item.key, detail::crashPrefix)) {
         applyCrash(item, change);
+    } else if (isUnder(item.key, detail::serviceVersionsPrefix)) {
+        applyServiceVersions(item);
     }
 }
 
@@ -354,4 +359,23 @@
     change.crashes.push_back(fingerprint);
 }
 
+void store_task::applyServiceVersions(const stored_item &item)
+{
+    error why;
+    const std::string service = item.key.substr(detail::serviceVersionsPrefix.size());
+    auto record = item.removed ? std::nullopt : decodeServiceVersions(item.value, why);
+    if (!item.removed && !record) {
+        logUnreadable(item, why); // written by something else, and replaced
+        record = service_versions_record{};
+    }
+    if (!record) {
+        m_view.serviceVersions.erase(service);
+        return;
+    }
+    stored_service_versions &stored = m_view.serviceVersions[service];
+    if (item.revision >= stored.revision) {
+        stored = {*record, item.revision};
+    }
+}
+
 }
--- a/packages/serving/store_keys.h
+++ b/packages/serving/store_keys.h
@@ -17,6 +17,10 @@
 /// expire during a store outage.
 inline const std::string crashPrefix = projectPrefix + "crash/";
 
+/// Followed by a service's name: the software versions that have served it lately. Under no lease, for the
+/// same reason.
+inline const std::string serviceVersionsPrefix = projectPrefix + "versions/";
+
 /// Followed by the number of a shard of client accounts: the claim of its quota home, under that daemon's
 /// lease.
 inline const std::string quotaHomePrefix = projectPrefix + "quota/";
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -418,6 +418,33 @@
     });
 }
 
+void store_task::writeServiceVersions(const std::string &service, const service_versions_record &record)
+{
+    if (m_leaving || m_lastCallFailed || !m_versionWritesInFlight.insert(service).second) {
+        return;
+    }
+    const auto known = m_view.serviceVersions.find(service);
+    const std::string key = detail::serviceVersionsPrefix + service;
+    store_change change;
+    change.expected.emplace_back(key, known == m_view.serviceVersions.end() ? 0 : known->second.revision);
+    change.puts.push_back({key, encode(record), 0});
+    m_store.change(change, [this, service, record](store_status status, std::int64_t revision) {
+        m_versionWritesInFlight.erase(service);
+        onCallDone(status == store_status::Ok || status == store_status::Conflict, "versions");
+        m_log.important("software.recorded")
+            .add("service", service)
+            .add("versions", static_cast<std::int64_t>(record.versions.size()))
+            .add("outcome", status == store_status::Ok ? "done" : "not done")
+            .add("revision", revision);
+        if (status == store_status::Ok) {
+            stored_service_versions &stored = m_view.serviceVersions[service];
+            if (revision > stored.revision) {
+                stored = {record, revision};
+            }
+        }
+    });
+}
+
 void store_task::setCutOff(bool cutOff)
 {
     m_cutOff = cutOff;
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -37,6 +37,12 @@
     std::int64_t revision = 0;
 };
 
+struct stored_service_versions
+{
+    service_versions_record record;
+    std::int64_t revision = 0;
+};
+
 /// This daemon's copy of the store's contents. The other tasks read it; only store_task changes it.
 struct store_view
 {
@@ -51,6 +57,7 @@
     ownership_map serverOwners; ///< by server id
     ownership_map quotaHomes; ///< by the decimal number of a shard of client accounts
     std::map<std::string, stored_crash_record> crashes; ///< by request fingerprint
+    std::map<std::string, stored_service_versions> serviceVersions; ///< by service
     millis registeredAt; ///< when this daemon's record was last written
     millis lastResponseAt; ///< when the store last answered a call
     millis firstReadAt; ///< when all keys were first read; 0: not yet
@@ -147,6 +154,9 @@
     void writeCrashRecord(
         const std::string &fingerprint, const crash_record &record, std::function<void(bool)> done);
     void removeCrashRecord(const std::string &fingerprint);
+    /// Writes the software versions of a service, replacing the record in the view. Nothing is written if
+    /// another daemon has changed it since.
+    void writeServiceVersions(const std::string &service, const service_versions_record &record);
     /// Publishes whether this daemon is cut off from all backend servers. While it is, the records of the
     /// servers that it owns are released.
     void setCutOff(bool cutOff);
@@ -183,6 +193,7 @@
         const std::string &prefix, ownership_map &owners, const std::string &name, bool predecessorExpired);
     void confirmQuotaHomes();
     void applyCrash(const stored_item &item, view_changed &change);
+    void applyServiceVersions(const stored_item &item);
     void changeCrashRecord(
         const std::string &fingerprint, store_change change, std::function<void(bool)> done);
     void removeMissing(const std::set<std::string> &present, view_changed &change);
@@ -237,6 +248,7 @@
     std::set<std::string> m_missingServers; ///< expired in an outage, kept for missingGrace
     std::set<std::string> m_claimsInFlight; ///< keys
     std::set<std::string> m_crashChangesInFlight; ///< fingerprints
+    std::set<std::string> m_versionWritesInFlight; ///< services
     std::map<std::string, millis> m_expiredAt; ///< when a daemon's record expired, by node
     std::set<std::string> m_loggedUnreadable; ///< keys whose item was logged as unreadable
     std::shared_ptr<void> m_watchTimer;
--- /dev/null
+++ b/packages/serving/stream_origin_task.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "scheduling/stream_versions.h"
+#include "serving/decision_log.h"
+#include "serving/fleet_port.h"
+#include "serving/node_settings.h"
+#include "serving/store_task.h"
+#include "transport/bus.h"
+#include "transport/loop.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace briarhead {
+
+/// Counts since the start of the process, for the metrics.
+struct origin_counters
+{
+    std::uint64_t recordsSent = 0; ///< to homes of this daemon's streams
+    std::uint64_t queries = 0; ///< streams that callers took up here and that homes were asked about
+    std::uint64_t found = 0; ///< streams taken up whose version was known
+    std::uint64_t unknown = 0; ///< streams taken up that were refused, because it was not
+};
+
+/// Remembers at which software version streams began. While a service has one version, nothing is sent. Once
+/// it has several, each stream's beginning daemon tells two homes, found by rendezvous hash of the stream's
+/// id, so that any daemon can ask them when a caller takes the stream up there.
+class stream_origin_task
+{
+public:
+    stream_origin_task(
+        loop &eventLoop, bus &messages, store_task &store, const node_settings &settings, decision_log &log);
+
+    void setPort(fleet_port &port);
+
+    /// Records that a stream's first event goes to its caller. `id`: of the caller's attempt.
+    void onStreamBegan(const std::string &id, const stream_origin &origin);
+    /// The stream is complete, so its caller won't take it up.
+    void onStreamComplete(const std::string &id);
+    /// Passes on where a stream began, or nothing if that isn't known. `service`: where the stream goes on if
+    /// only one version can have begun it. `done` is never called from inside.
+    void find(const std::string &id, const std::string &service,
+        std::function<void(const std::optional<stream_origin> &)> done);
+
+    void onReport(const stream_origins_report &report);
+    void onQuery(const std::string &node, const stream_origin_query &query);
+    void onAnswer(const std::string &node, const stream_origin_answer &answer);
+    const origin_counters &counters() const;
+
+private:
+    struct lookup;
+    using lookup_ptr = std::shared_ptr<lookup>;
+
+    void onViewChanged();
+    void maintainRecords();
+    version_sight sightOf(const std::string &service, std::string &soleVersion) const;
+    std::vector<std::string> homesOf(const std::string &id, std::size_t count) const;
+    void announce(const std::string &id, const stream_origin &origin);
+    void announceAll(const std::string &service);
+    void sendAnnouncements();
+    void askHomes(const std::string &id, const lookup_ptr &asked);
+    void conclude(const std::string &id);
+    stream_origin_answer answerTo(const stream_origin_query &query);
+
+    loop &m_loop;
+    store_task &m_store;
+    node_settings m_settings;
+    decision_log &m_log;
+    fleet_port *m_port = nullptr;
+    origin_counters m_counters;
+    version_sightings m_sightings;
+    std::map<std::string, std::int64_t> m_appliedRevisions; ///< of the store's records, by service
+    std::map<std::string, bool> m_severalVersions; ///< by service, as of the latest change of the view
+    stream_origins m_own; ///< streams that began here and are not complete
+    stream_origins m_kept; ///< as a home
+    std::deque<std::pair<std::string, stream_origin_record>> m_announcements; ///< home and record, to be sent
+    std::map<std::string, lookup_ptr> m_lookups; ///< by stream id
+    std::shared_ptr<void> m_maintainTimer;
+    std::shared_ptr<void> m_announceTimer;
+};
+
+}
