Let the soak's servers end responses with their connection and cut them

Cause: the soak's stand-ins framed all responses, so that it could not show the fault. Change: half of the servers' starts, by the seed, end responses with their connection, half cut one response in ten at a random byte, in order or by a reset. The witness holds each response against its framing: one that is framed as complete has all its events, one that ended with its connection no half event. A stand-in that cuts its streams stops at their last event.

--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -32,6 +32,7 @@
     : id(std::move(serverId))
     , m_loop(eventLoop)
     , m_service(std::move(service))
+    , m_random(std::hash<std::string>()(id))
 {
     error why;
     m_server = front_server::listen(
@@ -268,12 +269,17 @@
     if (ending->framing == body_framing::Length) {
         fields.push_back({"Content-Length", std::to_string(body.size())});
     }
-    const bool cut = ending->cutAt && cutRequests->insert(requestId).second;
-    reply.begin(200, fields, ending->framing);
-    reply.write(cut ? body.substr(0, *ending->cutAt) : body);
-    if (cut && ending->resets) {
+    response_ending drawn = *ending;
+    if (drawn.cutOneIn > 0 && m_random() % static_cast<unsigned>(drawn.cutOneIn) == 0) {
+        drawn.cutAt = m_random() % (body.size() + 1);
+        drawn.resets = m_random() % 2 == 0;
+    }
+    const bool cut = drawn.cutAt && cutRequests->insert(requestId).second;
+    reply.begin(200, fields, drawn.framing);
+    reply.write(cut ? body.substr(0, *drawn.cutAt) : body);
+    if (cut && drawn.resets) {
         reply.reset();
-    } else if (cut && ending->framing != body_framing::Connection) {
+    } else if (cut && drawn.framing != body_framing::Connection) {
         reply.abort();
     } else {
         reply.end();
@@ -333,11 +339,11 @@
         respondLater(reply, requestId, model.empty() ? 0 : first, responseDelay);
         return;
     case behavior::HoldsStream:
-        respondWithStream(reply, requestId, first, first + 1);
+        respondWithStream(reply, requestId, first, std::min(first + 1, streamEvents));
         m_held.emplace_back(requestId, reply);
         return;
     case behavior::CutsStream:
-        respondWithStream(reply, requestId, first, first + 1);
+        respondWithStream(reply, requestId, first, std::min(first + 1, streamEvents));
         reply->write("id: 99\ndata: ha");
         reply->abort();
         return;
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
     body_framing framing = body_framing::Chunked;
     std::optional<std::size_t> cutAt; ///< bytes of the body that are sent; empty: all
     bool resets = false; ///< a cut response ends with a reset of the connection, else with an orderly close
+    /// One response in so many is cut at a random byte and ends in a random way; 0: as `cutAt` says.
+    int cutOneIn = 0;
 };
 
 /// Simulates a backend server of the platform: runs requests, executes orders and returns reports. Tests
@@ -130,6 +133,7 @@
     std::string m_service;
     std::unique_ptr<front_server> m_server;
     std::vector<std::pair<std::string, std::shared_ptr<front_reply>>> m_held; ///< request ids and replies
+    std::mt19937_64 m_random;
     std::vector<std::shared_ptr<void>> m_timers;
 };
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -11,6 +11,13 @@
 {
     const std::string id = server.name + '.' + std::to_string(++server.starts);
     server.standin = std::make_unique<backend_standin>(m_loop, id, server.service);
+    const auto index = static_cast<std::size_t>(&server - m_servers.data());
+    const ending_plan plan = drawEnding(m_options.seed, index, server.starts);
+    if (!m_healed) {
+        const body_framing framed = server.service == "llm" ? body_framing::Chunked : body_framing::Length;
+        server.standin->ending =
+            response_ending{plan.byConnection ? body_framing::Connection : framed, {}, false, plan.cutOneIn};
+    }
     server.proxy = std::make_unique<fault_proxy>(m_loop, server.standin->port);
     server.standin->advertisedPort = server.proxy->port();
     for (std::size_t i = 0; i < failureDomains; ++i) {
@@ -308,6 +315,7 @@
         if (server.standin) {
             server.standin->setLimit({});
             server.standin->setBrittle({});
+            server.standin->ending.reset();
             unsay(server, std::string(server.standin->id));
         }
     }
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -15,6 +15,7 @@
 /// Long enough for the rule on first attempts to bind for a while.
 constexpr std::int64_t shortestCutMs = 4'500;
 constexpr double seriesShare = 0.33;
+constexpr int cutResponsesOneIn = 10;
 constexpr std::size_t variants = 8;
 constexpr std::int64_t shortestFatalMs = 150;
 constexpr std::int64_t fatalRoutes = 4;
@@ -170,4 +171,16 @@
     return words;
 }
 
+ending_plan drawEnding(std::uint64_t seed, std::size_t server, int start)
+{
+    std::mt19937_64 random(seed * 131 + server * 17 + static_cast<std::uint64_t>(start));
+    const auto below = [&random](std::int64_t bound) {
+        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
+    };
+    ending_plan plan;
+    plan.byConnection = below(2) == 0;
+    plan.cutOneIn = below(2) == 0 ? cutResponsesOneIn : 0;
+    return plan;
+}
+
 }
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -97,6 +97,16 @@
 /// Drawn apart from the faults, for servers `first` to `last`, without the last.
 std::vector<brittle_plan> drawBrittle(std::uint64_t seed, std::size_t first, std::size_t last);
 
+/// How a server frames its responses: those of streams and of plain requests by their connection, or not.
+struct ending_plan
+{
+    bool byConnection = false;
+    int cutOneIn = 0; ///< of its responses, at a random byte; 0: none
+};
+
+/// Drawn apart from the faults, for each start of a server.
+ending_plan drawEnding(std::uint64_t seed, std::size_t server, int start);
+
 /// Drawn apart from the faults. Several servers name limits at once; some rise, fall or end midway.
 std::vector<limit_change_plan> drawLimits(std::uint64_t seed, millis length, std::size_t servers);
 
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -22,6 +22,13 @@
 constexpr millis comparedSpan{500};
 const std::string stampBegin = "by-";
 
+/// The number of the last event in a stream's body; 0 without one.
+int lastEventOf(const std::string &body)
+{
+    const std::size_t at = body.rfind("id: ");
+    return at == std::string::npos ? 0 : std::stoi(body.substr(at + 4));
+}
+
 bool promisesNotRun(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -104,6 +111,10 @@
     }
     const int status = answer.head.status;
     const std::string who = answer.id + " at " + request.daemon + ": ";
+    if (answer.how == send_result::Unknown && status >= 200 && status < 300) {
+        onUnframedAnswer(answer, request);
+        return;
+    }
     if (answer.how != send_result::Complete) {
         ++m_cut;
         checkStream(answer, false);
@@ -124,7 +135,8 @@
             wrong("MIXED " + who + "a success without a server's signature");
         }
         checkStream(answer, true);
-        if (!answer.stream && !answer.body.starts_with("served by ")) {
+        if (!answer.stream
+            && (!answer.body.starts_with("served by ") || std::isdigit(answer.body.back()) == 0)) {
             wrong("MIXED " + who + "not a server's body: " + answer.body);
         }
         return;
@@ -143,6 +155,19 @@
     }
 }
 
+/// An answer that ended with its connection claims nothing: it may be cut, but not in the middle of an event.
+void witness::onUnframedAnswer(const caller_answer &answer, sent_request &request)
+{
+    checkStream(answer, false);
+    const bool whole =
+        answer.stream ? lastEventOf(answer.body) == streamEvents : answer.body.starts_with("served by ");
+    (whole ? m_served : m_cut) += 1;
+    request.served = whole;
+    if (answer.stream && !answer.body.empty() && !answer.body.ends_with("\n\n")) {
+        wrong("ORDER " + answer.id + ": half an event, and an orderly end");
+    }
+}
+
 /// Events are numbered from 1, each once, and an answer that ends as whole has them all.
 void witness::checkStream(const caller_answer &answer, bool whole)
 {
@@ -161,6 +186,9 @@
             last = id;
         }
     }
+    if (whole && !answer.body.empty() && !answer.body.ends_with("\n\n")) {
+        wrong("ORDER " + answer.id + ": looks whole and ends in half an event");
+    }
     if (whole && last != streamEvents) {
         wrong("ORDER " + answer.id + ": looks whole after event " + std::to_string(last));
     }
