Let the soak's servers have two software versions, and its callers take streams up

Cause: the soak had one version and callers that never went on with a stream. Change: model servers start at two versions by the seed; callers of cut resumable streams take them up at some daemon up to three times. The witness holds the events of a stream over all its attempts against one version, and the share of streams taken up at calm daemons, while a healthy server of each version serves, against half of the share of new ones (12 or more).

--- a/tests/serving/edge_cut_test.cpp
+++ b/tests/serving/edge_cut_test.cpp
@@ -421,4 +421,30 @@
     EXPECT_FALSE(isFramedAsComplete(received)) << received;
 }
 
+/// Guards against a stream that goes on at another software version because a peer sends it there.
+TEST_F(edge_cut_test, StreamOverAPeerStaysAtItsSoftwareVersion)
+{
+    start();
+    startPeer("n2", "z");
+    for (std::size_t i = 0; i < m_models.size(); ++i) {
+        m_models[i]->softwareVersion = i == 0 ? "v1" : "v2";
+        m_store.put("servers/" + m_models[i]->id, m_models[i]->entry());
+    }
+    setCut(m_links, link_fault::Refused);
+    runTraffic(contactTime);
+    const auto cutRequests = std::make_shared<std::set<std::string>>();
+    for (const auto &server : m_models) {
+        server->ending = response_ending{body_framing::Chunked, 25, true}; // in the second event
+        server->cutRequests = cutRequests;
+    }
+    for (int i = 0; i < 6; ++i) {
+        const std::string received = responseTo("/resume/x", "a1");
+        const bool both = received.find("data: m-1") != std::string::npos
+            && received.find("data: m-2") != std::string::npos;
+        EXPECT_FALSE(both) << received;
+        EXPECT_FALSE(isFramedAsComplete(received) && statusOf(received) == "200") << received;
+    }
+    EXPECT_GT(metric(m_settings, "relayed_total{domain=\"same\"}"), 0);
+}
+
 }
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -109,7 +109,30 @@
     return daemon->disturbedUntil < since && m_storeTroubles == 0 && m_storeDisturbed < since;
 }
 
-void soak_run::send(std::size_t kind, const std::string &body, const std::string &key)
+bool soak_run::isServed(const std::string &softwareVersion) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [&softwareVersion](const served_server &each) {
+        return each.service == "llm" && each.standin && !each.standin->leaving
+            && each.standin->currentBehavior == behavior::Serves
+            && each.standin->softwareVersion == softwareVersion;
+    });
+}
+
+bool soak_run::severalVersionsServe() const
+{
+    return isServed("v1") && isServed("v2");
+}
+
+/// The caller takes its stream up at some daemon.
+void soak_run::takeUp(const resumed_stream &stream)
+{
+    if (!m_healed) {
+        send(resumableKind, "hi", freeKey, stream);
+    }
+}
+
+void soak_run::send(
+    std::size_t kind, const std::string &body, const std::string &key, const resumed_stream &resumed)
 {
     std::vector<daemon_process *> open;
     for (daemon_process &daemon : m_daemons) {
@@ -131,10 +154,20 @@
     text += model ? "X-Briarhead-Model: m0/a" + std::to_string(below(adapters))
             + "\r\nX-Briarhead-Token-Count: 500,50\r\n"
                   : "";
+    text += resumed.root.empty()
+        ? ""
+        : "Last-Event-Id: " + std::to_string(resumed.lastEvent) + "\r\nResumes: " + resumed.root + "\r\n";
     m_witness.sent(id, repeatable, daemon.name, bootNow(), daemon.terminated);
     if (body != fatalBody && key == freeKey && isCalm(daemon.name)) {
         m_witness.countsForCuts(id);
     }
+    if (model) {
+        const auto &versions = m_witness.versionsOf(resumed.root);
+        const bool mayGoOn = resumed.root.empty() || (versions.size() == 1 && isServed(*versions.begin()));
+        m_witness.isStream(id, resumed,
+            kind == resumableKind && body != fatalBody && isCalm(daemon.name) && severalVersionsServe()
+                && mayGoOn);
+    }
     struct heard
     {
         http_head head;
@@ -149,9 +182,28 @@
     calls.onBody = [answer](const std::string &bytes) {
         answer->body += bytes;
     };
-    calls.onEnd = [this, answer, id, model, &daemon](const response_end &end, const error &) {
+    const bool takesUp = kind == resumableKind && body != fatalBody;
+    calls.onEnd = [this, answer, id, model, takesUp, resumed, &daemon](
+                      const response_end &end, const error &) {
         m_witness.answered({id, model, resultOf(end), answer->head, answer->body}, bootNow(),
             bootNow() - deadline - overdue > daemon.disturbedUntil);
+        if (!takesUp || resultOf(end) == send_result::Complete || resumed.takenUp >= maxTakenUp) {
+            return;
+        }
+        const std::size_t wholeEvents = answer->body.rfind("\n\n");
+        const std::size_t at =
+            wholeEvents == std::string::npos ? wholeEvents : answer->body.rfind("id: ", wholeEvents);
+        resumed_stream next = resumed;
+        if (at != std::string::npos) {
+            next.lastEvent = std::stoi(answer->body.substr(at + 4));
+            next.root = next.root.empty() ? id : next.root;
+        }
+        ++next.takenUp;
+        if (!next.root.empty() && next.lastEvent < eventsOfAStream) {
+            after(millis{static_cast<std::int64_t>(1 + below(longestAbsenceMs))}, [this, next] {
+                takeUp(next);
+            });
+        }
     };
     m_pool.start({"127.0.0.1", daemon.frontPort}, text + "\r\n" + body, false, std::move(calls));
     after(deadline + overdue, [this, id, &daemon] {
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -13,6 +13,8 @@
     server.standin = std::make_unique<backend_standin>(m_loop, id, server.service);
     const auto index = static_cast<std::size_t>(&server - m_servers.data());
     const ending_plan plan = drawEnding(m_options.seed, index, server.starts);
+    server.standin->softwareVersion = plan.secondVersion ? "v2" : "v1";
+    m_witness.serverStarted(id, server.standin->softwareVersion);
     if (!m_healed) {
         const body_framing framed = server.service == "llm" ? body_framing::Chunked : body_framing::Length;
         server.standin->ending =
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -180,6 +180,8 @@
     ending_plan plan;
     plan.byConnection = below(2) == 0;
     plan.cutOneIn = below(2) == 0 ? cutResponsesOneIn : 0;
+    // Two versions serve from the start on; which one a server comes back with is random.
+    plan.secondVersion = start == 1 ? server % 2 == 1 : below(2) == 0;
     return plan;
 }
 
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -102,6 +102,7 @@
 {
     bool byConnection = false;
     int cutOneIn = 0; ///< of its responses, at a random byte; 0: none
+    bool secondVersion = false; ///< of its software
 };
 
 /// Drawn apart from the faults, for each start of a server.
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -51,6 +51,10 @@
 {
     return "key-of-version-" + std::to_string(version);
 }
+constexpr std::size_t resumableKind = 3;
+constexpr int eventsOfAStream = 4;
+constexpr int maxTakenUp = 3; ///< times, by a caller whose stream is cut
+constexpr std::size_t longestAbsenceMs = 300; ///< until a caller takes its stream up
 constexpr const char *paths[] = {"/once/x", "/safe/x", "/gen/x", "/resume/x"};
 constexpr std::size_t servedAfterAtLeast = 38;
 
@@ -109,7 +113,11 @@
     void look();
     std::size_t below(std::size_t bound);
     void sendOne();
-    void send(std::size_t kind, const std::string &body, const std::string &key);
+    void send(std::size_t kind, const std::string &body, const std::string &key,
+        const resumed_stream &resumed = {});
+    void takeUp(const resumed_stream &stream);
+    bool severalVersionsServe() const;
+    bool isServed(const std::string &softwareVersion) const;
     void sendFatal();
     bool isCalm(const std::string &name) const;
     void crashUnder(served_server &server, const std::string &requestId);
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -12,6 +12,8 @@
 /// Planned work alone must cut nothing; other faults count up to this long before.
 constexpr millis calmBefore{3'000};
 constexpr std::size_t violationsTold = 20;
+/// The rule on streams that are taken up binds from so many on.
+constexpr std::size_t takenUpCompared = 12;
 /// A request may end so many servers before all daemons must know it, and be sent on so many times after.
 constexpr std::size_t endsAllowed = 3;
 constexpr std::size_t sendsAllowed = 3;
@@ -51,7 +53,68 @@
 void witness::sent(
     const std::string &id, bool repeatable, const std::string &daemon, millis at, millis terminated)
 {
-    m_requests[id] = {repeatable, daemon, at, terminated.count != 0, false, false, false, false, 0};
+    m_requests[id] = {
+        repeatable, daemon, at, terminated.count != 0, false, false, false, false, 0, {}, false};
+}
+
+void witness::isStream(const std::string &id, const resumed_stream &resumed, bool counts)
+{
+    sent_request &request = m_requests.at(id);
+    request.resumed = resumed;
+    request.countsForVersions = counts;
+}
+
+void witness::serverStarted(const std::string &server, const std::string &softwareVersion)
+{
+    m_serverVersions[server] = softwareVersion;
+}
+
+const std::set<std::string> &witness::versionsOf(const std::string &root) const
+{
+    static const std::set<std::string> none;
+    const auto found = m_streamVersions.find(root);
+    return found == m_streamVersions.end() ? none : found->second;
+}
+
+/// All events of a stream come from servers of one software version, however often it is taken up.
+void witness::checkVersions(const caller_answer &answer, const sent_request &request)
+{
+    const std::string root = request.resumed.root.empty() ? answer.id : request.resumed.root;
+    std::set<std::string> &versions = m_streamVersions[root];
+    std::istringstream lines(answer.body);
+    bool anyEvent = false;
+    for (std::string line; std::getline(lines, line);) {
+        const auto server =
+            line.starts_with("data: ") ? m_serverVersions.find(line.substr(6)) : m_serverVersions.end();
+        if (server != m_serverVersions.end()) { // else the rest of a cut event
+            anyEvent = true;
+            versions.insert(server->second);
+        }
+    }
+    if (versions.size() > 1) {
+        wrong("ORDER " + answer.id + " at " + request.daemon + ": events of two software versions, begun as "
+            + root);
+    }
+    if (request.countsForVersions) {
+        stream_counts &counts = request.resumed.root.empty() ? m_newStreams : m_takenUp;
+        ++counts.sent;
+        counts.wentOn += anyEvent ? 1 : 0;
+    }
+}
+
+/// While two software versions serve, streams that are taken up go on half as often as new ones begin.
+void witness::checkTakenUp(soak_report &report) const
+{
+    if (m_takenUp.sent < takenUpCompared || m_newStreams.sent == 0) {
+        return;
+    }
+    const bool fewer = 2 * m_takenUp.wentOn * m_newStreams.sent < m_newStreams.wentOn * m_takenUp.sent;
+    if (fewer) {
+        std::ostringstream text;
+        text << "LOST " << m_takenUp.wentOn << " of " << m_takenUp.sent << " streams taken up went on, "
+             << m_newStreams.wentOn << " of " << m_newStreams.sent << " new ones began";
+        report.violations.push_back(text.str());
+    }
 }
 
 void witness::countsForCuts(const std::string &id)
@@ -110,6 +173,9 @@
         m_told[stamp->substr(stampBegin.size())][request.daemon].push_back(at);
     }
     const int status = answer.head.status;
+    if (answer.stream) {
+        checkVersions(answer, request);
+    }
     const std::string who = answer.id + " at " + request.daemon + ": ";
     if (answer.how == send_result::Unknown && status >= 200 && status < 300) {
         onUnframedAnswer(answer, request);
@@ -175,7 +241,7 @@
         return;
     }
     std::istringstream lines(answer.body);
-    int last = 0;
+    int last = m_requests.at(answer.id).resumed.lastEvent;
     for (std::string line; std::getline(lines, line);) {
         if (line.starts_with("id: ")) {
             const int id = std::stoi(line.substr(4));
@@ -400,6 +466,7 @@
     report.violations.insert(report.violations.end(), m_violations.begin(), m_violations.end());
     checkLimit(report);
     checkCuts(report);
+    checkTakenUp(report);
     for (const auto &[id, request] : m_requests) {
         if (request.promised && request.runs > 0) {
             report.violations.push_back(
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -28,6 +28,14 @@
     std::string body;
 };
 
+/// A stream that a caller takes up again; for one that begins, all members are empty.
+struct resumed_stream
+{
+    std::string root; ///< id of the attempt that brought its first event
+    int lastEvent = 0;
+    int takenUp = 0; ///< times
+};
+
 /// Why a daemon may not know what servers told it.
 enum class excuse_kind : std::uint8_t
 {
@@ -46,6 +54,11 @@
     void countsForCuts(const std::string &id);
     /// Daemons are cut off from all servers, and their callers, the store and the other daemons reach them.
     void cutOff(const std::set<std::string> &daemons, millis from, millis until);
+    /// The latest request sent goes on with a stream, or begins one. `counts`: for the comparison of the two.
+    void isStream(const std::string &id, const resumed_stream &resumed, bool counts);
+    void serverStarted(const std::string &server, const std::string &softwareVersion);
+    /// The software versions that brought events of a stream.
+    const std::set<std::string> &versionsOf(const std::string &root) const;
     /// `calm`: the daemon was undisturbed since before the request.
     void answered(const caller_answer &answer, millis at, bool calm);
     /// A request's time is over; it must have been answered unless its daemon was disturbed since it was
@@ -81,7 +94,11 @@
         bool served = false;
         bool promised = false; ///< its answer says that it has not run
         std::size_t runs = 0;
+        resumed_stream resumed;
+        bool countsForVersions = false;
     };
+    void checkVersions(const caller_answer &answer, const sent_request &request);
+    void checkTakenUp(soak_report &report) const;
     void checkAccount(const backend_standin &server, const front_request &run, millis at);
     void checkLimit(soak_report &report) const;
     void checkCuts(soak_report &report) const;
@@ -94,6 +111,15 @@
     void wrong(const std::string &what);
 
     std::map<std::string, sent_request> m_requests;
+    std::map<std::string, std::string> m_serverVersions; ///< by server
+    std::map<std::string, std::set<std::string>> m_streamVersions; ///< by the root attempt
+    struct stream_counts
+    {
+        std::size_t sent = 0;
+        std::size_t wentOn = 0; ///< brought an event
+    };
+    stream_counts m_newStreams;
+    stream_counts m_takenUp;
     std::vector<millis> m_limitedRuns; ///< of the account that has a limit
     std::vector<millis> m_ends; ///< of servers, under the one request that ends them
     std::size_t m_sentOn = 0; ///< by calm daemons, long after the third end
