--- a/tests/soak/response_end_test.cpp
+++ b/tests/soak/response_end_test.cpp
@@ -119,14 +119,13 @@
     {
         return path == "/gen/" || path == "/resume/";
     }
-    std::string send(raw_socket &caller, const std::string &path)
+    void send(raw_socket &caller, const std::string &path)
     {
         const std::string id = "e" + std::to_string(++m_lastId);
         caller.send("POST " + path + "x HTTP/" + m_httpVersion + "\r\nHost: h\r\nX-Briarhead-Request-Id: "
             + id + "\r\nX-Briarhead-Deadline-Ms: 4000\r\nContent-Length: 0\r\nConnection: close\r\n"
             + (isStream(path) ? "X-Briarhead-Model: m0/a1\r\nX-Briarhead-Token-Count: 50,50\r\n" : "")
             + "\r\n");
-        return id;
     }
     caller_response responseTo(const std::string &path)
     {
--- a/tests/standins/engine_standin.h
+++ b/tests/standins/engine_standin.h
@@ -34,9 +34,10 @@
 /// gappy cache events. Further faults:
 ///   {"fail_loads": n, "reset": true, "leaving": bool, "refuse_runs": bool, "pause": SECONDS,
 ///   "ignore_fencing": bool,
-///    "drop_after_tokens": n (negative: off), "drop_inside_event": bool, "paused": bool, "run_as": "a:2" (answers from another version),
-///    "fatal_prompt": HASH (a cold start a moment after a run of that prompt began; empty: none),
-///    "keep_runs": bool (runs go on when their connection closes, as until an engine notices)}
+///    "drop_after_tokens": n (negative: off), "drop_inside_event": bool, "paused": bool, "run_as": "a:2"
+///    (answers from another version), "fatal_prompt": HASH (a cold start a moment after a run of that prompt
+///    began; empty: none), "keep_runs": bool (runs go on when their connection closes, as until an engine
+///    notices)}
 /// Its record has the kinds "run", "withdrawn" (left the queue before it began), "load", "unload", "fence",
 /// "role", "refused", "cold_start" and "violation". A violation's "what" is one of
 ///   unload_while_serving  it was obeyed, and the streams on the adapter were broken off
