Take another peer where the connection to a relaying one hangs

Cause: a cut off daemon waited for a peer that accepts no connection until the connect timeout, which short routes don't have. Ruled out: - Change: after slowConnect without a connection the peer is backed off and another one takes the request; nothing has been sent by then.

--- a/packages/serving/server_path_task.cpp
+++ b/packages/serving/server_path_task.cpp
@@ -267,6 +267,26 @@
     };
     send->poolId = m_pool.start({peer->ip, peer->port},
         peerCall("POST", relayTarget, body, relayEndsField + ": 1\r\n"), false, std::move(handlers));
+    if (m_pool.isConnecting(*send->poolId)) {
+        send->slowTimer = m_loop.timer(slowConnect, {}, [this, weak] {
+            if (const auto locked = weak.lock()) {
+                onRelaySlow(locked);
+            }
+        });
+    }
+}
+
+/// Takes another peer if the connection to this one is not established yet: nothing has been sent.
+void server_path_task::onRelaySlow(const send_ptr &send)
+{
+    if (!send->poolId || send->relay.empty() || !m_pool.isConnecting(*send->poolId)) {
+        return;
+    }
+    const auto timer = std::exchange(send->slowTimer, nullptr); // kept alive until the end of this call
+    m_relayFailedAt[send->relay] = bootNow();
+    m_pool.cancel(*send->poolId);
+    releaseRelay(*send);
+    startRelayed(send);
 }
 
 void server_path_task::countBytes(const active_send &send, std::size_t bytes)
--- a/tests/serving/edge_cut_test.cpp
+++ b/tests/serving/edge_cut_test.cpp
@@ -291,6 +291,21 @@
     EXPECT_EQ(statusOf(received), "200");
 }
 
+/// Guards against a peer that accepts no connection and holds the requests of a cut off daemon.
+TEST_F(edge_cut_test, PeerThatHangsIsReplacedByAnother)
+{
+    m_timeoutMs = 650;
+    start();
+    startPeer("n2", "z");
+    fault_proxy hanging(m_loop, m_settings.peers.port);
+    hanging.setFault(link_fault::Hangs);
+    m_store.put(
+        "briarhead/daemon/n0", encode(daemon_record{"n0", http_testing::loopback, hanging.port(), "z", 1}));
+    setCut(m_links, link_fault::Refused);
+    runTraffic(contactTime);
+    EXPECT_LE(countFailures("/once/x", "", attempts), maxFailures);
+}
+
 /// Guards against requests that wait until their deadline although no daemon reaches a server.
 TEST_F(edge_cut_test, RequestsAreRefusedAtOnceWhereNoPeerReachesTheServers)
 {
