Look at a server's process only once its kernel has had time to close all sockets

A crashing process closes its sockets one after another as well. Ruled out: the probe's time limit: the failing answers ended within 50 ms. Load as the cause: it only widened the gap. Change: 10 ms pass between the close and the attempt, in both daemons; the stand-in that crashes closes its listening socket first.

--- a/packages/daemon/entry_admit.cpp
+++ b/packages/daemon/entry_admit.cpp
@@ -30,6 +30,8 @@
 constexpr millis serviceLeavingRetention{60'000};
 /// A host answers for a closed port within a round trip.
 constexpr millis processProbeTimeout{350};
+/// The kernel closes the sockets of a crashed process one after another, the listening one perhaps last.
+constexpr millis processExitTime{10};
 
 std::string headerOf(const http_request &httpRequest, const char *name)
 {
@@ -555,22 +557,32 @@
         return;
     }
     m_pending[request->id] = request;
-    request->processProbe =
-        probeConnect(m_loop, {server->second.instance.address, server->second.instance.port},
-            processProbeTimeout, [this, id = request->id, result](connect_result probed) {
-                const request_ptr checked = removePending(id);
-                if (!checked) {
-                    return;
-                }
-                const auto probe =
-                    std::exchange(checked->processProbe, nullptr); // kept until the end of this call
-                http_result known = result;
-                if (probed == connect_result::Refused) {
-                    known.end.connection = connection_end::Reset;
-                    known.why = {error_kind::ConnectionLost, checked->server, "the server ended"};
-                }
-                concludeServiceCall(checked, known);
-            });
+    const peer_address address{server->second.instance.address, server->second.instance.port};
+    request->retryTimer = m_loop.timer(processExitTime, {}, [this, id = request->id, address, result] {
+        if (const auto found = m_pending.find(id); found != m_pending.end()) {
+            probeServiceProcess(found->second, address, result);
+        }
+    });
+}
+
+void entry_task::probeServiceProcess(
+    const request_ptr &request, const peer_address &address, const http_result &result)
+{
+    request->processProbe = probeConnect(
+        m_loop, address, processProbeTimeout, [this, id = request->id, result](connect_result probed) {
+            const request_ptr checked = removePending(id);
+            if (!checked) {
+                return;
+            }
+            const auto probe =
+                std::exchange(checked->processProbe, nullptr); // kept until the end of this call
+            http_result known = result;
+            if (probed == connect_result::Refused) {
+                known.end.connection = connection_end::Reset;
+                known.why = {error_kind::ConnectionLost, checked->server, "the server ended"};
+            }
+            concludeServiceCall(checked, known);
+        });
 }
 
 void entry_task::concludeServiceCall(const request_ptr &request, const http_result &result)
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -147,6 +147,8 @@
     void routeService(const request_ptr &request);
     void onServiceResult(const request_id &id, const http_result &result);
     void checkServiceProcess(const request_ptr &request, const http_result &result);
+    void probeServiceProcess(
+        const request_ptr &request, const peer_address &address, const http_result &result);
     void concludeServiceCall(const request_ptr &request, const http_result &result);
     void respondFromService(const request_ptr &request, const http_result &result);
     millis serviceRetryAfter(const std::string &service);
--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -86,6 +86,7 @@
     };
     std::optional<held_response> held;
     std::shared_ptr<void> confirmTimer;
+    std::shared_ptr<void> processTimer; ///< until the server's process is looked at
     std::string responseBody;
     send_result responseResult = send_result::Broken; ///< Complete or Unknown, once the response has ended
     bool streaming = false; ///< events are forwarded to the caller as they arrive
--- a/packages/serving/front_response.cpp
+++ b/packages/serving/front_response.cpp
@@ -11,6 +11,8 @@
 /// Number of servers tried if connections are refused or time out before anything has been sent.
 constexpr int maxUnsentAttempts = 3;
 constexpr int firstServerError = 500;
+/// The kernel closes the sockets of a crashed process one after another, the listening one perhaps last.
+constexpr millis processExitTime{10};
 constexpr std::string_view eventStreamType = "text/event-stream";
 
 bool isEventStream(const http_head &head)
@@ -131,16 +133,23 @@
 /// orderly close is all that ended a response, a server whose process has ended has cut it off.
 void front_task::checkServerProcess(const request_ptr &pending, const response_end &end, const error &why)
 {
-    m_paths.checkProcess(pending->target,
-        [this, weak = std::weak_ptr<pending_request>(pending), end, why](connect_result result) {
-            const auto locked = weak.lock();
-            if (!locked || m_requests.count(locked->number) == 0) {
-                return;
-            }
-            response_end known = end;
-            known.connection = result == connect_result::Refused ? connection_end::Reset : end.connection;
-            concludeSend(locked, known, why);
-        });
+    const std::weak_ptr<pending_request> weak = pending;
+    const auto conclude = [this, weak, end, why](connect_result result) {
+        const auto locked = weak.lock();
+        if (!locked || m_requests.count(locked->number) == 0) {
+            return;
+        }
+        response_end known = end;
+        known.connection = result == connect_result::Refused ? connection_end::Reset : end.connection;
+        concludeSend(locked, known, why);
+    };
+    pending->processTimer = m_loop.timer(processExitTime, {}, [this, weak, conclude] {
+        if (const auto locked = weak.lock()) {
+            const auto timer =
+                std::exchange(locked->processTimer, nullptr); // kept until the end of this call
+            m_paths.checkProcess(locked->target, conclude);
+        }
+    });
 }
 
 void front_task::concludeSend(const request_ptr &pending, const response_end &end, const error &why)
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -423,6 +423,7 @@
     pending->deadlineTimer.reset();
     pending->slotRequestTimer.reset();
     pending->inactivityTimer.reset();
+    pending->processTimer.reset();
     const auto number = m_numberByRequestId.find(pending->request.id);
     if (number != m_numberByRequestId.end() && number->second == pending->number) {
         m_numberByRequestId.erase(number);
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -227,6 +227,12 @@
     m_held.clear();
 }
 
+void backend_standin::crash()
+{
+    m_server->stopListening();
+    closeHeldStreams();
+}
+
 void backend_standin::closeHeldStreams()
 {
     for (const auto &[requestId, reply] : m_held) {
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -54,7 +54,10 @@
 
     /// Responds to the requests that were received while Silent.
     void respondToHeld(const std::string &body);
-    /// Closes the connections of held streams in order, as the kernel does for a process that has crashed.
+    /// Closes the listening socket and the connections of held streams in order, as the kernel does for a
+    /// process that has crashed.
+    void crash();
+    /// Closes the connections of held streams in order.
     void closeHeldStreams();
 
     /// What the server does with requests. "Run" means that it executes them.
--- a/tests/soak/response_end_test.cpp
+++ b/tests/soak/response_end_test.cpp
@@ -188,7 +188,7 @@
         }
         for (backend_standin *server : modelServers()) {
             if (!server->ran.empty()) {
-                server->closeHeldStreams();
+                server->crash();
                 m_servers.erase(server->id);
                 break;
             }
