Let unframed responses clear crash records where their server lives on

Where both plain servers framed none, three crashes of any kind blocked all requests with the same bytes. Change: a response of unknown end whose server's process was found alive after it shows that the request crashes no server, and clears its record, in both daemons.

--- a/packages/daemon/entry_admit.cpp
+++ b/packages/daemon/entry_admit.cpp
@@ -576,6 +576,7 @@
             }
             const auto probe =
                 std::exchange(checked->processProbe, nullptr); // kept until the end of this call
+            checked->serverSurvived = probed == connect_result::Accepted;
             http_result known = result;
             if (probed == connect_result::Refused) {
                 known.end.connection = connection_end::Reset;
@@ -632,8 +633,10 @@
     request->responseType = type == result.headers.end() ? "application/octet-stream" : type->second;
     const header_list headers{{"Content-Type", request->responseType},
         {"X-Briarhead-Server", request->server}, {"X-Request-Id", toString(request->id)}};
-    if (whole) {
+    if (whole || request->serverSurvived) {
         m_crashes.onResponseComplete(request->fingerprint);
+    }
+    if (whole) {
         reportToKeyHome(*request, outcome::Done, result.status, result.body);
         request->reply->respond(result.status, headers, result.body);
     } else {
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -89,6 +89,7 @@
         std::uint32_t attempts = 0;
         std::uint32_t redirects = 0;
         std::uint64_t prefix = 0; ///< hash of the prompt's beginning; 0: none
+        bool serverSurvived = false; ///< its process was there after the end of an unframed response
         bool responseStarted = false; ///< the status line was sent
         bool isProbe = false; ///< sent although it is blocked
         bool mayHaveRun = false; ///< an earlier attempt ended with an unknown outcome
--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -88,6 +88,7 @@
     std::shared_ptr<void> confirmTimer;
     std::shared_ptr<void> processTimer; ///< until the server's process is looked at
     std::string responseBody;
+    bool serverSurvived = false; ///< its process was there after the end of an unframed response
     send_result responseResult = send_result::Broken; ///< Complete or Unknown, once the response has ended
     bool streaming = false; ///< events are forwarded to the caller as they arrive
     bool headSent = false; ///< the response head has been sent to the caller
--- a/packages/serving/front_response.cpp
+++ b/packages/serving/front_response.cpp
@@ -139,6 +139,7 @@
         if (!locked || m_requests.count(locked->number) == 0) {
             return;
         }
+        locked->serverSurvived = result == connect_result::Accepted;
         response_end known = end;
         known.connection = result == connect_result::Refused ? connection_end::Reset : end.connection;
         concludeSend(locked, known, why);
@@ -179,7 +180,7 @@
         onResponseBroken(pending, end, why);
         return;
     }
-    if (!notExecuted && result == send_result::Complete) {
+    if (!notExecuted && (result == send_result::Complete || pending->serverSurvived)) {
         m_crashes.onResponseComplete(pending->fingerprint);
     }
     pending->mayHaveRun = pending->mayHaveRun || !notExecuted;
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -53,6 +53,7 @@
     pending->responseMeta = {};
     pending->responseBody.clear();
     pending->held.reset();
+    pending->serverSurvived = false;
     pending->firstEventReceived = false;
     ++m_inFlight[server.id];
     ++m_counters.sends;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -55,6 +55,13 @@
     expectNoViolation(1, {12'000});
 }
 
+/// Guards against requests that are blocked for good where no response is framed: nothing cleared their
+/// record of servers that had crashed beside them.
+TEST(Soak, UnframedResponsesClearCrashRecordsUnderASeedsFaults)
+{
+    expectNoViolation(333, {12'000});
+}
+
 // One plain server had ended under its callers and the other was full: they got its 503 as it was, without
 // when to come back.
 TEST(Soak, EachRefusalSaysWhenToComeBackUnderASeedsFaults)
