Test that one version is not certain while the store is away

Cause: with the age of the view taken out no test failed. Change: software_version_test.OneVersionIsUncertainWhileTheStoreIsAway: an unknown stream is refused, one that began meanwhile goes on at another daemon by its homes.

--- a/tests/soak/software_version_test.cpp
+++ b/tests/soak/software_version_test.cpp
@@ -338,6 +338,19 @@
     EXPECT_EQ(attempt->status(), 200) << attempt->received;
 }
 
+/// Guards against a view of one version that may be old.
+TEST_F(software_version_test, OneVersionIsUncertainWhileTheStoreIsAway)
+{
+    m_storeServer.client.fault = store_fault::Unresponsive;
+    runFor({4'500});
+    const auto unknown = start(1, resumeFields("nobody"));
+    finish(*unknown);
+    expectRefused(*unknown);
+    const auto begun = begin(0);
+    const auto resumed = takeUp(*begun, 1); // which asks the homes
+    expectGoesOn(*begun, *resumed);
+}
+
 /// Guards against a stream of a version that has just gone, at daemons that started after it had.
 TEST_F(software_version_test, StreamOfAVersionBeforeTheDaemonsStartedIsRefused)
 {
