Log which parts of their prompts requests share with others

Cause: the lines of the incident of shared prompt parts don't say what requests have in common, so its first hypothesis can be neither confirmed nor refuted. Change: the list of a prompt's parts is decoded in platform/ into a typed list, at most 32 ids, without the last part; `request.accepted` and `request.broken` name them. A malformed list means no parts, a line `request.parts_unreadable` and a counter; the request passes on unchanged.

--- a/packages/serving/client_request.h
+++ b/packages/serving/client_request.h
@@ -15,6 +15,9 @@
 
 namespace briarhead {
 
+/// Parts of a longer prompt beyond these are not kept.
+constexpr std::size_t maxListedParts = 32;
+
 /// A caller's request with its headers parsed.
 struct client_request
 {
@@ -31,6 +34,9 @@
     std::string lastEventId; ///< last event the caller received of a stream that it resumes
     /// The id of the attempt that brought the resumed stream's first event; empty if not stated.
     std::string resumes;
+    /// The parts of the prompt that other requests may share, in order, at most maxListedParts.
+    std::vector<std::string> promptParts;
+    bool unreadableParts = false; ///< the list of parts is malformed, and counts as none
     http_head head;
     std::string body;
 };
--- a/packages/serving/front_response.cpp
+++ b/packages/serving/front_response.cpp
@@ -230,6 +230,8 @@
         .add("id", pending->request.id)
         .add("fingerprint", pending->fingerprint)
         .add("server", pending->server)
+        .add("route", pending->matchedRoute->name)
+        .add("parts", partsText(*pending))
         .add("status", pending->responseHead.status)
         .add("begun", pending->headSent ? 1 : 0)
         .add("last_event", pending->eventStream.lastId)
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -231,10 +231,15 @@
         .add("kind", nameOf(pending->matchedRoute->kind))
         .add("config", pending->config->version)
         .add("adapter", adapterKey(pending->request.model, pending->request.adapter))
+        .add("parts", partsText(*pending))
         .add("resumes", pending->request.resumes)
         .add("last_event", pending->request.lastEventId)
         .add("left_ms", pending->deadlineAt - pending->arrived)
         .add("waited_ms", bootNow() - pending->arrived);
+    if (pending->request.unreadableParts) {
+        ++m_counters.unreadableParts;
+        m_log.important("request.parts_unreadable").add("id", pending->request.id);
+    }
     countRequest(m_retryBudget, pending->service, m_settings.retries, pending->arrived);
     const bool takenUp =
         pending->matchedRoute->kind == route_kind::Stream && !pending->request.lastEventId.empty();
@@ -245,6 +250,16 @@
     }
 }
 
+/// The shared parts of the request's prompt, for the log.
+std::string front_task::partsText(const pending_request &pending)
+{
+    std::string text;
+    for (const std::string &part : pending.request.promptParts) {
+        text += (text.empty() ? "" : ",") + part;
+    }
+    return text;
+}
+
 void front_task::useService(pending_request &pending, const std::string &service) const
 {
     pending.service = service;
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -63,6 +63,7 @@
     std::uint64_t retries = 0;
     std::uint64_t retriesDenied = 0; ///< because the retry budget was exhausted
     std::uint64_t slotRequests = 0; ///< messages sent, including repetitions
+    std::uint64_t unreadableParts = 0; ///< requests whose list of prompt parts is malformed
     latency_histogram firstResponse; ///< from arrival until the response head goes to the caller
     latency_histogram eventGap; ///< between two chunks of a response from a server
     latency_histogram duration; ///< from arrival to the end of the request
@@ -194,6 +195,7 @@
     void fail(const request_ptr &pending, int status, const char *reason);
     void finish(const request_ptr &pending, const std::string &outcome);
     static std::string_view framingName(const pending_request &pending);
+    static std::string partsText(const pending_request &pending);
     void abandonServer(const request_ptr &pending, slot_event event);
     void announceRunning(const std::string &server, const std::string &orderer);
     void notifyOwner(const pending_request &pending, slot_event event);
--- a/tests/serving/platform_test.cpp
+++ b/tests/serving/platform_test.cpp
@@ -56,6 +56,35 @@
     }
 }
 
+TEST(PlatformRequests, PromptPartsAreReadWithoutTheLastOne)
+{
+    const auto partsIn = [](const std::vector<std::string> &values) {
+        std::vector<http_field> fields = requestFields;
+        for (const std::string &value : values) {
+            fields.push_back({"X-Briarhead-Prompt-Prefix", value});
+        }
+        error why;
+        const auto request = requestCodec().readRequest(requestWith(fields), why);
+        EXPECT_TRUE(request) << message(why);
+        return std::pair(request->promptParts, request->unreadableParts);
+    };
+    using parts = std::pair<std::vector<std::string>, bool>;
+    EXPECT_EQ(partsIn({"5c1e07a2:800,91BD3F06:410, e4402b7d:250"}), parts({"5c1e07a2", "91bd3f06"}, false));
+    EXPECT_EQ(partsIn({"5c1e07a2:800", "91bd3f06:410"}), parts({"5c1e07a2"}, false));
+    EXPECT_EQ(partsIn({"5c1e07a2:800"}), parts({}, false));
+    EXPECT_EQ(partsIn({}), parts({}, false));
+    for (const char *malformed : {"5c1e07a2", "5c1e07a2:,91:1,2:2", "xyz:1,2:3", ":1,2:3", "1:2,", "1:2,,3:4",
+             "1:-2,3:4", "1:2:3,4:5"}) {
+        EXPECT_EQ(partsIn({malformed}), parts({}, true)) << malformed;
+    }
+    EXPECT_EQ(partsIn({std::string(65, 'a') + ":1,2:3"}), parts({}, true));
+    std::string many;
+    for (int i = 0; i < 100; ++i) {
+        many += (many.empty() ? "" : ",") + std::to_string(i) + ":1";
+    }
+    EXPECT_EQ(partsIn({many}).first.size(), maxListedParts);
+}
+
 TEST(PlatformRequests, HeadersAreRead)
 {
     error why;
