--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -292,6 +292,16 @@
     }
 }
 
+bool backend_standin::isFatal(const front_request &request) const
+{
+    const std::string parts = ',' + valueOf(request, "x-briarhead-prompt-prefix");
+    const std::size_t last = parts.rfind(',');
+    return (!fatalBody.empty() && request.body == fatalBody)
+        || std::any_of(fatalParts.begin(), fatalParts.end(), [&](const std::string &part) {
+               return parts.find(',' + part + ':') < last;
+           });
+}
+
 void backend_standin::run(const front_request &request, const std::shared_ptr<front_reply> &reply)
 {
     const std::string requestId = valueOf(request, "x-briarhead-request-id");
@@ -314,7 +324,8 @@
     }
     ran.push_back(request);
     ranAt.push_back(bootNow());
-    if (!fatalBody.empty() && request.body == fatalBody) {
+    if (isFatal(request)) {
+        ++fatalRuns;
         runFatalRequest(requestId, reply, !model.empty());
         return;
     }
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -106,6 +106,9 @@
     std::uint16_t advertisedPort = 0; ///< port in the entry, if daemons connect through a proxy; 0: `port`
     std::size_t maxAdapters = 0; ///< largest number of adapters resident at the same time
     std::string fatalBody; ///< a request with this body crashes the server; empty for none
+    /// A request with one of these parts in its prompt crashes the server, unless the part is its last.
+    std::set<std::string> fatalParts;
+    std::size_t fatalRuns = 0; ///< requests that crash the server and were run
     /// Called with the request's id shortly after a fatal request began to run. The callee destroys this
     /// object.
     std::function<void(const std::string &requestId)> onFatal;
@@ -125,6 +128,7 @@
         millis delay);
     void respondWithEnding(front_reply &reply, const std::string &requestId, int firstEvent);
     std::string eventText(int number) const;
+    bool isFatal(const front_request &request) const;
 
     bool rejectsForLackOfRoom(const std::string &requestId, front_reply &reply);
 
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -201,6 +201,7 @@
     m_ignoreFencing = faults.value("ignore_fencing", m_ignoreFencing);
     m_runAs = faults.value("run_as", m_runAs);
     m_fatalPrompt = faults.value("fatal_prompt", m_fatalPrompt);
+    m_fatalText = faults.value("fatal_text", m_fatalText);
     if (faults.contains("drop_after_tokens")) {
         m_batch->dropAfter(faults["drop_after_tokens"].get<std::int64_t>());
     }
@@ -313,7 +314,8 @@
             },
             "cancelled");
     });
-    const bool fatal = run->promptHash == m_fatalPrompt;
+    const bool hasFatalText = !m_fatalText.empty() && promptText(body).find(m_fatalText) != std::string::npos;
+    const bool fatal = run->promptHash == m_fatalPrompt || hasFatalText;
     m_batch->accept(std::move(run));
     if (fatal) {
         m_fatalTimer = eventLoop().timer(fatalAfter, {}, [this] {
--- a/tests/standins/engine_standin.h
+++ b/tests/standins/engine_standin.h
@@ -36,8 +36,8 @@
 ///   "ignore_fencing": bool,
 ///    "drop_after_tokens": n (negative: off), "drop_inside_event": bool, "paused": bool, "run_as": "a:2"
 ///    (answers from another version), "fatal_prompt": HASH (a cold start a moment after a run of that prompt
-///    began; empty: none), "keep_runs": bool (runs go on when their connection closes, as until an engine
-///    notices)}
+///    began; empty: none), "fatal_text": TEXT (the same after each run whose prompt has it), "keep_runs":
+///    bool (runs go on when their connection closes, as until an engine notices)}
 /// Its record has the kinds "run", "withdrawn" (left the queue before it began), "load", "unload", "fence",
 /// "role", "refused", "cold_start" and "violation". A violation's "what" is one of
 ///   unload_while_serving  it was obeyed, and the streams on the adapter were broken off
@@ -122,6 +122,7 @@
     std::uint32_t m_failLoads = 0;
     std::string m_runAs;
     std::string m_fatalPrompt;
+    std::string m_fatalText;
     std::shared_ptr<void> m_fatalTimer;
 };
 
