--- a/packages/coordination/crash_history.cpp
+++ b/packages/coordination/crash_history.cpp
@@ -1,109 +1,159 @@
 #include "coordination/crash_history.h"
 
+#include "coordination/request_attributes.h"
+
 #include <algorithm>
 
 namespace briarhead {
 
 namespace {
 
-/// Makes room for one more request by removing the one seen least recently; blocked requests are removed
+/// Makes room for one more attribute by removing the one seen least recently; convicted ones are removed
 /// last.
 void makeRoom(crash_history &history)
 {
     const auto goesFirst = [](const auto &a, const auto &b) {
-        const bool blockedA = a.second.incarnations.size() >= crashesToBlock;
-        const bool blockedB = b.second.incarnations.size() >= crashesToBlock;
-        return blockedA != blockedB ? blockedB : a.second.lastSeen < b.second.lastSeen;
+        const bool convictedA = a.second.incarnations.size() >= crashesToBlock;
+        const bool convictedB = b.second.incarnations.size() >= crashesToBlock;
+        return convictedA != convictedB ? convictedB : a.second.lastSeen < b.second.lastSeen;
     };
-    if (history.requests.size() >= maxTrackedRequests) {
-        history.requests.erase(std::min_element(history.requests.begin(), history.requests.end(), goesFirst));
+    if (history.attributes.size() >= maxTrackedAttributes) {
+        const auto removed =
+            std::min_element(history.attributes.begin(), history.attributes.end(), goesFirst);
+        history.convicted.erase(removed->first);
+        history.attributes.erase(removed);
     }
 }
 
+/// Whether one convicted attribute that is narrower, and that the request doesn't have, explains all crashes.
+/// Several together are no explanation: each of a series of requests explains the crashes that its own
+/// repetitions caused.
+bool isExplained(
+    const crash_history &history, const tracked_attribute &entry, const request_attributes &attributes)
+{
+    return std::any_of(history.convicted.begin(), history.convicted.end(), [&](const std::string &key) {
+        const tracked_attribute &other = history.attributes.at(key);
+        return other.rank > entry.rank && !hasAttribute(attributes, key)
+            && std::includes(other.incarnations.begin(), other.incarnations.end(), entry.incarnations.begin(),
+                entry.incarnations.end());
+    });
+}
+
 }
 
-bool recordCrashes(crash_history &history, const std::string &fingerprint,
+bool recordCrashes(crash_history &history, const request_attribute &attribute,
     const std::vector<std::string> &servers, millis now)
 {
     if (servers.empty()) {
         return false;
     }
-    if (history.requests.count(fingerprint) == 0) {
+    if (history.attributes.count(attribute.key) == 0) {
         makeRoom(history);
     }
-    tracked_request &entry = history.requests[fingerprint];
+    tracked_attribute &entry = history.attributes[attribute.key];
+    entry.rank = std::min(entry.rank, attribute.rank);
     entry.lastSeen = now;
     const std::size_t before = entry.incarnations.size();
     for (const std::string &server : servers) {
-        if (entry.incarnations.size() < crashesToBlock) {
+        if (entry.incarnations.size() < maxCrashesKept && entry.exonerated.count(server) == 0) {
             entry.incarnations.insert(server);
         }
     }
     const bool isNew = entry.incarnations.size() > before;
     if (isNew && entry.incarnations.size() >= crashesToBlock) {
         entry.delayFrom = now;
+        history.convicted.insert(attribute.key);
     }
     return isNew;
 }
 
-std::vector<std::string> crashesOf(const crash_history &history, const std::string &fingerprint)
+std::vector<std::string> crashesOf(const crash_history &history, const std::string &key)
 {
-    const auto found = history.requests.find(fingerprint);
-    if (found == history.requests.end()) {
+    const auto found = history.attributes.find(key);
+    if (found == history.attributes.end()) {
         return {};
     }
     return {found->second.incarnations.begin(), found->second.incarnations.end()};
 }
 
-bool isBlocked(const crash_history &history, const std::string &fingerprint)
+bool isConvicted(const crash_history &history, const std::string &key)
 {
-    const auto found = history.requests.find(fingerprint);
-    return found != history.requests.end() && found->second.incarnations.size() >= crashesToBlock;
+    return history.convicted.count(key) != 0;
+}
+
+request_attributes blockingAttributes(const crash_history &history, const request_attributes &attributes)
+{
+    request_attributes blocking;
+    for (const request_attribute &each : attributes) {
+        if (isConvicted(history, each.key)
+            && !isExplained(history, history.attributes.at(each.key), attributes)) {
+            blocking.push_back(each);
+        }
+    }
+    return blocking;
+}
+
+bool exonerate(crash_history &history, const std::string &key)
+{
+    const auto found = history.attributes.find(key);
+    if (found == history.attributes.end() || found->second.incarnations.empty()) {
+        return false;
+    }
+    tracked_attribute &entry = found->second;
+    if (entry.exonerated.size() + entry.incarnations.size() > maxCrashesKept) {
+        entry.exonerated.clear();
+    }
+    entry.exonerated.merge(entry.incarnations);
+    entry.incarnations.clear();
+    entry.probes = 0;
+    history.convicted.erase(key);
+    return true;
 }
 
-void recordProbes(crash_history &history, const std::string &fingerprint, std::uint32_t probes, millis now)
+void recordProbes(crash_history &history, const std::string &key, std::uint32_t probes, millis now)
 {
-    const auto found = history.requests.find(fingerprint);
-    if (found != history.requests.end() && probes > found->second.probes) {
+    const auto found = history.attributes.find(key);
+    if (found != history.attributes.end() && probes > found->second.probes) {
         found->second.probes = probes;
         found->second.delayFrom = now;
     }
 }
 
-std::uint32_t probesOf(const crash_history &history, const std::string &fingerprint)
+std::uint32_t probesOf(const crash_history &history, const std::string &key)
 {
-    const auto found = history.requests.find(fingerprint);
-    return found == history.requests.end() ? 0 : found->second.probes;
+    const auto found = history.attributes.find(key);
+    return found == history.attributes.end() ? 0 : found->second.probes;
 }
 
-millis timeUntilProbe(const crash_history &history, const std::string &fingerprint, millis now)
+millis timeUntilProbe(const crash_history &history, const std::string &key, millis now)
 {
-    const auto found = history.requests.find(fingerprint);
-    if (found == history.requests.end() || found->second.probes >= history.delays.size()) {
+    const auto found = history.attributes.find(key);
+    if (found == history.attributes.end() || found->second.probes >= history.delays.size()) {
         return crashRetention;
     }
     return found->second.delayFrom + history.delays[found->second.probes] - now;
 }
 
-void refreshLastSeen(crash_history &history, const std::string &fingerprint, millis now)
+void refreshLastSeen(crash_history &history, const std::string &key, millis now)
 {
-    const auto found = history.requests.find(fingerprint);
-    if (found != history.requests.end()) {
+    const auto found = history.attributes.find(key);
+    if (found != history.attributes.end()) {
         found->second.lastSeen = now;
     }
 }
 
-void forget(crash_history &history, const std::string &fingerprint)
+void forget(crash_history &history, const std::string &key)
 {
-    history.requests.erase(fingerprint);
+    history.convicted.erase(key);
+    history.attributes.erase(key);
 }
 
-std::vector<std::string> expiredRequests(const crash_history &history, millis now)
+std::vector<std::string> expiredAttributes(const crash_history &history, millis now)
 {
     std::vector<std::string> old;
-    for (const auto &[fingerprint, entry] : history.requests) {
+    for (const auto &[key, entry] : history.attributes) {
         if (now - entry.lastSeen >= crashRetention) {
-            old.push_back(fingerprint);
+            old.push_back(key);
         }
     }
     return old;
--- a/packages/coordination/crash_task.cpp
+++ b/packages/coordination/crash_task.cpp
@@ -1,7 +1,7 @@
 #include "coordination/crash_task.h"
 
 #include "coordination/rendezvous.h"
-#include "coordination/request_fingerprint.h"
+#include "coordination/request_attributes.h"
 
 #include <algorithm>
 #include <array>
@@ -15,14 +15,15 @@
 /// A crashed process refuses connections at once, but a host that is down never responds.
 constexpr millis connectTimeout{700};
 /// A server is removed from the platform's list after several missed heartbeats, which takes 3.6 s and a
-/// little more. A server that is removed this soon after its response broke off counts as crashed under the
+/// little more. A server that is removed this soon after its response broke off counts as crashed under that
 /// request.
 constexpr millis suspicionTimeout{6'000};
 constexpr std::size_t maxSuspicions = 1'000;
 /// Limit on the records in the store; each is some 150 bytes, and every daemon reads them all when it
 /// starts.
 constexpr std::size_t maxStoredRecords = 1'000;
-/// How often a daemon that keeps refusing a request notifies its homes, well within crashRetention.
+/// How often a daemon that keeps refusing requests with an attribute notifies its homes, well within
+/// crashRetention.
 constexpr millis keepAliveInterval{600'000};
 
 }
@@ -49,47 +50,51 @@
     return m_counters;
 }
 
-bool crash_task::isBlocked(const std::string &fingerprint) const
+bool crash_task::isBlocked(const request_attributes &attributes) const
 {
-    return briarhead::isBlocked(m_history, fingerprint);
+    return !blockingAttributes(m_history, attributes).empty();
 }
 
-std::vector<std::string> crash_task::crashedIncarnations(const std::string &fingerprint) const
+std::vector<std::string> crash_task::crashedIncarnations(const std::string &attribute) const
 {
-    return crashesOf(m_history, fingerprint);
+    return crashesOf(m_history, attribute);
 }
 
-bool crash_task::mayBecomeBlocked(const std::string &fingerprint) const
+bool crash_task::mayBecomeBlocked(const request_attributes &attributes) const
 {
-    const std::vector<std::string> known = crashedIncarnations(fingerprint);
-    std::set<std::string> incarnations(known.begin(), known.end());
-    for (const suspected_crash &each : m_suspected) {
-        if (each.checking && each.fingerprint == fingerprint) {
-            incarnations.insert(each.target.incarnation);
+    return std::any_of(attributes.begin(), attributes.end(), [this](const request_attribute &attribute) {
+        const std::vector<std::string> known = crashedIncarnations(attribute.key);
+        std::set<std::string> incarnations(known.begin(), known.end());
+        bool checking = false;
+        for (const suspected_crash &each : m_suspected) {
+            if (each.checking && hasAttribute(each.attributes, attribute.key)) {
+                incarnations.insert(each.target.incarnation);
+                checking = true;
+            }
         }
-    }
-    return incarnations.size() >= crashesToBlock;
+        return checking && incarnations.size() >= crashesToBlock;
+    });
 }
 
 // ---- which servers have crashed, and under which requests
 
-void crash_task::onResponseBroken(const std::string &fingerprint, const crash_target &target)
+void crash_task::onResponseBroken(const request_attributes &attributes, const crash_target &target)
 {
-    addSuspicion(fingerprint, target, true);
+    addSuspicion(attributes, target, true);
     checkConnection(target);
 }
 
-void crash_task::onSendAbandoned(const std::string &fingerprint, const crash_target &target)
+void crash_task::onSendAbandoned(const request_attributes &attributes, const crash_target &target)
 {
-    addSuspicion(fingerprint, target, false);
+    addSuspicion(attributes, target, false);
 }
 
-void crash_task::addSuspicion(const std::string &fingerprint, const crash_target &target, bool checking)
+void crash_task::addSuspicion(const request_attributes &attributes, const crash_target &target, bool checking)
 {
     if (m_suspected.size() >= maxSuspicions) {
         m_suspected.pop_front();
     }
-    m_suspected.push_back({fingerprint, target, bootNow(), checking});
+    m_suspected.push_back({attributes, target, bootNow(), checking});
 }
 
 /// The connection may have failed although the server is up. A closed port shows a crash within one round
@@ -145,110 +150,150 @@
 
 void crash_task::countCrashes(const std::vector<suspected_crash> &crashed)
 {
+    std::set<std::string> incarnations;
     for (const suspected_crash &each : crashed) {
-        if (!applyCrashes(each.fingerprint, {each.target.incarnation}, "observed here")) {
-            continue;
+        for (const request_attribute &attribute : each.attributes) {
+            if (applyCrashes(attribute, {each.target.incarnation}, "observed here")) {
+                incarnations.insert(each.target.incarnation);
+                notifyHomes(attribute.key);
+                m_toResend.insert(attribute.key);
+            }
         }
-        ++m_counters.serverCrashes;
-        notifyHomes(each.fingerprint);
-        m_toResend.insert(each.fingerprint);
     }
+    m_counters.serverCrashes += incarnations.size();
 }
 
-/// Records crashes under a request and logs them. Returns whether any of them is new.
+/// Records crashes under an attribute and logs them. Returns whether any of them is new.
 bool crash_task::applyCrashes(
-    const std::string &fingerprint, const std::vector<std::string> &servers, std::string_view source)
+    const request_attribute &attribute, const std::vector<std::string> &servers, std::string_view source)
 {
-    const bool before = isBlocked(fingerprint);
-    if (!recordCrashes(m_history, fingerprint, servers, bootNow())) {
+    const bool before = isConvicted(m_history, attribute.key);
+    if (!recordCrashes(m_history, attribute, servers, bootNow())) {
         return false;
     }
-    m_recordsToRemove.erase(fingerprint);
-    const std::size_t crashes = crashedIncarnations(fingerprint).size();
-    m_callbacks.log({crash_event::Counted, fingerprint, servers.back(), crashes, source});
-    if (!before && isBlocked(fingerprint)) {
+    m_recordsToRemove.erase(attribute.key);
+    const std::size_t crashes = crashedIncarnations(attribute.key).size();
+    m_callbacks.log(
+        {crash_event::Counted, attribute.key, rankOf(attribute.key), servers.back(), crashes, source});
+    if (!before && isConvicted(m_history, attribute.key)) {
         ++m_counters.blocked;
-        m_callbacks.log({crash_event::Blocked, fingerprint, servers.back(), crashes, source});
-        m_bus.post(request_blocked{fingerprint});
+        m_callbacks.log(
+            {crash_event::Blocked, attribute.key, rankOf(attribute.key), servers.back(), crashes, source});
+        m_bus.post(attribute_blocked{attribute.key});
     }
     return true;
 }
 
-void crash_task::clear(const std::string &fingerprint)
+/// The crashes under an attribute don't count any more. Its homes tell those whom they told of them, and
+/// remove the record.
+void crash_task::clear(const std::string &attribute, std::string_view source)
 {
-    forget(m_history, fingerprint);
-    m_toResend.erase(fingerprint);
-    m_keepAliveSentAt.erase(fingerprint);
+    const std::size_t crashes = crashedIncarnations(attribute).size();
+    const std::uint8_t rank = rankOf(attribute);
+    if (!exonerate(m_history, attribute)) {
+        return;
+    }
+    m_callbacks.log({crash_event::Cleared, attribute, rank, {}, crashes, source});
+    m_keepAliveSentAt.erase(attribute);
+    if (m_shared.erase(attribute) != 0) {
+        broadcast({{attribute, {}, 0}, rank});
+    }
+    if (isHome(attribute)) {
+        removeStoredRecord(attribute);
+    }
 }
 
-void crash_task::onResponseComplete(const std::string &fingerprint)
+void crash_task::forgetAttribute(const std::string &attribute)
 {
-    if (m_history.requests.count(fingerprint) == 0) {
-        return;
-    }
-    ++m_counters.cleared;
-    m_callbacks.log({crash_event::Cleared, fingerprint, {}, crashedIncarnations(fingerprint).size(),
-        "complete response"});
-    clear(fingerprint);
-    if (const crash_record record = m_callbacks.storedRecord(fingerprint); !record.servers.empty()) {
-        m_recordsToRemove[fingerprint] = record;
-        m_callbacks.removeRecord(fingerprint);
+    forget(m_history, attribute);
+    m_toResend.erase(attribute);
+    m_shared.erase(attribute);
+    m_keepAliveSentAt.erase(attribute);
+}
+
+void crash_task::onServerSurvived(const request_attributes &attributes)
+{
+    for (const request_attribute &attribute : attributes) {
+        if (crashedIncarnations(attribute.key).empty()) {
+            continue;
+        }
+        ++m_counters.cleared;
+        clear(attribute.key, "response of a server that is up");
+        notifyHomes(attribute.key);
+        m_toResend.insert(attribute.key);
     }
-    broadcast({fingerprint, {}, 0});
 }
 
-void crash_task::requestProbe(const std::string &fingerprint, std::function<void(bool)> done)
+/// Of the attributes that block a request, the one that may be probed last. Each has its own probes, and the
+/// request takes one only if none of the others forbids it.
+request_attribute crash_task::probedAttribute(const request_attributes &attributes) const
 {
-    keepAlive(fingerprint);
-    if (blockedRetryAfter(fingerprint) > millis{}) {
+    const request_attributes blocking = blockingAttributes(m_history, attributes);
+    const millis now = bootNow();
+    const auto last = std::max_element(blocking.begin(), blocking.end(),
+        [this, now](const request_attribute &a, const request_attribute &b) {
+            return timeUntilProbe(m_history, a.key, now) < timeUntilProbe(m_history, b.key, now);
+        });
+    return last == blocking.end() ? request_attribute{} : *last;
+}
+
+void crash_task::requestProbe(const request_attributes &attributes, std::function<void(bool)> done)
+{
+    for (const request_attribute &each : blockingAttributes(m_history, attributes)) {
+        keepAlive(each.key);
+    }
+    const std::string attribute = probedAttribute(attributes).key;
+    if (attribute.empty() || blockedRetryAfter(attributes) > millis{}) {
         m_loop.post([done = std::move(done)] {
             done(false);
         });
         return;
     }
-    const std::uint32_t probes = probesOf(m_history, fingerprint) + 1;
-    m_callbacks.storeRecord(fingerprint, {crashedIncarnations(fingerprint), probes},
-        [this, fingerprint, probes, done = std::move(done)](bool isStored) {
+    crash_record record = recordOf(attribute);
+    ++record.probeCount;
+    m_callbacks.storeRecord(
+        attribute, record, [this, attribute, record, done = std::move(done)](bool isStored) {
             if (isStored) {
-                recordProbes(m_history, fingerprint, probes, bootNow());
-                m_callbacks.log({crash_event::Probed, fingerprint, {},
-                    crashedIncarnations(fingerprint).size(), "probe delay is over"});
-                broadcast(reportOf(fingerprint));
+                recordProbes(m_history, attribute, record.probeCount, bootNow());
+                m_callbacks.log({crash_event::Probed, attribute, record.rank, {}, record.servers.size(),
+                    "probe delay is over"});
+                broadcast(reportOf(attribute));
             }
             done(isStored);
         });
 }
 
-millis crash_task::blockedRetryAfter(const std::string &fingerprint) const
+millis crash_task::blockedRetryAfter(const request_attributes &attributes) const
 {
-    return timeUntilProbe(m_history, fingerprint, bootNow());
+    const request_attribute attribute = probedAttribute(attributes);
+    return attribute.key.empty() ? millis{} : timeUntilProbe(m_history, attribute.key, bootNow());
 }
 
-void crash_task::keepAlive(const std::string &fingerprint)
+void crash_task::keepAlive(const std::string &attribute)
 {
     const millis now = bootNow();
-    refreshLastSeen(m_history, fingerprint, now);
-    const auto lastSent = m_keepAliveSentAt.emplace(fingerprint, now);
+    refreshLastSeen(m_history, attribute, now);
+    const auto lastSent = m_keepAliveSentAt.emplace(attribute, now);
     if (!lastSent.second && now - lastSent.first->second >= keepAliveInterval) {
         lastSent.first->second = now;
-        notifyHomes(fingerprint);
+        notifyHomes(attribute);
     }
 }
 
 // ---- reports between daemons, and records in the store
 
-std::vector<std::string> crash_task::homesOf(const std::string &fingerprint) const
+std::vector<std::string> crash_task::homesOf(const std::string &attribute) const
 {
-    return rendezvousOrder(fingerprint, m_callbacks.daemons(), crashHomeCount);
+    return rendezvousOrder(attribute, m_callbacks.daemons(), crashHomeCount);
 }
 
-bool crash_task::isHome(const std::string &fingerprint) const
+bool crash_task::isHome(const std::string &attribute) const
 {
-    const std::vector<std::string> homes = homesOf(fingerprint);
+    const std::vector<std::string> homes = homesOf(attribute);
     return std::find(homes.begin(), homes.end(), m_callbacks.self) != homes.end();
 }
 
-void crash_task::broadcast(const crash_report &report)
+void crash_task::broadcast(const ranked_crash_report &report)
 {
     for (const std::string &daemon : m_callbacks.daemons()) {
         if (daemon != m_callbacks.self) {
@@ -257,92 +302,136 @@
     }
 }
 
-crash_report crash_task::reportOf(const std::string &fingerprint) const
+std::uint8_t crash_task::rankOf(const std::string &attribute) const
 {
-    return {fingerprint, crashedIncarnations(fingerprint), probesOf(m_history, fingerprint)};
+    const auto found = m_history.attributes.find(attribute);
+    return found == m_history.attributes.end() ? contentRank : found->second.rank;
 }
 
-/// Sends what this daemon knows of the request to its homes.
-void crash_task::notifyHomes(const std::string &fingerprint)
+ranked_crash_report crash_task::reportOf(const std::string &attribute) const
 {
-    const crash_report report = reportOf(fingerprint);
-    for (const std::string &home : homesOf(fingerprint)) {
+    return {{attribute, crashedIncarnations(attribute), probesOf(m_history, attribute)}, rankOf(attribute)};
+}
+
+crash_record crash_task::recordOf(const std::string &attribute) const
+{
+    return {crashedIncarnations(attribute), probesOf(m_history, attribute), rankOf(attribute)};
+}
+
+/// Sends what this daemon knows of the attribute to its homes.
+void crash_task::notifyHomes(const std::string &attribute)
+{
+    const ranked_crash_report report = reportOf(attribute);
+    for (const std::string &home : homesOf(attribute)) {
         if (home == m_callbacks.self) {
-            notifyAll(fingerprint);
+            notifyAll(attribute);
         } else {
             m_callbacks.send(home, report);
         }
     }
 }
 
-/// Done by a home: from crashesToShare crashes on, notifies all daemons and stores the record.
-void crash_task::notifyAll(const std::string &fingerprint)
+/// Done by a home: from crashesToShare crashes on, notifies all daemons, and stores the record. Until an
+/// attribute is convicted, the record waits for the next tick: of what most requests have in common, a server
+/// completes something sooner.
+void crash_task::notifyAll(const std::string &attribute)
 {
-    const crash_report report = reportOf(fingerprint);
-    if (report.servers.size() >= crashesToShare) {
+    const ranked_crash_report report = reportOf(attribute);
+    if (report.report.servers.size() >= crashesToShare) {
+        m_shared.insert(attribute);
         broadcast(report);
-        storeRecord(fingerprint);
+    }
+    if (report.report.servers.size() >= crashesToBlock) {
+        storeRecord(attribute);
     }
 }
 
+/// A daemon that has just started may have read the store before the record was written.
+void crash_task::notifyNewDaemons()
+{
+    std::set<std::string> daemons;
+    for (const std::string &daemon : m_callbacks.daemons()) {
+        daemons.insert(daemon);
+    }
+    for (const std::string &daemon : daemons) {
+        if (daemon == m_callbacks.self || m_knownDaemons.count(daemon) != 0) {
+            continue;
+        }
+        for (const auto &[attribute, entry] : m_history.attributes) {
+            if (entry.incarnations.size() >= crashesToShare && isHome(attribute)) {
+                m_callbacks.send(daemon, reportOf(attribute));
+            }
+        }
+    }
+    m_knownDaemons = std::move(daemons);
+}
+
 /// Whether the store lacks crashes that it should have.
-bool crash_task::lacksStoredRecord(const std::string &fingerprint) const
+bool crash_task::lacksStoredRecord(const std::string &attribute) const
 {
-    const std::size_t crashes = crashedIncarnations(fingerprint).size();
-    const std::size_t stored = m_callbacks.storedRecord(fingerprint).servers.size();
+    const std::size_t crashes = crashedIncarnations(attribute).size();
+    const std::size_t stored = m_callbacks.storedRecord(attribute).servers.size();
     const bool full = stored == 0 && m_callbacks.recordCount() >= maxStoredRecords;
     return crashes >= crashesToShare && crashes > stored && !full;
 }
 
-void crash_task::storeRecord(const std::string &fingerprint)
+void crash_task::storeRecord(const std::string &attribute)
 {
-    if (lacksStoredRecord(fingerprint)) {
+    if (lacksStoredRecord(attribute)) {
         // tick() checks whether the write succeeded.
-        m_callbacks.storeRecord(
-            fingerprint, {crashedIncarnations(fingerprint), probesOf(m_history, fingerprint)}, [](bool) {});
+        m_callbacks.storeRecord(attribute, recordOf(attribute), [](bool) {});
     }
 }
 
-void crash_task::onReport(const crash_report &report)
+void crash_task::onReport(const ranked_crash_report &report)
 {
-    if (report.fingerprint.size() != fingerprintDigits) {
+    const std::string &attribute = report.report.attribute;
+    if (attribute.size() != attributeDigits) {
         return; // not a valid key of the store
     }
-    if (report.servers.empty()) {
-        clear(report.fingerprint);
+    if (report.report.servers.empty()) {
+        clear(attribute, "reported by a daemon");
         return;
     }
-    const bool isNew = applyCrashes(report.fingerprint, report.servers, "reported by a daemon");
-    recordProbes(m_history, report.fingerprint, report.probeCount, bootNow());
-    refreshLastSeen(m_history, report.fingerprint, bootNow());
-    if (isNew && isHome(report.fingerprint)) {
-        notifyAll(report.fingerprint);
+    const bool isNew = applyCrashes({attribute, report.rank}, report.report.servers, "reported by a daemon");
+    recordProbes(m_history, attribute, report.report.probeCount, bootNow());
+    refreshLastSeen(m_history, attribute, bootNow());
+    if (isNew && isHome(attribute)) {
+        notifyAll(attribute);
     }
 }
 
-void crash_task::onStoredRecord(const std::string &fingerprint, const crash_record &record)
+void crash_task::onStoredRecord(const std::string &attribute, const crash_record &record)
 {
-    const auto cleared = m_recordsToRemove.find(fingerprint);
+    const auto cleared = m_recordsToRemove.find(attribute);
     const bool isOld = cleared != m_recordsToRemove.end() && cleared->second.servers == record.servers;
     if (record.servers.empty()) {
-        m_recordsToRemove.erase(fingerprint);
-        clear(fingerprint);
+        m_recordsToRemove.erase(attribute);
+        clear(attribute, "removed from the store");
     } else if (!isOld) { // written after it was cleared, so it counts
-        m_recordsToRemove.erase(fingerprint);
-        applyCrashes(fingerprint, record.servers, "read from the store");
-        recordProbes(m_history, fingerprint, record.probeCount, bootNow());
+        m_recordsToRemove.erase(attribute);
+        applyCrashes({attribute, record.rank}, record.servers, "read from the store");
+        recordProbes(m_history, attribute, record.probeCount, bootNow());
+    }
+}
+
+void crash_task::removeStoredRecord(const std::string &attribute)
+{
+    if (const crash_record record = m_callbacks.storedRecord(attribute); !record.servers.empty()) {
+        m_recordsToRemove[attribute] = record;
+        m_callbacks.removeRecord(attribute);
     }
 }
 
-/// Retries the removal of cleared requests' records, which may have failed. Records that were written since
+/// Retries the removal of cleared attributes' records, which may have failed. Records that were written since
 /// are kept.
 void crash_task::removeClearedRecords()
 {
     std::erase_if(m_recordsToRemove, [this](const auto &each) {
         return m_callbacks.storedRecord(each.first).servers != each.second.servers;
     });
-    for (const auto &[fingerprint, record] : m_recordsToRemove) {
-        m_callbacks.removeRecord(fingerprint);
+    for (const auto &[attribute, record] : m_recordsToRemove) {
+        m_callbacks.removeRecord(attribute);
     }
 }
 
@@ -352,20 +441,21 @@
     while (!m_suspected.empty() && now - m_suspected.front().suspectedAt > suspicionTimeout) {
         m_suspected.pop_front();
     }
-    for (const std::string &fingerprint : std::exchange(m_toResend, {})) {
-        notifyHomes(fingerprint);
+    for (const std::string &attribute : std::exchange(m_toResend, {})) {
+        notifyHomes(attribute);
     }
+    notifyNewDaemons();
     removeClearedRecords();
-    for (const auto &[fingerprint, entry] : m_history.requests) {
-        if (lacksStoredRecord(fingerprint) && isHome(fingerprint)) {
-            storeRecord(fingerprint); // an earlier write may have failed
+    for (const auto &[attribute, entry] : m_history.attributes) {
+        if (lacksStoredRecord(attribute) && isHome(attribute)) {
+            storeRecord(attribute); // an earlier write may have failed
         }
     }
-    for (const std::string &fingerprint : expiredRequests(m_history, now)) {
-        if (m_callbacks.storedRecord(fingerprint).servers.empty()) {
-            clear(fingerprint);
-        } else if (isHome(fingerprint)) {
-            m_callbacks.removeRecord(fingerprint);
+    for (const std::string &attribute : expiredAttributes(m_history, now)) {
+        if (m_callbacks.storedRecord(attribute).servers.empty()) {
+            forgetAttribute(attribute);
+        } else if (isHome(attribute)) {
+            m_callbacks.removeRecord(attribute);
         }
     }
 }
--- a/packages/coordination/owner_runs.cpp
+++ b/packages/coordination/owner_runs.cpp
@@ -1,6 +1,7 @@
 // Requests in the owner task: admission, queueing, sending to the engine, and completion.
 #include "coordination/owner_task.h"
 #include "coordination/rendezvous.h"
+#include "coordination/request_attributes.h"
 
 #include <spdlog/spdlog.h>
 
@@ -175,18 +176,19 @@
 {
     sendRunEnd(job,
         {job.request.id, outcome::NotRun, error_kind::CrashesServers, "servers ended under this request",
-            m_crashes.blockedRetryAfter(job.request.fingerprint).count});
+            m_crashes.blockedRetryAfter(job.request.attributes).count});
     m_jobs.erase(job.request.id);
 }
 
-/// Refuses the waiting requests with this fingerprint, which has become blocked. They would not be sent to
+/// Refuses the waiting requests with this attribute, which has become blocked. They would not be sent to
 /// the engine anyway, and waiting would only cost their callers time.
-void owner_task::refuseWaitingWithFingerprint(const std::string &fingerprint)
+void owner_task::refuseWaitingWith(const std::string &attribute)
 {
     std::vector<request_id> waiting;
     for (const auto &[id, job] : m_jobs) {
         const bool waits = job.startedAt == millis{} && !job.request.isProbe;
-        if (waits && job.request.fingerprint == fingerprint) {
+        if (waits && hasAttribute(job.request.attributes, attribute)
+            && m_crashes.isBlocked(job.request.attributes)) {
             waiting.push_back(id);
         }
     }
@@ -201,7 +203,7 @@
 {
     const millis now = bootNow();
     dequeue(server, job);
-    if (!job.request.isProbe && m_crashes.isBlocked(job.request.fingerprint)) {
+    if (!job.request.isProbe && m_crashes.isBlocked(job.request.attributes)) {
         // It was blocked after its admission, or its entry did not know that it is blocked.
         refuseBlocked(job);
         return;
@@ -247,7 +249,13 @@
         [this, id](std::string_view bytes) {
             const auto found = m_jobs.find(id);
             if (found != m_jobs.end()) {
-                m_bus.post(send_to{found->second.entry, run_bytes{id, std::string(bytes)}});
+                request_job &running = found->second;
+                countBytes(running.responding, bootNow());
+                if (isProven(running.responding) && !running.serverSurvived) {
+                    running.serverSurvived = true;
+                    m_crashes.onServerSurvived(running.request.attributes);
+                }
+                m_bus.post(send_to{running.entry, run_bytes{id, std::string(bytes)}});
             }
         },
         [this, id](const engine_run_end &response) {
@@ -260,17 +268,17 @@
 void owner_task::reportToCrashTask(
     const request_job &job, const owned_server &server, const engine_run_end &response)
 {
-    const std::string &fingerprint = job.request.fingerprint;
+    const request_attributes &attributes = job.request.attributes;
     if (response.result == outcome::Done) {
-        m_crashes.onResponseComplete(fingerprint);
+        m_crashes.onServerSurvived(attributes);
     }
-    if (response.result != outcome::Unknown || isServerLeaving(server)) {
+    if (response.result != outcome::Unknown || isServerLeaving(server) || !isSuspect(job.responding)) {
         return;
     }
     if (response.why.kind == error_kind::ConnectionLost) {
-        m_crashes.onResponseBroken(fingerprint, job.target);
+        m_crashes.onResponseBroken(attributes, job.target);
     } else {
-        m_crashes.onSendAbandoned(fingerprint, job.target);
+        m_crashes.onSendAbandoned(attributes, job.target);
     }
     const bool restarted = job.target.incarnation != incarnationOf(server);
     if (restarted) { // the poll noticed it before the connection broke
--- a/packages/coordination/owner_task.cpp
+++ b/packages/coordination/owner_task.cpp
@@ -107,8 +107,8 @@
             onCancel({id});
         }
     });
-    m_bus.on<request_blocked>([this](const request_blocked &event) {
-        refuseWaitingWithFingerprint(event.fingerprint);
+    m_bus.on<attribute_blocked>([this](const attribute_blocked &event) {
+        refuseWaitingWith(event.attribute);
     });
     m_bus.on<drain_began>([this](const drain_began &) {
         m_isDraining = true;
--- a/packages/coordination/owner_task.h
+++ b/packages/coordination/owner_task.h
@@ -7,6 +7,7 @@
 #include "coordination/load_order.h"
 #include "coordination/ownership.h"
 #include "coordination/replicas.h"
+#include "coordination/responding_time.h"
 #include "coordination/server_notices.h"
 #include "transport/bus.h"
 #include "transport/engine_client.h"
@@ -61,6 +62,8 @@
         http_client::call_id call = 0;
         bool cancelled = false;
         crash_target target; ///< the engine incarnation that it was sent to
+        responding_time responding;
+        bool serverSurvived = false; ///< and its attributes are exonerated
     };
 
     /// An adapter that is loaded on a server or wanted there.
@@ -144,7 +147,7 @@
     request_job *nextJob(owned_server &server);
     void startJob(owned_server &server, request_job &job);
     void refuseBlocked(const request_job &job);
-    void refuseWaitingWithFingerprint(const std::string &fingerprint);
+    void refuseWaitingWith(const std::string &attribute);
     void reportToCrashTask(
         const request_job &job, const owned_server &server, const engine_run_end &response);
     void cancelJob(request_job &job);
--- a/packages/daemon/crash_records.cpp
+++ b/packages/daemon/crash_records.cpp
@@ -22,9 +22,9 @@
 
 void log(const crash_log_entry &entry)
 {
-    spdlog::warn("crash: Event '{}' for request {}: {} servers crashed, the last one {}; source: {}.",
-        nameOf(entry.event), entry.fingerprint, entry.crashes, entry.server.empty() ? "-" : entry.server,
-        entry.source);
+    spdlog::warn("crash: Event '{}' for {} {}: {} servers crashed, the last one {}; source: {}.",
+        nameOf(entry.event), entry.rank == contentRank ? "request" : "prompt part", entry.attribute,
+        entry.crashes, entry.server.empty() ? "-" : entry.server, entry.source);
 }
 
 }
@@ -47,21 +47,21 @@
     callbacks.daemons = [this] {
         return m_daemons;
     };
-    callbacks.send = [this](const std::string &daemon, const crash_report &report) {
+    callbacks.send = [this](const std::string &daemon, const ranked_crash_report &report) {
         m_bus.post(send_to{daemon, report});
     };
-    callbacks.storedRecord = [this](const std::string &fingerprint) {
-        return stored(fingerprint);
+    callbacks.storedRecord = [this](const std::string &attribute) {
+        return stored(attribute);
     };
     callbacks.recordCount = [this] {
         return m_records.size();
     };
-    callbacks.storeRecord = [this](const std::string &fingerprint, const crash_record &record,
+    callbacks.storeRecord = [this](const std::string &attribute, const crash_record &record,
                                 std::function<void(bool)> done) {
-        store(fingerprint, record, std::move(done));
+        store(attribute, record, std::move(done));
     };
-    callbacks.removeRecord = [this](const std::string &fingerprint) {
-        remove(fingerprint);
+    callbacks.removeRecord = [this](const std::string &attribute) {
+        remove(attribute);
     };
     callbacks.log = log;
     return callbacks;
@@ -70,15 +70,15 @@
 void crash_records::start(crash_task &crashTask)
 {
     m_crashTask = &crashTask;
-    m_bus.on<received<crash_report>>([this](const received<crash_report> &event) {
+    m_bus.on<received<ranked_crash_report>>([this](const received<ranked_crash_report> &event) {
         m_crashTask->onReport(event.body);
     });
     readAll();
 }
 
-crash_record crash_records::stored(const std::string &fingerprint) const
+crash_record crash_records::stored(const std::string &attribute) const
 {
-    const auto found = m_records.find(fingerprint);
+    const auto found = m_records.find(attribute);
     return found == m_records.end() ? crash_record{} : found->second.record;
 }
 
@@ -104,42 +104,42 @@
         applyEntry(entry);
     }
     std::vector<std::string> removed;
-    for (const auto &[fingerprint, record] : m_records) {
-        if (present.count(fingerprint) == 0 && record.revision <= result.revision) {
-            removed.push_back(fingerprint);
+    for (const auto &[attribute, record] : m_records) {
+        if (present.count(attribute) == 0 && record.revision <= result.revision) {
+            removed.push_back(attribute);
         }
     }
-    for (const std::string &fingerprint : removed) {
-        m_records.erase(fingerprint);
-        m_crashTask->onStoredRecord(fingerprint, {});
+    for (const std::string &attribute : removed) {
+        m_records.erase(attribute);
+        m_crashTask->onStoredRecord(attribute, {});
     }
 }
 
 void crash_records::applyEntry(const kv_entry &entry)
 {
-    const std::string fingerprint = entry.key.substr(recordPrefix.size());
+    const std::string attribute = entry.key.substr(recordPrefix.size());
     error why;
     const auto record = decodeCrashRecord(entry.value, why);
-    stored_record &known = m_records[fingerprint];
+    stored_record &known = m_records[attribute];
     known = {record.value_or(crash_record{}), entry.modRevision};
     if (!record || record->servers.empty()) {
         spdlog::warn("crash: Ignoring the record {}, which can't be decoded: {}", entry.key, message(why));
         return;
     }
-    m_crashTask->onStoredRecord(fingerprint, *record);
+    m_crashTask->onStoredRecord(attribute, *record);
 }
 
 void crash_records::store(
-    const std::string &fingerprint, const crash_record &record, std::function<void(bool)> done)
+    const std::string &attribute, const crash_record &record, std::function<void(bool)> done)
 {
-    const auto known = m_records.find(fingerprint);
+    const auto known = m_records.find(attribute);
     const std::int64_t revision = known == m_records.end() ? 0 : known->second.revision;
-    m_kvClient.compareAndSwap(recordPrefix + fingerprint, revision, encode(record), 0,
-        [this, fingerprint, record, done = std::move(done)](const kv_write &result) {
+    m_kvClient.compareAndSwap(recordPrefix + attribute, revision, encode(record), 0,
+        [this, attribute, record, done = std::move(done)](const kv_write &result) {
             if (result.status == kv_status::Ok) {
-                m_records[fingerprint] = {record, result.revision};
+                m_records[attribute] = {record, result.revision};
             } else if (result.status == kv_status::Conflict && result.current.modRevision == 0) {
-                m_records.erase(fingerprint); // removed by another daemon
+                m_records.erase(attribute); // removed by another daemon
             } else if (result.status == kv_status::Conflict) {
                 // Another home wrote first. The task's next check adds what is missing.
                 applyEntry(result.current);
@@ -148,19 +148,19 @@
         });
 }
 
-void crash_records::remove(const std::string &fingerprint)
+void crash_records::remove(const std::string &attribute)
 {
-    const auto known = m_records.find(fingerprint);
+    const auto known = m_records.find(attribute);
     if (known == m_records.end()) {
         return;
     }
     m_kvClient.compareAndRemove(
-        recordPrefix + fingerprint, known->second.revision, [this, fingerprint](const kv_write &result) {
+        recordPrefix + attribute, known->second.revision, [this, attribute](const kv_write &result) {
             const bool absent = result.status == kv_status::Conflict && result.current.modRevision == 0;
             if (result.status == kv_status::Ok || absent) {
-                m_records.erase(fingerprint);
+                m_records.erase(attribute);
             } else if (result.status == kv_status::Conflict) {
-                m_records[fingerprint].revision = result.current.modRevision;
+                m_records[attribute].revision = result.current.modRevision;
             }
         });
 }
--- a/packages/daemon/crash_records.h
+++ b/packages/daemon/crash_records.h
@@ -36,9 +36,9 @@
     /// Passes a record from the store to the task. A value that can't be decoded counts as no record; its
     /// revision is kept, so that it can be replaced.
     void applyEntry(const kv_entry &entry);
-    void store(const std::string &fingerprint, const crash_record &record, std::function<void(bool)> done);
-    void remove(const std::string &fingerprint);
-    crash_record stored(const std::string &fingerprint) const;
+    void store(const std::string &attribute, const crash_record &record, std::function<void(bool)> done);
+    void remove(const std::string &attribute);
+    crash_record stored(const std::string &attribute) const;
 
     bus &m_bus;
     loop &m_loop;
@@ -46,7 +46,7 @@
     std::string m_self;
     crash_task *m_crashTask = nullptr;
     std::vector<std::string> m_daemons;
-    std::map<std::string, stored_record> m_records; ///< by fingerprint, as last read or written
+    std::map<std::string, stored_record> m_records; ///< by attribute, as last read or written
     std::shared_ptr<void> m_timer;
 };
 
--- a/packages/daemon/entry_admit.cpp
+++ b/packages/daemon/entry_admit.cpp
@@ -1,8 +1,9 @@
 // Admission of requests by the entry task: authentication, headers, rules and limits, idempotency keys. Also
 // routing to plain services.
 #include "coordination/rendezvous.h"
-#include "coordination/request_fingerprint.h"
+#include "coordination/request_attributes.h"
 #include "daemon/entry_task.h"
+#include "daemon/prompt_parts.h"
 #include "daemon/responses.h"
 #include "state/key_hash.h"
 #include "transport/connect_probe.h"
@@ -263,8 +264,9 @@
     if (!applyRule(*request, findAdapterRule(*request->config, request->caller, name), name)) {
         return;
     }
-    request->fingerprint =
-        fingerprintOf({request->caller, request->method, {}, request->path, httpRequest.body});
+    request->attributes =
+        attributesOf({request->caller, request->method, {}, request->path, httpRequest.body},
+            request->baseModel, promptPartsOf(body));
     request->chat = httpRequest.path == "/v1/chat/completions";
     request->stream = body.contains("stream") && body["stream"].is_boolean() && body["stream"].get<bool>();
     request->responseType = request->stream ? "text/event-stream" : "application/json";
@@ -301,8 +303,8 @@
     const bool safeMethod = httpRequest.method == "GET" || httpRequest.method == "HEAD";
     request->idempotent = request->idempotent && (safeMethod || service.idempotent);
     request->path = urlPath(httpRequest);
-    request->fingerprint =
-        fingerprintOf({request->caller, request->method, {}, request->path, request->body});
+    request->attributes = attributesOf(
+        {request->caller, request->method, {}, request->path, request->body}, request->service, {});
     request->reply->onClosed([this, weak = std::weak_ptr<pending_request>(request)] {
         if (const auto pending = weak.lock()) {
             onCallerDisconnected(pending);
@@ -599,7 +601,7 @@
         if (result.sent && !server->second.instance.leaving) {
             // The platform's list has no start times of plain servers, so the name stands for the
             // incarnation: a server that crashes twice under its name counts once.
-            m_crashes.onResponseBroken(request->fingerprint,
+            m_crashes.onResponseBroken(request->attributes,
                 {request->server, request->server,
                     {server->second.instance.address, server->second.instance.port}});
         }
@@ -633,8 +635,9 @@
     request->responseType = type == result.headers.end() ? "application/octet-stream" : type->second;
     const header_list headers{{"Content-Type", request->responseType},
         {"X-Briarhead-Server", request->server}, {"X-Request-Id", toString(request->id)}};
-    if (whole || request->serverSurvived) {
-        m_crashes.onResponseComplete(request->fingerprint);
+    constexpr int firstFailure = 300;
+    if ((whole || request->serverSurvived) && result.status < firstFailure) {
+        m_crashes.onServerSurvived(request->attributes);
     }
     if (whole) {
         reportToKeyHome(*request, outcome::Done, result.status, result.body);
--- a/packages/daemon/entry_task.cpp
+++ b/packages/daemon/entry_task.cpp
@@ -144,13 +144,13 @@
 /// held until that is decided, and routed or refused.
 bool entry_task::holdIfBlocked(const request_ptr &request)
 {
-    if (request->isProbe || !m_crashes.isBlocked(request->fingerprint)) {
+    if (request->isProbe || !m_crashes.isBlocked(request->attributes)) {
         return false;
     }
     // Keeps the request in m_pending, so that a deadline or a closed connection is handled meanwhile.
     request->id = {m_options.self, m_options.incarnation, ++m_sequence};
     m_pending[request->id] = request;
-    m_crashes.requestProbe(request->fingerprint, [this, id = request->id](bool granted) {
+    m_crashes.requestProbe(request->attributes, [this, id = request->id](bool granted) {
         onProbeDecision(id, granted);
     });
     return true;
@@ -163,10 +163,10 @@
         return;
     }
     request->isProbe = granted;
-    if (!granted) {
+    if (!granted && m_crashes.isBlocked(request->attributes)) {
         respondFailure(request,
             {outcome::NotRun, {error_kind::CrashesServers, request->path, "servers ended under this request"},
-                m_crashes.blockedRetryAfter(request->fingerprint)});
+                m_crashes.blockedRetryAfter(request->attributes)});
     } else if (request->service.empty()) {
         route(request);
     } else {
@@ -238,7 +238,7 @@
     message.prefix = request->prefix;
     message.path = request->path;
     message.body = request->body;
-    message.fingerprint = request->fingerprint;
+    message.attributes = request->attributes;
     message.isProbe = request->isProbe;
     m_bus.post(send_to{owner, std::move(message)});
 }
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -56,7 +56,7 @@
         std::shared_ptr<http_reply> reply;
         config_ptr config; ///< the version it was admitted under
         std::string caller;
-        std::string fingerprint; ///< the same for every repetition by the caller
+        request_attributes attributes; ///< the content, the same for every repetition by the caller, first
         std::string path;
         std::string method;
         std::string body;
--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -451,7 +451,21 @@
 
 std::optional<crash_record> decodeCrashRecord(std::string_view bytes, error &why)
 {
-    return decodeExactly<crash_record>(bytes, why);
+    auto record = decodeExactly<crash_record>(bytes, why); // without a rank
+    if (!record) {
+        record.emplace();
+        record->rank = 0; // any but contentRank, so that one is read
+        try {
+            compact_reader archive(bytes);
+            archive(*record);
+            if (archive.remaining() != 0) {
+                record.reset();
+            }
+        } catch (const std::exception &) {
+            record.reset();
+        }
+    }
+    return record;
 }
 
 std::optional<service_versions_record> decodeServiceVersions(std::string_view bytes, error &why)
--- a/packages/protocol/fleet_messages.h
+++ b/packages/protocol/fleet_messages.h
@@ -355,7 +355,8 @@
     std::variant<slot_request, slot_response, slot_report, running_request, fleet_heartbeat, store_update,
         compressed_update, crash_report, quota_request, quota_response, quota_release, limit_report,
         server_notice, extended_slot_request, extended_quota_request, features_notice, extended_heartbeat,
-        server_rejection, stream_origins_report, stream_origin_query, stream_origin_answer>
+        server_rejection, stream_origins_report, stream_origin_query, stream_origin_answer,
+        ranked_crash_report>
         body;
 
     template <class Archive>
--- a/packages/protocol/messages.h
+++ b/packages/protocol/messages.h
@@ -31,7 +31,7 @@
     std::uint64_t prefix = 0; ///< hash of the start of the prompt, for prefix affinity
     std::string path;
     std::string body;
-    std::string fingerprint; ///< of the caller's request, see request_fingerprint.h
+    request_attributes attributes; ///< of the caller's request
     bool isProbe = false; ///< a probe: servers crashed while they ran it, and it is run to find out whether
                           ///< they still do
 
@@ -39,7 +39,7 @@
     void serialize(Archive &archive)
     {
         archive(id, server, adapter, configVersion, caller, rank, deadlineMs, idempotent, mayLoad, prefix,
-            path, body, fingerprint, isProbe);
+            path, body, attributes, isProbe);
     }
 };
 
@@ -306,7 +306,7 @@
 /// Any message that is sent over a TCP connection between two daemons.
 using peer_message = std::variant<run_request, run_started, run_bytes, run_end, run_cancel, key_begin,
     key_response, key_finish, config_request, config_response, load_request, load_grant, load_release,
-    status_request, status_response, drain_request, owner_released, crash_report>;
+    status_request, status_response, drain_request, owner_released, crash_report, ranked_crash_report>;
 
 /// The membership state of a peer. The order matters: of two facts with the same incarnation and refutation
 /// the higher state prevails.
--- a/packages/serving/client_request.h
+++ b/packages/serving/client_request.h
@@ -15,9 +15,6 @@
 
 namespace briarhead {
 
-/// Parts of a longer prompt beyond these are not kept.
-constexpr std::size_t maxListedParts = 32;
-
 /// A caller's request with its headers parsed.
 struct client_request
 {
@@ -34,7 +31,7 @@
     std::string lastEventId; ///< last event the caller received of a stream that it resumes
     /// The id of the attempt that brought the resumed stream's first event; empty if not stated.
     std::string resumes;
-    /// The parts of the prompt that other requests may share, in order, at most maxListedParts.
+    /// The parts of the prompt that other requests may share, in order, at most maxPromptParts.
     std::vector<std::string> promptParts;
     bool unreadableParts = false; ///< the list of parts is malformed, and counts as none
     http_head head;
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -73,7 +73,8 @@
         || std::holds_alternative<server_rejection>(datagram.body)
         || std::holds_alternative<stream_origins_report>(datagram.body)
         || std::holds_alternative<stream_origin_query>(datagram.body)
-        || std::holds_alternative<stream_origin_answer>(datagram.body);
+        || std::holds_alternative<stream_origin_answer>(datagram.body)
+        || std::holds_alternative<ranked_crash_report>(datagram.body);
 }
 
 class daemon_impl final : public edge_daemon
@@ -307,6 +308,8 @@
             } else if constexpr (std::is_same_v<body_type, store_update>) {
                 m_store.onStoreUpdate(datagram.from, body);
             } else if constexpr (std::is_same_v<body_type, crash_report>) {
+                m_crashes.onReport({body, contentRank});
+            } else if constexpr (std::is_same_v<body_type, ranked_crash_report>) {
                 m_crashes.onReport(body);
             } else if constexpr (std::is_same_v<body_type,
                                      quota_request> || std::is_same_v<body_type, extended_quota_request>) {
--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/responding_time.h"
 #include "serving/fleet_send.h"
 #include "serving/front_task.h"
 
@@ -38,7 +39,7 @@
 {
     std::string number; ///< unique within this process; request ids may not be
     client_request request;
-    std::string fingerprint; ///< hash of the parts of the request that are the same in each attempt
+    request_attributes attributes; ///< the content first
     std::shared_ptr<front_reply> reply;
     std::shared_ptr<const serving_config> config; ///< in force at arrival
     const route *matchedRoute = nullptr; ///< in `config`
@@ -103,6 +104,8 @@
     millis firstEventDelay{-1}; ///< from arrival to the first event; negative before
     millis promptReadTime{-1}; ///< from the latest send to its first event; negative before
     millis longestEventGap; ///< longest time between two chunks from a server
+    responding_time responding; ///< of the latest send, from its first event on
+    bool serverExonerates = false; ///< onServerSurvived() was called for the latest send
     std::shared_ptr<void> deadlineTimer;
     std::shared_ptr<void> slotRequestTimer;
     std::shared_ptr<void> inactivityTimer;
--- a/packages/serving/front_response.cpp
+++ b/packages/serving/front_response.cpp
@@ -1,3 +1,4 @@
+#include "coordination/request_attributes.h"
 #include "serving/front_pending.h"
 
 #include <algorithm>
@@ -106,6 +107,10 @@
     if (pending->eventStream.anyEvent && !pending->origin) {
         onFirstEvent(*pending);
     }
+    countBytes(pending->responding, now);
+    if (isProven(pending->responding) && !pending->serverExonerates) {
+        onServerSurvived(*pending);
+    }
     pending->reply->write(events);
 }
 
@@ -180,8 +185,11 @@
         onResponseBroken(pending, end, why);
         return;
     }
-    if (!notExecuted && (result == send_result::Complete || pending->serverSurvived)) {
-        m_crashes.onResponseComplete(pending->fingerprint);
+    // A failure doesn't show that the server would bear to begin a response.
+    const bool responded =
+        isSuccess(pending->responseHead.status) && (!pending->streaming || pending->firstEventReceived);
+    if (!notExecuted && responded && (result == send_result::Complete || pending->serverSurvived)) {
+        onServerSurvived(*pending);
     }
     pending->mayHaveRun = pending->mayHaveRun || !notExecuted;
     const bool adapterMissing = notExecuted && pending->usesModelServer && pending->granted;
@@ -222,13 +230,13 @@
     // Connections that a leaving or removed server closes don't count as crashes.
     const server_access access = m_notices.accessOf(pending->server);
     const bool notLeaving = access != server_access::Leaving && access != server_access::Removed;
-    if (resultOf(end) == send_result::Broken && notLeaving) {
-        m_crashes.onResponseBroken(pending->fingerprint, pending->target);
+    if (resultOf(end) == send_result::Broken && notLeaving && isSuspect(pending->responding)) {
+        m_crashes.onResponseBroken(pending->attributes, pending->target);
     }
     notifyOwner(*pending, slot_event::Failed);
     m_log.important("request.broken")
         .add("id", pending->request.id)
-        .add("fingerprint", pending->fingerprint)
+        .add("fingerprint", contentKeyOf(pending->attributes))
         .add("server", pending->server)
         .add("route", pending->matchedRoute->name)
         .add("parts", partsText(*pending))
@@ -242,6 +250,23 @@
     beginNextResponse(pending->eventStream);
     pending->responseHead = {};
     pending->responseBody.clear();
+    retryBroken(pending);
+}
+
+/// A server's response lets no crash be held against what the request has in common with others.
+void front_task::onServerSurvived(pending_request &pending)
+{
+    pending.serverExonerates = true;
+    m_crashes.onServerSurvived(pending.attributes);
+}
+
+/// Retries a request whose response broke off, once it is known whether that makes it blocked.
+void front_task::retryBroken(const request_ptr &pending)
+{
+    if (mayRetry(*pending) && m_crashes.mayBecomeBlocked(pending->attributes)) {
+        waitAndRetry(pending, &front_task::retryBroken);
+        return;
+    }
     if (retryElsewhere(pending, true, "broken")) {
         return;
     }
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -55,6 +55,8 @@
     pending->held.reset();
     pending->serverSurvived = false;
     pending->firstEventReceived = false;
+    pending->responding = {};
+    pending->serverExonerates = false;
     ++m_inFlight[server.id];
     ++m_counters.sends;
     send_options options;
@@ -139,7 +141,7 @@
     if (!mayTryAnotherServer(*pending) || timeLeft(*pending).count <= 0) {
         return false;
     }
-    if (mayHaveRun && m_crashes.mayBecomeBlocked(pending->fingerprint)) {
+    if (mayHaveRun && m_crashes.mayBecomeBlocked(pending->attributes)) {
         m_log.important("repeat.denied")
             .add("id", pending->request.id)
             .add("why", "servers crashed while running this request");
@@ -190,7 +192,9 @@
         pending->activeSend.reset();
         --m_inFlight[pending->server];
         onPlainSendEnd(*pending, false);
-        m_crashes.onSendAbandoned(pending->fingerprint, pending->target);
+        if (isSuspect(pending->responding)) {
+            m_crashes.onSendAbandoned(pending->attributes, pending->target);
+        }
         const bool unresponsive =
             pending->responseHead.status == 0 && bootNow() - pending->lastEventAt > minServerSilence;
         if (unresponsive) {
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -1,6 +1,6 @@
 #include "serving/front_pending.h"
 
-#include "coordination/request_fingerprint.h"
+#include "coordination/request_attributes.h"
 
 #include <algorithm>
 #include <cmath>
@@ -49,7 +49,7 @@
     messages.on<view_changed>([this](const view_changed &change) {
         onViewChanged(change);
     });
-    messages.on<request_blocked>([this](const request_blocked &event) {
+    messages.on<attribute_blocked>([this](const attribute_blocked &event) {
         onBlocked(event);
     });
 }
@@ -207,10 +207,6 @@
     if (!authenticateCaller(pending)) {
         return;
     }
-    pending->fingerprint =
-        fingerprintOf({pending->account == nullptr ? std::string_view() : pending->account->name,
-            pending->request.head.method, pending->request.host, pending->request.head.target,
-            pending->request.body});
     useService(*pending, pickService(*pending->matchedRoute, pending->request.id));
     pending->deadlineAt = pending->arrived
         + std::min(pending->matchedRoute->timeout,
@@ -223,7 +219,7 @@
         });
     m_log.ordinary("request.accepted")
         .add("id", pending->request.id)
-        .add("fingerprint", pending->fingerprint)
+        .add("fingerprint", contentKeyOf(pending->attributes))
         .add("route", pending->matchedRoute->name)
         .add("account", pending->account == nullptr ? std::string() : pending->account->name)
         .add("units", pending->cost)
@@ -260,10 +256,15 @@
     return text;
 }
 
-void front_task::useService(pending_request &pending, const std::string &service) const
+void front_task::useService(pending_request &pending, const std::string &service)
 {
+    const client_request &request = pending.request;
     pending.service = service;
-    pending.usesModelServer = !pending.request.model.empty() && engineOf(*pending.config, service) != nullptr;
+    pending.usesModelServer = !request.model.empty() && engineOf(*pending.config, service) != nullptr;
+    pending.attributes =
+        attributesOf({pending.account == nullptr ? std::string_view() : pending.account->name,
+                         request.head.method, request.host, request.head.target, request.body},
+            service, request.promptParts);
 }
 
 void front_task::startDispatch(const request_ptr &pending)
@@ -309,13 +310,13 @@
 
 bool front_task::isBlocked(const pending_request &pending) const
 {
-    return !pending.isProbe && m_crashes.isBlocked(pending.fingerprint);
+    return !pending.isProbe && m_crashes.isBlocked(pending.attributes);
 }
 
 void front_task::refuseBlocked(const request_ptr &pending)
 {
     // If the block has expired, another daemon is probing the request, and the result will be known soon.
-    const millis wait = std::max(m_crashes.blockedRetryAfter(pending->fingerprint), retryAfterTransient);
+    const millis wait = std::max(m_crashes.blockedRetryAfter(pending->attributes), retryAfterTransient);
     refuse(pending, "servers ended under this request", wait);
 }
 
@@ -323,13 +324,13 @@
 void front_task::probeBlocked(const request_ptr &pending)
 {
     m_crashes.requestProbe(
-        pending->fingerprint, [this, weak = std::weak_ptr<pending_request>(pending)](bool granted) {
+        pending->attributes, [this, weak = std::weak_ptr<pending_request>(pending)](bool granted) {
             const auto locked = weak.lock();
             if (!locked) {
                 return;
             }
             locked->isProbe = granted;
-            if (granted) {
+            if (!isBlocked(*locked)) { // granted, or cleared in the meantime
                 dispatch(locked);
             } else {
                 refuseBlocked(locked);
@@ -339,11 +340,12 @@
 
 /// Refuses the matching requests that are still waiting for a server. Those that a server is working on
 /// continue, because a complete response would clear the block.
-void front_task::onBlocked(const request_blocked &event)
+void front_task::onBlocked(const attribute_blocked &event)
 {
     std::vector<request_ptr> waiting;
     for (const auto &[number, pending] : m_requests) {
-        if (pending->fingerprint == event.fingerprint && !pending->activeSend && !pending->isProbe) {
+        const bool matches = hasAttribute(pending->attributes, event.attribute) && isBlocked(*pending);
+        if (matches && !pending->activeSend) {
             waiting.push_back(pending);
         }
     }
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -119,7 +119,7 @@
 
     void onViewChanged(const view_changed &change);
     void updateFeatures();
-    void onBlocked(const request_blocked &event);
+    void onBlocked(const attribute_blocked &event);
     bool isBlocked(const pending_request &pending) const;
     void refuseBlocked(const request_ptr &pending);
     void probeBlocked(const request_ptr &pending);
@@ -127,7 +127,7 @@
     bool authenticateCaller(const request_ptr &pending);
     void findStreamOrigin(const request_ptr &pending);
     void onStreamOrigin(const request_ptr &pending, const std::optional<stream_origin> &origin);
-    void useService(pending_request &pending, const std::string &service) const;
+    static void useService(pending_request &pending, const std::string &service);
     void startDispatch(const request_ptr &pending);
     bool isOfStreamVersion(const pending_request &pending, const backend_server &server) const;
     bool refuseWithoutVersion(const request_ptr &pending);
@@ -187,6 +187,8 @@
     void onUnsent(const request_ptr &pending, const error &why);
     void onResponseEnd(const request_ptr &pending);
     void onResponseBroken(const request_ptr &pending, const response_end &end, const error &why);
+    void retryBroken(const request_ptr &pending);
+    void onServerSurvived(pending_request &pending);
     void onServerUnresponsive(const request_ptr &pending);
     void onDeadline(const request_ptr &pending);
     bool retryElsewhere(const request_ptr &pending, bool mayHaveRun, const char *reason);
--- a/packages/serving/store_apply.cpp
+++ b/packages/serving/store_apply.cpp
@@ -62,8 +62,8 @@
     for (const auto &[service, versions] : m_view.serviceVersions) {
         keys.push_back(detail::serviceVersionsPrefix + service);
     }
-    for (const auto &[fingerprint, crash] : m_view.crashes) {
-        keys.push_back(detail::crashPrefix + fingerprint);
+    for (const auto &[attribute, crash] : m_view.crashes) {
+        keys.push_back(detail::crashPrefix + attribute);
     }
     for (const std::string &key : keys) {
         if (present.count(key) == 0) {
@@ -344,7 +344,7 @@
 void store_task::applyCrash(const stored_item &item, view_changed &change)
 {
     error why;
-    const std::string fingerprint = item.key.substr(detail::crashPrefix.size());
+    const std::string attribute = item.key.substr(detail::crashPrefix.size());
     auto record = item.removed ? std::nullopt : decodeCrashRecord(item.value, why);
     if (!item.removed && !record) {
         // Written by something else: treated as empty, and replaced conditional on this revision.
@@ -352,11 +352,11 @@
         record = crash_record{};
     }
     if (record) {
-        m_view.crashes[fingerprint] = {*record, item.revision};
+        m_view.crashes[attribute] = {*record, item.revision};
     } else {
-        m_view.crashes.erase(fingerprint);
+        m_view.crashes.erase(attribute);
     }
-    change.crashes.push_back(fingerprint);
+    change.crashes.push_back(attribute);
 }
 
 void store_task::applyServiceVersions(const stored_item &item)
--- a/packages/serving/store_keys.h
+++ b/packages/serving/store_keys.h
@@ -13,8 +13,8 @@
 inline const std::string cutOffPrefix = projectPrefix + "cut/";
 /// Followed by a server's id: the claim of the server's owner, under the owner's lease.
 inline const std::string serverOwnerPrefix = projectPrefix + "orderer/";
-/// Followed by a request's fingerprint: the servers that crashed under it. Under no lease, since leases can
-/// expire during a store outage.
+/// Followed by the key of an attribute of requests: the servers that crashed under it. Under no lease, since
+/// leases can expire during a store outage.
 inline const std::string crashPrefix = projectPrefix + "crash/";
 
 /// Followed by a service's name: the software versions that have served it lately. Under no lease, for the
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -375,43 +375,43 @@
 }
 
 void store_task::writeCrashRecord(
-    const std::string &fingerprint, const crash_record &record, std::function<void(bool)> done)
+    const std::string &attribute, const crash_record &record, std::function<void(bool)> done)
 {
     store_change change;
-    change.puts.push_back({detail::crashPrefix + fingerprint, encode(record), 0});
-    changeCrashRecord(fingerprint, std::move(change), std::move(done));
+    change.puts.push_back({detail::crashPrefix + attribute, encode(record), 0});
+    changeCrashRecord(attribute, std::move(change), std::move(done));
 }
 
-void store_task::removeCrashRecord(const std::string &fingerprint)
+void store_task::removeCrashRecord(const std::string &attribute)
 {
-    if (m_view.crashes.count(fingerprint) == 0) {
+    if (m_view.crashes.count(attribute) == 0) {
         return;
     }
     store_change change;
-    change.removes.push_back(detail::crashPrefix + fingerprint);
-    changeCrashRecord(fingerprint, std::move(change), [](bool) {});
+    change.removes.push_back(detail::crashPrefix + attribute);
+    changeCrashRecord(attribute, std::move(change), [](bool) {});
 }
 
 /// One change at a time, conditional on the revision in the view, so that another daemon's change is not
 /// overwritten.
 void store_task::changeCrashRecord(
-    const std::string &fingerprint, store_change change, std::function<void(bool)> done)
+    const std::string &attribute, store_change change, std::function<void(bool)> done)
 {
-    if (m_leaving || !m_crashChangesInFlight.insert(fingerprint).second) {
+    if (m_leaving || !m_crashChangesInFlight.insert(attribute).second) {
         m_loop.post([done = std::move(done)] {
             done(false);
         });
         return;
     }
-    const auto known = m_view.crashes.find(fingerprint);
+    const auto known = m_view.crashes.find(attribute);
     const std::int64_t revision = known == m_view.crashes.end() ? 0 : known->second.revision;
-    change.expected.emplace_back(detail::crashPrefix + fingerprint, revision);
+    change.expected.emplace_back(detail::crashPrefix + attribute, revision);
     const bool removes = !change.removes.empty();
-    m_store.change(change, [this, fingerprint, removes, done](store_status status, std::int64_t changed) {
-        m_crashChangesInFlight.erase(fingerprint);
+    m_store.change(change, [this, attribute, removes, done](store_status status, std::int64_t changed) {
+        m_crashChangesInFlight.erase(attribute);
         onCallDone(status == store_status::Ok || status == store_status::Conflict, "crash");
         m_log.important(removes ? "crash.dropped" : "crash.kept")
-            .add("fingerprint", fingerprint)
+            .add("fingerprint", attribute)
             .add("outcome", status == store_status::Ok ? "done" : "not done")
             .add("revision", changed);
         done(status == store_status::Ok);
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -56,7 +56,7 @@
     std::set<std::string> cutOffDaemons; ///< daemons that reach no backend server, by node
     ownership_map serverOwners; ///< by server id
     ownership_map quotaHomes; ///< by the decimal number of a shard of client accounts
-    std::map<std::string, stored_crash_record> crashes; ///< by request fingerprint
+    std::map<std::string, stored_crash_record> crashes; ///< by attribute of requests
     std::map<std::string, stored_service_versions> serviceVersions; ///< by service
     millis registeredAt; ///< when this daemon's record was last written
     millis lastResponseAt; ///< when the store last answered a call
@@ -90,7 +90,7 @@
     std::vector<std::string> removedServers; ///< also those restarted under the same id: they hold nothing
     /// The removed ones that had not announced leaving. The others stop as planned, with what they still ran.
     std::vector<std::string> crashedServers;
-    std::vector<std::string> crashes; ///< fingerprints whose record was written or removed
+    std::vector<std::string> crashes; ///< keys of attributes whose record was written or removed
 };
 
 /// Follows the store with one watch over all keys, or through the store readers of the failure domain, and
@@ -152,8 +152,8 @@
     /// if another daemon has changed it since. `done` receives whether it was written, never from inside the
     /// call.
     void writeCrashRecord(
-        const std::string &fingerprint, const crash_record &record, std::function<void(bool)> done);
-    void removeCrashRecord(const std::string &fingerprint);
+        const std::string &attribute, const crash_record &record, std::function<void(bool)> done);
+    void removeCrashRecord(const std::string &attribute);
     /// Writes the software versions of a service, replacing the record in the view. Nothing is written if
     /// another daemon has changed it since.
     void writeServiceVersions(const std::string &service, const service_versions_record &record);
@@ -194,8 +194,7 @@
     void confirmQuotaHomes();
     void applyCrash(const stored_item &item, view_changed &change);
     void applyServiceVersions(const stored_item &item);
-    void changeCrashRecord(
-        const std::string &fingerprint, store_change change, std::function<void(bool)> done);
+    void changeCrashRecord(const std::string &attribute, store_change change, std::function<void(bool)> done);
     void removeMissing(const std::set<std::string> &present, view_changed &change);
     void removeUnreturnedServers();
     void forgetExpiredDaemons();
@@ -247,7 +246,7 @@
     millis m_reconnectedAt; ///< when the store first answered after an outage
     std::set<std::string> m_missingServers; ///< expired in an outage, kept for missingGrace
     std::set<std::string> m_claimsInFlight; ///< keys
-    std::set<std::string> m_crashChangesInFlight; ///< fingerprints
+    std::set<std::string> m_crashChangesInFlight; ///< attributes
     std::set<std::string> m_versionWritesInFlight; ///< services
     std::map<std::string, millis> m_expiredAt; ///< when a daemon's record expired, by node
     std::set<std::string> m_loggedUnreadable; ///< keys whose item was logged as unreadable
--- a/tests/failure/owner_guard_test.cpp
+++ b/tests/failure/owner_guard_test.cpp
@@ -1,6 +1,6 @@
 #include "coordination/events.h"
 #include "coordination/owner_task.h"
-#include "coordination/request_fingerprint.h"
+#include "coordination/request_attributes.h"
 #include "standins/engine_standin.h"
 #include "standins/run_until.h"
 #include "transport/http_client.h"
@@ -28,7 +28,7 @@
 std::string fingerprintNumber(std::uint64_t sequence)
 {
     const std::string number = std::to_string(sequence);
-    return std::string(fingerprintDigits - number.size(), '0') + number;
+    return std::string(attributeDigits - number.size(), '0') + number;
 }
 
 /// Of a daemon without others and without a store.
@@ -39,7 +39,7 @@
     links.daemons = [] {
         return std::vector<std::string>{"entry-1"};
     };
-    links.send = [](const std::string &, const crash_report &) {};
+    links.send = [](const std::string &, const ranked_crash_report &) {};
     links.storedRecord = [](const std::string &) {
         return crash_record{};
     };
@@ -127,7 +127,7 @@
         request.adapter = {adapter, 1};
         request.caller = "tester";
         request.deadlineMs = deadlineMs;
-        request.fingerprint = fingerprintNumber(m_sequence);
+        request.attributes = {{fingerprintNumber(m_sequence), contentRank}};
         request.path = "/v1/completions";
         request.body = nlohmann::json{{"model", adapter + ":1"}, {"stream", true}, {"prompt", "x"},
             {"max_tokens",
@@ -199,7 +199,7 @@
     ASSERT_TRUE(started(stream));
     const auto waits = ask("a1", 2);
     settleFor(settle);
-    m_crashes.onReport({fingerprintNumber(waits), {"e2@1", "e3@1", "e4@1"}});
+    m_crashes.onReport({{fingerprintNumber(waits), {"e2@1", "e3@1", "e4@1"}}, contentRank});
     ASSERT_TRUE(ended(waits));
     EXPECT_EQ(m_ends.count(stream), 0U) << "not held until the place is free";
     EXPECT_EQ(m_ends[waits].result, outcome::NotRun);
--- a/tests/serving/crash_task_test.cpp
+++ b/tests/serving/crash_task_test.cpp
@@ -1,5 +1,5 @@
 #include "coordination/rendezvous.h"
-#include "coordination/request_fingerprint.h"
+#include "coordination/request_attributes.h"
 #include "platform/platform_records.h"
 #include "protocol/codec.h"
 #include "serving/crash_store.h"
@@ -15,7 +15,8 @@
 using http_testing::freePort;
 using http_testing::raw_socket;
 
-const std::string fingerprint(fingerprintDigits, 'a');
+const std::string fingerprint(attributeDigits, 'a');
+const request_attributes content{{fingerprint, contentRank}};
 constexpr probe_delays shortProbeDelays{millis{400}, millis{800}};
 
 /// The crash counting of one daemon, connected to a shared store and to the other daemons.
@@ -43,12 +44,14 @@
             shared.events, settings.peers,
             [this](const fleet_datagram &datagram, const peer_address &) {
                 if (const auto *report = std::get_if<crash_report>(&datagram.body)) {
-                    crashes.onReport(*report);
+                    crashes.onReport({*report, contentRank});
+                } else if (const auto *ranked = std::get_if<ranked_crash_report>(&datagram.body)) {
+                    crashes.onReport(*ranked);
                 }
             },
             why);
         subscribeToStore(messages, store, crashes);
-        messages.on<request_blocked>([this](const request_blocked &) {
+        messages.on<attribute_blocked>([this](const attribute_blocked &) {
             ++blockedNotifications;
         });
     }
@@ -104,7 +107,7 @@
     }
     static bool blocks(const test_daemon &daemon)
     {
-        return daemon.crashes.isBlocked(fingerprint);
+        return daemon.crashes.isBlocked(content);
     }
     /// A daemon loses a response of the server; with `serverCrashes`, because the server has crashed.
     void loseResponse(std::size_t index, const std::string &server, bool serverCrashes)
@@ -115,7 +118,7 @@
         }
         const auto listed = daemon.store.view().servers.find(server);
         if (listed != daemon.store.view().servers.end() && !listed->second.draining) {
-            daemon.crashes.onResponseBroken(fingerprint, targetOf(listed->second));
+            daemon.crashes.onResponseBroken(content, targetOf(listed->second));
         }
     }
     void blockEverywhere()
@@ -158,7 +161,7 @@
         loseResponse(0, server, false);
     }
     runRounds(300);
-    EXPECT_FALSE(m_daemons[0]->crashes.isBlocked(fingerprint));
+    EXPECT_FALSE(m_daemons[0]->crashes.isBlocked(content));
     EXPECT_EQ(m_daemons[0]->crashes.counters().serverCrashes, 0U);
 }
 
@@ -182,7 +185,7 @@
 {
     for (const char *server : {"s1", "s2", "s3"}) {
         m_daemons[0]->crashes.onSendAbandoned(
-            fingerprint, targetOf(m_daemons[0]->store.view().servers.at(server)));
+            content, targetOf(m_daemons[0]->store.view().servers.at(server)));
         m_store.remove(std::string("servers/") + server);
     }
     EXPECT_TRUE(allDaemons(blocks));
@@ -195,11 +198,11 @@
     loseResponse(0, "s1", true);
     loseResponse(1, "s2", true);
     ASSERT_TRUE(allDaemons(hasTwoStoredCrashes));
-    EXPECT_FALSE(m_daemons[2]->crashes.mayBecomeBlocked(fingerprint));
+    EXPECT_FALSE(m_daemons[2]->crashes.mayBecomeBlocked(content));
     loseResponse(2, "s3", false);
-    EXPECT_TRUE(m_daemons[2]->crashes.mayBecomeBlocked(fingerprint));
+    EXPECT_TRUE(m_daemons[2]->crashes.mayBecomeBlocked(content));
     EXPECT_TRUE(runUntil([this] {
-        return !m_daemons[2]->crashes.mayBecomeBlocked(fingerprint);
+        return !m_daemons[2]->crashes.mayBecomeBlocked(content);
     })) << "the server is up";
 }
 
@@ -210,7 +213,7 @@
     loseResponse(0, "s1", true);
     loseResponse(1, "s2", true);
     ASSERT_TRUE(allDaemons(hasTwoStoredCrashes));
-    m_daemons[3]->crashes.onResponseComplete(fingerprint);
+    m_daemons[3]->crashes.onServerSurvived(content);
     EXPECT_TRUE(allDaemons([](const test_daemon &daemon) {
         return daemon.store.view().crashes.empty();
     }));
@@ -228,7 +231,7 @@
     ASSERT_TRUE(runUntil([this] {
         return m_daemons[0]->crashes.crashedIncarnations(fingerprint).size() == 1;
     }));
-    m_daemons[0]->crashes.onResponseComplete(fingerprint);
+    m_daemons[0]->crashes.onServerSurvived(content);
     m_store.put("briarhead/crash/" + fingerprint, encode(crash_record{{"s2", "s3"}, 0}));
     EXPECT_TRUE(runUntil([this] {
         return m_daemons[0]->crashes.crashedIncarnations(fingerprint).size() == 2;
@@ -290,7 +293,7 @@
     int decided = 0;
     const auto requests = m_loop.timer({20}, {20}, [&] {
         for (const auto &daemon : m_daemons) {
-            daemon->crashes.requestProbe(fingerprint, [&](bool isGranted) {
+            daemon->crashes.requestProbe(content, [&](bool isGranted) {
                 granted += isGranted ? 1 : 0;
                 ++decided;
             });
@@ -305,7 +308,7 @@
     EXPECT_EQ(granted, 2);
     EXPECT_GT(decided, 100);
     EXPECT_EQ(stored().probeCount, 2U);
-    EXPECT_EQ(m_daemons[0]->crashes.blockedRetryAfter(fingerprint), crashRetention);
+    EXPECT_EQ(m_daemons[0]->crashes.blockedRetryAfter(content), crashRetention);
 }
 
 // An operator removes the record, so the request must be accepted again.
@@ -341,12 +344,97 @@
 TEST_F(crash_task_test, InvalidRecordsAndReportsAreIgnored)
 {
     m_store.put("briarhead/crash/" + fingerprint, "no record");
-    m_daemons[0]->crashes.onReport({"short", {"s1", "s2", "s3"}});
+    m_daemons[0]->crashes.onReport({{"short", {"s1", "s2", "s3"}}, contentRank});
     blockEverywhere();
     EXPECT_TRUE(runUntil([this] {
         return stored().servers.size() == 3;
     }));
-    EXPECT_FALSE(m_daemons[0]->crashes.isBlocked("short"));
+    EXPECT_FALSE(m_daemons[0]->crashes.isBlocked({{"short", contentRank}}));
+}
+
+// No two of the requests under which servers crash are alike, and each crash is seen by another daemon. What
+// blocks them is the one part that all have in common; other requests with the same first part are not
+// blocked.
+TEST_F(crash_task_test, CrashesOfUnlikeRequestsAddUpForTheirCommonPart)
+{
+    const auto requestWith = [](const std::string &own, const std::string &part) {
+        return attributesOf({{}, "POST", "h", "/", own}, "s", {"first", part});
+    };
+    for (std::size_t i = 0; i < 3; ++i) {
+        test_daemon &daemon = *m_daemons[i];
+        const std::string server = "s" + std::to_string(i + 1);
+        m_listeners.erase(server);
+        daemon.crashes.onResponseBroken(
+            requestWith("own" + std::to_string(i), "bad"), targetOf(daemon.store.view().servers.at(server)));
+    }
+    EXPECT_TRUE(allDaemons([&](const test_daemon &daemon) {
+        return daemon.crashes.isBlocked(requestWith("new", "bad"));
+    }));
+    for (const auto &daemon : m_daemons) {
+        EXPECT_FALSE(daemon->crashes.isBlocked(requestWith("new", "good")));
+        EXPECT_EQ(daemon->blockedNotifications, 2) << "the first part and the second";
+    }
+    int granted = 0;
+    int number = 0;
+    const auto requests = m_loop.timer({20}, {20}, [&] {
+        for (const auto &daemon : m_daemons) {
+            daemon->crashes.requestProbe(requestWith(std::to_string(++number), "bad"), [&](bool isGranted) {
+                granted += isGranted ? 1 : 0;
+            });
+        }
+    });
+    EXPECT_TRUE(runUntil([&] {
+        return granted == 2;
+    }));
+    runRounds(1'500);
+    EXPECT_EQ(granted, 2) << "probes of all daemons for all requests with the part";
+}
+
+// The first part of all requests was at two crashes. Before the third, a daemon that saw none of them gets a
+// complete response to one of its own requests with that part: it must be counted from zero everywhere, and
+// not stay in the store.
+TEST_F(crash_task_test, ACompleteResponseToAnotherRequestClearsTheCommonPart)
+{
+    const auto requestOf = [](const std::string &own) {
+        return attributesOf({{}, "POST", "h", "/", own}, "s", {"first"});
+    };
+    const std::string part = requestOf("").back().key;
+    for (std::size_t i = 0; i < 2; ++i) {
+        const std::string server = "s" + std::to_string(i + 1);
+        m_listeners.erase(server);
+        m_daemons[i]->crashes.onResponseBroken(
+            requestOf(std::to_string(i)), targetOf(m_daemons[i]->store.view().servers.at(server)));
+    }
+    ASSERT_TRUE(allDaemons([&](const test_daemon &daemon) {
+        return daemon.crashes.crashedIncarnations(part).size() == 2;
+    }));
+    m_daemons[3]->crashes.onServerSurvived(requestOf("sound"));
+    EXPECT_TRUE(allDaemons([&](const test_daemon &daemon) {
+        return daemon.crashes.crashedIncarnations(part).empty();
+    }));
+    EXPECT_TRUE(runUntil([&] {
+        return m_store.items.count("briarhead/crash/" + part) == 0;
+    }));
+    m_listeners.erase("s3");
+    m_daemons[2]->crashes.onResponseBroken(
+        requestOf("2"), targetOf(m_daemons[2]->store.view().servers.at("s3")));
+    runRounds(1'500); // includes a repetition of the reports
+    EXPECT_TRUE(allDaemons([&](const test_daemon &daemon) {
+        return daemon.crashes.crashedIncarnations(part).size() <= 1;
+    }));
+}
+
+// A daemon starts and reads the store before the record is written, because the store refuses writes. The
+// daemons that count must tell it.
+TEST_F(crash_task_test, ADaemonThatStartsWhileNothingIsStoredIsToldByTheOthers)
+{
+    for (const auto &daemon : m_daemons) {
+        daemon->client.fault = store_fault::RefusesChanges;
+    }
+    blockEverywhere();
+    m_daemons.push_back(std::make_unique<test_daemon>(m_store, "n5"));
+    EXPECT_TRUE(allDaemons(blocks));
+    EXPECT_TRUE(stored().servers.empty());
 }
 
 }
--- a/tests/serving/edge_test.cpp
+++ b/tests/serving/edge_test.cpp
@@ -1,5 +1,5 @@
 #include "coordination/crash_history.h"
-#include "coordination/request_fingerprint.h"
+#include "coordination/request_attributes.h"
 #include "protocol/codec.h"
 #include "scheduling/connection_subset.h"
 #include "scheduling/heartbeat_groups.h"
--- a/tests/serving/fake_store.cpp
+++ b/tests/serving/fake_store.cpp
@@ -138,6 +138,12 @@
         })) {
         return;
     }
+    if (fault == store_fault::RefusesChanges) {
+        respondLater([done] {
+            done(store_status::Refused, 0);
+        });
+        return;
+    }
     respondLater([this, transaction, done] {
         for (const auto &[key, revision] : transaction.expected) {
             const auto found = m_shared.items.find(key);
--- a/tests/serving/fake_store.h
+++ b/tests/serving/fake_store.h
@@ -17,6 +17,7 @@
     Unresponsive, ///< calls are not executed and time out
     LosesWriteResponses, ///< writes are executed but not answered
     LeasesOnly, ///< lease calls work; all others are unresponsive
+    RefusesChanges, ///< reads and lease calls work; changes of records are refused
 };
 
 /// The platform's store in memory, for tests of its clients.
--- a/tests/serving/platform_test.cpp
+++ b/tests/serving/platform_test.cpp
@@ -1,3 +1,4 @@
+#include "coordination/request_attributes.h"
 #include "platform/platform_records.h"
 #include "platform/platform_requests.h"
 #include "platform/platform_settings.h"
@@ -82,7 +83,7 @@
     for (int i = 0; i < 100; ++i) {
         many += (many.empty() ? "" : ",") + std::to_string(i) + ":1";
     }
-    EXPECT_EQ(partsIn({many}).first.size(), maxListedParts);
+    EXPECT_EQ(partsIn({many}).first.size(), maxPromptParts);
 }
 
 TEST(PlatformRequests, HeadersAreRead)
