Let the soak's servers crash by a part of a prompt, and check both rules

Change: each run has callers whose model requests are all different but for one part that crashes servers, drawn apart from the other faults; half of the sound model requests have the first part of these. The witness holds BUDGET for either cause (content, part), and LOST: sound requests with that first part begin at least half as often as those with another.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -53,6 +53,10 @@
     const auto fatal = m_loop.timer(m_fatal.every, m_fatal.every, [this] {
         sendFatal();
     });
+    m_fatalPart = drawFatalPartSpell(m_options.seed, m_options.length);
+    const auto fatalPartTimer = m_loop.timer(m_fatalPart.every, m_fatalPart.every, [this] {
+        sendFatalPart();
+    });
     for (const fault &each :
         drawFaults(m_options.seed, m_options.length, m_daemons.size(), m_servers.size())) {
         after(each.at, [this, each] {
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -99,6 +99,25 @@
     }
 }
 
+/// A request with the part that crashes servers; no two are alike.
+void soak_run::sendFatalPart()
+{
+    const millis now = bootNow() - m_begin;
+    if (now >= m_fatalPart.from && now < m_fatalPart.until) {
+        send(m_fatalPart.route, fatalPart + std::to_string(m_lastId), freeKey);
+    }
+}
+
+/// The list of a prompt's parts, of which the last belongs to the request itself.
+std::string soak_run::promptOf(const std::string &id, bool fatal) const
+{
+    const std::string own = ":100,e" + id.substr(1) + ":10";
+    const std::size_t number = static_cast<std::size_t>(m_lastId);
+    return fatal ? std::string(firstParts[0]) + ":100," + fatalPart + own
+                 : std::string(firstParts[number % std::size(firstParts)]) + ":100,d"
+            + std::to_string(number % secondParts) + own;
+}
+
 /// Whether the daemon and the store were undisturbed for as long as news between daemons may take.
 bool soak_run::isCalm(const std::string &name) const
 {
@@ -157,16 +176,25 @@
     text += resumed.root.empty()
         ? ""
         : "Last-Event-Id: " + std::to_string(resumed.lastEvent) + "\r\nResumes: " + resumed.root + "\r\n";
+    const bool hasFatalPart = body.starts_with(fatalPart);
+    const bool isFatal = hasFatalPart || body == fatalBody;
+    const std::string prompt = promptOf(id, hasFatalPart);
+    text += model ? "X-Briarhead-Prompt-Prefix: " + prompt + "\r\n" : "";
     m_witness.sent(id, repeatable, daemon.name, bootNow(), daemon.terminated);
-    if (body != fatalBody && key == freeKey && isCalm(daemon.name)) {
+    if (isFatal) {
+        m_witness.isFatal(id, hasFatalPart ? "a part" : "content");
+    }
+    if (!isFatal && key == freeKey && isCalm(daemon.name)) {
         m_witness.countsForCuts(id);
+        if (model) {
+            m_witness.hasFirstPart(id, prompt.substr(0, prompt.find(':')));
+        }
     }
     if (model) {
         const auto &versions = m_witness.versionsOf(resumed.root);
         const bool mayGoOn = resumed.root.empty() || (versions.size() == 1 && isServed(*versions.begin()));
         m_witness.isStream(id, resumed,
-            kind == resumableKind && body != fatalBody && isCalm(daemon.name) && severalVersionsServe()
-                && mayGoOn);
+            kind == resumableKind && !isFatal && isCalm(daemon.name) && severalVersionsServe() && mayGoOn);
     }
     struct heard
     {
@@ -182,7 +210,7 @@
     calls.onBody = [answer](const std::string &bytes) {
         answer->body += bytes;
     };
-    const bool takesUp = kind == resumableKind && body != fatalBody;
+    const bool takesUp = kind == resumableKind && !isFatal;
     calls.onEnd = [this, answer, id, model, takesUp, resumed, &daemon](
                       const response_end &end, const error &) {
         m_witness.answered({id, model, resultOf(end), answer->head, answer->body}, bootNow(),
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -28,6 +28,7 @@
         m_storeServers[i]->view.ports[server.proxy->port()] = server.links.back()->port();
     }
     server.standin->fatalBody = fatalBody;
+    server.standin->fatalParts = {fatalPart};
     server.standin->onFatal = [this, &server](const std::string &requestId) {
         crashUnder(server, requestId);
     };
@@ -341,7 +342,7 @@
         return; // two runs of it were to end the server at the same moment
     }
     const std::string id = server.standin->id;
-    m_witness.endedUnder(id, bootNow(), isCalm(m_witness.daemonOf(requestId)));
+    m_witness.crashedUnder(requestId, id, bootNow(), isCalm(m_witness.daemonOf(requestId)));
     collect(server);
     server.links.clear();
     server.proxy.reset();
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t variants = 8;
 constexpr std::int64_t shortestFatalMs = 150;
 constexpr std::int64_t fatalRoutes = 4;
+constexpr std::size_t firstModelRoute = 2;
+constexpr std::int64_t modelRoutes = 2;
 /// Servers that ended are back before the recovery is looked at.
 constexpr millis fatalCalmEnd{1'500};
 
@@ -96,6 +98,20 @@
     return spell;
 }
 
+fatal_spell drawFatalPartSpell(std::uint64_t seed, millis length)
+{
+    std::mt19937_64 random(seed * 41 + 23);
+    const auto below = [&random](std::int64_t bound) {
+        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
+    };
+    fatal_spell spell;
+    spell.from = {calmStartMs / 2 + below(calmStartMs)};
+    spell.until = length - fatalCalmEnd;
+    spell.every = {shortestFatalMs + below(shortestFatalMs)};
+    spell.route = firstModelRoute + static_cast<std::size_t>(below(modelRoutes));
+    return spell;
+}
+
 std::vector<limit_change_plan> drawLimits(std::uint64_t seed, millis length, std::size_t servers)
 {
     std::mt19937_64 random(seed * 53 + 29);
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -53,6 +53,9 @@
 
 /// Drawn apart from the faults, which stay what a seed has always drawn.
 fatal_spell drawFatalSpell(std::uint64_t seed, millis length);
+/// Callers send different model requests with one prompt part in common that crashes each server that runs
+/// it. Drawn apart from the faults.
+fatal_spell drawFatalPartSpell(std::uint64_t seed, millis length);
 
 /// A server names a limit from then on, or none.
 struct limit_change_plan
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -42,6 +42,9 @@
 constexpr millis serverBack{400};
 constexpr millis entryStays{1'200};
 inline const std::string fatalBody = "fatal";
+/// Requests with the fatal part have the first of these before it, as half of the sound ones have.
+inline const std::string fatalPart = "bad1";
+constexpr int secondParts = 7; ///< of sound prompts
 /// One account without a limit, one that asks for more than its limit. Each version has a key of its own,
 /// which the next one withdraws.
 inline const std::string freeKey = "key-ana";
@@ -119,6 +122,8 @@
     bool severalVersionsServe() const;
     bool isServed(const std::string &softwareVersion) const;
     void sendFatal();
+    void sendFatalPart();
+    std::string promptOf(const std::string &id, bool fatal) const;
     bool isCalm(const std::string &name) const;
     void crashUnder(served_server &server, const std::string &requestId);
     void collect(served_server &server);
@@ -147,6 +152,7 @@
     millis m_storeDisturbed; ///< when the store's last trouble ended
     millis m_begin;
     fatal_spell m_fatal;
+    fatal_spell m_fatalPart;
     bool m_healed = false;
 };
 
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -14,9 +14,13 @@
 constexpr std::size_t violationsTold = 20;
 /// The rule on streams that are taken up binds from so many on.
 constexpr std::size_t takenUpCompared = 12;
-/// A request may end so many servers before all daemons must know it, and be sent on so many times after.
-constexpr std::size_t endsAllowed = 3;
+/// A request's content may crash so many servers before all daemons must know it, a part of a prompt so many,
+/// and either may be sent on so many times after.
+constexpr std::size_t contentCrashesAllowed = 3;
+constexpr std::size_t partCrashesAllowed = 5;
 constexpr std::size_t sendsAllowed = 3;
+/// The rule on sound requests with the first part of crashing ones binds from so many on.
+constexpr std::size_t firstPartsCompared = 20;
 /// A daemon that has passed on a server's limit keeps to it from this long after.
 constexpr millis toldBefore{500};
 /// The rule on cut off daemons binds from this long after the cut.
@@ -53,8 +57,8 @@
 void witness::sent(
     const std::string &id, bool repeatable, const std::string &daemon, millis at, millis terminated)
 {
-    m_requests[id] = {
-        repeatable, daemon, at, terminated.count != 0, false, false, false, false, 0, {}, false};
+    m_requests[id] = {repeatable, daemon, at, terminated.count != 0, false, false, false, false, 0, {}, false,
+        {}, {}, false};
 }
 
 void witness::isStream(const std::string &id, const resumed_stream &resumed, bool counts)
@@ -173,6 +177,7 @@
         m_told[stamp->substr(stampBegin.size())][request.daemon].push_back(at);
     }
     const int status = answer.head.status;
+    request.begun = status >= 200 && status < 300;
     if (answer.stream) {
         checkVersions(answer, request);
     }
@@ -265,14 +270,57 @@
     return m_requests.at(id).daemon;
 }
 
-void witness::endedUnder(const std::string &server, millis at, bool calm)
+void witness::isFatal(const std::string &id, const std::string &cause)
 {
-    const bool known = m_ends.size() >= endsAllowed && at > m_ends[endsAllowed - 1] + calmBefore;
-    m_ends.push_back(at);
-    m_sentOn += known && calm ? 1 : 0;
-    if (known && calm && m_sentOn > sendsAllowed) {
-        wrong("BUDGET " + server + " is ended by a request under which " + std::to_string(m_ends.size() - 1)
-            + " had ended");
+    m_requests.at(id).fatalCause = cause;
+}
+
+void witness::hasFirstPart(const std::string &id, const std::string &part)
+{
+    m_requests.at(id).firstPart = part;
+}
+
+void witness::crashedUnder(const std::string &requestId, const std::string &server, millis at, bool calm)
+{
+    const std::string &name = m_requests.at(requestId).fatalCause;
+    crash_cause &cause = m_causes[name];
+    const std::size_t allowed = name == "content" ? contentCrashesAllowed : partCrashesAllowed;
+    const bool known = cause.crashes.size() >= allowed && at > cause.crashes[allowed - 1] + calmBefore;
+    cause.crashes.push_back(at);
+    cause.sentOn += known && calm ? 1 : 0;
+    if (known && calm && cause.sentOn > sendsAllowed) {
+        wrong("BUDGET " + server + " crashes because of " + name + " of requests under which "
+            + std::to_string(cause.crashes.size() - 1) + " had crashed");
+    }
+}
+
+/// Sound requests with the first part of the crashing ones begin at least half as often as those with
+/// another, from when the rule binds.
+void witness::checkFirstParts(soak_report &report) const
+{
+    const auto cause = m_causes.find("a part");
+    if (cause == m_causes.end()) {
+        return;
+    }
+    const std::vector<millis> &crashes = cause->second.crashes;
+    const millis from = crashes[std::min(crashes.size(), partCrashesAllowed) - 1] + calmBefore + calmBefore;
+    std::map<std::string, stream_counts> parts;
+    for (const auto &[id, request] : m_requests) {
+        if (!request.firstPart.empty() && request.at >= from) {
+            stream_counts &counts = parts[request.firstPart];
+            ++counts.sent;
+            counts.wentOn += request.begun ? 1 : 0;
+        }
+    }
+    const stream_counts &shared = parts[firstParts[0]];
+    const stream_counts &other = parts[firstParts[1]];
+    const bool binds = shared.sent >= firstPartsCompared && other.sent >= firstPartsCompared;
+    if (binds && 2 * shared.wentOn * other.sent < other.wentOn * shared.sent) {
+        std::ostringstream text;
+        text << "LOST " << shared.wentOn << " of " << shared.sent
+             << " sound requests with the first part of the crashing ones began, " << other.wentOn << " of "
+             << other.sent << " with another";
+        report.violations.push_back(text.str());
     }
 }
 
@@ -466,6 +514,7 @@
     report.violations.insert(report.violations.end(), m_violations.begin(), m_violations.end());
     checkLimit(report);
     checkCuts(report);
+    checkFirstParts(report);
     checkTakenUp(report);
     for (const auto &[id, request] : m_requests) {
         if (request.promised && request.runs > 0) {
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -14,6 +14,8 @@
 namespace briarhead::soak {
 
 const std::string freeAccount = "ana";
+/// First parts of prompts; the requests that crash servers by another part have the first of these.
+constexpr const char *firstParts[] = {"a0", "a1"};
 const std::string limitedAccount = "eva";
 constexpr quota_limit limitedTo{6, 6}; ///< requests
 constexpr quota_tolerance limitRules{millis{8'000}, 0.1, 6};
@@ -64,9 +66,13 @@
     /// A request's time is over; it must have been answered unless its daemon was disturbed since it was
     /// sent.
     void due(const std::string &id, millis disturbedUntil);
-    /// A server ended because it ran the one request that ends servers. `calm`: sent by a daemon that was
-    /// undisturbed for long enough to have been told of it.
-    void endedUnder(const std::string &server, millis at, bool calm);
+    /// The request crashes servers because of its content, which is always the same, or of a part.
+    void isFatal(const std::string &id, const std::string &cause);
+    /// The latest request sent is a sound first attempt at a calm daemon, with this first part.
+    void hasFirstPart(const std::string &id, const std::string &part);
+    /// A server crashed because it ran a fatal request. `calm`: sent by a daemon that was undisturbed for
+    /// long enough to have been told of the cause.
+    void crashedUnder(const std::string &requestId, const std::string &server, millis at, bool calm);
     const std::string &daemonOf(const std::string &id) const;
     /// Sends of a daemon that was killed, stood still or was cut off don't count against servers' limits
     /// until it has passed on an answer that names one again.
@@ -96,12 +102,16 @@
         std::size_t runs = 0;
         resumed_stream resumed;
         bool countsForVersions = false;
+        std::string fatalCause; ///< empty: sound
+        std::string firstPart; ///< empty: not compared
+        bool begun = false; ///< the caller got the head of a success
     };
     void checkVersions(const caller_answer &answer, const sent_request &request);
     void checkTakenUp(soak_report &report) const;
     void checkAccount(const backend_standin &server, const front_request &run, millis at);
     void checkLimit(soak_report &report) const;
     void checkCuts(soak_report &report) const;
+    void checkFirstParts(soak_report &report) const;
     void checkServerLimit(const backend_standin &server);
     void checkWords(const backend_standin &server);
     std::string senderAt(const std::string &server, const std::string &id, millis at, bool cutsExcuse) const;
@@ -121,8 +131,13 @@
     stream_counts m_newStreams;
     stream_counts m_takenUp;
     std::vector<millis> m_limitedRuns; ///< of the account that has a limit
-    std::vector<millis> m_ends; ///< of servers, under the one request that ends them
-    std::size_t m_sentOn = 0; ///< by calm daemons, long after the third end
+    /// What is known of one cause of crashes.
+    struct crash_cause
+    {
+        std::vector<millis> crashes;
+        std::size_t sentOn = 0; ///< by calm daemons, long after the cause was to be known
+    };
+    std::map<std::string, crash_cause> m_causes;
     std::vector<std::string> m_violations;
     struct span
     {
