Let several narrower attributes explain the crashes of a common one

Two culprits, a repeated content and a part, had crashed four servers under that first part, and no request with it completed in between. One narrower attribute had to explain all crashes to spare the common one, and neither did. Ruled out: lost clearings: no server completed a request with that part before the probe. Change: convicted narrower attributes explain crashes together, contents but one of them; the common one is blocked beside them from two unexplained crashes on. So a first part that is itself at fault, and stood three times before one second part, is blocked at its fifth crash instead of its fourth.

--- a/packages/coordination/crash_history.h
+++ b/packages/coordination/crash_history.h
@@ -23,6 +23,9 @@
 /// outage. Three incarnations that crash under the same attribute, with no complete response in between, are
 /// not a coincidence.
 constexpr std::size_t crashesToBlock = 3;
+/// Number of crashes that narrower attributes don't explain after which an attribute is blocked beside them.
+/// One may be the first of another culprit.
+constexpr std::size_t unexplainedCrashesToBlock = 2;
 /// Number of crashes after which all daemons are notified: the third crash may be seen by any daemon, and any
 /// daemon may see the complete response that exonerates the attribute.
 constexpr std::size_t crashesToShare = 2;
@@ -67,9 +70,9 @@
 std::vector<std::string> crashesOf(const crash_history &history, const std::string &key);
 /// Whether crashesToBlock servers have crashed under the attribute.
 bool isConvicted(const crash_history &history, const std::string &key);
-/// The attributes for which a request must not be sent to a server: the convicted ones, unless a narrower one
-/// that the request doesn't have explains all their crashes. So of a first part that all requests share and a
-/// second part that only the crashing ones have, the second one is blocked.
+/// The attributes for which a request must not be sent to a server: the convicted ones, unless narrower ones
+/// that the request doesn't have explain all but one of their crashes. So of a first part that all requests
+/// share and a second part that only the crashing ones have, the second one is blocked.
 request_attributes blockingAttributes(const crash_history &history, const request_attributes &attributes);
 /// Records that a server has completed a request with the attribute. The crashes known so far don't count any
 /// more. Returns whether there were any.
