Close new connections unread where a daemon can't serve their requests

Cause: a daemon accepted whatever came. While the load balancer hands most new connections to one, it took more than it could serve, and each of them waited until its caller gave up. With its descriptors used up it spun in accept, and what had connected to send nothing kept its place. Change: the share of time in which the event loop doesn't wait is looked at as connections come; from 0.4 s of a busy loop on, as many are taken as before less a quarter, with steps up and down, and at least 20 a second. The rest is closed before a byte is read, so that callers retry elsewhere. Kept connections are untouched and the daemon stays ready: leaving would hand the crowd to the next. Weighed: not accepting (callers wait a second for the connection); reading and refusing (costs most of what serving costs, and uses the caller's only retry as a refusal does); leaving the load balancer.

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/budget_task.h"
 #include "coordination/config_task.h"
+#include "coordination/connection_gate.h"
 #include "coordination/crash_task.h"
 #include "coordination/key_task.h"
 #include "coordination/membership_task.h"
@@ -85,6 +86,9 @@
         if (!m_server) {
             return false;
         }
+        m_server->setAdmission([this] {
+            return admitCaller();
+        });
         m_signals = {m_loop.onSignal(SIGTERM,
                          [this] {
                              shutDown();
@@ -195,6 +199,18 @@
         });
     }
 
+    bool admitCaller()
+    {
+        const gate_decision decision = decideOnConnection(m_admission, m_loop);
+        if (decision.limitChanged) {
+            spdlog::warn("daemon: The event loop is busy for {:.0f}% of the time; {}.",
+                decision.busyShare * 100,
+                m_admission.perSecond > 0 ? "closing some new connections unread"
+                                          : "taking all new connections again");
+        }
+        return decision.admitted;
+    }
+
     void stopAtOnce(const char *reason)
     {
         if (m_entry->open() != 0 || !m_ownerDrained) {
@@ -229,6 +245,7 @@
     std::unique_ptr<admin_task> m_admin;
     std::unique_ptr<membership_task> m_membership;
     std::unique_ptr<http_server> m_server;
+    connection_admission m_admission; ///< of callers' connections
     std::vector<std::shared_ptr<void>> m_signals;
     std::shared_ptr<void> m_graceTimer;
     std::shared_ptr<void> m_drainTimer;
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -1,5 +1,6 @@
 #include "serving/edge_daemon.h"
 
+#include "coordination/connection_gate.h"
 #include "protocol/codec.h"
 #include "scheduling/heartbeat_groups.h"
 #include "serving/crash_store.h"
@@ -142,6 +143,7 @@
     void updateIsolation();
     void beginShutdown();
     void checkShutdown();
+    bool admitCaller();
     void reloadSettings(const char *cause);
 
     loop &m_loop;
@@ -161,6 +163,7 @@
     std::unique_ptr<fleet_port> m_port;
     std::unique_ptr<front_server> m_peers; ///< serves store updates to other daemons
     std::unique_ptr<front_server> m_callers;
+    connection_admission m_admission; ///< of callers' connections
     std::unique_ptr<front_server> m_readiness;
     std::unique_ptr<front_server> m_metrics;
     std::vector<std::shared_ptr<void>> m_handles;
@@ -218,6 +221,12 @@
             m_front.onRequest(std::move(request), std::move(reply));
         },
         why);
+    if (m_callers) {
+        m_callers->setMaxConnections(maxCallerConnections(m_settings.maxDescriptors));
+        m_callers->setAdmission([this] {
+            return admitCaller();
+        });
+    }
     m_readiness = m_callers ? front_server::listen(
                       m_loop, m_settings.ready.ip, m_settings.ready.port,
                       [this](const front_request &, const std::shared_ptr<front_reply> &reply) {
@@ -518,11 +527,11 @@
 std::string daemon_impl::metricsPage() const
 {
     const store_view &view = m_store.view();
-    const std::string text =
-        metricsText({&m_front.counters(), &m_crashes.counters(), &m_serverOwner.counters(),
-            &m_pool.counters(), &m_port->counters(), &m_loopLag, m_front.active(), m_callers->connections(),
-            m_log.dropped(), view.config ? view.config->version : 0, m_store.configConfirmedAt(),
-            &m_quota->counters(), &m_paths.counters(), m_paths.isCutOff(), &m_origins.counters()});
+    const std::string text = metricsText({&m_front.counters(), &m_crashes.counters(),
+        &m_serverOwner.counters(), &m_pool.counters(), &m_port->counters(), &m_loopLag, m_front.active(),
+        m_callers->connections(), m_callers->closedUnread(), m_log.dropped(),
+        view.config ? view.config->version : 0, m_store.configConfirmedAt(), &m_quota->counters(),
+        &m_paths.counters(), m_paths.isCutOff(), &m_origins.counters()});
     return m_dependencies.storeMetrics ? text + m_dependencies.storeMetrics() : text;
 }
 
@@ -540,6 +549,19 @@
     }
 }
 
+bool daemon_impl::admitCaller()
+{
+    const gate_decision decision = decideOnConnection(m_admission, m_loop);
+    if (decision.limitChanged) {
+        m_log.important(m_admission.perSecond > 0 ? "connections.limited" : "connections.unlimited")
+            .add("per_second", m_admission.perSecond)
+            .add("busy_share", decision.busyShare)
+            .add("open", static_cast<std::int64_t>(m_callers->connections()))
+            .add("closed_unread", static_cast<std::int64_t>(m_callers->closedUnread()));
+    }
+    return decision.admitted;
+}
+
 void daemon_impl::beginShutdown()
 {
     if (m_shuttingDown) {
--- a/packages/serving/edge_metrics.cpp
+++ b/packages/serving/edge_metrics.cpp
@@ -100,6 +100,7 @@
     put(out, "connections_reused_total", sources.pool->reused);
     put(out, "connections_stray_total", sources.pool->stray);
     put(out, "caller_connections", sources.callerConnections);
+    put(out, "caller_connections_closed_unread_total", sources.callersClosedUnread);
     put(out, "requests_active", sources.active);
     put(out, "datagrams_sent_total", sources.fleet->sent);
     put(out, "datagram_bytes_sent_total", sources.fleet->sentBytes);
--- a/packages/serving/edge_metrics.h
+++ b/packages/serving/edge_metrics.h
@@ -26,6 +26,7 @@
     const latency_histogram *loopLag = nullptr; ///< delay of the event loop's timers
     std::size_t active = 0; ///< requests in progress
     std::size_t callerConnections = 0;
+    std::uint64_t callersClosedUnread = 0; ///< connections
     std::uint64_t linesDropped = 0; ///< by the log
     std::uint64_t configVersion = 0; ///< 0 if there is no configuration yet
     std::optional<millis> configConfirmedAt; ///< when the configuration was last confirmed to be the newest
--- a/packages/serving/node_settings.h
+++ b/packages/serving/node_settings.h
@@ -25,6 +25,7 @@
     bool bootstrap = false; ///< the whole system is being started for the first time
     millis drain{2'000}; ///< after the store lists a server as leaving, requests may reach it for so long
     millis shutdown{8'000}; ///< from the termination signal until the platform kills the process
+    std::size_t maxDescriptors = 0; ///< sockets and files that the process may open; 0: not stated
     retry_limits retries;
     quota_tolerance quota; ///< how exactly client accounts' limits are enforced
     /// Refuse requests that need a key while the configuration has not been confirmed to be the newest for
--- a/packages/transport/front_server.cpp
+++ b/packages/transport/front_server.cpp
@@ -19,6 +19,13 @@
 namespace {
 
 constexpr int listenBacklog = 512;
+/// Accepted in one round of the loop, so that open connections are served in between.
+constexpr int maxAcceptsPerEvent = 64;
+/// Without a free descriptor, the connection stays in the listen queue and keeps the listener readable. The
+/// loop would spin if it watched the listener meanwhile.
+constexpr millis acceptPause{100};
+/// A connection that has sent nothing for this long may be closed to make room for another.
+constexpr millis unusedAge{1'000};
 constexpr std::size_t readBufferBytes = 16 * 1024;
 /// Limit on data received while a request is handled; the socket isn't read beyond it.
 constexpr std::size_t maxPipelinedBytes = 64 * 1024;
@@ -100,6 +107,7 @@
     int watchedEvents = 0;
     millis lastByteAt;
     millis headStartedAt; ///< when a request's first byte was received; 0 between requests
+    bool received = false; ///< any byte
     bool closeAfterResponse = false;
     bool isHeadRequest = false;
     bool isHttp10Request = false;
@@ -152,7 +160,9 @@
     void stopListening() override
     {
         // Closing the listener would reset connections in its queue, so they are accepted first.
-        acceptAll();
+        while (acceptSome()) {
+        }
+        m_acceptTimer.reset();
         m_listenWatch.reset();
         m_listener = owned_fd();
     }
@@ -161,6 +171,18 @@
     {
         return m_connections.size();
     }
+    void setAdmission(std::function<bool()> admit) override
+    {
+        m_admit = std::move(admit);
+    }
+    void setMaxConnections(std::size_t count) override
+    {
+        m_maxConnections = count;
+    }
+    std::uint64_t closedUnread() const override
+    {
+        return m_closedUnread;
+    }
 
     void startResponse(
         caller_connection &connection, std::string_view head, std::string_view body, bool complete);
@@ -179,7 +201,11 @@
     {
         return {http_side::Request, {m_limits.maxHeadBytes, m_limits.maxBodyBytes}};
     }
-    void acceptAll();
+    void watchListener();
+    void pauseAccepting();
+    bool acceptSome();
+    bool makeRoom();
+    void open(owned_fd fd);
     void onEvents(caller_connection &connection, int events);
     void onReadable(caller_connection &connection);
     void parse(caller_connection &connection);
@@ -195,6 +221,10 @@
     bool m_closeAfterResponses = false;
     owned_fd m_listener;
     std::shared_ptr<void> m_listenWatch;
+    std::shared_ptr<void> m_acceptTimer; ///< while accepting is paused
+    std::function<bool()> m_admit;
+    std::size_t m_maxConnections = 0; ///< 0: no limit
+    std::uint64_t m_closedUnread = 0;
     std::shared_ptr<void> m_timeoutTimer;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, std::shared_ptr<caller_connection>> m_connections;
@@ -335,9 +365,7 @@
         why.detail = std::string("cannot listen on this address: ") + std::strerror(errno);
         return false;
     }
-    m_listenWatch = m_loop.watch(m_listener.get(), eventRead, [this](int) {
-        acceptAll();
-    });
+    watchListener();
     m_timeoutTimer = m_loop.timer(timeoutCheckInterval, timeoutCheckInterval, [this] {
         closeTimedOut();
     });
@@ -358,24 +386,80 @@
     return count;
 }
 
-void front_server_impl::acceptAll()
+void front_server_impl::watchListener()
 {
-    for (;;) {
+    m_acceptTimer.reset();
+    m_listenWatch = m_loop.watch(m_listener.get(), eventRead, [this](int) {
+        acceptSome();
+    });
+}
+
+void front_server_impl::pauseAccepting()
+{
+    m_listenWatch.reset();
+    m_acceptTimer = m_loop.timer(acceptPause, {}, [this] {
+        watchListener();
+    });
+}
+
+/// Accepts connections from the listen queue. Returns whether there may be more.
+bool front_server_impl::acceptSome()
+{
+    for (int i = 0; i < maxAcceptsPerEvent; ++i) {
         owned_fd fd(accept4(m_listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-        if (!fd) {
-            return;
+        const int code = fd ? 0 : errno;
+        if (code == ECONNABORTED || code == EINTR) {
+            continue; // the connection is gone; others may be waiting
         }
-        const int enabled = 1;
-        (void)setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
-        (void)setsockopt(fd.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, &callerTimeoutMs, sizeof(callerTimeoutMs));
-        auto connection = std::make_shared<caller_connection>(newReader());
-        connection->server = this;
-        connection->id = ++m_lastId;
-        connection->fd = std::move(fd);
-        connection->lastByteAt = bootNow();
-        m_connections.emplace(connection->id, connection);
-        updateWatch(*connection);
+        if (code == EMFILE || code == ENFILE || code == ENOBUFS || code == ENOMEM) {
+            makeRoom();
+            pauseAccepting();
+            return false;
+        }
+        if (code != 0) {
+            return false;
+        }
+        const bool isFull = m_maxConnections != 0 && m_connections.size() >= m_maxConnections;
+        if ((isFull && !makeRoom()) || (m_admit && !m_admit())) {
+            ++m_closedUnread;
+            continue;
+        }
+        open(std::move(fd));
     }
+    return true;
+}
+
+/// Closes the connection that has been open for longest without sending anything, if there is one. Those that
+/// have carried requests spread the load of their callers, and stay.
+bool front_server_impl::makeRoom()
+{
+    std::shared_ptr<caller_connection> oldest;
+    for (const auto &[id, connection] : m_connections) {
+        const bool unused = !connection->received && bootNow() - connection->lastByteAt > unusedAge;
+        if (unused && (!oldest || connection->lastByteAt < oldest->lastByteAt)) {
+            oldest = connection;
+        }
+    }
+    if (!oldest) {
+        return false;
+    }
+    ++m_closedUnread;
+    close(*oldest);
+    return true;
+}
+
+void front_server_impl::open(owned_fd fd)
+{
+    const int enabled = 1;
+    (void)setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+    (void)setsockopt(fd.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, &callerTimeoutMs, sizeof(callerTimeoutMs));
+    auto connection = std::make_shared<caller_connection>(newReader());
+    connection->server = this;
+    connection->id = ++m_lastId;
+    connection->fd = std::move(fd);
+    connection->lastByteAt = bootNow();
+    m_connections.emplace(connection->id, connection);
+    updateWatch(*connection);
 }
 
 void front_server_impl::updateWatch(caller_connection &connection)
@@ -422,6 +506,7 @@
         return;
     }
     connection.lastByteAt = bootNow();
+    connection.received = true;
     if (connection.phase == connection_phase::Lingering) {
         return;
     }
--- a/packages/transport/front_server.h
+++ b/packages/transport/front_server.h
@@ -72,11 +72,18 @@
     virtual void closeAfterResponses(millis idle) = 0;
     /// While set, each response closes its connection, so that the caller reconnects to another daemon.
     virtual void setCloseAfterResponse(bool closing) = 0;
+    /// Sets a function that decides on each new connection. One that is not admitted is closed unread.
+    virtual void setAdmission(std::function<bool()> admit) = 0;
+    /// Limits the number of open connections. A new one beyond it takes the place of one that has not sent
+    /// anything yet, or is closed unread.
+    virtual void setMaxConnections(std::size_t count) = 0;
     /// Accepts the connections in the listen queue, then closes the listening socket.
     virtual void stopListening() = 0;
     /// Connections with a request in progress: being received, handled or responded to.
     virtual std::size_t activeRequests() const = 0;
     virtual std::size_t connections() const = 0;
+    /// Connections closed unread since the start, and those closed because they had not sent anything.
+    virtual std::uint64_t closedUnread() const = 0;
 };
 
 }
--- a/packages/transport/http_server.cpp
+++ b/packages/transport/http_server.cpp
@@ -96,6 +96,10 @@
     std::uint16_t port() const override;
     std::size_t activeRequests() const override;
     void stopListening() override;
+    void setAdmission(std::function<bool()> admit) override
+    {
+        m_admit = std::move(admit);
+    }
 
 private:
     void scheduleRun() override;
@@ -117,6 +121,7 @@
 
     static MHD_Result accessThunk(void *self, MHD_Connection *connection, const char *url, const char *method,
         const char *version, const char *upload, std::size_t *uploadSize, void **context);
+    static MHD_Result policyThunk(void *self, const sockaddr *address, socklen_t addressSize);
     static void completedThunk(
         void *self, MHD_Connection *connection, void **context, MHD_RequestTerminationCode code);
     static void connectionThunk(
@@ -128,6 +133,7 @@
     std::shared_ptr<handler> m_handler;
     MHD_Daemon *m_daemon = nullptr;
     std::uint16_t m_port = 0;
+    std::function<bool()> m_admit;
     bool m_listening = false;
     bool m_stopping = false;
     bool m_runScheduled = false;
@@ -189,7 +195,7 @@
     if (bindTarget.isV6()) {
         flags |= MHD_USE_IPv6;
     }
-    m_daemon = MHD_start_daemon(flags, port, nullptr, nullptr, accessThunk, this, MHD_OPTION_EXTERNAL_LOGGER,
+    m_daemon = MHD_start_daemon(flags, port, policyThunk, this, accessThunk, this, MHD_OPTION_EXTERNAL_LOGGER,
         logThunk, this, MHD_OPTION_SOCK_ADDR, bindTarget.raw(), MHD_OPTION_NOTIFY_COMPLETED, completedThunk,
         this, MHD_OPTION_NOTIFY_CONNECTION, connectionThunk, this, MHD_OPTION_LISTEN_BACKLOG_SIZE,
         listenBacklog, MHD_OPTION_CONNECTION_LIMIT, maxConnections, MHD_OPTION_CONNECTION_TIMEOUT,
@@ -529,6 +535,12 @@
     m_connections.emplace(state->id, std::move(state));
 }
 
+MHD_Result server_impl::policyThunk(void *self, const sockaddr *, socklen_t)
+{
+    const auto *server = static_cast<server_impl *>(self);
+    return !server->m_admit || server->m_admit() ? MHD_YES : MHD_NO;
+}
+
 MHD_Result server_impl::accessThunk(void *self, MHD_Connection *connection, const char *url,
     const char *method, const char *version, const char *upload, std::size_t *uploadSize, void **context)
 {
--- a/packages/transport/http_server.h
+++ b/packages/transport/http_server.h
@@ -66,6 +66,8 @@
     virtual ~http_server() = default;
     virtual std::uint16_t port() const = 0;
     virtual std::size_t activeRequests() const = 0;
+    /// Sets a function that decides on each new connection. One that is not admitted is closed unread.
+    virtual void setAdmission(std::function<bool()> admit) = 0;
     /// Accepts the connections in the listen queue, then closes the listening socket. Requests in progress
     /// continue, and responses that begin after this call close their connection.
     virtual void stopListening() = 0;
--- a/packages/transport/loop.cpp
+++ b/packages/transport/loop.cpp
@@ -2,6 +2,7 @@
 
 #include <ev.h>
 
+#include <algorithm>
 #include <deque>
 #include <utility>
 
@@ -50,6 +51,10 @@
 {
     std::shared_ptr<struct ev_loop> evLoop;
     ev_prepare prepare{};
+    ev_check check{};
+    millis waitBegan; ///< of the wait in progress, or the latest one
+    millis waited; ///< since `busySince`
+    millis busySince = bootNow();
     ev_idle idle{};
     std::deque<callback> postedCalls;
 
@@ -79,16 +84,25 @@
     // The prepare watcher runs after the callbacks of each iteration and before libev sleeps, so a posted
     // call needs no wakeup and no system call.
     ev_prepare_init(&m_impl->prepare, [](struct ev_loop *, ev_prepare *self, int) {
-        static_cast<impl *>(self->data)->runPostedCalls();
+        auto *state = static_cast<impl *>(self->data);
+        state->runPostedCalls();
+        state->waitBegan = bootNow();
     });
     m_impl->prepare.data = m_impl.get();
     ev_prepare_start(m_impl->evLoop.get(), &m_impl->prepare);
+    ev_check_init(&m_impl->check, [](struct ev_loop *, ev_check *self, int) {
+        auto *state = static_cast<impl *>(self->data);
+        state->waited = state->waited + (bootNow() - state->waitBegan);
+    });
+    m_impl->check.data = m_impl.get();
+    ev_check_start(m_impl->evLoop.get(), &m_impl->check);
     ev_idle_init(&m_impl->idle, [](struct ev_loop *, ev_idle *, int) {});
 }
 
 loop::~loop()
 {
     ev_prepare_stop(m_impl->evLoop.get(), &m_impl->prepare);
+    ev_check_stop(m_impl->evLoop.get(), &m_impl->check);
     ev_idle_stop(m_impl->evLoop.get(), &m_impl->idle);
     // Closures own handles and objects whose destructors may post further calls; those are discarded too.
     while (!m_impl->postedCalls.empty()) {
@@ -156,6 +170,16 @@
     return handle;
 }
 
+double loop::takeBusyShare()
+{
+    const millis now = bootNow();
+    const auto span = static_cast<double>(std::max<std::int64_t>((now - m_impl->busySince).count, 1));
+    const double idle = std::min(static_cast<double>(m_impl->waited.count) / span, 1.0);
+    m_impl->busySince = now;
+    m_impl->waited = {};
+    return 1 - idle;
+}
+
 struct ev_loop *loop::raw()
 {
     return m_impl->evLoop.get();
--- a/packages/transport/loop.h
+++ b/packages/transport/loop.h
@@ -40,6 +40,9 @@
     /// handle is destroyed.
     std::shared_ptr<void> onSignal(int number, std::function<void()> call);
 
+    /// The share of time since the last call, 0 to 1, in which the loop did not wait for events.
+    double takeBusyShare();
+
     /// The underlying libev loop, for watchers that this class doesn't offer.
     struct ev_loop *raw();
 
