Bound what servers can make a daemon keep

Cause: a server whose answer is none and never ends made a daemon collect up to 64 MiB for each of its requests: bodies that nobody signed, plain bodies, chunk extensions, trailers. Interim heads had no end at all, and comments kept a stream's server from being taken for silent. Change: backend_pool: at most 96 KiB unparsed, eight interim responses. front_task: 64 KiB of a body that no caller gets; what is signed is held back up to 256 KiB, and 8 MiB in all, so that another server's can replace it, and beyond that goes to the caller as it arrives, no faster than it reads; over relays too. Such a response is not repeated elsewhere. Only events are progress of a stream. Calls (reports, orders): 1 MiB. http_client (store, engines, services): 64 KiB of heads a call, 16 MiB of a body, 24 MiB of all bodies. briarheadd: 4 MiB of a run that is collected, 1 MiB an event. What exceeds a bound counts as broken off, its connection is closed, a line names the bound.

--- a/packages/daemon/entry_task.cpp
+++ b/packages/daemon/entry_task.cpp
@@ -25,6 +25,8 @@
 /// Pause before a request is rerouted while a server changes its owner.
 constexpr std::int64_t redirectPauseMs = 50;
 constexpr std::uint32_t maxRedirects = 40;
+/// Limit on a response that is collected, for a caller that wants it whole or for the home of its key.
+constexpr std::size_t maxCollectedResponse = 4 * 1024 * 1024;
 
 }
 
@@ -335,10 +337,18 @@
     if (!request.stream || !request.key.empty()) {
         request.responseEvents += event.bytes;
     }
+    if (request.responseEvents.size() > maxCollectedResponse) {
+        cancelOversized(event.id, "the response is too large to be collected");
+        return;
+    }
     if (!request.stream) {
         return;
     }
     const std::string complete = extractEvents(request.events, event.bytes);
+    if (request.events.partial.size() > maxEventBytes) {
+        cancelOversized(event.id, "an event of the response is too large");
+        return;
+    }
     if (complete.empty()) {
         return;
     }
@@ -352,6 +362,15 @@
     request.reply->write(complete);
 }
 
+/// Cancels a run whose response exceeds a limit; it counts as broken off.
+void entry_task::cancelOversized(const request_id &id, const char *detail)
+{
+    spdlog::error("entry: The response of {} is canceled: {}.", m_pending.at(id)->server, detail);
+    const request_ptr request = removePending(id);
+    m_bus.post(send_to{request->owner, run_cancel{id}});
+    onAttemptEnd(request, outcome::Unknown, error_kind::ConnectionLost, detail, {});
+}
+
 void entry_task::onEnd(const run_end &event)
 {
     applyHint(event.hint);
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -160,6 +160,7 @@
     std::vector<server_view> serverViews(const std::string &baseModel) const;
     void onStarted(const run_started &event);
     void onBytes(const run_bytes &event);
+    void cancelOversized(const request_id &id, const char *detail);
     void onEnd(const run_end &event);
     void onAttemptEnd(const request_ptr &request, outcome result, error_kind why, const std::string &detail,
         millis retryAfter);
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -62,6 +62,8 @@
 constexpr millis shutdownMargin{500};
 constexpr millis settingsCheckInterval{2'000};
 constexpr millis lagSampleInterval{500};
+/// Limit on a compressed update of the whole store, from a peer.
+constexpr std::size_t maxUpdateBytes = 32 * 1024 * 1024;
 constexpr int exitInterrupted = 1;
 
 /// Whether the datagram is of a type that builds without load_messages.h don't know.
@@ -504,7 +506,8 @@
         [done = std::move(done)](const call_result &result) {
             error why;
             done(result.how == send_result::Complete ? decodeStoreUpdate(result.body, why) : std::nullopt);
-        });
+        },
+        maxUpdateBytes);
 }
 
 bool daemon_impl::isReady() const
--- a/packages/serving/edge_metrics.cpp
+++ b/packages/serving/edge_metrics.cpp
@@ -56,6 +56,7 @@
     put(out, "repeats_denied_total", front.retriesDenied);
     put(out, "place_asks_total", front.slotRequests);
     put(out, "unreadable_part_lists_total", front.unreadableParts);
+    put(out, "responses_oversized_total", front.oversized);
 }
 
 void putOrders(std::ostringstream &out, const server_owner_counters &orders)
--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -88,7 +88,10 @@
     std::optional<held_response> held;
     std::shared_ptr<void> confirmTimer;
     std::shared_ptr<void> processTimer; ///< until the server's process is looked at
-    std::string responseBody;
+    std::string responseBody; ///< held back, so that another server's response can replace it
+    bool passesThrough = false; ///< the response is too large for that, and goes to the caller as it arrives
+    std::size_t discardedBytes = 0; ///< of a response that no caller gets
+    std::size_t heldBytes = 0; ///< as counted in m_heldBytes
     bool serverSurvived = false; ///< its process was there after the end of an unframed response
     send_result responseResult = send_result::Broken; ///< Complete or Unknown, once the response has ended
     bool streaming = false; ///< events are forwarded to the caller as they arrive
--- a/packages/serving/front_response.cpp
+++ b/packages/serving/front_response.cpp
@@ -15,6 +15,15 @@
 /// The kernel closes the sockets of a crashed process one after another, the listening one perhaps last.
 constexpr millis processExitTime{10};
 constexpr std::string_view eventStreamType = "text/event-stream";
+/// A longer response goes to the caller as it arrives.
+constexpr std::size_t maxHeldResponseBytes = 256 * 1024;
+/// Limit on what is kept of all responses, beyond smallResponseBytes of each.
+constexpr std::size_t maxHeldBytes = 8 * 1024 * 1024;
+constexpr std::size_t smallResponseBytes = 16 * 1024;
+/// Limit on the body of a response that is not forwarded, because no server signed it or it was not run.
+constexpr std::size_t maxDiscardedBytes = 64 * 1024;
+/// Unsent bytes at which no more of a response is received from its server.
+constexpr std::size_t maxUnsentBytes = 256 * 1024;
 
 bool isEventStream(const http_head &head)
 {
@@ -73,45 +82,117 @@
 
 void front_task::onResponseBody(const request_ptr &pending, const std::string &bytes)
 {
-    const millis now = bootNow();
-    if (pending->firstEventReceived) {
-        record(m_counters.eventGap, static_cast<double>((now - pending->lastEventAt).count));
-        pending->longestEventGap = std::max(pending->longestEventGap, now - pending->lastEventAt);
-    }
-    pending->lastEventAt = now;
     if (pending->held) {
         pending->held->body += bytes;
-        return;
+        if (isHeldTooMuch(*pending)) {
+            cutResponse(pending, "too much arrived before its server confirmed its start");
+        }
+    } else if (pending->streaming) {
+        onEvents(pending, bytes);
+    } else {
+        pending->lastEventAt = bootNow();
+        onPlainBody(pending, bytes);
     }
-    if (!pending->streaming) {
-        pending->responseBody += bytes;
+}
+
+void front_task::onEvents(const request_ptr &pending, const std::string &bytes)
+{
+    const millis now = bootNow();
+    const std::uint64_t before = pending->eventStream.eventCount;
+    const std::string complete = extractEvents(pending->eventStream, bytes);
+    if (pending->eventStream.partial.size() > maxEventBytes || isHeldTooMuch(*pending)) {
+        cutResponse(pending, "an event of the stream is too large");
         return;
     }
-    const std::string events = extractEvents(pending->eventStream, bytes);
-    if (pending->eventStream.partial.size() > maxEventBytes) {
-        m_paths.cancel(*pending->activeSend);
-        onSendEnd(pending, brokenEnd(connection_end::Open),
-            {error_kind::TooLarge, pending->server, "an event of the stream is too large"});
+    if (complete.empty()) {
         return;
     }
-    if (events.empty()) {
+    // Comments and blank lines are passed on, but show no progress.
+    if (pending->eventStream.eventCount > before) {
+        if (pending->firstEventReceived) {
+            record(m_counters.eventGap, static_cast<double>((now - pending->lastEventAt).count));
+            pending->longestEventGap = std::max(pending->longestEventGap, now - pending->lastEventAt);
+        } else {
+            pending->firstEventReceived = true;
+            pending->promptReadTime = now - pending->sentAt;
+            pending->firstEventDelay =
+                pending->firstEventDelay.count < 0 ? now - pending->arrived : pending->firstEventDelay;
+            notifyOwner(*pending, slot_event::FirstToken);
+        }
+        pending->lastEventAt = now;
+        if (!pending->origin) {
+            onFirstEvent(*pending);
+        }
+        countBytes(pending->responding, now);
+        if (isProven(pending->responding) && !pending->serverExonerates) {
+            onServerSurvived(*pending);
+        }
+    }
+    pending->reply->write(complete);
+}
+
+/// Holds a response back while that is short, so that another server's can replace it if it fails.
+void front_task::onPlainBody(const request_ptr &pending, const std::string &bytes)
+{
+    const response_meta &meta = pending->responseMeta;
+    if (pending->passesThrough) {
+        passToCaller(pending, bytes);
         return;
     }
-    if (!pending->firstEventReceived) {
-        pending->firstEventReceived = true;
-        pending->promptReadTime = now - pending->sentAt;
-        pending->firstEventDelay =
-            pending->firstEventDelay.count < 0 ? now - pending->arrived : pending->firstEventDelay;
-        notifyOwner(*pending, slot_event::FirstToken);
+    if (!meta.signedByServer || meta.notExecuted || pending->headSent) {
+        pending->discardedBytes += bytes.size();
+        if (pending->discardedBytes > maxDiscardedBytes) {
+            cutResponse(pending, "its body is not for the caller, and too long");
+        }
+        return;
     }
-    if (pending->eventStream.anyEvent && !pending->origin) {
-        onFirstEvent(*pending);
+    pending->responseBody += bytes;
+    if (isHeldTooMuch(*pending)) {
+        pending->passesThrough = true;
+        const std::string held = std::exchange(pending->responseBody, {});
+        releaseHeld(*pending);
+        beginReply(*pending);
+        pending->reply->onDrained([this, weak = std::weak_ptr<pending_request>(pending)] {
+            const auto locked = weak.lock();
+            if (locked && locked->activeSend) {
+                m_paths.setReceiving(*locked->activeSend, true);
+            }
+        });
+        passToCaller(pending, held);
     }
-    countBytes(pending->responding, now);
-    if (isProven(pending->responding) && !pending->serverExonerates) {
-        onServerSurvived(*pending);
+}
+
+/// Passes bytes of a large response on, no faster than the caller takes them.
+void front_task::passToCaller(const request_ptr &pending, const std::string &bytes)
+{
+    pending->reply->write(bytes);
+    if (pending->activeSend && pending->reply->pendingBytes() > maxUnsentBytes) {
+        m_paths.setReceiving(*pending->activeSend, false);
     }
-    pending->reply->write(events);
+}
+
+/// Ends a response that exceeds a limit: its connection is closed, and it counts as broken off.
+void front_task::cutResponse(const request_ptr &pending, const char *detail)
+{
+    ++m_counters.oversized;
+    m_paths.cancel(*pending->activeSend);
+    pending->held.reset();
+    onSendEnd(pending, brokenEnd(connection_end::Open), {error_kind::TooLarge, pending->server, detail});
+}
+
+/// Counts what is kept of the response. Returns whether it, or all responses together, take too much memory.
+bool front_task::isHeldTooMuch(pending_request &pending)
+{
+    const std::size_t now = pending.responseBody.size() + pending.eventStream.partial.size()
+        + (pending.held ? pending.held->body.size() : 0);
+    m_heldBytes += now - std::exchange(pending.heldBytes, now);
+    const bool small = now <= smallResponseBytes;
+    return (!pending.streaming && now > maxHeldResponseBytes) || (!small && m_heldBytes > maxHeldBytes);
+}
+
+void front_task::releaseHeld(pending_request &pending)
+{
+    m_heldBytes -= std::exchange(pending.heldBytes, 0);
 }
 
 void front_task::onSendEnd(const request_ptr &pending, response_end end, const error &why)
@@ -250,6 +331,7 @@
     beginNextResponse(pending->eventStream);
     pending->responseHead = {};
     pending->responseBody.clear();
+    releaseHeld(*pending);
     retryBroken(pending);
 }
 
@@ -295,6 +377,13 @@
         finish(pending, servedOutcome(pending->responseResult));
         return;
     }
+    if (pending->passesThrough) {
+        pending->reply->end();
+        finish(pending,
+            isSuccess(pending->responseHead.status) ? servedOutcome(pending->responseResult)
+                                                    : "server_failed");
+        return;
+    }
     if (pending->headSent) { // the stream was resumed, and the resumed response is a failure
         pending->reply->abort();
         finish(pending, "cut_off");
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -52,7 +52,10 @@
     pending->responseHead = {};
     pending->responseMeta = {};
     pending->responseBody.clear();
+    pending->passesThrough = false;
+    pending->discardedBytes = 0;
     pending->held.reset();
+    releaseHeld(*pending);
     pending->serverSurvived = false;
     pending->firstEventReceived = false;
     pending->responding = {};
@@ -167,8 +170,8 @@
 
 void front_task::onServerUnresponsive(const request_ptr &pending)
 {
-    if (!pending->activeSend) {
-        return;
+    if (!pending->activeSend || pending->reply->pendingBytes() != 0) {
+        return; // while the caller doesn't take its bytes, no more are received
     }
     if (!mayTryAnotherServer(*pending)) {
         return;
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -289,7 +289,7 @@
 
 bool front_task::mayRetry(const pending_request &pending) const
 {
-    return pending.matchedRoute->kind == route_kind::Idempotent
+    return (pending.matchedRoute->kind == route_kind::Idempotent && !pending.passesThrough)
         || (pending.matchedRoute->kind == route_kind::Stream && pending.matchedRoute->resumable
             && canResume(pending.eventStream) && !pending.versionUncertain);
 }
@@ -417,6 +417,7 @@
 
 void front_task::finish(const request_ptr &pending, const std::string &outcome)
 {
+    releaseHeld(*pending);
     const std::string kind(
         pending->matchedRoute == nullptr ? "unrouted" : nameOf(pending->matchedRoute->kind));
     ++m_counters.ended[{kind, outcome}];
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -63,6 +63,7 @@
     std::uint64_t retries = 0;
     std::uint64_t retriesDenied = 0; ///< because the retry budget was exhausted
     std::uint64_t slotRequests = 0; ///< messages sent, including repetitions
+    std::uint64_t oversized = 0; ///< responses cut off for their size
     std::uint64_t unreadableParts = 0; ///< requests whose list of prompt parts is malformed
     latency_histogram firstResponse; ///< from arrival until the response head goes to the caller
     latency_histogram eventGap; ///< between two chunks of a response from a server
@@ -181,6 +182,12 @@
     bool onResponseHead(const request_ptr &pending, const http_head &head);
     void onResponseLimit(const pending_request &pending);
     void onResponseBody(const request_ptr &pending, const std::string &bytes);
+    void onPlainBody(const request_ptr &pending, const std::string &bytes);
+    void onEvents(const request_ptr &pending, const std::string &bytes);
+    void passToCaller(const request_ptr &pending, const std::string &bytes);
+    void cutResponse(const request_ptr &pending, const char *detail);
+    bool isHeldTooMuch(pending_request &pending);
+    void releaseHeld(pending_request &pending);
     void onSendEnd(const request_ptr &pending, response_end end, const error &why);
     void checkServerProcess(const request_ptr &pending, const response_end &end, const error &why);
     void concludeSend(const request_ptr &pending, const response_end &end, const error &why);
@@ -237,6 +244,7 @@
     bool m_plainMembersCurrent = false; ///< m_plainServices has the members of the store's view
     announced_limits &m_limits; ///< owned by m_notices
     std::uint64_t m_lastNumber = 0;
+    std::size_t m_heldBytes = 0; ///< of all responses that are held back
     std::size_t m_heartbeatGroups = 1; ///< number of heartbeat groups in this daemon's failure domain
     bool m_accepting = true;
     bool m_isolated = false;
--- a/packages/serving/server_path_relay.cpp
+++ b/packages/serving/server_path_relay.cpp
@@ -7,6 +7,9 @@
 // Relays requests of peers, and tells them which servers are reached from here.
 namespace briarhead {
 
+/// Unsent bytes of a response at which no more of it is received from the server.
+constexpr std::size_t maxUnsentRelayBytes = 256 * 1024;
+
 /// A request of a peer, from its arrival until the end of its response.
 struct server_path_task::relayed_request
 {
@@ -169,11 +172,20 @@
         locked->write(part);
         return true;
     };
-    handlers.onBody = [weak](std::string bytes) {
+    handlers.onBody = [this, weak](std::string bytes) {
         if (const auto locked = weak.lock()) {
             locked->write(relay_body{std::move(bytes)});
+            if (locked->poolId && locked->reply->pendingBytes() > maxUnsentRelayBytes) {
+                m_pool.setReceiving(*locked->poolId, false);
+            }
         }
     };
+    reply->onDrained([this, weak] {
+        const auto locked = weak.lock();
+        if (locked && locked->poolId) {
+            m_pool.setReceiving(*locked->poolId, true);
+        }
+    });
     handlers.onEnd = [weak, finish](const response_end &end, const error &why) {
         const auto locked = weak.lock();
         if (!locked) {
--- a/packages/serving/server_path_task.cpp
+++ b/packages/serving/server_path_task.cpp
@@ -96,6 +96,14 @@
     }
 }
 
+void server_path_task::setReceiving(send_id id, bool receiving)
+{
+    const auto found = m_sends.find(id);
+    if (found != m_sends.end() && found->second->poolId) {
+        m_pool.setReceiving(*found->second->poolId, receiving);
+    }
+}
+
 void server_path_task::startDirect(const send_ptr &send)
 {
     const backend_server *server = findServer(send->request.server);
--- a/packages/serving/server_path_task.h
+++ b/packages/serving/server_path_task.h
@@ -74,6 +74,8 @@
     send_id start(path_request request, send_handlers handlers);
     /// Cancels a request. No callback follows.
     void cancel(send_id id);
+    /// Stops or resumes receiving a response, as backend_pool::setReceiving().
+    void setReceiving(send_id id, bool receiving);
 
     /// Handles a peer's HTTP request, if it is for this task. Returns whether it is.
     bool onPeerRequest(const front_request &request, const std::shared_ptr<front_reply> &reply);
--- a/packages/transport/backend_call.cpp
+++ b/packages/transport/backend_call.cpp
@@ -11,6 +11,7 @@
 struct pending_call
 {
     call_result result;
+    backend_pool::send_id sendId = 0;
     std::function<void(const call_result &)> done;
     std::shared_ptr<void> timer;
 
@@ -27,7 +28,7 @@
 }
 
 void callServer(loop &eventLoop, backend_pool &pool, const peer_address &to, std::string bytes,
-    millis timeout, std::function<void(const call_result &)> done)
+    millis timeout, std::function<void(const call_result &)> done, std::size_t maxBodyBytes)
 {
     auto call = std::make_shared<pending_call>();
     call->done = std::move(done);
@@ -37,18 +38,23 @@
         call->result.head = head;
         return true;
     };
-    handlers.onBody = [call](const std::string &chunk) {
-        call->result.body += chunk;
+    handlers.onBody = [call, &pool, maxBodyBytes](const std::string &chunk) {
+        const auto guard = call; // the handlers, which own the call, are destroyed by the abort
+        guard->result.body += chunk;
+        if (guard->result.body.size() > maxBodyBytes) {
+            pool.abort(guard->sendId);
+            guard->end(send_result::Broken);
+        }
     };
     handlers.onEnd = [call](const response_end &end, const error &) {
         call->end(resultOf(end));
     };
-    const auto sendId = pool.start(to, std::move(bytes), false, std::move(handlers));
+    call->sendId = pool.start(to, std::move(bytes), false, std::move(handlers));
     // The pool's callbacks own the call until it ends. The call owns the timer, so the timer must not own the
     // call: a cycle would keep the call alive forever.
-    call->timer = eventLoop.timer(timeout, {}, [&pool, sendId, weak = std::weak_ptr<pending_call>(call)] {
+    call->timer = eventLoop.timer(timeout, {}, [&pool, weak = std::weak_ptr<pending_call>(call)] {
         if (const auto timedOut = weak.lock()) {
-            pool.abort(sendId);
+            pool.abort(timedOut->sendId);
             timedOut->end(send_result::Broken);
         }
     });
--- a/packages/transport/backend_call.h
+++ b/packages/transport/backend_call.h
@@ -23,10 +23,15 @@
     return result.how == send_result::Complete || result.how == send_result::Unknown;
 }
 
-/// Sends a complete request and collects the response. If none arrives within `timeout`, the call ends as
-/// Broken and its connection is reset: some bytes may have been delivered, but bytes still delayed by a
-/// broken link are never delivered later. `done` is called exactly once, never from inside callServer().
+/// Limit on the responses to calls: reports and answers to orders.
+constexpr std::size_t maxCallBodyBytes = 1024 * 1024;
+
+/// Sends a complete request and collects the response. If none arrives within `timeout`, or its body is longer
+/// than `maxBodyBytes`, the call ends as Broken and its connection is reset: some bytes may have been
+/// delivered, but bytes still delayed by a broken link are never delivered later. `done` is called exactly
+/// once, never from inside callServer().
 void callServer(loop &eventLoop, backend_pool &pool, const peer_address &to, std::string bytes,
-    millis timeout, std::function<void(const call_result &)> done);
+    millis timeout, std::function<void(const call_result &)> done,
+    std::size_t maxBodyBytes = maxCallBodyBytes);
 
 }
--- a/packages/transport/backend_pool.cpp
+++ b/packages/transport/backend_pool.cpp
@@ -45,6 +45,12 @@
 constexpr int probeIntervalSeconds = 1;
 constexpr int probeCount = 2;
 constexpr int firstFinalStatus = 200;
+/// Limit on the interim responses (1xx) before a response.
+constexpr int maxInterimResponses = 8;
+/// Limit on bytes that can't be parsed yet: a line of a head, a chunk's extension, or trailers.
+constexpr std::size_t maxUnparsedBytes = 96 * 1024;
+/// Limit on a body, none of which is kept here.
+constexpr std::uint64_t maxBodyBytes = 4ULL * 1024 * 1024 * 1024;
 constexpr int eventRead = 1;
 constexpr int eventWrite = 2;
 
@@ -92,6 +98,10 @@
 
 struct backend_pool::impl
 {
+    static http_reader newReader()
+    {
+        return {http_side::Response, {http_reader::limits{}.maxHeadBytes, maxBodyBytes}};
+    }
     /// A TCP connection to a server, in use by one request or idle.
     struct connection
     {
@@ -110,7 +120,9 @@
         std::string out; ///< the request
         std::size_t sent = 0; ///< bytes of `out` already sent
         std::string in; ///< bytes received and not parsed yet
-        http_reader reader{http_side::Response, {}};
+        http_reader reader = newReader();
+        int interimResponses = 0; ///< before the current response
+        bool receiving = true;
         bool noBody = false;
         bool headDelivered = false; ///< onHead was called for the current response
         bool discarding = false; ///< the current response belongs to another request
@@ -157,6 +169,11 @@
     void open(send_id id, request_state &request);
     void reportConnect(const peer_address &to, bool connected);
     void watch(send_id id, connection &link, int mask);
+    /// The events to watch for once the request has been sent.
+    static int receiveEvents(const request_state &request)
+    {
+        return request.receiving ? eventRead : 0;
+    }
     void onEvents(send_id id, int mask);
     void onWritable(send_id id, request_state &request);
     void onReadable(send_id id, request_state &request);
@@ -316,7 +333,7 @@
         }
         request.sent += static_cast<std::size_t>(count);
     }
-    watch(id, *request.link, eventRead);
+    watch(id, *request.link, receiveEvents(request));
 }
 
 void backend_pool::impl::onReadable(send_id id, request_state &request)
@@ -340,8 +357,12 @@
         return;
     }
     request.in.append(block.data(), static_cast<std::size_t>(count));
+    const request_ptr requestGuard = requests.at(id); // its callbacks may cancel the request
     while (parse(id, request)) {
     }
+    if (requests.count(id) != 0 && request.in.size() > maxUnparsedBytes) {
+        end(id, brokenEnd(connection_end::Open), "a head, a chunk's size or the trailers are too long");
+    }
 }
 
 response_end backend_pool::impl::responseEnd(const request_state &request, connection_end connection)
@@ -395,8 +416,13 @@
     if (state != read_state::Done) {
         return false;
     }
+    request.interimResponses += interim ? 1 : 0;
+    if (request.interimResponses > maxInterimResponses) {
+        end(id, brokenEnd(connection_end::Open), "there are too many interim responses");
+        return false;
+    }
     if (interim || request.discarding) {
-        request.reader = http_reader(http_side::Response, {});
+        request.reader = newReader();
         if (request.noBody) {
             request.reader.expectNoBody();
         }
@@ -529,6 +555,19 @@
     cancel(id);
 }
 
+void backend_pool::setReceiving(send_id id, bool receiving)
+{
+    const auto found = m_impl->requests.find(id);
+    if (found == m_impl->requests.end() || found->second->receiving == receiving) {
+        return;
+    }
+    impl::request_state &request = *found->second;
+    request.receiving = receiving;
+    if (!request.connecting && request.sent == request.out.size()) {
+        m_impl->watch(id, *request.link, impl::receiveEvents(request));
+    }
+}
+
 void backend_pool::forget(const peer_address &to)
 {
     m_impl->idle.erase(to);
--- a/packages/transport/backend_pool.h
+++ b/packages/transport/backend_pool.h
@@ -39,7 +39,7 @@
 
 /// HTTP/1.1 connections to backend servers. Each carries one request at a time. It is kept for reuse only if
 /// its request was sent completely and its response arrived completely with no bytes after it. No request is
-/// ever sent twice.
+/// ever sent twice. Of what is not a response's body, only a bounded number of bytes is received.
 class backend_pool
 {
 public:
@@ -64,6 +64,8 @@
     std::optional<millis> reusableFor(const peer_address &to) const;
     /// How long connections to `to` are kept idle, according to its latest response; 0 if unknown.
     millis keepTime(const peer_address &to) const;
+    /// Stops or resumes receiving the response, so that a server sends no faster than its bytes are used.
+    void setReceiving(send_id id, bool receiving);
     /// Whether a request's connection is still being established: nothing of it has been sent.
     bool isConnecting(send_id id) const;
     /// Called after each attempt to open a connection with whether it succeeded, before the request's onEnd.
--- a/packages/transport/event_stream.cpp
+++ b/packages/transport/event_stream.cpp
@@ -54,6 +54,7 @@
         return;
     }
     stream.anyEvent = true;
+    ++stream.eventCount;
     stream.lastEventHasId = std::exchange(stream.eventHasId, false);
     if (stream.lastEventHasId) {
         stream.lastId = std::exchange(stream.eventId, {});
--- a/packages/transport/event_stream.h
+++ b/packages/transport/event_stream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,7 @@
     std::string partial; ///< bytes of the event that is still incomplete
     std::string lastId; ///< id of the last event that had one, empty before the first
     bool anyEvent = false; ///< a complete event has been extracted
+    std::uint64_t eventCount = 0; ///< complete events, without comments
     bool lastEventHasId = false; ///< the latest complete event had an id of its own
 
     // The parser's state.
--- a/packages/transport/front_server.cpp
+++ b/packages/transport/front_server.cpp
@@ -108,6 +108,7 @@
     millis lastByteAt;
     millis headStartedAt; ///< when a request's first byte was received; 0 between requests
     bool received = false; ///< any byte
+    bool isBlocked = false; ///< the socket has not accepted all output
     bool closeAfterResponse = false;
     bool isHeadRequest = false;
     bool isHttp10Request = false;
@@ -115,6 +116,7 @@
     bool sentContinue = false; ///< "100 Continue" was sent for the current request
     std::uint64_t requestNumber = 0; ///< number of the current request on this connection
     std::function<void()> onDisconnect;
+    std::function<void()> onDrained;
 
     explicit caller_connection(http_reader initialReader)
         : reader(std::move(initialReader))
@@ -327,6 +329,12 @@
             connection->onDisconnect = std::move(call);
         }
     }
+    void onDrained(std::function<void()> call) override
+    {
+        if (auto connection = current()) {
+            connection->onDrained = std::move(call);
+        }
+    }
     std::size_t pendingBytes() const override
     {
         const auto connection = current();
@@ -566,6 +574,7 @@
         connection.phase = connection_phase::Handling;
         ++connection.requestNumber;
         connection.onDisconnect = nullptr;
+        connection.onDrained = nullptr;
         m_handler(
             std::move(request), std::make_shared<front_reply_impl>(*this, connection.shared_from_this()));
     }
@@ -631,6 +640,7 @@
 void front_server_impl::finishResponse(caller_connection &connection)
 {
     connection.onDisconnect = nullptr;
+    connection.onDrained = nullptr;
     connection.lastByteAt = bootNow();
     connection.phase =
         connection.closeAfterResponse ? connection_phase::Lingering : connection_phase::Reading;
@@ -660,6 +670,7 @@
         const ssize_t written = send(connection.fd.get(), connection.output.data() + connection.sentBytes,
             connection.output.size() - connection.sentBytes, MSG_NOSIGNAL);
         if (written < 0 && (errno == EAGAIN || errno == EINTR)) {
+            connection.isBlocked = true;
             return;
         }
         if (written < 0) {
@@ -670,6 +681,9 @@
     }
     connection.output.clear();
     connection.sentBytes = 0;
+    if (std::exchange(connection.isBlocked, false) && connection.onDrained) {
+        m_loop.post(connection.onDrained); // not within a write() of the handler that set the function
+    }
     if (connection.phase == connection_phase::Lingering) {
         setResetOnClose(connection.fd.get(), false);
         shutdown(connection.fd.get(), SHUT_WR);
--- a/packages/transport/front_server.h
+++ b/packages/transport/front_server.h
@@ -52,6 +52,8 @@
     virtual void onDisconnect(std::function<void()> call) = 0;
     /// Bytes written but not yet accepted by the socket.
     virtual std::size_t pendingBytes() const = 0;
+    /// Sets a function that is called each time the socket has accepted all bytes after it had not.
+    virtual void onDrained(std::function<void()> call) = 0;
 };
 
 /// HTTP server for callers, on the event loop. Unlike libmicrohttpd it keeps the request target as sent,
--- a/packages/transport/http_client.cpp
+++ b/packages/transport/http_client.cpp
@@ -119,10 +119,23 @@
         list_ptr headers;
         http_result result;
         std::string undelivered; ///< body bytes not yet passed to onData
+        std::size_t headBytes = 0; ///< of all heads so far
+        std::size_t collected = 0; ///< as counted in collectedBytes
+        const char *oversized = nullptr; ///< what exceeded its limit; null: nothing
         std::array<char, CURL_ERROR_SIZE> errorText{};
         bool queued = false; ///< its id is in `ready`
         bool finished = false;
         bool cancelled = false;
+
+        transfer_state() = default;
+        ~transfer_state()
+        {
+            *collectedBytes -= collected;
+        }
+        transfer_state(const transfer_state &) = delete;
+        transfer_state &operator=(const transfer_state &) = delete;
+
+        std::shared_ptr<std::size_t> collectedBytes = std::make_shared<std::size_t>(0); ///< of the client
     };
     using transfer_ptr = std::shared_ptr<transfer_state>;
 
@@ -143,6 +156,8 @@
     std::vector<easy_ptr> idleHandles;
     std::function<void(int, bool)> socketListener;
     call_id lastId = 0;
+    std::shared_ptr<std::size_t> collectedBytes =
+        std::make_shared<std::size_t>(0); ///< of the bodies that are being collected
     bool keepConnections = true;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
@@ -297,8 +312,14 @@
 
 std::size_t http_client::impl::onHeader(char *data, std::size_t size, std::size_t count, void *self)
 {
-    auto &result = static_cast<transfer_state *>(self)->result;
+    auto &transfer = *static_cast<transfer_state *>(self);
+    auto &result = transfer.result;
     const std::string_view line(data, size * count);
+    transfer.headBytes += line.size();
+    if (transfer.headBytes > maxHeadBytesPerCall) {
+        transfer.oversized = "the response's head is too long";
+        return 0;
+    }
     if (const auto status = detail::parseStatusLine(line)) {
         // Interim responses (1xx) and their headers are dropped.
         result.status = *status >= firstFinalStatus ? *status : 0;
@@ -319,6 +340,13 @@
         transfer.owner->enqueue(transfer);
     } else {
         transfer.result.body.append(data, size * count);
+        transfer.collected += size * count;
+        *transfer.collectedBytes += size * count;
+        if (transfer.collected > transfer.call.maxBodyBytes
+            || *transfer.collectedBytes > maxCollectedBytes) {
+            transfer.oversized = "the response's body is too long";
+            return 0;
+        }
     }
     return size * count;
 }
@@ -453,6 +481,10 @@
         transfer.result.why.detail =
             transfer.errorText[0] != '\0' ? transfer.errorText.data() : curl_easy_strerror(code);
     }
+    if (transfer.oversized != nullptr) {
+        transfer.result.why = {error_kind::ConnectionLost, transfer.call.url, transfer.oversized};
+        transfer.result.body.clear();
+    }
     transfer.finished = true;
     release(std::move(transfer.easy));
     enqueue(transfer);
@@ -510,6 +542,7 @@
     auto transfer = std::make_shared<impl::transfer_state>();
     transfer->owner = m_impl.get();
     transfer->id = ++m_impl->lastId;
+    transfer->collectedBytes = m_impl->collectedBytes;
     transfer->call = call;
     transfer->onDone = std::move(onDone);
     transfer->onData = std::move(onData);
--- a/packages/transport/http_client.h
+++ b/packages/transport/http_client.h
@@ -27,6 +27,8 @@
     /// TCP_USER_TIMEOUT of the connection; 0: the system's default. If set, it decides when keep-alive probes
     /// give up, whatever their count.
     millis userTimeout;
+    /// Limit on the body that is collected; a longer one fails the call. Not for calls with an onData.
+    std::size_t maxBodyBytes = 16 * 1024 * 1024;
     bool freshConnection =
         false; ///< uses a new connection, so that libcurl cannot resend the request silently
 };
@@ -50,6 +52,11 @@
     return result.complete || resultOf(result.end) == send_result::Unknown;
 }
 
+/// Limit on the heads of one call's responses, interim ones included.
+constexpr std::size_t maxHeadBytesPerCall = 64 * 1024;
+/// Limit on the bodies that a client is collecting at the same time. The call whose body exceeds it fails.
+constexpr std::size_t maxCollectedBytes = 24 * 1024 * 1024;
+
 /// HTTP client for engines, services and the platform: libcurl's multi interface on the event loop.
 class http_client
 {
