Leave out servers that can't be reached for a second

Cause: crashing_part_test with the store away: 185 of 240 refusals were "no server could be reached". The list of servers is seconds old, four of five were dead, and each request found three closed ports anew before it was refused. Change: a server that nobody could connect to is no candidate at this daemon for a second; where none is left, the request is refused at once.

--- a/packages/serving/front_closed.cpp
+++ b/packages/serving/front_closed.cpp
@@ -20,6 +20,12 @@
     return hasServers;
 }
 
+bool front_task::isUnreachable(const std::string &server) const
+{
+    const auto found = m_unreachableSince.find(server);
+    return found != m_unreachableSince.end() && bootNow() - found->second < unreachableBackoff;
+}
+
 const char *front_task::noServerReason(const pending_request &pending) const
 {
     return allServersClosed(pending) ? "all servers leave or want a pause"
@@ -97,6 +103,7 @@
 void front_task::onServerLinkCut(const std::string &server)
 {
     m_serverHealth.erase(server);
+    m_unreachableSince.erase(server);
     m_plainLatency.erase(server);
 }
 
--- a/packages/serving/front_plain.cpp
+++ b/packages/serving/front_plain.cpp
@@ -84,7 +84,7 @@
 {
     plain_candidate candidate;
     candidate.excluded = isClosed(m_notices.accessOf(server)) || pending.excludedServers.count(server.id) != 0
-        || !isOfStreamVersion(pending, server);
+        || isUnreachable(server.id) || !isOfStreamVersion(pending, server);
     candidate.sameDomain = server.failureDomain == m_settings.failureDomain;
     candidate.slots = server.slots;
     const auto inFlight = m_inFlight.find(server.id);
--- a/packages/serving/front_response.cpp
+++ b/packages/serving/front_response.cpp
@@ -293,6 +293,9 @@
         .add("why", why.detail);
     pending->excludedServers.insert(pending->server);
     pending->sentTo.erase(pending->server);
+    if (why.kind == error_kind::ConnectionLost) {
+        m_unreachableSince[pending->server] = bootNow();
+    }
     if (pending->unsentCount < maxUnsentAttempts) {
         dispatch(pending);
     } else {
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -37,7 +37,8 @@
             candidate.excluded = unobservedOwner(id).empty();
         }
         candidate.excluded = candidate.excluded || isClosed(m_notices.accessOf(server))
-            || pending.excludedServers.count(id) != 0 || !isOfStreamVersion(pending, server);
+            || pending.excludedServers.count(id) != 0 || isUnreachable(id)
+            || !isOfStreamVersion(pending, server);
         const bool own = observed != m_observed.end() && observed->second.owner == m_settings.node;
         candidate.excluded = candidate.excluded || (m_isolated && !own);
         if (const auto wait = permitWait(id)) {
@@ -78,8 +79,11 @@
         refuse(pending, "cut off from the other daemons", retryAfterOtherInstance);
         return;
     }
+    const bool anyUnreachable = std::any_of(servers.begin(), servers.end(), [this](const auto *each) {
+        return isUnreachable(each->id);
+    });
     const bool noneUsable = !chosen && pending->excludedServers.empty() && !pending->mayHaveRun
-        && !lacksPermit(*pending) && !allServersClosed(*pending);
+        && !lacksPermit(*pending) && !allServersClosed(*pending) && !anyUnreachable;
     if (noneUsable && bootNow() - pending->arrived < startupMaxWait) {
         // No heartbeat from any owner yet: this daemon has just started, or the owners have died.
         waitAndRetry(pending, &front_task::dispatchModel);
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -88,6 +88,7 @@
     for (const std::string &id : change.removedServers) {
         m_observed.erase(id);
         m_serverHealth.erase(id);
+        m_unreachableSince.erase(id);
         m_plainLatency.erase(id);
         m_plainReports.inFlight.erase(id);
     }
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -163,6 +163,7 @@
     std::optional<millis> permitWait(const std::string &server) const;
     bool isPermitTooLate(const pending_request &pending, millis wait) const;
     bool lacksPermit(const pending_request &pending) const;
+    bool isUnreachable(const std::string &server) const;
     bool allServersClosed(const pending_request &pending) const;
     millis earliestRetryAfter(const pending_request &pending, millis fallback) const;
     const char *noServerReason(const pending_request &pending) const;
@@ -235,6 +236,7 @@
     std::map<std::string, observed_server> m_observed; ///< by server
     std::map<std::string, int> m_inFlight; ///< requests of this entry in flight, by server
     std::map<std::string, server_health> m_serverHealth; ///< by server
+    std::map<std::string, millis> m_unreachableSince; ///< by server: when a connection last failed
     std::map<std::string, service_features> m_features; ///< by service, of the configuration in force
     bool m_limitsByRank = false; ///< see limitsByRank(), of the configuration in force
     peer_features m_peerFeatures;
--- a/tests/soak/crashing_part_test.cpp
+++ b/tests/soak/crashing_part_test.cpp
@@ -165,6 +165,7 @@
     std::string crashLog() const
     {
         std::string text;
+        std::map<std::string, int> refusals; ///< by reason
         for (const daemon_process &daemon : m_daemons) {
             std::istringstream lines(logOf(daemon));
             for (std::string line; std::getline(lines, line);) {
@@ -172,8 +173,15 @@
                     || line.find("\"crash.t") != std::string::npos
                     || line.find("\"crash.cl") != std::string::npos;
                 text += told ? line + '\n' : "";
+                const std::size_t why = line.find("\"why\":");
+                if (line.find("\"request.refused\"") != std::string::npos && why != std::string::npos) {
+                    ++refusals[line.substr(why, line.find(',', why) - why)];
+                }
             }
         }
+        for (const auto &[why, count] : refusals) {
+            text += why + ": " + std::to_string(count) + " refused\n";
+        }
         return text;
     }
     /// Checks both rules over the next `judged`.
