Let the soak have a crowded daemon and responses without end

Change: each run has two spells in which most new connections go to one daemon, then to the next, at twice the rate, and two in which a server's responses never end, all drawn apart from the other faults. The witness holds RECOVER for crowded daemons (what they read is served three quarters as often as at the others) and the memory of each process (160 MB).

--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -502,7 +502,8 @@
     }
     const std::string call =
         "GET " + updatePath + std::to_string(after) + " HTTP/1.1\r\nHost: " + node + "\r\n\r\n";
-    callServer(m_loop, m_pool, {peer->ip, peer->port}, call, updateFetchTimeout,
+    callServer(
+        m_loop, m_pool, {peer->ip, peer->port}, call, updateFetchTimeout,
         [done = std::move(done)](const call_result &result) {
             error why;
             done(result.how == send_result::Complete ? decodeStoreUpdate(result.body, why) : std::nullopt);
--- a/packages/transport/backend_call.cpp
+++ b/packages/transport/backend_call.cpp
@@ -39,11 +39,10 @@
         return true;
     };
     handlers.onBody = [call, &pool, maxBodyBytes](const std::string &chunk) {
-        const auto guard = call; // the handlers, which own the call, are destroyed by the abort
-        guard->result.body += chunk;
-        if (guard->result.body.size() > maxBodyBytes) {
-            pool.abort(guard->sendId);
-            guard->end(send_result::Broken);
+        call->result.body += chunk;
+        if (call->result.body.size() > maxBodyBytes) {
+            pool.abort(call->sendId); // which keeps the handlers until this call returns
+            call->end(send_result::Broken);
         }
     };
     handlers.onEnd = [call](const response_end &end, const error &) {
--- a/packages/transport/backend_call.h
+++ b/packages/transport/backend_call.h
@@ -26,8 +26,8 @@
 /// Limit on the responses to calls: reports and answers to orders.
 constexpr std::size_t maxCallBodyBytes = 1024 * 1024;
 
-/// Sends a complete request and collects the response. If none arrives within `timeout`, or its body is longer
-/// than `maxBodyBytes`, the call ends as Broken and its connection is reset: some bytes may have been
+/// Sends a complete request and collects the response. If none arrives within `timeout`, or its body is
+/// longer than `maxBodyBytes`, the call ends as Broken and its connection is reset: some bytes may have been
 /// delivered, but bytes still delayed by a broken link are never delivered later. `done` is called exactly
 /// once, never from inside callServer().
 void callServer(loop &eventLoop, backend_pool &pool, const peer_address &to, std::string bytes,
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -17,6 +17,9 @@
 constexpr millis brittleWindow{1'000};
 /// How long a request occupies a slot of a brittle server.
 constexpr millis brittleServiceTime{60};
+/// An endless response: so many bytes each time.
+constexpr millis endlessPause{5};
+constexpr std::size_t endlessBlockBytes = 64 * 1024;
 /// How long a fatal request runs before it crashes the server.
 constexpr millis fatalRunTime{60};
 
@@ -359,6 +362,9 @@
         respondWithStream(reply, requestId, first, std::min(first + 1, streamEvents));
         m_held.emplace_back(requestId, reply);
         return;
+    case behavior::Endless:
+        respondWithoutEnd(reply);
+        return;
     case behavior::CutsStream:
         respondWithStream(reply, requestId, first, std::min(first + 1, streamEvents));
         reply->write("id: 99\ndata: ha");
@@ -374,6 +380,20 @@
     }
 }
 
+void backend_standin::respondWithoutEnd(const std::shared_ptr<front_reply> &reply)
+{
+    reply->begin(200, {}, body_framing::Connection);
+    const auto open = std::make_shared<bool>(true);
+    reply->onDisconnect([open] {
+        *open = false;
+    });
+    m_timers.push_back(m_loop.timer(endlessPause, endlessPause, [reply, open] {
+        if (*open && reply->pendingBytes() < endlessBlockBytes) {
+            reply->write(std::string(endlessBlockBytes, 'x'));
+        }
+    }));
+}
+
 /// Occupies a slot until the response is sent, or the connection is closed.
 void backend_standin::respondLater(
     const std::shared_ptr<front_reply> &reply, const std::string &requestId, int firstEvent, millis delay)
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -74,6 +74,7 @@
         Silent, ///< runs requests and never responds
         CutsStream, ///< closes the connection after the second event
         HoldsStream, ///< sends two events and keeps the stream open
+        Endless, ///< returns bytes that nobody signed, without end
     };
     behavior currentBehavior = behavior::Serves;
     std::optional<response_ending> ending; ///< of responses while Serves; empty: framed and whole
@@ -119,6 +120,7 @@
     int applyOrder(const nlohmann::json &order);
     std::vector<http_field> withNotices(std::vector<http_field> fields, const std::string &requestId = "");
     void reject(const std::string &requestId, front_reply &reply);
+    void respondWithoutEnd(const std::shared_ptr<front_reply> &reply);
     void run(const front_request &request, const std::shared_ptr<front_reply> &reply);
     void runFatalRequest(
         const std::string &requestId, const std::shared_ptr<front_reply> &reply, bool stream);
--- a/tests/serving/endless_server.h
+++ b/tests/serving/endless_server.h
@@ -15,7 +15,7 @@
 class endless_server
 {
 public:
-    endless_server(loop &eventLoop, std::string begin, std::string repeated)
+    endless_server(loop &eventLoop, std::string begin, const std::string &repeated)
         : m_loop(eventLoop)
         , m_begin(std::move(begin))
         , m_listener(http_testing::raw_socket::listening(port))
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,6 +2,7 @@
 #include "transport/backend_call.h"
 
 #include <algorithm>
+#include <fstream>
 
 // A run: its start, its traffic, what goes on by itself, and what is looked at after the last fault.
 namespace briarhead::soak {
@@ -57,6 +58,15 @@
     const auto fatalPartTimer = m_loop.timer(m_fatalPart.every, m_fatalPart.every, [this] {
         sendFatalPart();
     });
+    m_crowds = drawCrowds(m_options.seed, m_options.length, m_daemons.size());
+    const auto crowdTimer = m_loop.timer(pause, pause, [this] {
+        sendToCrowded();
+    });
+    for (const endless_plan &each : drawEndless(m_options.seed, m_options.length, m_servers.size())) {
+        after(each.at, [this, each] {
+            beginEndless(each);
+        });
+    }
     for (const fault &each :
         drawFaults(m_options.seed, m_options.length, m_daemons.size(), m_servers.size())) {
         after(each.at, [this, each] {
@@ -157,6 +167,7 @@
         }
         if (now - daemon.askedReady > millis{200}) {
             askReady(daemon);
+            checkMemory(daemon);
         }
     }
     for (const auto &[lease, kept] : m_store.renewedAt) {
@@ -166,6 +177,17 @@
     }
 }
 
+void soak_run::checkMemory(const daemon_process &daemon)
+{
+    std::ifstream status("/proc/" + std::to_string(daemon.pid) + "/status");
+    for (std::string line; daemon.pid != 0 && std::getline(status, line);) {
+        const std::size_t number = line.find_first_of("0123456789");
+        if (line.starts_with("VmRSS:") && std::stoul(line.substr(number)) > maxResidentKb) {
+            m_report.violations.push_back("MEMORY " + daemon.name + " has" + line.substr(line.find(':') + 1));
+        }
+    }
+}
+
 void soak_run::askReady(daemon_process &daemon)
 {
     daemon.askedReady = bootNow();
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -108,6 +108,26 @@
     }
 }
 
+/// The daemon that most new connections go to, or the number of daemons if there is none.
+std::size_t soak_run::crowdedDaemon() const
+{
+    const millis now = bootNow() - m_begin;
+    for (const crowd_plan &each : m_crowds) {
+        if (now >= each.at && now < each.at + each.lasts) {
+            return each.daemon;
+        }
+    }
+    return m_daemons.size();
+}
+
+/// A plain request on a new connection, in addition to the others.
+void soak_run::sendToCrowded()
+{
+    if (crowdedDaemon() < m_daemons.size()) {
+        send(1, "hi", freeKey, {}, true);
+    }
+}
+
 /// The list of a prompt's parts, of which the last belongs to the request itself.
 std::string soak_run::promptOf(const std::string &id, bool fatal) const
 {
@@ -150,8 +170,8 @@
     }
 }
 
-void soak_run::send(
-    std::size_t kind, const std::string &body, const std::string &key, const resumed_stream &resumed)
+void soak_run::send(std::size_t kind, const std::string &body, const std::string &key,
+    const resumed_stream &resumed, bool newConnection)
 {
     std::vector<daemon_process *> open;
     for (daemon_process &daemon : m_daemons) {
@@ -162,7 +182,9 @@
     if (open.empty()) {
         return;
     }
-    daemon_process &daemon = *open[below(open.size())];
+    const std::size_t crowded = newConnection ? crowdedDaemon() : m_daemons.size();
+    const bool crowds = crowded < m_daemons.size() && m_daemons[crowded].ready && m_daemons[crowded].pid != 0;
+    daemon_process &daemon = crowds ? m_daemons[crowded] : *open[below(open.size())];
     const bool model = kind >= 2;
     const bool repeatable = kind == 1 || kind == 3;
     const std::string id = "r" + std::to_string(++m_lastId);
@@ -170,6 +192,7 @@
         + " HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: " + id + "\r\nX-Briarhead-Credential: " + key
         + "\r\nX-Briarhead-Tenant: mallory\r\nX-Briarhead-Deadline-Ms: " + std::to_string(deadline.count)
         + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    text += newConnection ? "Connection: close\r\n" : "";
     text += model ? "X-Briarhead-Model: m0/a" + std::to_string(below(adapters))
             + "\r\nX-Briarhead-Token-Count: 500,50\r\n"
                   : "";
@@ -184,7 +207,11 @@
     if (isFatal) {
         m_witness.isFatal(id, hasFatalPart ? "a part" : "content");
     }
-    if (!isFatal && key == freeKey && isCalm(daemon.name)) {
+    if (!isFatal && kind == 1 && key == freeKey && crowdedDaemon() < m_daemons.size()
+        && isCalm(daemon.name)) {
+        m_witness.isBesideCrowd(id, daemon.name == m_daemons[crowdedDaemon()].name);
+    }
+    if (!isFatal && !newConnection && key == freeKey && isCalm(daemon.name)) {
         m_witness.countsForCuts(id);
         if (model) {
             m_witness.hasFirstPart(id, prompt.substr(0, prompt.find(':')));
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -229,6 +229,26 @@
     }
 }
 
+void soak_run::beginEndless(const endless_plan &plan)
+{
+    served_server &server = m_servers[plan.server];
+    if (!server.standin || m_healed || server.standin->currentBehavior != behavior::Serves) {
+        return;
+    }
+    std::ostringstream line;
+    line << plan.at.count << " ms, for " << plan.lasts.count << ": " << server.standin->id
+         << " responds without end";
+    m_report.faults.push_back(line.str());
+    m_witness.disturbed(bootNow() + plan.lasts);
+    setMood(server, behavior::Endless);
+    after(plan.lasts, [this, &server, id = server.standin->id] {
+        if (server.standin && server.standin->id == id
+            && server.standin->currentBehavior == behavior::Endless) {
+            setMood(server, behavior::Serves);
+        }
+    });
+}
+
 void soak_run::makeBrittle(const brittle_plan &plan)
 {
     const served_server &server = m_servers[plan.server];
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t variants = 8;
 constexpr std::int64_t shortestFatalMs = 150;
 constexpr std::int64_t fatalRoutes = 4;
+constexpr int endlessSpells = 2;
+constexpr std::int64_t shortestEndlessMs = 400;
+constexpr std::int64_t shortestCrowdMs = 2'000;
 constexpr std::size_t firstModelRoute = 2;
 constexpr std::int64_t modelRoutes = 2;
 /// Servers that ended are back before the recovery is looked at.
@@ -112,6 +115,36 @@
     return spell;
 }
 
+std::vector<endless_plan> drawEndless(std::uint64_t seed, millis length, std::size_t servers)
+{
+    std::mt19937_64 random(seed * 71 + 5);
+    const auto below = [&random](std::int64_t bound) {
+        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
+    };
+    std::vector<endless_plan> plans;
+    for (int i = 0; i < endlessSpells; ++i) {
+        plans.push_back({{calmStartMs + below(std::max<std::int64_t>(length.count - 2 * calmStartMs, 1))},
+            {shortestEndlessMs + below(shortestEndlessMs)},
+            static_cast<std::size_t>(below(static_cast<std::int64_t>(servers)))});
+    }
+    return plans;
+}
+
+std::vector<crowd_plan> drawCrowds(std::uint64_t seed, millis length, std::size_t daemons)
+{
+    std::mt19937_64 random(seed * 73 + 11);
+    const auto below = [&random](std::int64_t bound) {
+        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
+    };
+    std::vector<crowd_plan> plans;
+    const auto first = static_cast<std::size_t>(below(static_cast<std::int64_t>(daemons)));
+    const millis lasts{shortestCrowdMs + below(shortestCrowdMs)};
+    const millis at{calmStartMs + below(std::max<std::int64_t>(length.count - 4 * shortestCrowdMs, 1))};
+    plans.push_back({at, lasts, first});
+    plans.push_back({at + lasts, lasts, (first + 1) % daemons});
+    return plans;
+}
+
 std::vector<limit_change_plan> drawLimits(std::uint64_t seed, millis length, std::size_t servers)
 {
     std::mt19937_64 random(seed * 53 + 29);
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -77,6 +77,28 @@
 /// Drawn apart from the faults.
 std::vector<word_plan> drawWords(std::uint64_t seed, millis length, std::size_t servers);
 
+/// A server's responses are bytes without end for a while.
+struct endless_plan
+{
+    millis at; ///< since the start of traffic
+    millis lasts;
+    std::size_t server = 0;
+};
+
+/// Drawn apart from the faults.
+std::vector<endless_plan> drawEndless(std::uint64_t seed, millis length, std::size_t servers);
+
+/// Most new connections go to one daemon, and there are more of them.
+struct crowd_plan
+{
+    millis at; ///< since the start of traffic
+    millis lasts;
+    std::size_t daemon = 0;
+};
+
+/// Drawn apart from the faults; one follows the other at another daemon.
+std::vector<crowd_plan> drawCrowds(std::uint64_t seed, millis length, std::size_t daemons);
+
 /// All daemons of a failure domain are cut off from all servers.
 struct cut_plan
 {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -22,6 +22,8 @@
 
 constexpr millis shortLeaseTtl{3'000};
 constexpr millis lookEvery{20};
+/// What the smallest daemon of a large deployment has.
+constexpr std::size_t maxResidentKb = 160 * 1024;
 constexpr std::size_t failureDomains = 2;
 constexpr millis deadline{3'000};
 /// Beyond its deadline a request of an undisturbed daemon is overdue; wide, since the machine may be loaded.
@@ -117,12 +119,16 @@
     std::size_t below(std::size_t bound);
     void sendOne();
     void send(std::size_t kind, const std::string &body, const std::string &key,
-        const resumed_stream &resumed = {});
+        const resumed_stream &resumed = {}, bool newConnection = false);
     void takeUp(const resumed_stream &stream);
     bool severalVersionsServe() const;
     bool isServed(const std::string &softwareVersion) const;
     void sendFatal();
     void sendFatalPart();
+    void sendToCrowded();
+    std::size_t crowdedDaemon() const;
+    void beginEndless(const endless_plan &plan);
+    void checkMemory(const daemon_process &daemon);
     std::string promptOf(const std::string &id, bool fatal) const;
     bool isCalm(const std::string &name) const;
     void crashUnder(served_server &server, const std::string &requestId);
@@ -153,6 +159,7 @@
     millis m_begin;
     fatal_spell m_fatal;
     fatal_spell m_fatalPart;
+    std::vector<crowd_plan> m_crowds;
     bool m_healed = false;
 };
 
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t sendsAllowed = 3;
 /// The rule on sound requests with the first part of crashing ones binds from so many on.
 constexpr std::size_t firstPartsCompared = 20;
+/// The rule on a daemon that most new connections go to binds from so many requests on.
+constexpr std::size_t crowdCompared = 20;
 /// A daemon that has passed on a server's limit keeps to it from this long after.
 constexpr millis toldBefore{500};
 /// The rule on cut off daemons binds from this long after the cut.
@@ -57,8 +59,12 @@
 void witness::sent(
     const std::string &id, bool repeatable, const std::string &daemon, millis at, millis terminated)
 {
-    m_requests[id] = {repeatable, daemon, at, terminated.count != 0, false, false, false, false, 0, {}, false,
-        {}, {}, false};
+    sent_request request;
+    request.repeatable = repeatable;
+    request.daemon = daemon;
+    request.at = at;
+    request.ending = terminated.count != 0;
+    m_requests[id] = request;
 }
 
 void witness::isStream(const std::string &id, const resumed_stream &resumed, bool counts)
@@ -178,6 +184,7 @@
     }
     const int status = answer.head.status;
     request.begun = status >= 200 && status < 300;
+    request.read = status != 0;
     if (answer.stream) {
         checkVersions(answer, request);
     }
@@ -280,6 +287,33 @@
     m_requests.at(id).firstPart = part;
 }
 
+void witness::isBesideCrowd(const std::string &id, bool crowded)
+{
+    m_requests.at(id).besideCrowd = true;
+    m_requests.at(id).crowded = crowded;
+}
+
+/// A daemon that most new connections go to serves what it reads three quarters as often as the others.
+void witness::checkCrowds(soak_report &report) const
+{
+    std::array<stream_counts, 2> sides{};
+    for (const auto &[id, request] : m_requests) {
+        if (request.besideCrowd && request.read) {
+            stream_counts &counts = sides[request.crowded ? 1 : 0];
+            ++counts.sent;
+            counts.wentOn += request.served ? 1 : 0;
+        }
+    }
+    const auto &[others, crowded] = sides;
+    const bool binds = others.sent >= crowdCompared && crowded.sent >= crowdCompared;
+    if (binds && 4 * crowded.wentOn * others.sent < 3 * others.wentOn * crowded.sent) {
+        std::ostringstream text;
+        text << "RECOVER a crowded daemon served " << crowded.wentOn << " of " << crowded.sent
+             << " requests that it read, the others " << others.wentOn << " of " << others.sent;
+        report.violations.push_back(text.str());
+    }
+}
+
 void witness::crashedUnder(const std::string &requestId, const std::string &server, millis at, bool calm)
 {
     const std::string &name = m_requests.at(requestId).fatalCause;
@@ -515,6 +549,7 @@
     checkLimit(report);
     checkCuts(report);
     checkFirstParts(report);
+    checkCrowds(report);
     checkTakenUp(report);
     for (const auto &[id, request] : m_requests) {
         if (request.promised && request.runs > 0) {
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -70,6 +70,8 @@
     void isFatal(const std::string &id, const std::string &cause);
     /// The latest request sent is a sound first attempt at a calm daemon, with this first part.
     void hasFirstPart(const std::string &id, const std::string &part);
+    /// The request was sent while most new connections went to one daemon. `crowded`: to that one.
+    void isBesideCrowd(const std::string &id, bool crowded);
     /// A server crashed because it ran a fatal request. `calm`: sent by a daemon that was undisturbed for
     /// long enough to have been told of the cause.
     void crashedUnder(const std::string &requestId, const std::string &server, millis at, bool calm);
@@ -105,6 +107,9 @@
         std::string fatalCause; ///< empty: sound
         std::string firstPart; ///< empty: not compared
         bool begun = false; ///< the caller got the head of a success
+        bool besideCrowd = false;
+        bool crowded = false;
+        bool read = false; ///< the caller got some answer
     };
     void checkVersions(const caller_answer &answer, const sent_request &request);
     void checkTakenUp(soak_report &report) const;
@@ -112,6 +117,7 @@
     void checkLimit(soak_report &report) const;
     void checkCuts(soak_report &report) const;
     void checkFirstParts(soak_report &report) const;
+    void checkCrowds(soak_report &report) const;
     void checkServerLimit(const backend_standin &server);
     void checkWords(const backend_standin &server);
     std::string senderAt(const std::string &server, const std::string &id, millis at, bool cutsExcuse) const;
--- a/tests/unit/front_server_test.cpp
+++ b/tests/unit/front_server_test.cpp
@@ -95,6 +95,7 @@
 TEST_F(front_server_test, DoesNotSpinWhileDescriptorsAreExhausted)
 {
     std::vector<std::unique_ptr<raw_socket>> callers;
+    callers.reserve(3);
     for (int i = 0; i < 3; ++i) {
         callers.push_back(connectAndSend());
     }
@@ -120,6 +121,7 @@
     const auto kept = connectAndSend();
     ASSERT_TRUE(isAnswered(*kept));
     std::vector<std::unique_ptr<raw_socket>> silent;
+    silent.reserve(3);
     for (int i = 0; i < 3; ++i) {
         silent.push_back(raw_socket::connectTo(m_front->port()));
     }
