--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -1,4 +1,5 @@
 #include "http_fixture.h"
+#include "serving/endless_server.h"
 
 #include <netinet/tcp.h>
 
@@ -350,5 +351,49 @@
     }
 }
 
+// A response whose head or body never ends must fail the call at its limit, and not be collected until the
+// call's timeout.
+TEST_F(http_calls, endlessResponsesAreCutOff)
+{
+    for (const auto &[begin, repeated] : {std::pair("HTTP/1.1 200 OK\r\n\r\n", "0123456789"),
+             std::pair("HTTP/1.1 200 OK\r\n", "X-A: 0123456789\r\n"),
+             std::pair("", "HTTP/1.1 100 Continue\r\n\r\n")}) {
+        endless_server server(m_loop, begin, repeated);
+        std::optional<http_result> result;
+        http_call call;
+        call.url = "http://127.0.0.1:" + std::to_string(server.port) + "/";
+        call.timeout = testTimeout;
+        call.maxBodyBytes = 1024 * 1024;
+        m_client.start(call, [&](const http_result &done) {
+            result = done;
+        });
+        ASSERT_TRUE(runUntil([&] {
+            return result && server.closed == 1;
+        })) << begin;
+        EXPECT_FALSE(result->complete);
+        EXPECT_EQ(result->why.kind, error_kind::ConnectionLost);
+        EXPECT_NE(result->why.detail.find("too long"), std::string::npos) << result->why.detail;
+        EXPECT_TRUE(result->body.empty());
+    }
+}
+
+// Many calls at once must not collect more than the client's limit together.
+TEST_F(http_calls, endlessBodiesOfManyCallsAreCutOffTogether)
+{
+    endless_server server(m_loop, "HTTP/1.1 200 OK\r\n\r\n", "0123456789");
+    std::size_t failed = 0;
+    for (int i = 0; i < 10; ++i) {
+        http_call call;
+        call.url = "http://127.0.0.1:" + std::to_string(server.port) + "/";
+        m_client.start(call, [&](const http_result &done) {
+            failed += done.complete ? 0 : 1;
+        });
+    }
+    EXPECT_TRUE(runUntil([&] {
+        return failed == 10 && server.closed == 10;
+    }));
+    EXPECT_LT(server.sentBytes, 10 * http_call{}.maxBodyBytes);
+}
+
 }
 }
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -602,5 +602,25 @@
     EXPECT_EQ(get(url("/")).body, "second");
 }
 
+// A daemon that can't serve further requests must close their connections before it has read them, so that
+// callers may retry at once, whatever kind of request it is.
+TEST_F(http, aConnectionThatIsNotAdmittedIsClosedUnread)
+{
+    listen();
+    bool admits = false;
+    m_server->setAdmission([&admits] {
+        return admits;
+    });
+    const http_result refused = get(url("/"));
+    EXPECT_EQ(refused.status, 0);
+    EXPECT_TRUE(m_requests.empty());
+    admits = true;
+    const auto caller = raw_socket::connectTo(m_server->port());
+    caller->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(runUntil([this] {
+        return m_requests.size() == 1;
+    }));
+}
+
 }
 }
