--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -19,7 +19,7 @@
 constexpr millis retryAfterAllLeaving{1'000};
 /// A server that nobody could connect to is not tried again by this daemon for this long. Until its entry is
 /// removed from the store, which takes seconds, it would otherwise be found dead by each request anew.
-constexpr millis unreachableBackoff{1'000};
+constexpr millis unreachableBackoff{300};
 /// An owner that didn't respond to a permit request is not asked again for this long, unless its heartbeats
 /// report the limit.
 constexpr millis unresponsiveOwnerBackoff{2'000};
