--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -241,7 +241,7 @@
     m_report.faults.push_back(line.str());
     m_witness.disturbed(bootNow() + plan.lasts);
     setMood(server, behavior::Endless);
-    after(plan.lasts, [this, &server, id = server.standin->id] {
+    after(plan.lasts, [&server, id = server.standin->id] {
         if (server.standin && server.standin->id == id
             && server.standin->currentBehavior == behavior::Endless) {
             setMood(server, behavior::Serves);
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -122,6 +122,7 @@
         return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
     };
     std::vector<endless_plan> plans;
+    plans.reserve(endlessSpells);
     for (int i = 0; i < endlessSpells; ++i) {
         plans.push_back({{calmStartMs + below(std::max<std::int64_t>(length.count - 2 * calmStartMs, 1))},
             {shortestEndlessMs + below(shortestEndlessMs)},
