--- a/packages/serving/front_response.cpp
+++ b/packages/serving/front_response.cpp
@@ -338,7 +338,7 @@
     retryBroken(pending);
 }
 
-/// A server's response lets no crash be held against what the request has in common with others.
+/// Exonerates the request's attributes: its server responded to it and is still up.
 void front_task::onServerSurvived(pending_request &pending)
 {
     pending.serverExonerates = true;
