--- a/packages/coordination/connection_admission.h
+++ b/packages/coordination/connection_admission.h
@@ -22,8 +22,8 @@
 /// Intervals in a row that have to be busy before there is a limit: a start, or a large configuration, keeps
 /// the loop busy for one.
 constexpr int busyIntervalsToLimit = 2;
-/// Always taken: an eighth of a core serves far more. A caller that is turned away has one attempt fewer, so a
-/// start or a burst must not lead to that.
+/// Always taken: an eighth of a core serves far more. A caller that is turned away has one attempt fewer, so
+/// a start or a burst must not lead to that.
 constexpr double minAdmittedPerSecond = 20;
 /// Once the rate is this many times that of the connections offered, it limits nothing.
 constexpr double unlimitedRatio = 4;
