--- a/packages/transport/http_client.cpp
+++ b/packages/transport/http_client.cpp
@@ -342,8 +342,7 @@
         transfer.result.body.append(data, size * count);
         transfer.collected += size * count;
         *transfer.collectedBytes += size * count;
-        if (transfer.collected > transfer.call.maxBodyBytes
-            || *transfer.collectedBytes > maxCollectedBytes) {
+        if (transfer.collected > transfer.call.maxBodyBytes || *transfer.collectedBytes > maxCollectedBytes) {
             transfer.oversized = "the response's body is too long";
             return 0;
         }
