Reuse what the code had, and drop state that can be derived

Cause: the last changes wrote some things twice: the handling of accept() without descriptors, the answer to which attribute blocks a request (computed twice for a probe), the decoding of a record, flags for what responding_time knows, a map of unreachable servers beside the one of their health. Change: lacksResources(), maxAcceptsPerEvent and acceptPause serve peer_link and front_server; requestProbe takes the blocking attributes once; countBytes says when a response has become proof; a record is decoded by decodeExactly both ways; when a server was unreachable is part of its health; isSuccess and the limit on unsent bytes have one definition each; a home derives whether it told all daemons.

--- a/packages/coordination/crash_task.cpp
+++ b/packages/coordination/crash_task.cpp
@@ -184,7 +184,7 @@
     return true;
 }
 
-/// The crashes under an attribute don't count any more. Its homes tell those whom they told of them, and
+/// The crashes under an attribute don't count any more. Its homes tell all daemons if these know of them, and
 /// remove the record.
 void crash_task::clear(const std::string &attribute, std::string_view source)
 {
@@ -195,19 +195,19 @@
     }
     m_callbacks.log({crash_event::Cleared, attribute, rank, {}, crashes, source});
     m_keepAliveSentAt.erase(attribute);
-    if (m_shared.erase(attribute) != 0) {
-        broadcast({{attribute, {}, 0}, rank});
+    if (!isHome(attribute)) {
+        return;
     }
-    if (isHome(attribute)) {
-        removeStoredRecord(attribute);
+    if (crashes >= crashesToShare) {
+        broadcast({{attribute, {}, 0}, rank});
     }
+    removeStoredRecord(attribute);
 }
 
 void crash_task::forgetAttribute(const std::string &attribute)
 {
     forget(m_history, attribute);
     m_toResend.erase(attribute);
-    m_shared.erase(attribute);
     m_keepAliveSentAt.erase(attribute);
 }
 
@@ -224,26 +224,26 @@
     }
 }
 
-/// Of the attributes that block a request, the one that may be probed last. Each has its own probes, and the
-/// request takes one only if none of the others forbids it.
-request_attribute crash_task::probedAttribute(const request_attributes &attributes) const
+/// Of the attributes that block a request, the key of the one that may be probed last; empty if there are
+/// none. Each has its own probes, and the request takes one only if none of the others forbids it.
+std::string crash_task::probedAttribute(const request_attributes &blocking) const
 {
-    const request_attributes blocking = blockingAttributes(m_history, attributes);
     const millis now = bootNow();
     const auto last = std::max_element(blocking.begin(), blocking.end(),
         [this, now](const request_attribute &a, const request_attribute &b) {
             return timeUntilProbe(m_history, a.key, now) < timeUntilProbe(m_history, b.key, now);
         });
-    return last == blocking.end() ? request_attribute{} : *last;
+    return last == blocking.end() ? std::string() : last->key;
 }
 
 void crash_task::requestProbe(const request_attributes &attributes, std::function<void(bool)> done)
 {
-    for (const request_attribute &each : blockingAttributes(m_history, attributes)) {
+    const request_attributes blocking = blockingAttributes(m_history, attributes);
+    for (const request_attribute &each : blocking) {
         keepAlive(each.key);
     }
-    const std::string attribute = probedAttribute(attributes).key;
-    if (attribute.empty() || blockedRetryAfter(attributes) > millis{}) {
+    const std::string attribute = probedAttribute(blocking);
+    if (attribute.empty() || timeUntilProbe(m_history, attribute, bootNow()) > millis{}) {
         m_loop.post([done = std::move(done)] {
             done(false);
         });
@@ -265,8 +265,8 @@
 
 millis crash_task::blockedRetryAfter(const request_attributes &attributes) const
 {
-    const request_attribute attribute = probedAttribute(attributes);
-    return attribute.key.empty() ? millis{} : timeUntilProbe(m_history, attribute.key, bootNow());
+    const std::string attribute = probedAttribute(blockingAttributes(m_history, attributes));
+    return attribute.empty() ? millis{} : timeUntilProbe(m_history, attribute, bootNow());
 }
 
 void crash_task::keepAlive(const std::string &attribute)
@@ -338,7 +338,6 @@
 {
     const ranked_crash_report report = reportOf(attribute);
     if (report.report.servers.size() >= crashesToShare) {
-        m_shared.insert(attribute);
         broadcast(report);
     }
     if (report.report.servers.size() >= crashesToBlock) {
--- a/packages/coordination/crash_task.h
+++ b/packages/coordination/crash_task.h
@@ -152,7 +152,7 @@
         const request_attribute &attribute, const std::vector<std::string> &servers, std::string_view source);
     void clear(const std::string &attribute, std::string_view source);
     void forgetAttribute(const std::string &attribute);
-    request_attribute probedAttribute(const request_attributes &attributes) const;
+    std::string probedAttribute(const request_attributes &blocking) const;
     void keepAlive(const std::string &attribute);
     ranked_crash_report reportOf(const std::string &attribute) const;
     crash_record recordOf(const std::string &attribute) const;
@@ -177,7 +177,6 @@
     std::deque<suspected_crash> m_suspected; ///< oldest first
     std::map<std::string, std::shared_ptr<void>> m_connectionChecks; ///< by incarnation of the server
     std::set<std::string> m_toResend; ///< attributes reported once, by messages that may be lost
-    std::set<std::string> m_shared; ///< attributes that this daemon, as a home, told all daemons of
     std::set<std::string> m_knownDaemons; ///< at the latest tick
     std::map<std::string, crash_record>
         m_recordsToRemove; ///< of cleared attributes, as they were when cleared
--- a/packages/coordination/owner_runs.cpp
+++ b/packages/coordination/owner_runs.cpp
@@ -250,9 +250,7 @@
             const auto found = m_jobs.find(id);
             if (found != m_jobs.end()) {
                 request_job &running = found->second;
-                countBytes(running.responding, bootNow());
-                if (isProven(running.responding) && !running.serverSurvived) {
-                    running.serverSurvived = true;
+                if (countBytes(running.responding, bootNow())) {
                     m_crashes.onServerSurvived(running.request.attributes);
                 }
                 m_bus.post(send_to{running.entry, run_bytes{id, std::string(bytes)}});
--- a/packages/coordination/owner_task.h
+++ b/packages/coordination/owner_task.h
@@ -63,7 +63,6 @@
         bool cancelled = false;
         crash_target target; ///< the engine incarnation that it was sent to
         responding_time responding;
-        bool serverSurvived = false; ///< and its attributes are exonerated
     };
 
     /// An adapter that is loaded on a server or wanted there.
--- a/packages/coordination/responding_time.h
+++ b/packages/coordination/responding_time.h
@@ -21,23 +21,20 @@
     millis total; ///< gaps count up to maxCountedGap
 };
 
-/// Records that bytes of the response have arrived.
-inline void countBytes(responding_time &time, millis now)
-{
-    if (time.lastBytesAt.count != 0) {
-        time.total = time.total + std::min(now - time.lastBytesAt, maxCountedGap);
-    }
-    time.lastBytesAt = now;
-}
-
 inline bool isSuspect(const responding_time &time)
 {
     return time.total < suspectRespondingTime;
 }
 
-inline bool isProven(const responding_time &time)
+/// Records that bytes of the response have arrived. Returns whether it has become proof with them.
+inline bool countBytes(responding_time &time, millis now)
 {
-    return time.total >= provenRespondingTime;
+    const millis before = time.total;
+    if (time.lastBytesAt.count != 0) {
+        time.total = time.total + std::min(now - time.lastBytesAt, maxCountedGap);
+    }
+    time.lastBytesAt = now;
+    return before < provenRespondingTime && time.total >= provenRespondingTime;
 }
 
 }
--- a/packages/daemon/entry_admit.cpp
+++ b/packages/daemon/entry_admit.cpp
@@ -7,6 +7,7 @@
 #include "daemon/responses.h"
 #include "state/key_hash.h"
 #include "transport/connect_probe.h"
+#include "transport/http_wire.h"
 #include "transport/response_notice.h"
 
 #include <nlohmann/json.hpp>
@@ -635,8 +636,7 @@
     request->responseType = type == result.headers.end() ? "application/octet-stream" : type->second;
     const header_list headers{{"Content-Type", request->responseType},
         {"X-Briarhead-Server", request->server}, {"X-Request-Id", toString(request->id)}};
-    constexpr int firstFailure = 300;
-    if ((whole || request->serverSurvived) && result.status < firstFailure) {
+    if ((whole || request->serverSurvived) && isSuccess(result.status)) {
         m_crashes.onServerSurvived(request->attributes);
     }
     if (whole) {
--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -292,11 +292,12 @@
     return out;
 }
 
+/// `initial`: the message before it is read, for one whose layout depends on its own fields.
 template <class message_type>
-std::optional<message_type> decodeExactly(std::string_view bytes, error &why)
+std::optional<message_type> decodeExactly(std::string_view bytes, error &why, message_type initial = {})
 {
     try {
-        std::optional<message_type> message(std::in_place);
+        std::optional<message_type> message(std::move(initial));
         compact_reader archive(bytes);
         archive(*message);
         if (archive.remaining() == 0) {
@@ -451,21 +452,10 @@
 
 std::optional<crash_record> decodeCrashRecord(std::string_view bytes, error &why)
 {
-    auto record = decodeExactly<crash_record>(bytes, why); // without a rank
-    if (!record) {
-        record.emplace();
-        record->rank = 0; // any but contentRank, so that one is read
-        try {
-            compact_reader archive(bytes);
-            archive(*record);
-            if (archive.remaining() != 0) {
-                record.reset();
-            }
-        } catch (const std::exception &) {
-            record.reset();
-        }
-    }
-    return record;
+    const auto withoutRank = decodeExactly<crash_record>(bytes, why);
+    crash_record ranked;
+    ranked.rank = 0; // any but contentRank, so that one is read
+    return withoutRank ? withoutRank : decodeExactly(bytes, why, ranked);
 }
 
 std::optional<service_versions_record> decodeServiceVersions(std::string_view bytes, error &why)
--- a/packages/protocol/messages.h
+++ b/packages/protocol/messages.h
@@ -306,7 +306,7 @@
 /// Any message that is sent over a TCP connection between two daemons.
 using peer_message = std::variant<run_request, run_started, run_bytes, run_end, run_cancel, key_begin,
     key_response, key_finish, config_request, config_response, load_request, load_grant, load_release,
-    status_request, status_response, drain_request, owner_released, crash_report, ranked_crash_report>;
+    status_request, status_response, drain_request, owner_released, ranked_crash_report>;
 
 /// The membership state of a peer. The order matters: of two facts with the same incarnation and refutation
 /// the higher state prevails.
--- a/packages/scheduling/choose_server.cpp
+++ b/packages/scheduling/choose_server.cpp
@@ -123,6 +123,11 @@
     return best;
 }
 
+bool isUnreachable(const server_health &health, millis now)
+{
+    return health.unreachableAt.count != 0 && now - health.unreachableAt < unreachableBackoff;
+}
+
 double currentFailureRate(const server_health &health, millis now)
 {
     const double halves =
--- a/packages/scheduling/choose_server.h
+++ b/packages/scheduling/choose_server.h
@@ -156,8 +156,14 @@
 {
     double failureRate = 0; ///< as of `updatedAt`
     millis updatedAt; ///< time of the latest response
+    millis unreachableAt; ///< when a connection to it last failed; 0: never
 };
 
+/// A server that nobody could connect to is not tried again by this daemon for this long. Until its entry is
+/// removed from the store, which takes seconds, it would otherwise be found dead by each request anew.
+constexpr millis unreachableBackoff{300};
+bool isUnreachable(const server_health &health, millis now);
+
 /// Weight of one response in the moving average.
 constexpr double healthSampleWeight = 0.2;
 /// The failure rate decays with this half-life, so that an avoided server is tried again.
--- a/packages/serving/front_closed.cpp
+++ b/packages/serving/front_closed.cpp
@@ -22,8 +22,8 @@
 
 bool front_task::isUnreachable(const std::string &server) const
 {
-    const auto found = m_unreachableSince.find(server);
-    return found != m_unreachableSince.end() && bootNow() - found->second < unreachableBackoff;
+    const auto health = m_serverHealth.find(server);
+    return health != m_serverHealth.end() && briarhead::isUnreachable(health->second, bootNow());
 }
 
 const char *front_task::noServerReason(const pending_request &pending) const
@@ -103,7 +103,6 @@
 void front_task::onServerLinkCut(const std::string &server)
 {
     m_serverHealth.erase(server);
-    m_unreachableSince.erase(server);
     m_plainLatency.erase(server);
 }
 
--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -17,9 +17,6 @@
 constexpr millis startupPollInterval{40};
 /// Retry-After while all servers are leaving. Their replacements are listed within a few seconds.
 constexpr millis retryAfterAllLeaving{1'000};
-/// A server that nobody could connect to is not tried again by this daemon for this long. Until its entry is
-/// removed from the store, which takes seconds, it would otherwise be found dead by each request anew.
-constexpr millis unreachableBackoff{300};
 /// An owner that didn't respond to a permit request is not asked again for this long, unless its heartbeats
 /// report the limit.
 constexpr millis unresponsiveOwnerBackoff{2'000};
@@ -32,11 +29,6 @@
 /// same time don't return at the same time.
 millis withJitter(millis wait, const std::string &requestId);
 
-inline bool isSuccess(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 /// The state of a caller's request from its arrival to the end of its response.
 struct front_task::pending_request
 {
@@ -111,7 +103,6 @@
     millis promptReadTime{-1}; ///< from the latest send to its first event; negative before
     millis longestEventGap; ///< longest time between two chunks from a server
     responding_time responding; ///< of the latest send, from its first event on
-    bool serverExonerates = false; ///< onServerSurvived() was called for the latest send
     std::shared_ptr<void> deadlineTimer;
     std::shared_ptr<void> slotRequestTimer;
     std::shared_ptr<void> inactivityTimer;
--- a/packages/serving/front_response.cpp
+++ b/packages/serving/front_response.cpp
@@ -22,8 +22,6 @@
 constexpr std::size_t smallResponseBytes = 16 * 1024;
 /// Limit on the body of a response that is not forwarded, because no server signed it or it was not run.
 constexpr std::size_t maxDiscardedBytes = 64 * 1024;
-/// Unsent bytes at which no more of a response is received from its server.
-constexpr std::size_t maxUnsentBytes = 256 * 1024;
 
 bool isEventStream(const http_head &head)
 {
@@ -84,7 +82,8 @@
 {
     if (pending->held) {
         pending->held->body += bytes;
-        if (isHeldTooMuch(*pending)) {
+        countHeld(*pending);
+        if (holdsTooMuch(*pending)) {
             cutResponse(pending, "too much arrived before its server confirmed its start");
         }
     } else if (pending->streaming) {
@@ -100,7 +99,8 @@
     const millis now = bootNow();
     const std::uint64_t before = pending->eventStream.eventCount;
     const std::string complete = extractEvents(pending->eventStream, bytes);
-    if (pending->eventStream.partial.size() > maxEventBytes || isHeldTooMuch(*pending)) {
+    countHeld(*pending);
+    if (pending->eventStream.partial.size() > maxEventBytes || holdsTooMuch(*pending)) {
         cutResponse(pending, "an event of the stream is too large");
         return;
     }
@@ -123,9 +123,8 @@
         if (!pending->origin) {
             onFirstEvent(*pending);
         }
-        countBytes(pending->responding, now);
-        if (isProven(pending->responding) && !pending->serverExonerates) {
-            onServerSurvived(*pending);
+        if (countBytes(pending->responding, now)) {
+            m_crashes.onServerSurvived(pending->attributes);
         }
     }
     pending->reply->write(complete);
@@ -147,7 +146,8 @@
         return;
     }
     pending->responseBody += bytes;
-    if (isHeldTooMuch(*pending)) {
+    countHeld(*pending);
+    if (holdsTooMuch(*pending)) {
         pending->passesThrough = true;
         const std::string held = std::exchange(pending->responseBody, {});
         releaseHeld(*pending);
@@ -166,7 +166,7 @@
 void front_task::passToCaller(const request_ptr &pending, const std::string &bytes)
 {
     pending->reply->write(bytes);
-    if (pending->activeSend && pending->reply->pendingBytes() > maxUnsentBytes) {
+    if (pending->activeSend && pending->reply->pendingBytes() > maxUnsentResponseBytes) {
         m_paths.setReceiving(*pending->activeSend, false);
     }
 }
@@ -180,14 +180,20 @@
     onSendEnd(pending, brokenEnd(connection_end::Open), {error_kind::TooLarge, pending->server, detail});
 }
 
-/// Counts what is kept of the response. Returns whether it, or all responses together, take too much memory.
-bool front_task::isHeldTooMuch(pending_request &pending)
+/// Counts what is kept of the response.
+void front_task::countHeld(pending_request &pending)
 {
     const std::size_t now = pending.responseBody.size() + pending.eventStream.partial.size()
         + (pending.held ? pending.held->body.size() : 0);
     m_heldBytes += now - std::exchange(pending.heldBytes, now);
-    const bool small = now <= smallResponseBytes;
-    return (!pending.streaming && now > maxHeldResponseBytes) || (!small && m_heldBytes > maxHeldBytes);
+}
+
+/// Whether the response, or all responses together, take too much memory.
+bool front_task::holdsTooMuch(const pending_request &pending) const
+{
+    const bool small = pending.heldBytes <= smallResponseBytes;
+    return (!pending.streaming && pending.heldBytes > maxHeldResponseBytes)
+        || (!small && m_heldBytes > maxHeldBytes);
 }
 
 void front_task::releaseHeld(pending_request &pending)
@@ -270,7 +276,7 @@
     const bool responded =
         isSuccess(pending->responseHead.status) && (!pending->streaming || pending->firstEventReceived);
     if (!notExecuted && responded && (result == send_result::Complete || pending->serverSurvived)) {
-        onServerSurvived(*pending);
+        m_crashes.onServerSurvived(pending->attributes);
     }
     pending->mayHaveRun = pending->mayHaveRun || !notExecuted;
     const bool adapterMissing = notExecuted && pending->usesModelServer && pending->granted;
@@ -294,7 +300,7 @@
     pending->excludedServers.insert(pending->server);
     pending->sentTo.erase(pending->server);
     if (why.kind == error_kind::ConnectionLost) {
-        m_unreachableSince[pending->server] = bootNow();
+        m_serverHealth[pending->server].unreachableAt = bootNow();
     }
     if (pending->unsentCount < maxUnsentAttempts) {
         dispatch(pending);
@@ -338,13 +344,6 @@
     retryBroken(pending);
 }
 
-/// Exonerates the request's attributes: its server responded to it and is still up.
-void front_task::onServerSurvived(pending_request &pending)
-{
-    pending.serverExonerates = true;
-    m_crashes.onServerSurvived(pending.attributes);
-}
-
 /// Retries a request whose response broke off, once it is known whether that makes it blocked.
 void front_task::retryBroken(const request_ptr &pending)
 {
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -59,7 +59,6 @@
     pending->serverSurvived = false;
     pending->firstEventReceived = false;
     pending->responding = {};
-    pending->serverExonerates = false;
     ++m_inFlight[server.id];
     ++m_counters.sends;
     send_options options;
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -88,7 +88,6 @@
     for (const std::string &id : change.removedServers) {
         m_observed.erase(id);
         m_serverHealth.erase(id);
-        m_unreachableSince.erase(id);
         m_plainLatency.erase(id);
         m_plainReports.inFlight.erase(id);
     }
@@ -259,6 +258,9 @@
 
 void front_task::useService(pending_request &pending, const std::string &service)
 {
+    if (service == pending.service && !pending.attributes.empty()) {
+        return;
+    }
     const client_request &request = pending.request;
     pending.service = service;
     pending.usesModelServer = !request.model.empty() && engineOf(*pending.config, service) != nullptr;
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -187,7 +187,8 @@
     void onEvents(const request_ptr &pending, const std::string &bytes);
     void passToCaller(const request_ptr &pending, const std::string &bytes);
     void cutResponse(const request_ptr &pending, const char *detail);
-    bool isHeldTooMuch(pending_request &pending);
+    void countHeld(pending_request &pending);
+    bool holdsTooMuch(const pending_request &pending) const;
     void releaseHeld(pending_request &pending);
     void onSendEnd(const request_ptr &pending, response_end end, const error &why);
     void checkServerProcess(const request_ptr &pending, const response_end &end, const error &why);
@@ -196,7 +197,6 @@
     void onResponseEnd(const request_ptr &pending);
     void onResponseBroken(const request_ptr &pending, const response_end &end, const error &why);
     void retryBroken(const request_ptr &pending);
-    void onServerSurvived(pending_request &pending);
     void onServerUnresponsive(const request_ptr &pending);
     void onDeadline(const request_ptr &pending);
     bool retryElsewhere(const request_ptr &pending, bool mayHaveRun, const char *reason);
@@ -236,7 +236,6 @@
     std::map<std::string, observed_server> m_observed; ///< by server
     std::map<std::string, int> m_inFlight; ///< requests of this entry in flight, by server
     std::map<std::string, server_health> m_serverHealth; ///< by server
-    std::map<std::string, millis> m_unreachableSince; ///< by server: when a connection last failed
     std::map<std::string, service_features> m_features; ///< by service, of the configuration in force
     bool m_limitsByRank = false; ///< see limitsByRank(), of the configuration in force
     peer_features m_peerFeatures;
--- a/packages/serving/server_path_relay.cpp
+++ b/packages/serving/server_path_relay.cpp
@@ -7,9 +7,6 @@
 // Relays requests of peers, and tells them which servers are reached from here.
 namespace briarhead {
 
-/// Unsent bytes of a response at which no more of it is received from the server.
-constexpr std::size_t maxUnsentRelayBytes = 256 * 1024;
-
 /// A request of a peer, from its arrival until the end of its response.
 struct server_path_task::relayed_request
 {
@@ -175,7 +172,7 @@
     handlers.onBody = [this, weak](std::string bytes) {
         if (const auto locked = weak.lock()) {
             locked->write(relay_body{std::move(bytes)});
-            if (locked->poolId && locked->reply->pendingBytes() > maxUnsentRelayBytes) {
+            if (locked->poolId && locked->reply->pendingBytes() > maxUnsentResponseBytes) {
                 m_pool.setReceiving(*locked->poolId, false);
             }
         }
--- a/packages/transport/front_server.cpp
+++ b/packages/transport/front_server.cpp
@@ -19,11 +19,6 @@
 namespace {
 
 constexpr int listenBacklog = 512;
-/// Accepted in one round of the loop, so that open connections are served in between.
-constexpr int maxAcceptsPerEvent = 64;
-/// Without a free descriptor, the connection stays in the listen queue and keeps the listener readable. The
-/// loop would spin if it watched the listener meanwhile.
-constexpr millis acceptPause{100};
 /// A connection that has sent nothing for this long may be closed to make room for another.
 constexpr millis unusedAge{1'000};
 constexpr std::size_t readBufferBytes = 16 * 1024;
@@ -419,7 +414,7 @@
         if (code == ECONNABORTED || code == EINTR) {
             continue; // the connection is gone; others may be waiting
         }
-        if (code == EMFILE || code == ENFILE || code == ENOBUFS || code == ENOMEM) {
+        if (lacksResources(code)) {
             makeRoom();
             pauseAccepting();
             return false;
--- a/packages/transport/front_server.h
+++ b/packages/transport/front_server.h
@@ -24,6 +24,9 @@
     millis idleTimeout{15'000}; ///< without receiving a byte, between requests and within a body
 };
 
+/// Unsent bytes of a response at which no more of it should be received from where it comes from.
+constexpr std::size_t maxUnsentResponseBytes = 256 * 1024;
+
 /// A caller's complete request.
 struct front_request
 {
--- a/packages/transport/http_client.cpp
+++ b/packages/transport/http_client.cpp
@@ -127,7 +127,10 @@
         bool finished = false;
         bool cancelled = false;
 
-        transfer_state() = default;
+        explicit transfer_state(std::shared_ptr<std::size_t> total)
+            : collectedBytes(std::move(total))
+        {
+        }
         ~transfer_state()
         {
             *collectedBytes -= collected;
@@ -135,7 +138,7 @@
         transfer_state(const transfer_state &) = delete;
         transfer_state &operator=(const transfer_state &) = delete;
 
-        std::shared_ptr<std::size_t> collectedBytes = std::make_shared<std::size_t>(0); ///< of the client
+        std::shared_ptr<std::size_t> collectedBytes; ///< of the client
     };
     using transfer_ptr = std::shared_ptr<transfer_state>;
 
@@ -538,10 +541,9 @@
 
 http_client::call_id http_client::start(const http_call &call, on_done onDone, on_data onData)
 {
-    auto transfer = std::make_shared<impl::transfer_state>();
+    auto transfer = std::make_shared<impl::transfer_state>(m_impl->collectedBytes);
     transfer->owner = m_impl.get();
     transfer->id = ++m_impl->lastId;
-    transfer->collectedBytes = m_impl->collectedBytes;
     transfer->call = call;
     transfer->onDone = std::move(onDone);
     transfer->onData = std::move(onData);
--- a/packages/transport/http_wire.h
+++ b/packages/transport/http_wire.h
@@ -26,6 +26,11 @@
     std::vector<http_field> fields;
 };
 
+inline bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 /// The value of the first field with this name, ignoring case; null if there is none.
 const std::string *findField(const http_head &head, std::string_view name);
 /// Compares two texts, ignoring the case of ASCII letters.
--- a/packages/transport/peer_link.cpp
+++ b/packages/transport/peer_link.cpp
@@ -22,9 +22,7 @@
 constexpr std::size_t datagramBufferBytes =
     2048; ///< peers send far smaller ones; a longer one is truncated and dropped
 constexpr int maxDatagramsPerEvent = 64;
-constexpr int maxAcceptsPerEvent = 64;
 constexpr std::size_t maxHandshakes = 256; ///< concurrent, on accepted connections
-constexpr millis acceptPause{100};
 
 using connection_ptr = std::shared_ptr<peer_connection>;
 
@@ -179,7 +177,7 @@
     for (int i = 0; i < maxAcceptsPerEvent; ++i) {
         owned_fd fd(accept4(m_port.listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!fd) {
-            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+            if (lacksResources(errno)) {
                 pauseAccepting();
             }
             return;
@@ -199,8 +197,6 @@
 
 void peer_link_impl::pauseAccepting()
 {
-    // Without a free descriptor, the connection stays in the listen queue and keeps the listener readable, so
-    // the loop would spin.
     m_listenWatch.reset();
     m_acceptTimer = m_loop.timer(acceptPause, {}, [this] {
         watchListener();
--- a/packages/transport/peer_socket.cpp
+++ b/packages/transport/peer_socket.cpp
@@ -208,6 +208,11 @@
     setOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
 }
 
+bool lacksResources(int acceptError)
+{
+    return acceptError == EMFILE || acceptError == ENFILE || acceptError == ENOBUFS || acceptError == ENOMEM;
+}
+
 int pendingError(int fd)
 {
     int code = 0;
--- a/packages/transport/peer_socket.h
+++ b/packages/transport/peer_socket.h
@@ -58,6 +58,13 @@
 std::optional<owned_fd> startConnect(const peer_address &to, error &why);
 /// Sets the TCP options for connections between daemons, on both sides.
 void tuneConnection(int fd);
+/// Limit on the connections that are accepted in one round of the loop, so that open ones are served in
+/// between.
+constexpr int maxAcceptsPerEvent = 64;
+/// Whether accept() failed for lack of descriptors or memory. The connection then stays in the listen queue
+/// and keeps the listener readable, so the loop would spin if it watched the listener: pause for acceptPause.
+bool lacksResources(int acceptError);
+constexpr millis acceptPause{100};
 /// The error that ended a connection attempt, or 0.
 int pendingError(int fd);
 /// Whether closing the socket, also by the end of the process, resets the connection.
