Share what the tests of crashing requests and the soak's plans had twice

Cause: two tests on processes with the same fixture, three loops that draw spells of a plan in the same way, and repeated reads of cold starts and resident memory. Ruled out: a common base for all soak tests: fleet_fixture is that already. Assertions and seeds are the same; plans of a seed are drawn in the same order.

--- a/tests/failure/crashing_part_test.cpp
+++ b/tests/failure/crashing_part_test.cpp
@@ -33,21 +33,11 @@
         for (const std::string &engine : m_fleet.engines()) {
             m_fleet.faults(engine, {{"fatal_text", fatalText}});
         }
-        m_atFirst = coldStarts();
-    }
-    std::size_t coldStarts() const
-    {
-        std::size_t count = 0;
-        for (const std::string &engine : m_fleet.engines()) {
-            for (const json &entry : m_fleet.record(engine).value("entries", json::array())) {
-                count += entry.value("kind", "") == "cold_start" ? 1 : 0;
-            }
-        }
-        return count;
+        m_atFirst = m_fleet.coldStarts();
     }
     std::size_t restarts() const
     {
-        return coldStarts() - m_atFirst;
+        return m_fleet.coldStarts() - m_atFirst;
     }
     static std::string block(const std::string &text)
     {
--- a/tests/failure/crashing_request_test.cpp
+++ b/tests/failure/crashing_request_test.cpp
@@ -31,12 +31,12 @@
         for (const std::string &engine : all.engines()) {
             all.faults(engine, {{"fatal_prompt", hash}});
         }
-        m_atFirst = coldStarts();
+        m_atFirst = all.coldStarts();
     }
     /// Restarts of engines under the request.
     std::size_t ends() const
     {
-        return coldStarts() - m_atFirst;
+        return all.coldStarts() - m_atFirst;
     }
     void endEngines()
     {
@@ -65,17 +65,6 @@
     fleet all;
 
 private:
-    std::size_t coldStarts() const
-    {
-        std::size_t count = 0;
-        for (const std::string &engine : all.engines()) {
-            for (const json &entry : all.record(engine).value("entries", json::array())) {
-                count += entry.value("kind", "") == "cold_start" ? 1 : 0;
-            }
-        }
-        return count;
-    }
-
     std::size_t m_atFirst = 0;
     std::size_t m_attempts = 0;
 };
--- a/tests/failure/fleet.cpp
+++ b/tests/failure/fleet.cpp
@@ -438,6 +438,17 @@
     return call("GET", engineUrl(engine) + "/standin/record").parsed();
 }
 
+std::size_t fleet::coldStarts() const
+{
+    std::size_t count = 0;
+    for (const std::string &engine : engines()) {
+        for (const json &entry : record(engine).value("entries", json::array())) {
+            count += entry.value("kind", "") == "cold_start" ? 1 : 0;
+        }
+    }
+    return count;
+}
+
 std::vector<json> fleet::runs() const
 {
     std::vector<json> all;
--- a/tests/failure/fleet.h
+++ b/tests/failure/fleet.h
@@ -92,6 +92,8 @@
     void faults(const std::string &engine, const json &faults) const;
     void kvFaults(const json &faults) const;
     json record(const std::string &engine) const;
+    /// Cold starts that all engines have recorded.
+    std::size_t coldStarts() const;
     /// All runs that the engines themselves recorded, and what they saw as violations.
     std::vector<json> runs() const;
     std::vector<json> violations() const;
--- a/tests/soak/crashing_part_test.cpp
+++ b/tests/soak/crashing_part_test.cpp
@@ -1,5 +1,5 @@
 #include "coordination/crash_history.h"
-#include "soak/fleet_fixture.h"
+#include "soak/crashing_fixture.h"
 #include "transport/backend_pool.h"
 
 #include <utility>
@@ -10,14 +10,8 @@
 
 namespace {
 
-/// From this many crashes on the part counts as known, and `contact` later so many further requests with it
-/// may reach servers.
+/// From this many crashes on the part counts as known.
 constexpr std::size_t crashesAllowed = 5;
-constexpr std::size_t sendsAllowed = 3;
-constexpr millis contact{3'000};
-/// A server that crashed is back after this long, as another one; its entry stays for longer.
-constexpr millis serverBack{300};
-constexpr millis entryStays{900};
 constexpr millis quiet{2'000};
 constexpr millis judged{6'000}; ///< for how long further sends and sound requests are counted
 /// Of the sound requests, at least this share begins while the others still come. The rule asks for half.
@@ -52,12 +46,10 @@
     std::size_t sent = 0;
 };
 
-class crashing_part_test : public fleet_fixture, public testing::WithParamInterface<prompt_case>
+class crashing_part_test : public crashing_fixture, public testing::WithParamInterface<prompt_case>
 {
 protected:
     std::set<std::string> m_fatalParts{"bad1", "bad2"};
-    std::size_t m_crashes = 0;
-    millis m_crashedAt; ///< the latest one
     std::size_t m_fatalRuns = 0; ///< requests that reached servers which have crashed
     answer_counts m_sound;
     backend_pool m_callers{m_loop};
@@ -69,31 +61,16 @@
         server.currentBehavior = backend_standin::behavior::Slow;
         server.responseDelay = responseTime;
         server.fatalParts = m_fatalParts;
-        server.onFatal = [this, id = server.id, service](const std::string &) {
-            crash(id, service);
-        };
+        crashUnderFatalRequests(server, service);
     }
-    void TearDown() override
+    void onCrash(const backend_standin &server) override
     {
-        m_traffic.clear();
-        fleet_fixture::TearDown();
+        m_fatalRuns += server.fatalRuns;
     }
-    void crash(const std::string &id, const std::string &service)
+    void TearDown() override
     {
-        const auto server = m_servers.find(id);
-        if (server == m_servers.end()) {
-            return; // another run crashed it at the same moment
-        }
-        ++m_crashes;
-        m_crashedAt = bootNow();
-        m_fatalRuns += server->second->fatalRuns;
-        m_servers.erase(server);
-        after(serverBack, [this, service] {
-            startServer(service);
-        });
-        after(entryStays, [this, id] {
-            m_store.remove("servers/" + id);
-        });
+        m_traffic.clear();
+        crashing_fixture::TearDown();
     }
     std::string fatalPrompt()
     {
--- a/tests/soak/crashing_request_test.cpp
+++ b/tests/soak/crashing_request_test.cpp
@@ -1,5 +1,5 @@
 #include "coordination/crash_history.h"
-#include "soak/fleet_fixture.h"
+#include "soak/crashing_fixture.h"
 
 // What users saw: a server ended about once a second, and with each the answers of all its callers. One
 // caller sent the same bytes again and again, each attempt under a new id and at whatever daemon came next. A
@@ -16,12 +16,6 @@
 
 /// A request may have ended so many servers before it must be known for it.
 constexpr std::size_t endsAllowed = 3;
-/// From then on, and once the daemons have had time to tell each other, so many further sends are allowed.
-constexpr std::size_t sendsAllowed = 3;
-constexpr millis contact{3'000};
-/// A server that crashed is back after this long, as another one; its entry stays for longer.
-constexpr millis serverBack{300};
-constexpr millis entryStays{900};
 const std::string fatalBody = "fatal";
 
 struct kind_of_request
@@ -36,31 +30,15 @@
     return out << kind.path;
 }
 
-class crashing_request_test : public fleet_fixture, public testing::WithParamInterface<kind_of_request>
+class crashing_request_test : public crashing_fixture, public testing::WithParamInterface<kind_of_request>
 {
 protected:
     std::string m_fatalBody = fatalBody; ///< empty once the servers bear it
-    std::size_t m_fatalRuns = 0;
 
     void prepareServer(backend_standin &server, const std::string &service) override
     {
         server.fatalBody = m_fatalBody;
-        server.onFatal = [this, id = server.id, service](const std::string &) {
-            crash(id, service);
-        };
-    }
-    void crash(const std::string &id, const std::string &service)
-    {
-        if (m_servers.erase(id) == 0) {
-            return; // two runs of it were to end the server at the same moment
-        }
-        ++m_fatalRuns;
-        after(serverBack, [this, service] {
-            startServer(service);
-        });
-        after(entryStays, [this, id] {
-            m_store.remove("servers/" + id);
-        });
+        crashUnderFatalRequests(server, service);
     }
     void restartDaemons()
     {
@@ -88,10 +66,10 @@
     void crashServers(std::size_t count)
     {
         const millis end = bootNow() + http_testing::testTimeout;
-        for (std::size_t i = 0; m_fatalRuns < count && bootNow() < end; ++i) {
+        for (std::size_t i = 0; m_crashes < count && bootNow() < end; ++i) {
             answerTo(m_daemons[i % m_daemons.size()], fatalBody);
         }
-        ASSERT_GE(m_fatalRuns, count);
+        ASSERT_GE(m_crashes, count);
     }
     /// Two attempts at each daemon; all are to be refused for good.
     void expectRefused()
@@ -111,9 +89,9 @@
 {
     crashServers(endsAllowed);
     runFor(contact);
-    const std::size_t before = m_fatalRuns;
+    const std::size_t before = m_crashes;
     expectRefused();
-    EXPECT_LE(m_fatalRuns - before, sendsAllowed);
+    EXPECT_LE(m_crashes - before, sendsAllowed);
     for (const daemon_process &daemon : m_daemons) {
         EXPECT_TRUE(answerTo(daemon, "another").starts_with("HTTP/1.1 200")) << logOf(daemon);
     }
@@ -124,10 +102,10 @@
 {
     crashServers(endsAllowed);
     runFor(contact);
-    const std::size_t before = m_fatalRuns;
+    const std::size_t before = m_crashes;
     restartDaemons();
     expectRefused();
-    EXPECT_LE(m_fatalRuns - before, sendsAllowed);
+    EXPECT_LE(m_crashes - before, sendsAllowed);
 }
 
 // Three servers ended for a reason of their own while each ran what many callers ask for, or the servers were
--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -99,6 +99,17 @@
     return "";
 }
 
+std::size_t residentKb(const daemon_process &daemon)
+{
+    std::ifstream status("/proc/" + std::to_string(daemon.pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmRSS:")) {
+            return std::stoul(line.substr(line.find_first_of("0123456789")));
+        }
+    }
+    return 0;
+}
+
 void stop(daemon_process &daemon)
 {
     if (daemon.pid != 0) {
--- a/tests/soak/daemon_process.h
+++ b/tests/soak/daemon_process.h
@@ -38,6 +38,8 @@
 void disturb(daemon_process &daemon, millis lasts);
 /// Starts it again a moment after its end. What is wrong with how it ended, or nothing.
 std::string follow(daemon_process &daemon, const std::string &program, millis graceBound);
+/// Its resident memory; 0 if it doesn't run.
+std::size_t residentKb(const daemon_process &daemon);
 /// Ends it for good.
 void stop(daemon_process &daemon);
 
--- a/tests/soak/endless_bytes_test.cpp
+++ b/tests/soak/endless_bytes_test.cpp
@@ -67,16 +67,6 @@
         m_traffic.clear();
         fleet_fixture::TearDown();
     }
-    std::size_t residentKb() const
-    {
-        std::ifstream status("/proc/" + std::to_string(m_daemons[0].pid) + "/status");
-        for (std::string line; std::getline(status, line);) {
-            if (line.starts_with("VmRSS:")) {
-                return std::stoul(line.substr(line.find_first_of("0123456789")));
-            }
-        }
-        return 0;
-    }
     void send(const std::string &path, std::function<void(int)> done)
     {
         const std::string text = "GET " + path + "x HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: id"
@@ -106,7 +96,7 @@
         });
     }));
     runFor({500});
-    const std::size_t before = residentKb();
+    const std::size_t before = residentKb(m_daemons[0]);
     std::size_t highest = before;
     for (std::size_t i = 0; i < atOnce; ++i) {
         send(GetParam().path, [](int) {});
@@ -115,7 +105,7 @@
     const millis bound = GetParam().atOnceClosed ? millis{2'000} : closedWithin;
     while ((m_endless.begun < atOnce || m_endless.closed < m_endless.begun) && bootNow() - began < bound) {
         runFor({20});
-        highest = std::max(highest, residentKb());
+        highest = std::max(highest, residentKb(m_daemons[0]));
     }
     EXPECT_EQ(m_endless.begun, atOnce) << logOf(m_daemons[0]);
     EXPECT_EQ(m_endless.closed, m_endless.begun) << "after " << (bootNow() - began).count << " ms";
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,7 +2,6 @@
 #include "transport/backend_call.h"
 
 #include <algorithm>
-#include <fstream>
 
 // A run: its start, its traffic, what goes on by itself, and what is looked at after the last fault.
 namespace briarhead::soak {
@@ -179,12 +178,8 @@
 
 void soak_run::checkMemory(const daemon_process &daemon)
 {
-    std::ifstream status("/proc/" + std::to_string(daemon.pid) + "/status");
-    for (std::string line; daemon.pid != 0 && std::getline(status, line);) {
-        const std::size_t number = line.find_first_of("0123456789");
-        if (line.starts_with("VmRSS:") && std::stoul(line.substr(number)) > maxResidentKb) {
-            m_report.violations.push_back("MEMORY " + daemon.name + " has" + line.substr(line.find(':') + 1));
-        }
+    if (const std::size_t resident = residentKb(daemon); resident > maxResidentKb) {
+        m_report.violations.push_back("MEMORY " + daemon.name + " has " + std::to_string(resident) + " kB");
     }
 }
 
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -104,7 +104,7 @@
 {
     const millis now = bootNow() - m_begin;
     if (now >= m_fatalPart.from && now < m_fatalPart.until) {
-        send(m_fatalPart.route, fatalPart + std::to_string(m_lastId), freeKey);
+        send(m_fatalPart.route, std::to_string(m_lastId), freeKey, {{}, false, true});
     }
 }
 
@@ -124,7 +124,7 @@
 void soak_run::sendToCrowded()
 {
     if (crowdedDaemon() < m_daemons.size()) {
-        send(1, "hi", freeKey, {}, true);
+        send(1, "hi", freeKey, {{}, true, false});
     }
 }
 
@@ -166,13 +166,14 @@
 void soak_run::takeUp(const resumed_stream &stream)
 {
     if (!m_healed) {
-        send(resumableKind, "hi", freeKey, stream);
+        send(resumableKind, "hi", freeKey, {stream, false, false});
     }
 }
 
-void soak_run::send(std::size_t kind, const std::string &body, const std::string &key,
-    const resumed_stream &resumed, bool newConnection)
+void soak_run::send(
+    std::size_t kind, const std::string &body, const std::string &key, const send_variant &variant)
 {
+    const resumed_stream &resumed = variant.resumed;
     std::vector<daemon_process *> open;
     for (daemon_process &daemon : m_daemons) {
         if (daemon.ready && daemon.pid != 0) {
@@ -182,9 +183,11 @@
     if (open.empty()) {
         return;
     }
-    const std::size_t crowded = newConnection ? crowdedDaemon() : m_daemons.size();
-    const bool crowds = crowded < m_daemons.size() && m_daemons[crowded].ready && m_daemons[crowded].pid != 0;
-    daemon_process &daemon = crowds ? m_daemons[crowded] : *open[below(open.size())];
+    const std::size_t crowded = crowdedDaemon();
+    const bool anyCrowded = crowded < m_daemons.size();
+    const bool toCrowded =
+        variant.newConnection && anyCrowded && m_daemons[crowded].ready && m_daemons[crowded].pid != 0;
+    daemon_process &daemon = toCrowded ? m_daemons[crowded] : *open[below(open.size())];
     const bool model = kind >= 2;
     const bool repeatable = kind == 1 || kind == 3;
     const std::string id = "r" + std::to_string(++m_lastId);
@@ -192,26 +195,25 @@
         + " HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: " + id + "\r\nX-Briarhead-Credential: " + key
         + "\r\nX-Briarhead-Tenant: mallory\r\nX-Briarhead-Deadline-Ms: " + std::to_string(deadline.count)
         + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
-    text += newConnection ? "Connection: close\r\n" : "";
+    text += variant.newConnection ? "Connection: close\r\n" : "";
     text += model ? "X-Briarhead-Model: m0/a" + std::to_string(below(adapters))
             + "\r\nX-Briarhead-Token-Count: 500,50\r\n"
                   : "";
     text += resumed.root.empty()
         ? ""
         : "Last-Event-Id: " + std::to_string(resumed.lastEvent) + "\r\nResumes: " + resumed.root + "\r\n";
-    const bool hasFatalPart = body.starts_with(fatalPart);
-    const bool isFatal = hasFatalPart || body == fatalBody;
-    const std::string prompt = promptOf(id, hasFatalPart);
+    const bool isFatal = variant.hasFatalPart || body == fatalBody;
+    const bool isComparable = !isFatal && key == freeKey && isCalm(daemon.name);
+    const std::string prompt = promptOf(id, variant.hasFatalPart);
     text += model ? "X-Briarhead-Prompt-Prefix: " + prompt + "\r\n" : "";
     m_witness.sent(id, repeatable, daemon.name, bootNow(), daemon.terminated);
     if (isFatal) {
-        m_witness.isFatal(id, hasFatalPart ? "a part" : "content");
+        m_witness.isFatal(id, variant.hasFatalPart ? "a part" : "content");
     }
-    if (!isFatal && kind == 1 && key == freeKey && crowdedDaemon() < m_daemons.size()
-        && isCalm(daemon.name)) {
-        m_witness.isBesideCrowd(id, daemon.name == m_daemons[crowdedDaemon()].name);
+    if (isComparable && kind == 1 && anyCrowded) {
+        m_witness.isBesideCrowd(id, daemon.name == m_daemons[crowded].name);
     }
-    if (!isFatal && !newConnection && key == freeKey && isCalm(daemon.name)) {
+    if (isComparable && !variant.newConnection) {
         m_witness.countsForCuts(id);
         if (model) {
             m_witness.hasFirstPart(id, prompt.substr(0, prompt.find(':')));
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -18,7 +18,7 @@
 constexpr int cutResponsesOneIn = 10;
 constexpr std::size_t variants = 8;
 constexpr std::int64_t shortestFatalMs = 150;
-constexpr std::int64_t fatalRoutes = 4;
+constexpr std::int64_t allRoutes = 4;
 constexpr int endlessSpells = 2;
 constexpr std::int64_t shortestEndlessMs = 400;
 constexpr std::int64_t shortestCrowdMs = 2'000;
@@ -39,6 +39,26 @@
         {fault_kind::ServerLink, 3}, {fault_kind::ServerMood, 4}, {fault_kind::CrashServer, 2},
         {fault_kind::ChangeConfig, 3}, {fault_kind::NameVersion, 1}, {fault_kind::ForgetHistory, 1}}};
 
+/// A function that draws a number from 0 up to its argument, without that.
+auto drawsBelow(std::mt19937_64 &random)
+{
+    return [&random](std::int64_t bound) {
+        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
+    };
+}
+
+fatal_spell drawSpell(std::uint64_t seed, millis length, std::size_t firstRoute, std::int64_t routes)
+{
+    std::mt19937_64 random(seed);
+    const auto below = drawsBelow(random);
+    fatal_spell spell;
+    spell.from = {calmStartMs / 2 + below(calmStartMs)};
+    spell.until = length - fatalCalmEnd;
+    spell.every = {shortestFatalMs + below(shortestFatalMs)};
+    spell.route = firstRoute + static_cast<std::size_t>(below(routes));
+    return spell;
+}
+
 }
 
 std::string_view nameOf(fault_kind value)
@@ -52,9 +72,7 @@
 std::vector<fault> drawFaults(std::uint64_t seed, millis length, std::size_t daemons, std::size_t servers)
 {
     std::mt19937_64 random(seed);
-    const auto below = [&random](std::int64_t bound) {
-        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
-    };
+    const auto below = drawsBelow(random);
     std::vector<double> weights;
     weights.reserve(kinds.size());
     for (const weighted_kind &each : kinds) {
@@ -89,38 +107,18 @@
 
 fatal_spell drawFatalSpell(std::uint64_t seed, millis length)
 {
-    std::mt19937_64 random(seed * 31 + 17);
-    const auto below = [&random](std::int64_t bound) {
-        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
-    };
-    fatal_spell spell;
-    spell.from = {calmStartMs / 2 + below(calmStartMs)};
-    spell.until = length - fatalCalmEnd;
-    spell.every = {shortestFatalMs + below(shortestFatalMs)};
-    spell.route = static_cast<std::size_t>(below(fatalRoutes));
-    return spell;
+    return drawSpell(seed * 31 + 17, length, 0, allRoutes);
 }
 
 fatal_spell drawFatalPartSpell(std::uint64_t seed, millis length)
 {
-    std::mt19937_64 random(seed * 41 + 23);
-    const auto below = [&random](std::int64_t bound) {
-        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
-    };
-    fatal_spell spell;
-    spell.from = {calmStartMs / 2 + below(calmStartMs)};
-    spell.until = length - fatalCalmEnd;
-    spell.every = {shortestFatalMs + below(shortestFatalMs)};
-    spell.route = firstModelRoute + static_cast<std::size_t>(below(modelRoutes));
-    return spell;
+    return drawSpell(seed * 41 + 23, length, firstModelRoute, modelRoutes);
 }
 
 std::vector<endless_plan> drawEndless(std::uint64_t seed, millis length, std::size_t servers)
 {
     std::mt19937_64 random(seed * 71 + 5);
-    const auto below = [&random](std::int64_t bound) {
-        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
-    };
+    const auto below = drawsBelow(random);
     std::vector<endless_plan> plans;
     plans.reserve(endlessSpells);
     for (int i = 0; i < endlessSpells; ++i) {
@@ -134,9 +132,7 @@
 std::vector<crowd_plan> drawCrowds(std::uint64_t seed, millis length, std::size_t daemons)
 {
     std::mt19937_64 random(seed * 73 + 11);
-    const auto below = [&random](std::int64_t bound) {
-        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
-    };
+    const auto below = drawsBelow(random);
     std::vector<crowd_plan> plans;
     const auto first = static_cast<std::size_t>(below(static_cast<std::int64_t>(daemons)));
     const millis lasts{shortestCrowdMs + below(shortestCrowdMs)};
@@ -149,9 +145,7 @@
 std::vector<limit_change_plan> drawLimits(std::uint64_t seed, millis length, std::size_t servers)
 {
     std::mt19937_64 random(seed * 53 + 29);
-    const auto below = [&random](std::int64_t bound) {
-        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
-    };
+    const auto below = drawsBelow(random);
     static constexpr double limits[] = {0.1, 0.5, 1, 1.7, 4, 9};
     std::vector<limit_change_plan> changes;
     for (std::size_t server = 0; server < servers; ++server) {
@@ -173,9 +167,7 @@
 std::vector<cut_plan> drawCuts(std::uint64_t seed, millis length, std::size_t domains)
 {
     std::mt19937_64 random(seed * 97 + 5);
-    const auto below = [&random](std::int64_t bound) {
-        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
-    };
+    const auto below = drawsBelow(random);
     std::vector<cut_plan> cuts;
     std::int64_t at = calmStartMs / 2 + below(calmStartMs);
     while (at + shortestCutMs < length.count) {
@@ -190,9 +182,7 @@
 std::vector<brittle_plan> drawBrittle(std::uint64_t seed, std::size_t first, std::size_t last)
 {
     std::mt19937_64 random(seed * 101 + 3);
-    const auto below = [&random](std::int64_t bound) {
-        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
-    };
+    const auto below = drawsBelow(random);
     std::vector<brittle_plan> plans;
     for (std::size_t server = first; server < last; ++server) {
         if (below(2) == 0) {
@@ -205,9 +195,7 @@
 std::vector<word_plan> drawWords(std::uint64_t seed, millis length, std::size_t servers)
 {
     std::mt19937_64 random(seed * 71 + 41);
-    const auto below = [&random](std::int64_t bound) {
-        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
-    };
+    const auto below = drawsBelow(random);
     static constexpr const char *pauses[] = {"0.4", "1", "2.5", "", ""};
     std::vector<word_plan> words;
     for (std::size_t server = 0; server < servers; ++server) {
@@ -224,9 +212,7 @@
 ending_plan drawEnding(std::uint64_t seed, std::size_t server, int start)
 {
     std::mt19937_64 random(seed * 131 + server * 17 + static_cast<std::uint64_t>(start));
-    const auto below = [&random](std::int64_t bound) {
-        return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
-    };
+    const auto below = drawsBelow(random);
     ending_plan plan;
     plan.byConnection = below(2) == 0;
     plan.cutOneIn = below(2) == 0 ? cutResponsesOneIn : 0;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -89,6 +89,14 @@
     }
 }
 
+/// How a request differs from a plain one.
+struct send_variant
+{
+    resumed_stream resumed;
+    bool newConnection = false; ///< to the daemon that most of them go to, if there is one
+    bool hasFatalPart = false;
+};
+
 class soak_run
 {
 public:
@@ -118,8 +126,8 @@
     void look();
     std::size_t below(std::size_t bound);
     void sendOne();
-    void send(std::size_t kind, const std::string &body, const std::string &key,
-        const resumed_stream &resumed = {}, bool newConnection = false);
+    void send(
+        std::size_t kind, const std::string &body, const std::string &key, const send_variant &variant = {});
     void takeUp(const resumed_stream &stream);
     bool severalVersionsServe() const;
     bool isServed(const std::string &softwareVersion) const;
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -44,6 +44,13 @@
 
 }
 
+/// Whether one side went on less than `parts`/`of` as often as the other.
+bool witness::isFewer(
+    const stream_counts &side, const stream_counts &other, std::size_t parts, std::size_t of)
+{
+    return of * side.wentOn * other.sent < parts * other.wentOn * side.sent;
+}
+
 void witness::wrong(const std::string &what)
 {
     if (m_violations.size() < violationsTold) {
@@ -118,8 +125,7 @@
     if (m_takenUp.sent < takenUpCompared || m_newStreams.sent == 0) {
         return;
     }
-    const bool fewer = 2 * m_takenUp.wentOn * m_newStreams.sent < m_newStreams.wentOn * m_takenUp.sent;
-    if (fewer) {
+    if (isFewer(m_takenUp, m_newStreams, 1, 2)) {
         std::ostringstream text;
         text << "LOST " << m_takenUp.wentOn << " of " << m_takenUp.sent << " streams taken up went on, "
              << m_newStreams.wentOn << " of " << m_newStreams.sent << " new ones began";
@@ -306,7 +312,7 @@
     }
     const auto &[others, crowded] = sides;
     const bool binds = others.sent >= crowdCompared && crowded.sent >= crowdCompared;
-    if (binds && 4 * crowded.wentOn * others.sent < 3 * others.wentOn * crowded.sent) {
+    if (binds && isFewer(crowded, others, 3, 4)) {
         std::ostringstream text;
         text << "RECOVER a crowded daemon served " << crowded.wentOn << " of " << crowded.sent
              << " requests that it read, the others " << others.wentOn << " of " << others.sent;
@@ -349,7 +355,7 @@
     const stream_counts &shared = parts[firstParts[0]];
     const stream_counts &other = parts[firstParts[1]];
     const bool binds = shared.sent >= firstPartsCompared && other.sent >= firstPartsCompared;
-    if (binds && 2 * shared.wentOn * other.sent < other.wentOn * shared.sent) {
+    if (binds && isFewer(shared, other, 1, 2)) {
         std::ostringstream text;
         text << "LOST " << shared.wentOn << " of " << shared.sent
              << " sound requests with the first part of the crashing ones began, " << other.wentOn << " of "
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -132,8 +132,10 @@
     struct stream_counts
     {
         std::size_t sent = 0;
-        std::size_t wentOn = 0; ///< brought an event
+        std::size_t wentOn = 0; ///< brought an event, began, or was served
     };
+    static bool isFewer(
+        const stream_counts &side, const stream_counts &other, std::size_t parts, std::size_t of);
     stream_counts m_newStreams;
     stream_counts m_takenUp;
     std::vector<millis> m_limitedRuns; ///< of the account that has a limit
