--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -22,17 +22,18 @@
 // together.
 const std::set<std::string> inNeed{"i-app0", "i-app1"};
 const std::string limitField = "Server-Limit: 4\r\n";
-// `srv_grey`, "shed": the other two turn away this share of their requests, 4 s long, every 8 s, and ask the
+// `srv_grey`, "shed": the other two turn away this share of their requests, 4 s long, every 5 s, and ask the
 // machine for a pause.
-constexpr double turnedAway = 0.4;
+constexpr double turnedAway = 0.45;
 const std::string pauseField = "Retry-After: 0.05\r\n";
 constexpr std::int64_t greyForMs = 4'000;
-constexpr std::int64_t greyEveryMs = 8'000;
+constexpr std::int64_t greyEveryMs = 5'000;
 
 std::unique_ptr<run_record> out;
 std::mutex runMutex;
 std::atomic<bool> grey{false};
 std::map<std::string, std::vector<std::string>> ran; ///< by request: the servers that began to work on it
+
 /// The slots of one server and the requests that wait for them.
 struct slot_pool
 {
--- a/review/2/case.cpp
+++ b/review/1/refused.cpp
@@ -152,7 +152,7 @@
 
 int play(const std::string &folder)
 {
-    out = std::make_unique<run_record>(folder + "/record.txt");
+    out = std::make_unique<run_record>(folder + "/record-refused.txt");
     const std::string scratch = std::getenv("REVIEW_SCRATCH");
     const std::string network = chooseNetwork();
     store &platform = *new store(network + "2"); // its threads and the servers' go on until the process ends
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,10 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
-for source in [0-9]/case.cpp; do
-  g++ -std=c++20 -O1 -Wall -Wextra -o "bin/case-${source%%/*}" "$source" -lpthread
-done
+build() {
+  g++ -std=c++20 -O1 -Wall -Wextra -o "$2.new" "$1" -lpthread
+  mv "$2.new" "$2"
+}
+build 1/case.cpp bin/case-1
+build 1/refused.cpp bin/case-1-refused
+build 3/case.cpp bin/case-3
