--- a/model/check.sh
+++ b/model/check.sh
@@ -73,6 +73,11 @@
 no-own-clock                 | places.pml | breaks highestFence | -DSERVER_IGNORES_TOKENS -DNO_GUARD_OWN_CLOCK
 no-successor-waits           | places.pml | breaks highestFence | -DSERVER_IGNORES_TOKENS -DNO_GUARD_SUCCESSOR_WAITS
 no-reading                   | places.pml | breaks highestFence | -DSERVER_IGNORES_TOKENS -DNO_GUARD_READING
+stages                       | stages.pml | holds |
+stages-repeatable            | stages.pml | holds | -DREPEATABLE=1
+stages-guarded-send          | stages.pml | holds | -DNO_GUARD_STAGE
+no-stage                     | stages.pml | breaks runs | -DNO_GUARD_STAGE -DNO_GUARD_SEND
+no-may-run-from-send         | stages.pml | breaks toldNotRun | -DNO_GUARD_FROM_SEND
 TABLE
 }
 
--- a/packages/daemon/entry_admit.cpp
+++ b/packages/daemon/entry_admit.cpp
@@ -449,7 +449,7 @@
 
 void entry_task::routeService(const request_ptr &request)
 {
-    if (holdIfBlocked(request)) {
+    if (!mayRoute(request) || holdIfBlocked(request)) {
         return;
     }
     const millis now = bootNow();
@@ -483,8 +483,7 @@
     server_state &server = m_serviceServers[request->server];
     breakerAllows(server.circuitBreaker, now);
     ++server.sentHere;
-    ++request->attempts;
-    request->sentToServer = true;
+    beginSend(*request);
     request->id = {m_options.self, m_options.incarnation, ++m_sequence};
     m_pending[request->id] = request;
     http_call call;
@@ -559,6 +558,7 @@
         concludeServiceCall(request, result);
         return;
     }
+    setStage(*request, request_stage::CheckingEnd);
     m_pending[request->id] = request;
     const peer_address address{server->second.instance.address, server->second.instance.port};
     request->retryTimer = m_loop.timer(processExitTime, {}, [this, id = request->id, address, result] {
@@ -589,8 +589,25 @@
         });
 }
 
+/// Lets the crash task find out whether the plain server has crashed under the request. The platform's list
+/// has no start times of plain servers, so the name stands for the incarnation: a server that crashes twice
+/// under its name counts once.
+void entry_task::reportSuspectedCrash(const pending_request &request)
+{
+    const auto server = m_serviceServers.find(request.server);
+    if (server != m_serviceServers.end() && !server->second.instance.leaving) {
+        m_crashes.onResponseBroken(request.attributes,
+            {request.server, request.server,
+                {server->second.instance.address, server->second.instance.port}});
+    }
+}
+
 void entry_task::concludeServiceCall(const request_ptr &request, const http_result &result)
 {
+    setStage(*request, request_stage::Judged);
+    if (!result.sent) {
+        recordNotSent(request->progress, request->server);
+    }
     const send_result ended = resultOf(result.end);
     if (ended == send_result::Complete || ended == send_result::Unknown) {
         respondFromService(request, result);
@@ -599,13 +616,9 @@
     const auto server = m_serviceServers.find(request->server);
     if (server != m_serviceServers.end()) {
         breakerFailure(server->second.circuitBreaker, bootNow());
-        if (result.sent && !server->second.instance.leaving) {
-            // The platform's list has no start times of plain servers, so the name stands for the
-            // incarnation: a server that crashes twice under its name counts once.
-            m_crashes.onResponseBroken(request->attributes,
-                {request->server, request->server,
-                    {server->second.instance.address, server->second.instance.port}});
-        }
+    }
+    if (result.sent) {
+        reportSuspectedCrash(*request);
     }
     attempt_result end;
     end.result = result.sent ? outcome::Unknown : outcome::NotRun;
@@ -613,7 +626,6 @@
     end.idempotent = request->idempotent;
     end.attempts = request->attempts;
     end.deadlineLeft = request->deadline - bootNow();
-    request->mayHaveRun = request->mayHaveRun || result.sent;
     request->lastError = {result.why.kind, request->server, result.why.detail};
     if (decideRetry(end, m_retryBudget) == retry_decision::RetryOtherServer) {
         request->tried.push_back(request->server);
@@ -648,6 +660,7 @@
         request->reply->write(result.body);
         request->reply->end();
     }
+    setStage(*request, request_stage::Finished);
     recordResult(*request, outcome::Done, error_kind::None);
 }
 
--- a/packages/daemon/entry_task.cpp
+++ b/packages/daemon/entry_task.cpp
@@ -176,9 +176,47 @@
     }
 }
 
+/// The only place that changes a request's stage. A change that is not allowed is not made.
+void entry_task::setStage(pending_request &request, request_stage next)
+{
+    const request_stage before = request.progress.stage;
+    if (!changeStage(request.progress, next)) {
+        spdlog::error("entry: {} stays in stage {}, from which it can't go to {}.", toString(request.id),
+            nameOf(before), nameOf(next));
+    }
+}
+
+bool entry_task::mayRoute(const request_ptr &request)
+{
+    const repeatability repeats =
+        request->idempotent && !request->responseStarted ? repeatability::Always : repeatability::Never;
+    const send_objection objection = objectionToSend(request->progress, repeats, maxAttempts);
+    if (objection == send_objection::None) {
+        setStage(*request, request_stage::Choosing);
+        return true;
+    }
+    spdlog::error("entry: {} is not sent to a server: {} in stage {}.", toString(request->id),
+        nameOf(objection), nameOf(request->progress.stage));
+    if (objection != send_objection::InProgress) {
+        respondFailure(request,
+            {outcome::NotRun, {error_kind::Internal, request->server, "it can't be sent to another server"},
+                {}});
+    }
+    return false;
+}
+
+/// Records that bytes of the request may leave for its server from now on.
+void entry_task::beginSend(pending_request &request)
+{
+    setStage(request, request_stage::Sent);
+    recordSend(request.progress, request.server);
+    request.sentToServer = true;
+    ++request.attempts;
+}
+
 void entry_task::route(const request_ptr &request)
 {
-    if (holdIfBlocked(request)) {
+    if (!mayRoute(request) || holdIfBlocked(request)) {
         return;
     }
     const millis now = bootNow();
@@ -223,8 +261,7 @@
     request->id = {m_options.self, m_options.incarnation, ++m_sequence};
     request->owner = owner;
     request->engineStarted = false;
-    request->sentToServer = true;
-    ++request->attempts;
+    beginSend(*request);
     ++server.sentHere;
     ++server.sentSinceHint;
     m_pending[request->id] = request;
@@ -391,6 +428,12 @@
     const request_ptr &request, outcome result, error_kind why, const std::string &detail, millis retryAfter)
 {
     const millis now = bootNow();
+    setStage(*request, request_stage::Judged);
+    if (why == error_kind::NotOwner) {
+        recordNotSent(request->progress, request->server);
+    } else if (result == outcome::NotRun) {
+        recordNotRun(request->progress, request->server);
+    }
     server_state *server = m_servers.count(request->server) != 0 ? &m_servers[request->server] : nullptr;
     if (result == outcome::Done) {
         if (server != nullptr) {
@@ -404,7 +447,6 @@
     if (server != nullptr && serverFailed) {
         breakerFailure(server->circuitBreaker, now);
     }
-    request->mayHaveRun = request->mayHaveRun || result == outcome::Unknown;
     request->lastError = {why, request->server, detail};
     request->lastRetryAfter = retryAfter;
     attempt_result end;
@@ -489,6 +531,7 @@
                 {"X-Briarhead-Stall-Ms", std::to_string(request->stall.count)}},
             body);
     }
+    setStage(*request, request_stage::Finished);
     recordResult(*request, outcome::Done, error_kind::None);
 }
 
@@ -498,13 +541,14 @@
     // must not be reported as "not run": the last attempt's outcome is that of the request only if no earlier
     // attempt may have run.
     request_result end = attempt;
-    if (request->mayHaveRun && end.result == outcome::NotRun) {
+    if (mayHaveRun(request->progress) && end.result == outcome::NotRun) {
         end.result = outcome::Unknown;
     }
     // A lost server announces no retry time, and without one callers retry at once.
     if (end.result == outcome::NotRun && end.retryAfter.count <= 0) {
         end.retryAfter = {defaultRetryAfterMs};
     }
+    setStage(*request, request_stage::Finished);
     reportToKeyHome(*request, end.result, 0, "");
     recordResult(*request, end.result, end.why.kind);
     if (!request->responseStarted) {
@@ -556,6 +600,10 @@
     }
     // Nobody will read the response, so the attempt is canceled to free the engine for other requests.
     const bool sentToServer = request->sentToServer;
+    if (request->progress.stage == request_stage::CheckingEnd) {
+        reportSuspectedCrash(*request);
+    }
+    setStage(*request, request_stage::Finished);
     removePending(request->id);
     if (request->serviceCall != 0) {
         m_serviceClient.cancel(request->serviceCall);
@@ -602,8 +650,11 @@
         if (request->serviceCall != 0) {
             m_serviceClient.cancel(request->serviceCall);
         }
+        if (request->progress.stage == request_stage::CheckingEnd) {
+            reportSuspectedCrash(*request);
+        }
         respondFailure(request,
-            {sentToServer ? outcome::Unknown : outcome::NotRun,
+            {mayHaveRun(request->progress) ? outcome::Unknown : outcome::NotRun,
                 {error_kind::Timeout, request->server, "no answer by the deadline"}, {}});
     }
 }
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -4,6 +4,7 @@
 #include "coordination/crash_task.h"
 #include "coordination/events.h"
 #include "coordination/key_journal.h"
+#include "coordination/request_progress.h"
 #include "coordination/retry.h"
 #include "coordination/routing.h"
 #include "coordination/server_notices.h"
@@ -83,6 +84,7 @@
             false; ///< the caller's connection closed, but the key's home needs the result
         bool keyClaimed = false; ///< the key's home recorded this attempt as started
         bool sentToServer = false; ///< counted in its server's sentHere
+        request_progress progress; ///< its stage is changed by setStage() alone
         std::string server;
         std::string owner; ///< daemon that the current attempt was sent to
         std::vector<std::string> tried; ///< servers that earlier attempts were sent to
@@ -92,7 +94,6 @@
         bool serverSurvived = false; ///< its process was there after the end of an unframed response
         bool responseStarted = false; ///< the status line was sent
         bool isProbe = false; ///< sent although it is blocked
-        bool mayHaveRun = false; ///< an earlier attempt ended with an unknown outcome
         bool engineStarted = false; ///< the engine has started the current attempt
         std::string
             responseEvents; ///< SSE text, collected for non-streaming responses and for the key's home
@@ -150,10 +151,16 @@
     void checkServiceProcess(const request_ptr &request, const http_result &result);
     void probeServiceProcess(
         const request_ptr &request, const peer_address &address, const http_result &result);
+    void reportSuspectedCrash(const pending_request &request);
     void concludeServiceCall(const request_ptr &request, const http_result &result);
     void respondFromService(const request_ptr &request, const http_result &result);
     millis serviceRetryAfter(const std::string &service);
     void sendToOwner(const request_ptr &request, const std::string &owner);
+    /// Guards the ways that lead to a send. Responds with an error itself if it returns false, unless a
+    /// server may still be working on the request.
+    bool mayRoute(const request_ptr &request);
+    static void setStage(pending_request &request, request_stage next);
+    static void beginSend(pending_request &request);
     /// Routes the request again after a pause, or responds with an error after maxRedirects.
     void rerouteAfter(const request_ptr &request, std::int64_t pauseMs);
     std::string ownerOf(const std::string &server) const;
--- a/packages/serving/edge_metrics.cpp
+++ b/packages/serving/edge_metrics.cpp
@@ -54,6 +54,8 @@
     put(out, "sends_total", front.sends);
     put(out, "repeats_total", front.retries);
     put(out, "repeats_denied_total", front.retriesDenied);
+    put(out, "sends_forbidden_total", front.sendsForbidden);
+    put(out, "stage_changes_forbidden_total", front.stageChangesForbidden);
     put(out, "place_asks_total", front.slotRequests);
     put(out, "unreadable_part_lists_total", front.unreadableParts);
     put(out, "responses_oversized_total", front.oversized);
--- a/packages/serving/front_account.cpp
+++ b/packages/serving/front_account.cpp
@@ -173,18 +173,20 @@
 /// have expired or were spent on an earlier send.
 void front_task::acquireUnitsAndSend(const request_ptr &pending)
 {
-    acquireUnits(pending, [this, weak = std::weak_ptr<pending_request>(pending)] {
-        const auto locked = weak.lock();
-        if (!locked) {
-            return;
-        }
-        const auto server = m_store.view().servers.find(locked->server);
-        if (server == m_store.view().servers.end()) {
-            dispatchElsewhere(locked, slot_event::NotSent);
-            return;
-        }
-        send(locked, server->second);
-    });
+    setStage(*pending, request_stage::AwaitingUnits);
+    acquireUnits(
+        pending, [this, weak = std::weak_ptr<pending_request>(pending), number = pending->attempt.number] {
+            const auto locked = lockAt(weak, number, request_stage::AwaitingUnits);
+            if (!locked) {
+                return;
+            }
+            const auto server = m_store.view().servers.find(locked->attempt.server);
+            if (server == m_store.view().servers.end()) {
+                dispatchElsewhere(locked, slot_event::NotSent);
+                return;
+            }
+            send(locked, server->second);
+        });
 }
 
 account_counters &front_task::countersOf(const client_account &account)
--- a/packages/serving/front_closed.cpp
+++ b/packages/serving/front_closed.cpp
@@ -86,9 +86,9 @@
     std::vector<request_ptr> waiting;
     for (const auto &[id, number] : m_numberByRequestId) {
         const auto found = m_requests.find(number);
-        const bool isWaiting = found != m_requests.end() && found->second->server == server
-            && found->second->slotRequestsSent > 0 && !found->second->granted && !found->second->activeSend
-            && found->second->quotaWaitId == 0 && !isBlocked(*found->second);
+        const bool isWaiting = found != m_requests.end()
+            && found->second->progress.stage == request_stage::AwaitingSlot
+            && found->second->attempt.server == server && !isBlocked(*found->second);
         if (isWaiting) {
             waiting.push_back(found->second);
         }
@@ -109,10 +109,9 @@
 /// Gives up the server that the request was meant for, before anything was sent, and dispatches it again.
 void front_task::dispatchElsewhere(const request_ptr &pending, slot_event event)
 {
-    pending->slotRequestTimer.reset();
+    pending->attempt.slotRequestTimer.reset();
     notifyOwner(*pending, event);
-    pending->granted = false;
-    pending->excludedServers.insert(pending->server);
+    pending->excludedServers.insert(pending->attempt.server);
     dispatch(pending);
 }
 
--- a/packages/serving/front_limit.cpp
+++ b/packages/serving/front_limit.cpp
@@ -56,34 +56,31 @@
 /// Requests a permit for a plain server with a limit.
 void front_task::requestPermit(const request_ptr &pending, const backend_server &server)
 {
-    pending->server = server.id;
-    pending->granted = false;
-    pending->slotRequestsSent = 0;
-    pending->slotRequestedAt = bootNow();
-    pending->owner = limitOwner(server);
+    beginAttempt(*pending, server.id).owner = limitOwner(server);
     ++pending->serversTried;
     announced_limit &limit = m_limits.at(server.id);
-    if (pending->owner.empty()) {
+    if (pending->attempt.owner.empty()) {
         limit.nextPermitAt = bootNow() + unresponsiveOwnerBackoff;
         pending->excludedServers.insert(server.id);
         dispatchPlain(pending);
         return;
     }
     countPermitRequest(limit, bootNow());
-    sendSlotRequest(pending);
+    requestSlot(pending);
 }
 
 /// Reports the limit in a response, or its absence, to the server's owner.
 void front_task::reportLimit(const pending_request &pending)
 {
-    std::string owner = pending.owner;
+    std::string owner = pending.attempt.owner;
     if (owner.empty()) {
-        const auto server = m_store.view().servers.find(pending.server);
+        const auto server = m_store.view().servers.find(pending.attempt.server);
         owner = server == m_store.view().servers.end() ? owner : limitOwner(server->second);
     }
     if (!owner.empty()) {
-        const auto rate = rateOf(pending.responseMeta.limit, pending.responseMeta.maxRejections);
-        sendToOwner(owner, limit_report{pending.request.id, pending.server, rate ? toMilli(*rate) : -1});
+        const auto rate = rateOf(pending.attempt.meta.limit, pending.attempt.meta.maxRejections);
+        sendToOwner(
+            owner, limit_report{pending.request.id, pending.attempt.server, rate ? toMilli(*rate) : -1});
     }
 }
 
@@ -91,8 +88,8 @@
 bool front_task::isBrittleRejection(const pending_request &pending) const
 {
     const bool rejected =
-        pending.responseMeta.notExecuted && pending.responseHead.status != misdirectedStatus;
-    const auto limit = m_limits.find(pending.server);
+        pending.attempt.meta.notExecuted && pending.attempt.head.status != misdirectedStatus;
+    const auto limit = m_limits.find(pending.attempt.server);
     return rejected && limit != m_limits.end() && limit->second.maxRejections.has_value();
 }
 
@@ -100,9 +97,9 @@
 /// counts a request as running until it hears of its end, so two are sent.
 void front_task::reportRejection(const pending_request &pending)
 {
-    const server_rejection message{pending.request.id, pending.server};
-    sendToOwner(pending.owner, message);
-    sendToOwner(pending.owner, message);
+    const server_rejection message{pending.request.id, pending.attempt.server};
+    sendToOwner(pending.attempt.owner, message);
+    sendToOwner(pending.attempt.owner, message);
 }
 
 /// Applies the server's limit, or its absence, from the head of a response.
@@ -110,23 +107,23 @@
 {
     // Rejected requests and unsigned responses don't prove the absence of a limit, since they may come from a
     // part of the server, or from an intermediary, that doesn't know it.
-    const auto rate = rateOf(pending.responseMeta.limit, pending.responseMeta.maxRejections);
+    const auto rate = rateOf(pending.attempt.meta.limit, pending.attempt.meta.maxRejections);
     const bool conveysLimit = rate
-        || (pending.responseMeta.signedByServer && !pending.responseMeta.notExecuted
-            && pending.responseMeta.unreadable.empty());
+        || (pending.attempt.meta.signedByServer && !pending.attempt.meta.notExecuted
+            && pending.attempt.meta.unreadable.empty());
     if (!conveysLimit) {
         return;
     }
-    const bool wasKnown = m_limits.count(pending.server) != 0;
-    const auto change = briarhead::applyResponseLimit(m_limits, pending.server, pending.responseMeta.limit,
-        pending.responseMeta.maxRejections, pending.sentAt, bootNow());
+    const bool wasKnown = m_limits.count(pending.attempt.server) != 0;
+    const auto change = briarhead::applyResponseLimit(m_limits, pending.attempt.server,
+        pending.attempt.meta.limit, pending.attempt.meta.maxRejections, pending.attempt.sentAt, bootNow());
     if (change != limit_change::None) {
         m_log.important("server.limit")
             .add("id", pending.request.id)
-            .add("server", pending.server)
+            .add("server", pending.attempt.server)
             .add("change", nameOf(change))
-            .add("per_second", pending.responseMeta.limit.value_or(-1))
-            .add("max_rejections", pending.responseMeta.maxRejections.value_or(-1));
+            .add("per_second", pending.attempt.meta.limit.value_or(-1))
+            .add("max_rejections", pending.attempt.meta.maxRejections.value_or(-1));
     }
     if (rate || wasKnown) {
         reportLimit(pending);
--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/request_progress.h"
 #include "coordination/responding_time.h"
 #include "serving/fleet_send.h"
 #include "serving/front_task.h"
@@ -29,6 +30,67 @@
 /// same time don't return at the same time.
 millis withJitter(millis wait, const std::string &requestId);
 
+/// One choice of a server for a request: the slot request, the send and its response. Made anew for each.
+struct front_task::server_attempt
+{
+    std::uint64_t number = 0; ///< counts the attempts of this process; 0: none was made
+    std::string server;
+    std::string owner; ///< node that the slot was requested from; empty if none was
+    int slotRequestsSent = 0;
+    bool granted = false; ///< the slot or permit has been granted
+    std::int64_t adapterVersion = 0; ///< resident version according to the grant; 0 if unknown
+    millis slotRequestedAt;
+    millis slotWait; ///< from the slot request to the grant
+    std::shared_ptr<void> slotRequestTimer;
+
+    // The send, from stage Sent on.
+    server_path_task::send_id sendId = 0;
+    crash_target target; ///< server and incarnation
+    std::string softwareVersion; ///< of the server
+    std::int64_t startedAtMs = 0; ///< of the server, as in backend_server
+    double unitsSpent = 0;
+    millis sentAt;
+    bool isTimed = false; ///< it counts towards its plain server's response times
+    std::shared_ptr<void> inactivityTimer;
+
+    // The response.
+    http_head head;
+    response_meta meta;
+    /// A resumed response, held back until its server has confirmed that it hasn't restarted.
+    struct held_response
+    {
+        std::string body;
+        std::optional<std::pair<response_end, error>> end; ///< once it has ended
+    };
+    std::optional<held_response> held;
+    std::shared_ptr<void> confirmTimer;
+    std::string body; ///< held back, so that another server's response can replace it
+    bool passesThrough = false; ///< the response is too large for that, and goes to the caller as it arrives
+    std::size_t discardedBytes = 0; ///< of a response that no caller gets
+    std::size_t heldBytes = 0; ///< as counted in m_heldBytes
+    bool streaming = false; ///< events are forwarded to the caller as they arrive
+    bool firstEventReceived = false;
+    millis lastProgressAt; ///< when the server last sent an event, or any byte of a plain response
+    millis promptReadTime{-1}; ///< from the send to its first event; negative before
+    responding_time responding; ///< from its first event on
+    std::size_t restBytes = 0; ///< of an incomplete event, when the response ended
+
+    // The end of the response.
+    response_end end; ///< as known so far, while its server's process is checked
+    error endReason;
+    std::shared_ptr<void> processTimer; ///< until the server's process is checked
+    bool serverSurvived = false; ///< its process was there after the end of an unframed response
+    send_result result = send_result::Broken; ///< once the attempt is judged
+};
+
+/// A response that was held back until its end was known.
+struct front_task::server_response
+{
+    http_head head;
+    std::string body;
+    send_result result = send_result::Complete; ///< or Unknown
+};
+
 /// The state of a caller's request from its arrival to the end of its response.
 struct front_task::pending_request
 {
@@ -42,7 +104,6 @@
     std::uint64_t accountId = 0; ///< accountHash() of the account's name
     double cost = 0; ///< units of the account's limit; 0 if the account has no limit
     double unitsHeld = 0; ///< units acquired but not yet spent on a send
-    double unitsSpent = 0; ///< units spent on the latest send
     millis unitsAcquiredAt;
     std::uint64_t quotaWaitId = 0; ///< quota_task's id of the wait for units; 0 if not waiting
     std::string service;
@@ -50,62 +111,25 @@
     millis arrived;
     millis deadlineAt;
 
-    /// Where the stream began: set once its first event has gone to the caller, or if the caller takes it up.
-    std::optional<stream_origin> origin;
-    bool versionUncertain = false; ///< its server's version changed while the first event came
-
+    request_progress progress; ///< its stage is changed by front_task::setStage() alone
+    server_attempt attempt; ///< the latest
+    std::optional<server_response> fallback; ///< a server's failure, in case no other server can be found
+    std::shared_ptr<void> retryTimer; ///< until the next look for a server
     std::set<std::string> excludedServers; ///< servers that must not be tried (again)
-    std::set<std::string> sentTo; ///< servers that the request has been sent to
     int unsentCount = 0; ///< sends that failed before anything was sent
     int serversTried = 0; ///< servers that a slot or permit was requested for
-    std::string server; ///< that a slot is requested for, or that the request was sent to
-    crash_target target; ///< server and incarnation of the latest send
-    std::string targetVersion; ///< software version of that server
-    std::int64_t targetStartedAtMs = 0; ///< as in backend_server
-    std::string owner; ///< node that the slot was requested from; empty if none was
-    int slotRequestsSent = 0; ///< for `server`
-    bool granted = false; ///< the slot or permit for `server` has been granted
-    std::int64_t adapterVersion = 0; ///< resident version according to the grant; 0 if unknown
-    millis slotRequestedAt;
     millis shortestRetryAfter{-1}; ///< shortest of all refusals so far; negative if there were none
-
-    std::optional<server_path_task::send_id> activeSend; ///< while a server is working on the request
-    bool mayHaveRun = false; ///< a server may have executed the request, at least partly
     bool isProbe = false; ///< blocked, but sent to a server to find out whether it still crashes servers
-    http_head responseHead; ///< of the latest send, as is the rest of the response
-    response_meta responseMeta;
-    /// A resumed response, held back until its server has confirmed that it hasn't restarted.
-    struct held_response
-    {
-        std::string body;
-        std::optional<std::pair<response_end, error>> end; ///< once it has ended
-    };
-    std::optional<held_response> held;
-    std::shared_ptr<void> confirmTimer;
-    std::shared_ptr<void> processTimer; ///< until the server's process is looked at
-    std::string responseBody; ///< held back, so that another server's response can replace it
-    bool passesThrough = false; ///< the response is too large for that, and goes to the caller as it arrives
-    std::size_t discardedBytes = 0; ///< of a response that no caller gets
-    std::size_t heldBytes = 0; ///< as counted in m_heldBytes
-    bool serverSurvived = false; ///< its process was there after the end of an unframed response
-    send_result responseResult = send_result::Broken; ///< Complete or Unknown, once the response has ended
-    bool streaming = false; ///< events are forwarded to the caller as they arrive
+
+    /// Where the stream began: set once its first event has gone to the caller, or if the caller takes it up.
+    std::optional<stream_origin> origin;
+    bool versionUncertain = false; ///< its server's version changed while the first event came
+    event_stream eventStream; ///< of all servers' responses
     bool headSent = false; ///< the response head has been sent to the caller
     body_framing callerFraming = body_framing::Chunked; ///< of the response to the caller, once headSent
-    bool firstEventReceived = false; ///< from the server of the latest send
-    event_stream eventStream;
-    std::size_t restBytes = 0; ///< of an incomplete event, when the latest send ended
-    millis lastEventAt; ///< when the server last sent anything
-    millis sentAt;
-    bool isTimed = false; ///< the latest send counts towards its plain server's response times
-    millis slotWait; ///< from the slot request to the grant, for the latest server
     millis firstEventDelay{-1}; ///< from arrival to the first event; negative before
-    millis promptReadTime{-1}; ///< from the latest send to its first event; negative before
     millis longestEventGap; ///< longest time between two chunks from a server
-    responding_time responding; ///< of the latest send, from its first event on
     std::shared_ptr<void> deadlineTimer;
-    std::shared_ptr<void> slotRequestTimer;
-    std::shared_ptr<void> inactivityTimer;
 };
 
 /// Sends a message to a server's owner, which may be this daemon.
--- a/packages/serving/front_plain.cpp
+++ b/packages/serving/front_plain.cpp
@@ -166,11 +166,8 @@
         chosen = choosePlainServer(candidates, request);
     }
     if (!chosen) {
-        // A failure response from an earlier server is better than none. A "not executed" response isn't
-        // forwarded, because it lacks a useful Retry-After.
-        const bool hasResponse = pending->responseHead.status != 0;
-        if (hasResponse && !pending->responseMeta.notExecuted) {
-            forwardResponse(pending);
+        if (pending->fallback) {
+            forwardResponse(pending, *pending->fallback);
             return;
         }
         refuse(pending, noServerReason(*pending), earliestRetryAfter(*pending, retryAfterTransient));
@@ -195,8 +192,7 @@
         requestPermit(pending, server);
         return;
     }
-    pending->granted = false;
-    pending->owner.clear();
+    beginAttempt(*pending, server.id);
     send(pending, server);
 }
 
@@ -209,9 +205,9 @@
 
 void front_task::onPlainSendEnd(const pending_request &pending, bool answered)
 {
-    const auto latency = m_plainLatency.find(pending.server);
-    if (latency != m_plainLatency.end() && pending.isTimed) {
-        recordPlainEnd(latency->second, pending.sentAt, answered, bootNow());
+    const auto latency = m_plainLatency.find(pending.attempt.server);
+    if (latency != m_plainLatency.end() && pending.attempt.isTimed) {
+        recordPlainEnd(latency->second, pending.attempt.sentAt, answered, bootNow());
     }
 }
 
--- a/packages/serving/front_response.cpp
+++ b/packages/serving/front_response.cpp
@@ -45,19 +45,20 @@
         m_log.important("answer.of_another")
             .add("id", pending->request.id)
             .add("answer_id", meta.requestId)
-            .add("server", pending->server);
+            .add("server", pending->attempt.server);
         return false;
     }
-    pending->responseHead = head;
-    pending->responseMeta = meta;
-    pending->lastEventAt = bootNow();
-    m_notices.onResponse(pending->request.id, pending->server, pending->target.incarnation, meta);
+    pending->attempt.head = head;
+    pending->attempt.meta = meta;
+    pending->attempt.lastProgressAt = bootNow();
+    m_notices.onResponse(
+        pending->request.id, pending->attempt.server, pending->attempt.target.incarnation, meta);
     onResponseLimit(*pending);
-    pending->streaming = pending->matchedRoute->kind == route_kind::Stream && isSuccess(head.status)
+    pending->attempt.streaming = pending->matchedRoute->kind == route_kind::Stream && isSuccess(head.status)
         && meta.signedByServer && isEventStream(head);
-    if (pending->streaming && pending->origin && pending->targetStartedAtMs != 0) {
+    if (pending->attempt.streaming && pending->origin && pending->attempt.startedAtMs != 0) {
         confirmServer(pending);
-    } else if (pending->streaming) {
+    } else if (pending->attempt.streaming) {
         beginReply(*pending);
     }
     return true;
@@ -71,7 +72,7 @@
     }
     pending.headSent = true;
     // The caller is promised an end only if the server has announced one.
-    const http_head &head = pending.responseHead;
+    const http_head &head = pending.attempt.head;
     const bool framed = framingOf(head, pending.request.head.method == "HEAD") != body_framing::Connection;
     pending.callerFraming = framed ? body_framing::Chunked : body_framing::Connection;
     record(m_counters.firstResponse, static_cast<double>((bootNow() - pending.arrived).count));
@@ -80,16 +81,16 @@
 
 void front_task::onResponseBody(const request_ptr &pending, const std::string &bytes)
 {
-    if (pending->held) {
-        pending->held->body += bytes;
+    if (pending->attempt.held) {
+        pending->attempt.held->body += bytes;
         countHeld(*pending);
         if (holdsTooMuch(*pending)) {
             cutResponse(pending, "too much arrived before its server confirmed its start");
         }
-    } else if (pending->streaming) {
+    } else if (pending->attempt.streaming) {
         onEvents(pending, bytes);
     } else {
-        pending->lastEventAt = bootNow();
+        pending->attempt.lastProgressAt = bootNow();
         onPlainBody(pending, bytes);
     }
 }
@@ -109,21 +110,22 @@
     }
     // Comments and blank lines are passed on, but show no progress.
     if (pending->eventStream.eventCount > before) {
-        if (pending->firstEventReceived) {
-            record(m_counters.eventGap, static_cast<double>((now - pending->lastEventAt).count));
-            pending->longestEventGap = std::max(pending->longestEventGap, now - pending->lastEventAt);
+        if (pending->attempt.firstEventReceived) {
+            record(m_counters.eventGap, static_cast<double>((now - pending->attempt.lastProgressAt).count));
+            pending->longestEventGap =
+                std::max(pending->longestEventGap, now - pending->attempt.lastProgressAt);
         } else {
-            pending->firstEventReceived = true;
-            pending->promptReadTime = now - pending->sentAt;
+            pending->attempt.firstEventReceived = true;
+            pending->attempt.promptReadTime = now - pending->attempt.sentAt;
             pending->firstEventDelay =
                 pending->firstEventDelay.count < 0 ? now - pending->arrived : pending->firstEventDelay;
             notifyOwner(*pending, slot_event::FirstToken);
         }
-        pending->lastEventAt = now;
+        pending->attempt.lastProgressAt = now;
         if (!pending->origin) {
             onFirstEvent(*pending);
         }
-        if (countBytes(pending->responding, now)) {
+        if (countBytes(pending->attempt.responding, now)) {
             m_crashes.onServerSurvived(pending->attributes);
         }
     }
@@ -133,29 +135,29 @@
 /// Holds a response back while that is short, so that another server's can replace it if it fails.
 void front_task::onPlainBody(const request_ptr &pending, const std::string &bytes)
 {
-    const response_meta &meta = pending->responseMeta;
-    if (pending->passesThrough) {
+    const response_meta &meta = pending->attempt.meta;
+    if (pending->attempt.passesThrough) {
         passToCaller(pending, bytes);
         return;
     }
     if (!meta.signedByServer || meta.notExecuted || pending->headSent) {
-        pending->discardedBytes += bytes.size();
-        if (pending->discardedBytes > maxDiscardedBytes) {
+        pending->attempt.discardedBytes += bytes.size();
+        if (pending->attempt.discardedBytes > maxDiscardedBytes) {
             cutResponse(pending, "its body is not for the caller, and too long");
         }
         return;
     }
-    pending->responseBody += bytes;
+    pending->attempt.body += bytes;
     countHeld(*pending);
     if (holdsTooMuch(*pending)) {
-        pending->passesThrough = true;
-        const std::string held = std::exchange(pending->responseBody, {});
+        pending->attempt.passesThrough = true;
+        const std::string held = std::exchange(pending->attempt.body, {});
         releaseHeld(*pending);
         beginReply(*pending);
         pending->reply->onDrained([this, weak = std::weak_ptr<pending_request>(pending)] {
             const auto locked = weak.lock();
-            if (locked && locked->activeSend) {
-                m_paths.setReceiving(*locked->activeSend, true);
+            if (locked && locked->progress.stage == request_stage::Sent) {
+                m_paths.setReceiving(locked->attempt.sendId, true);
             }
         });
         passToCaller(pending, held);
@@ -166,8 +168,8 @@
 void front_task::passToCaller(const request_ptr &pending, const std::string &bytes)
 {
     pending->reply->write(bytes);
-    if (pending->activeSend && pending->reply->pendingBytes() > maxUnsentResponseBytes) {
-        m_paths.setReceiving(*pending->activeSend, false);
+    if (pending->reply->pendingBytes() > maxUnsentResponseBytes) {
+        m_paths.setReceiving(pending->attempt.sendId, false);
     }
 }
 
@@ -175,132 +177,136 @@
 void front_task::cutResponse(const request_ptr &pending, const char *detail)
 {
     ++m_counters.oversized;
-    m_paths.cancel(*pending->activeSend);
-    pending->held.reset();
-    onSendEnd(pending, brokenEnd(connection_end::Open), {error_kind::TooLarge, pending->server, detail});
+    m_paths.cancel(pending->attempt.sendId);
+    pending->attempt.held.reset();
+    onSendEnd(
+        pending, brokenEnd(connection_end::Open), {error_kind::TooLarge, pending->attempt.server, detail});
 }
 
 /// Counts what is kept of the response.
 void front_task::countHeld(pending_request &pending)
 {
-    const std::size_t now = pending.responseBody.size() + pending.eventStream.partial.size()
-        + (pending.held ? pending.held->body.size() : 0);
-    m_heldBytes += now - std::exchange(pending.heldBytes, now);
+    const std::size_t now = pending.attempt.body.size() + pending.eventStream.partial.size()
+        + (pending.attempt.held ? pending.attempt.held->body.size() : 0);
+    m_heldBytes += now - std::exchange(pending.attempt.heldBytes, now);
 }
 
 /// Whether the response, or all responses together, take too much memory.
 bool front_task::holdsTooMuch(const pending_request &pending) const
 {
-    const bool small = pending.heldBytes <= smallResponseBytes;
-    return (!pending.streaming && pending.heldBytes > maxHeldResponseBytes)
+    const bool small = pending.attempt.heldBytes <= smallResponseBytes;
+    return (!pending.attempt.streaming && pending.attempt.heldBytes > maxHeldResponseBytes)
         || (!small && m_heldBytes > maxHeldBytes);
 }
 
 void front_task::releaseHeld(pending_request &pending)
 {
-    m_heldBytes -= std::exchange(pending.heldBytes, 0);
+    m_heldBytes -= std::exchange(pending.attempt.heldBytes, 0);
 }
 
 void front_task::onSendEnd(const request_ptr &pending, response_end end, const error &why)
 {
-    if (pending->held) {
-        pending->held->end = {end, why};
+    server_attempt &attempt = pending->attempt;
+    if (attempt.held) {
+        attempt.held->end = {end, why};
         return;
     }
-    pending->activeSend.reset();
-    pending->inactivityTimer.reset();
-    pending->restBytes = pending->eventStream.partial.size();
-    --m_inFlight[pending->server];
-    end.insideEvent = pending->streaming && isInsideEvent(pending->eventStream);
+    attempt.inactivityTimer.reset();
+    attempt.restBytes = pending->eventStream.partial.size();
+    --m_inFlight[attempt.server];
+    end.insideEvent = attempt.streaming && isInsideEvent(pending->eventStream);
     end.endPromised = pending->headSent && pending->callerFraming != body_framing::Connection;
-    const bool executed = pending->responseMeta.signedByServer && !pending->responseMeta.notExecuted;
+    attempt.end = end;
+    attempt.endReason = why;
+    const bool executed = attempt.meta.signedByServer && !attempt.meta.notExecuted;
     if (resultOf(end) == send_result::Unknown && executed) {
-        checkServerProcess(pending, end, why);
+        checkServerProcess(pending);
     } else {
-        concludeSend(pending, end, why);
+        concludeSend(pending);
     }
 }
 
 /// The kernel closes the connections of a crashed process in order, mostly between two events. So where an
 /// orderly close is all that ended a response, a server whose process has ended has cut it off.
-void front_task::checkServerProcess(const request_ptr &pending, const response_end &end, const error &why)
+void front_task::checkServerProcess(const request_ptr &pending)
 {
+    setStage(*pending, request_stage::CheckingEnd);
     const std::weak_ptr<pending_request> weak = pending;
-    const auto conclude = [this, weak, end, why](connect_result result) {
-        const auto locked = weak.lock();
-        if (!locked || m_requests.count(locked->number) == 0) {
+    const auto conclude = [this, weak, number = pending->attempt.number](connect_result result) {
+        const auto locked = lockAt(weak, number, request_stage::CheckingEnd);
+        if (!locked) {
             return;
         }
-        locked->serverSurvived = result == connect_result::Accepted;
-        response_end known = end;
-        known.connection = result == connect_result::Refused ? connection_end::Reset : end.connection;
-        concludeSend(locked, known, why);
+        locked->attempt.serverSurvived = result == connect_result::Accepted;
+        if (result == connect_result::Refused) {
+            locked->attempt.end.connection = connection_end::Reset;
+        }
+        concludeSend(locked);
     };
-    pending->processTimer = m_loop.timer(processExitTime, {}, [this, weak, conclude] {
+    pending->attempt.processTimer = m_loop.timer(processExitTime, {}, [this, weak, conclude] {
         if (const auto locked = weak.lock()) {
-            const auto timer =
-                std::exchange(locked->processTimer, nullptr); // kept until the end of this call
-            m_paths.checkProcess(locked->target, conclude);
+            m_paths.checkProcess(locked->attempt.target, conclude);
         }
     });
 }
 
-void front_task::concludeSend(const request_ptr &pending, const response_end &end, const error &why)
+void front_task::concludeSend(const request_ptr &pending)
 {
-    const std::string server = pending->server;
-    const send_result result = resultOf(end);
-    const bool ended = result == send_result::Complete || result == send_result::Unknown;
-    const bool answered =
-        ended && (pending->responseMeta.signedByServer || pending->responseMeta.notExecuted);
-    const bool notExecuted = answered && pending->responseMeta.notExecuted;
+    setStage(*pending, request_stage::Judged);
+    server_attempt &attempt = pending->attempt;
+    attempt.result = resultOf(attempt.end);
+    const bool ended = attempt.result == send_result::Complete || attempt.result == send_result::Unknown;
+    const bool answered = ended && (attempt.meta.signedByServer || attempt.meta.notExecuted);
+    const bool notExecuted = answered && attempt.meta.notExecuted;
     onPlainSendEnd(*pending, answered && !notExecuted);
-    const bool failed = !answered || (pending->responseHead.status >= firstServerError && !notExecuted);
+    const bool failed = !answered || (attempt.head.status >= firstServerError && !notExecuted);
     // An overloaded server is avoided like a failing one: on a route that allows only one server, its
     // requests would be refused each time. A missing adapter (421) is not held against the server.
-    const bool overloaded = notExecuted && pending->responseHead.status != misdirectedStatus;
+    const bool overloaded = notExecuted && attempt.head.status != misdirectedStatus;
     if (overloaded || !notExecuted) {
-        recordOutcome(m_serverHealth[server], failed || overloaded, bootNow());
+        recordOutcome(m_serverHealth[attempt.server], failed || overloaded, bootNow());
     }
-    if (result == send_result::NotSent || notExecuted) {
-        pending->unitsHeld = std::exchange(pending->unitsSpent, 0); // the request did not run
+    if (attempt.result == send_result::NotSent || notExecuted) {
+        pending->unitsHeld = std::exchange(attempt.unitsSpent, 0); // the request did not run
     }
-    if (result == send_result::NotSent) {
-        onUnsent(pending, why);
+    if (attempt.result == send_result::NotSent) {
+        recordNotSent(pending->progress, attempt.server);
+        onUnsent(pending);
         return;
     }
     if (!answered) {
-        onResponseBroken(pending, end, why);
+        onResponseBroken(pending);
         return;
     }
+    if (notExecuted) {
+        recordNotRun(pending->progress, attempt.server);
+    }
     // A failure doesn't show that the server would bear to begin a response.
     const bool responded =
-        isSuccess(pending->responseHead.status) && (!pending->streaming || pending->firstEventReceived);
-    if (!notExecuted && responded && (result == send_result::Complete || pending->serverSurvived)) {
+        isSuccess(attempt.head.status) && (!attempt.streaming || attempt.firstEventReceived);
+    if (!notExecuted && responded && (attempt.result == send_result::Complete || attempt.serverSurvived)) {
         m_crashes.onServerSurvived(pending->attributes);
     }
-    pending->mayHaveRun = pending->mayHaveRun || !notExecuted;
-    const bool adapterMissing = notExecuted && pending->usesModelServer && pending->granted;
-    if (isBrittleRejection(*pending) && peerUnderstandsFeatures(pending->owner)) {
+    const bool adapterMissing = notExecuted && pending->usesModelServer && attempt.granted;
+    if (isBrittleRejection(*pending) && peerUnderstandsFeatures(attempt.owner)) {
         reportRejection(*pending);
     } else {
         notifyOwner(*pending, adapterMissing ? slot_event::AdapterNotLoaded : slot_event::Ended);
     }
-    pending->responseResult = result;
     onResponseEnd(pending);
 }
 
-void front_task::onUnsent(const request_ptr &pending, const error &why)
+void front_task::onUnsent(const request_ptr &pending)
 {
     ++pending->unsentCount;
     notifyOwner(*pending, slot_event::NotSent);
     m_log.important("request.unsent")
         .add("id", pending->request.id)
-        .add("server", pending->server)
-        .add("why", why.detail);
-    pending->excludedServers.insert(pending->server);
-    pending->sentTo.erase(pending->server);
-    if (why.kind == error_kind::ConnectionLost) {
-        m_serverHealth[pending->server].unreachableAt = bootNow();
+        .add("server", pending->attempt.server)
+        .add("why", pending->attempt.endReason.detail);
+    pending->excludedServers.insert(pending->attempt.server);
+    if (pending->attempt.endReason.kind == error_kind::ConnectionLost) {
+        m_serverHealth[pending->attempt.server].unreachableAt = bootNow();
     }
     if (pending->unsentCount < maxUnsentAttempts) {
         dispatch(pending);
@@ -309,49 +315,60 @@
     }
 }
 
-void front_task::onResponseBroken(const request_ptr &pending, const response_end &end, const error &why)
+void front_task::onResponseBroken(const request_ptr &pending)
 {
-    pending->mayHaveRun = true;
-    const auto known = m_store.view().servers.find(pending->server);
+    const server_attempt &attempt = pending->attempt;
+    const auto known = m_store.view().servers.find(attempt.server);
     const bool restarted =
-        known != m_store.view().servers.end() && known->second.startedAtMs != pending->targetStartedAtMs;
+        known != m_store.view().servers.end() && known->second.startedAtMs != attempt.startedAtMs;
     // The server may have restarted before the request was sent, with the view one update behind.
     pending->versionUncertain = pending->versionUncertain || (restarted && pending->eventStream.anyEvent);
-    // Connections that a leaving or removed server closes don't count as crashes.
-    const server_access access = m_notices.accessOf(pending->server);
-    const bool notLeaving = access != server_access::Leaving && access != server_access::Removed;
-    if (resultOf(end) == send_result::Broken && notLeaving && isSuspect(pending->responding)) {
-        m_crashes.onResponseBroken(pending->attributes, pending->target);
+    if (attempt.result == send_result::Broken) {
+        reportSuspectedCrash(*pending);
     }
     notifyOwner(*pending, slot_event::Failed);
     m_log.important("request.broken")
         .add("id", pending->request.id)
         .add("fingerprint", contentKeyOf(pending->attributes))
-        .add("server", pending->server)
+        .add("server", pending->attempt.server)
         .add("route", pending->matchedRoute->name)
         .add("parts", partsText(*pending))
-        .add("status", pending->responseHead.status)
+        .add("status", pending->attempt.head.status)
         .add("begun", pending->headSent ? 1 : 0)
         .add("last_event", pending->eventStream.lastId)
         .add("framing", framingName(*pending))
-        .add("connection", nameOf(end.connection))
-        .add("rest_bytes", static_cast<std::int64_t>(pending->restBytes))
-        .add("why", why.detail.empty() ? "the response is not signed by the server" : why.detail);
+        .add("connection", nameOf(attempt.end.connection))
+        .add("rest_bytes", static_cast<std::int64_t>(pending->attempt.restBytes))
+        .add("why",
+            attempt.endReason.detail.empty() ? "the response is not signed by the server"
+                                             : attempt.endReason.detail);
     beginNextResponse(pending->eventStream);
-    pending->responseHead = {};
-    pending->responseBody.clear();
+    pending->attempt.head = {};
+    pending->attempt.body.clear();
     releaseHeld(*pending);
     retryBroken(pending);
 }
 
+/// Lets the crash task find out whether the server has crashed under the request, if that is likely.
+/// Connections that a leaving or removed server closes don't count as crashes.
+void front_task::reportSuspectedCrash(const pending_request &pending)
+{
+    const server_access access = m_notices.accessOf(pending.attempt.server);
+    const bool notLeaving = access != server_access::Leaving && access != server_access::Removed;
+    if (notLeaving && isSuspect(pending.attempt.responding)) {
+        m_crashes.onResponseBroken(pending.attributes, pending.attempt.target);
+    }
+}
+
 /// Retries a request whose response broke off, once it is known whether that makes it blocked.
 void front_task::retryBroken(const request_ptr &pending)
 {
-    if (mayRetry(*pending) && m_crashes.mayBecomeBlocked(pending->attributes)) {
+    if (repeatabilityOf(*pending) != repeatability::Never
+        && m_crashes.mayBecomeBlocked(pending->attributes)) {
         waitAndRetry(pending, &front_task::retryBroken);
         return;
     }
-    if (retryElsewhere(pending, true, "broken")) {
+    if (retryElsewhere(pending, "broken")) {
         return;
     }
     if (pending->headSent) {
@@ -365,24 +382,24 @@
 /// Handles a response that is whole, or whose end is unknown.
 void front_task::onResponseEnd(const request_ptr &pending)
 {
-    if (pending->responseMeta.notExecuted) {
-        if (!retryElsewhere(pending, false, "not run")) {
+    if (pending->attempt.meta.notExecuted) {
+        if (!retryElsewhere(pending, "not run")) {
             refuse(pending, "the server did not take it", earliestRetryAfter(*pending, retryAfterTransient));
         }
         return;
     }
-    if (pending->streaming) {
-        if (pending->responseResult == send_result::Complete) {
+    if (pending->attempt.streaming) {
+        if (pending->attempt.result == send_result::Complete) {
             m_origins.onStreamComplete(pending->request.id);
         }
         pending->reply->end();
-        finish(pending, servedOutcome(pending->responseResult));
+        finish(pending, servedOutcome(pending->attempt.result));
         return;
     }
-    if (pending->passesThrough) {
+    if (pending->attempt.passesThrough) {
         pending->reply->end();
         finish(pending,
-            isSuccess(pending->responseHead.status) ? servedOutcome(pending->responseResult)
+            isSuccess(pending->attempt.head.status) ? servedOutcome(pending->attempt.result)
                                                     : "server_failed");
         return;
     }
@@ -391,32 +408,35 @@
         finish(pending, "cut_off");
         return;
     }
-    const bool retryable = pending->responseHead.status >= firstServerError && mayRetry(*pending);
-    if (retryable) {
-        const http_head head = pending->responseHead;
-        const std::string body = pending->responseBody;
-        if (retryElsewhere(pending, true, "failed")) {
+    if (pending->attempt.head.status >= firstServerError
+        && repeatabilityOf(*pending) != repeatability::Never) {
+        pending->fallback = responseOf(pending->attempt);
+        if (retryElsewhere(pending, "failed")) {
             return;
         }
-        pending->responseHead = head;
-        pending->responseBody = body;
     }
-    forwardResponse(pending);
+    forwardResponse(pending, responseOf(pending->attempt));
+}
+
+front_task::server_response front_task::responseOf(const server_attempt &attempt)
+{
+    return {attempt.head, attempt.body, attempt.result};
 }
 
-void front_task::forwardResponse(const request_ptr &pending)
+/// Sends a response that has been held back to the caller.
+void front_task::forwardResponse(const request_ptr &pending, const server_response &response)
 {
     record(m_counters.firstResponse, static_cast<double>((bootNow() - pending->arrived).count));
-    const int status = pending->responseHead.status;
-    const auto fields = m_codec.responseFields(pending->responseHead);
-    if (pending->responseResult == send_result::Unknown) {
+    const int status = response.head.status;
+    const auto fields = m_codec.responseFields(response.head);
+    if (response.result == send_result::Unknown) {
         pending->reply->begin(status, fields, body_framing::Connection);
-        pending->reply->write(pending->responseBody);
+        pending->reply->write(response.body);
         pending->reply->end();
     } else {
-        pending->reply->respond(status, fields, pending->responseBody);
+        pending->reply->respond(status, fields, response.body);
     }
-    finish(pending, isSuccess(status) ? servedOutcome(pending->responseResult) : "server_failed");
+    finish(pending, isSuccess(status) ? servedOutcome(response.result) : "server_failed");
 }
 
 }
--- a/packages/serving/front_route.cpp
+++ b/packages/serving/front_route.cpp
@@ -82,7 +82,7 @@
     const bool anyUnreachable = std::any_of(servers.begin(), servers.end(), [this](const auto *each) {
         return isUnreachable(each->id);
     });
-    const bool noneUsable = !chosen && pending->excludedServers.empty() && !pending->mayHaveRun
+    const bool noneUsable = !chosen && pending->excludedServers.empty() && !mayHaveRun(pending->progress)
         && !lacksPermit(*pending) && !allServersClosed(*pending) && !anyUnreachable;
     if (noneUsable && bootNow() - pending->arrived < startupMaxWait) {
         // No heartbeat from any owner yet: this daemon has just started, or the owners have died.
@@ -98,10 +98,7 @@
     const auto observed = m_observed.find(server.id);
     const bool hasHeartbeat = observed != m_observed.end();
     const std::string owner = hasHeartbeat ? observed->second.owner : unobservedOwner(server.id);
-    pending->server = server.id;
-    pending->granted = false;
-    pending->slotRequestsSent = 0;
-    pending->slotRequestedAt = bootNow();
+    beginAttempt(*pending, server.id);
     m_log.ordinary("request.routed")
         .add("id", pending->request.id)
         .add("server", server.id)
@@ -125,16 +122,14 @@
     ++pending->serversTried;
     if (hasHeartbeat && !isFresh(observed->second, bootNow())) {
         // The owner is gone and has no successor yet. Resident adapters can be served without a slot.
-        pending->owner.clear();
-        pending->adapterVersion = 0;
         send(pending, server);
         return;
     }
-    pending->owner = owner;
+    pending->attempt.owner = owner;
     if (const auto limit = m_limits.find(server.id); limit != m_limits.end()) {
         countPermitRequest(limit->second, bootNow());
     }
-    sendSlotRequest(pending);
+    requestSlot(pending);
 }
 
 /// The owner, according to the store, of a server in another heartbeat group. Empty if it has no live owner,
@@ -151,23 +146,31 @@
     return isAlive ? found->second.record.node : "";
 }
 
+/// Requests a slot or permit for the current attempt from its server's owner.
+void front_task::requestSlot(const request_ptr &pending)
+{
+    setStage(*pending, request_stage::AwaitingSlot);
+    pending->attempt.slotRequestedAt = bootNow();
+    sendSlotRequest(pending);
+}
+
 void front_task::sendSlotRequest(const request_ptr &pending)
 {
-    ++pending->slotRequestsSent;
+    ++pending->attempt.slotRequestsSent;
     ++m_counters.slotRequests;
     m_numberByRequestId[pending->request.id] = pending->number;
     const millis waited = bootNow() - pending->arrived;
     const std::int64_t wait = slotWaitLeft(*pending).count;
-    slot_request message{pending->request.id, pending->server, pending->request.model,
+    slot_request message{pending->request.id, pending->attempt.server, pending->request.model,
         pending->request.adapter, pending->request.promptTokens, pending->request.outputTokens,
         rankOf(*pending->matchedRoute, pending->account), std::max<std::int64_t>(wait, 0),
         std::max<std::int64_t>(timeLeft(*pending).count, 0), (pending->matchedRoute->target - waited).count,
         -1, 0};
-    if (const auto limit = m_limits.find(pending->server); limit != m_limits.end()) {
+    if (const auto limit = m_limits.find(pending->attempt.server); limit != m_limits.end()) {
         message.limitMilli = toMilli(limit->second.perSecond);
         message.limitAgeMs = (bootNow() - limit->second.receivedAt).count;
     }
-    pending->slotRequestTimer =
+    pending->attempt.slotRequestTimer =
         m_loop.timer(slotRequestTimeout, {}, [this, weak = std::weak_ptr<pending_request>(pending)] {
             if (const auto locked = weak.lock()) {
                 resendSlotRequest(locked);
@@ -175,26 +178,26 @@
         });
     const slot_terms terms = termsOf(*pending);
     const bool extended = anyFeature(featuresFor(pending->service)) || terms.maxRejections >= 0;
-    if (extended && peerUnderstandsFeatures(pending->owner)) {
-        sendToOwner(pending->owner, extended_slot_request{message, encodeTerms(terms)});
+    if (extended && peerUnderstandsFeatures(pending->attempt.owner)) {
+        sendToOwner(pending->attempt.owner, extended_slot_request{message, encodeTerms(terms)});
     } else {
-        sendToOwner(pending->owner, message);
+        sendToOwner(pending->attempt.owner, message);
     }
 }
 
 slot_terms front_task::termsOf(const pending_request &pending) const
 {
-    const auto limit = m_limits.find(pending.server);
+    const auto limit = m_limits.find(pending.attempt.server);
     return {pending.matchedRoute->maxGap, pending.matchedRoute->rank,
         limit == m_limits.end() ? -1 : limit->second.maxRejections.value_or(-1)};
 }
 
 void front_task::resendSlotRequest(const request_ptr &pending)
 {
-    if (pending->granted || pending->activeSend) {
+    if (pending->progress.stage != request_stage::AwaitingSlot) {
         return;
     }
-    if (pending->slotRequestsSent < maxSlotRequestsPerServer) {
+    if (pending->attempt.slotRequestsSent < maxSlotRequestsPerServer) {
         sendSlotRequest(pending);
     } else {
         onSlotRequestUnanswered(pending);
@@ -205,12 +208,12 @@
 {
     m_log.important("place.no_answer")
         .add("id", pending->request.id)
-        .add("server", pending->server)
-        .add("orderer", pending->owner)
-        .add("asks", pending->slotRequestsSent);
+        .add("server", pending->attempt.server)
+        .add("orderer", pending->attempt.owner)
+        .add("asks", pending->attempt.slotRequestsSent);
     notifyOwner(*pending, slot_event::Ended);
-    pending->excludedServers.insert(pending->server);
-    if (const auto limit = m_limits.find(pending->server); limit != m_limits.end()) {
+    pending->excludedServers.insert(pending->attempt.server);
+    if (const auto limit = m_limits.find(pending->attempt.server); limit != m_limits.end()) {
         // Keep the next requests from waiting for this owner too.
         limit->second.nextPermitAt = bootNow() + unresponsiveOwnerBackoff;
     }
@@ -229,18 +232,16 @@
     const auto number = m_numberByRequestId.find(response.id);
     const auto found =
         number == m_numberByRequestId.end() ? m_requests.end() : m_requests.find(number->second);
-    const bool isWaiting = found != m_requests.end() && found->second->server == response.server
-        && !found->second->granted && !found->second->activeSend;
-    if (!isWaiting) {
-        const bool isObsolete = found == m_requests.end() || found->second->server != response.server;
-        if (response.decision == slot_decision::Granted && isObsolete) {
-            // The request has ended or uses another server: release the granted slot.
-            pending_request ended;
-            ended.request.id = response.id;
-            ended.server = response.server;
+    const bool concernsAttempt =
+        found != m_requests.end() && found->second->attempt.server == response.server;
+    if (!concernsAttempt || found->second->progress.stage != request_stage::AwaitingSlot) {
+        const bool isInUse = concernsAttempt
+            && (found->second->progress.stage == request_stage::AwaitingUnits
+                || isAtServer(found->second->progress));
+        if (response.decision == slot_decision::Granted && !isInUse) {
             const auto observed = m_observed.find(response.server);
-            ended.owner = observed == m_observed.end() ? "" : observed->second.owner;
-            notifyOwner(ended, slot_event::NotSent);
+            const std::string owner = observed == m_observed.end() ? "" : observed->second.owner;
+            reportSlot(owner, {response.id, response.server, slot_event::NotSent});
         }
         return;
     }
@@ -248,8 +249,8 @@
     switch (response.decision) {
     case slot_decision::Queued:
         // The grant may get lost, so keep repeating the request, but less often.
-        pending->slotRequestsSent = 1;
-        pending->slotRequestTimer = m_loop.timer(slotRequestTimeout + slotRequestTimeout, {},
+        pending->attempt.slotRequestsSent = 1;
+        pending->attempt.slotRequestTimer = m_loop.timer(slotRequestTimeout + slotRequestTimeout, {},
             [this, weak = std::weak_ptr<pending_request>(pending)] {
                 if (const auto locked = weak.lock()) {
                     resendSlotRequest(locked);
@@ -257,12 +258,12 @@
             });
         return;
     case slot_decision::Granted: {
-        pending->slotRequestTimer.reset();
-        pending->granted = true;
-        pending->adapterVersion = response.adapterVersion;
-        pending->slotWait = bootNow() - pending->slotRequestedAt;
-        record(m_counters.slotWait, static_cast<double>(pending->slotWait.count));
-        const auto server = m_store.view().servers.find(pending->server);
+        pending->attempt.slotRequestTimer.reset();
+        pending->attempt.granted = true;
+        pending->attempt.adapterVersion = response.adapterVersion;
+        pending->attempt.slotWait = bootNow() - pending->attempt.slotRequestedAt;
+        record(m_counters.slotWait, static_cast<double>(pending->attempt.slotWait.count));
+        const auto server = m_store.view().servers.find(pending->attempt.server);
         if (server == m_store.view().servers.end()) {
             dispatchElsewhere(pending, slot_event::NotSent);
             return;
@@ -271,7 +272,7 @@
         return;
     }
     case slot_decision::Refused:
-        pending->slotRequestTimer.reset();
+        pending->attempt.slotRequestTimer.reset();
         m_log.ordinary("place.refused")
             .add("id", pending->request.id)
             .add("server", response.server)
@@ -289,11 +290,14 @@
 
 void front_task::notifyOwner(const pending_request &pending, slot_event event)
 {
-    if (pending.owner.empty()) {
-        return;
+    reportSlot(pending.attempt.owner, {pending.request.id, pending.attempt.server, event});
+}
+
+void front_task::reportSlot(const std::string &owner, const slot_report &report)
+{
+    if (!owner.empty()) {
+        sendToOwner(owner, report);
     }
-    const slot_report message{pending.request.id, pending.server, event};
-    sendToOwner(pending.owner, message);
 }
 
 void front_task::onHeartbeat(const std::string &node, const fleet_heartbeat &heartbeat)
@@ -327,13 +331,13 @@
 {
     for (const auto &[number, pending] : m_requests) {
         const bool counted = pending->usesModelServer || m_limits.count(server) != 0;
-        if (!counted || pending->server != server || !pending->activeSend) {
+        if (!counted || pending->attempt.server != server || !isAtServer(pending->progress)) {
             continue;
         }
-        pending->owner = owner;
+        pending->attempt.owner = owner;
         const running_request message{pending->request.id, server, pending->request.model,
             pending->request.adapter, pending->request.promptTokens, pending->request.outputTokens,
-            !pending->firstEventReceived, timeLeft(*pending).count};
+            !pending->attempt.firstEventReceived, timeLeft(*pending).count};
         sendToOwner(owner, message);
     }
 }
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -178,7 +178,7 @@
     }
     pending->reply->onDisconnect([this, weak = std::weak_ptr<pending_request>(pending)] {
         if (const auto locked = weak.lock()) {
-            abandonServer(locked, slot_event::Ended);
+            abandonServer(locked);
             finish(locked, "caller_left");
         }
     });
@@ -273,7 +273,8 @@
 void front_task::startDispatch(const request_ptr &pending)
 {
     acquireUnits(pending, [this, weak = std::weak_ptr<pending_request>(pending)] {
-        if (const auto locked = weak.lock()) {
+        const auto locked = weak.lock();
+        if (locked && locked->progress.stage == request_stage::Choosing) {
             dispatch(locked);
         }
     });
@@ -284,21 +285,34 @@
     return pending.deadlineAt - bootNow();
 }
 
-/// Whether the route's limit on servers per request allows another one.
-bool front_task::mayTryAnotherServer(const pending_request &pending) const
+/// The only place that changes a request's stage. A change that is not allowed is not made.
+void front_task::setStage(pending_request &pending, request_stage next)
 {
-    return static_cast<int>(pending.sentTo.size()) < pending.matchedRoute->maxServers;
+    const request_stage before = pending.progress.stage;
+    if (changeStage(pending.progress, next)) {
+        return;
+    }
+    ++m_counters.stageChangesForbidden;
+    m_log.important("stage.forbidden")
+        .add("id", pending.request.id)
+        .add("stage", nameOf(before))
+        .add("next", nameOf(next));
 }
 
-bool front_task::mayRetry(const pending_request &pending) const
+/// The request, if it still stands at this stage of this attempt.
+front_task::request_ptr front_task::lockAt(
+    const std::weak_ptr<pending_request> &weak, std::uint64_t attempt, request_stage stage)
 {
-    return (pending.matchedRoute->kind == route_kind::Idempotent && !pending.passesThrough)
-        || (pending.matchedRoute->kind == route_kind::Stream && pending.matchedRoute->resumable
-            && canResume(pending.eventStream) && !pending.versionUncertain);
+    const auto locked = weak.lock();
+    return locked && locked->attempt.number == attempt && locked->progress.stage == stage ? locked : nullptr;
 }
 
 void front_task::dispatch(const request_ptr &pending)
 {
+    if (!maySendNow(pending, objectionTo(*pending))) {
+        return;
+    }
+    setStage(*pending, request_stage::Choosing);
     if (refuseWithoutVersion(pending)) {
         return;
     }
@@ -329,7 +343,7 @@
     m_crashes.requestProbe(
         pending->attributes, [this, weak = std::weak_ptr<pending_request>(pending)](bool granted) {
             const auto locked = weak.lock();
-            if (!locked) {
+            if (!locked || locked->progress.stage != request_stage::Choosing) {
                 return;
             }
             locked->isProbe = granted;
@@ -348,7 +362,7 @@
     std::vector<request_ptr> waiting;
     for (const auto &[number, pending] : m_requests) {
         const bool matches = hasAttribute(pending->attributes, event.attribute) && isBlocked(*pending);
-        if (matches && !pending->activeSend) {
+        if (matches && isBeforeSend(pending->progress)) {
             waiting.push_back(pending);
         }
     }
@@ -360,9 +374,10 @@
 
 void front_task::waitAndRetry(const request_ptr &pending, void (front_task::*step)(const request_ptr &))
 {
-    pending->slotRequestTimer =
-        m_loop.timer(startupPollInterval, {}, [this, step, weak = std::weak_ptr<pending_request>(pending)] {
-            if (const auto locked = weak.lock()) {
+    pending->retryTimer = m_loop.timer(startupPollInterval, {},
+        [this, step, weak = std::weak_ptr<pending_request>(pending), stage = pending->progress.stage] {
+            const auto locked = weak.lock();
+            if (locked && locked->progress.stage == stage) {
                 (this->*step)(locked);
             }
         });
@@ -370,12 +385,11 @@
 
 void front_task::onDeadline(const request_ptr &pending)
 {
-    const bool sent = pending->activeSend.has_value();
-    abandonServer(pending, slot_event::Ended);
+    abandonServer(pending);
     if (pending->headSent) {
         pending->reply->abort();
         finish(pending, "late_stream");
-    } else if (sent) {
+    } else if (mayHaveRun(pending->progress)) {
         fail(pending, 504, "no answer in time");
     } else {
         refuse(pending, "no place in time", retryAfterTransient);
@@ -391,7 +405,7 @@
         finish(pending, "cut_off");
         return;
     }
-    if (pending->mayHaveRun) {
+    if (mayHaveRun(pending->progress)) {
         fail(pending, 502, reason);
         return;
     }
@@ -420,6 +434,8 @@
 
 void front_task::finish(const request_ptr &pending, const std::string &outcome)
 {
+    const request_stage stage = pending->progress.stage;
+    setStage(*pending, request_stage::Finished);
     releaseHeld(*pending);
     const std::string kind(
         pending->matchedRoute == nullptr ? "unrouted" : nameOf(pending->matchedRoute->kind));
@@ -429,22 +445,25 @@
     (served ? m_log.ordinary("request.ended") : m_log.important("request.ended"))
         .add("id", pending->request.id)
         .add("outcome", outcome)
-        .add("server", pending->server)
-        .add("status", pending->responseHead.status)
+        .add("stage", nameOf(stage))
+        .add("server", pending->attempt.server)
+        .add("status", pending->attempt.head.status)
         .add("framing", framingName(*pending))
-        .add("rest_bytes", static_cast<std::int64_t>(pending->restBytes))
+        .add("rest_bytes", static_cast<std::int64_t>(pending->attempt.restBytes))
         .add("route", pending->matchedRoute == nullptr ? std::string() : pending->matchedRoute->name)
         .add("prompt_tokens", pending->request.promptTokens)
-        .add("place_ms", pending->slotWait)
+        .add("place_ms", pending->attempt.slotWait)
         .add("first_ms", pending->firstEventDelay)
-        .add("read_ms", pending->promptReadTime)
+        .add("read_ms", pending->attempt.promptReadTime)
         .add("pause_ms", pending->longestEventGap)
         .add("ms", bootNow() - pending->arrived);
     returnUnits(*pending);
     pending->deadlineTimer.reset();
-    pending->slotRequestTimer.reset();
-    pending->inactivityTimer.reset();
-    pending->processTimer.reset();
+    pending->retryTimer.reset();
+    pending->attempt.confirmTimer.reset();
+    pending->attempt.slotRequestTimer.reset();
+    pending->attempt.inactivityTimer.reset();
+    pending->attempt.processTimer.reset();
     const auto number = m_numberByRequestId.find(pending->request.id);
     if (number != m_numberByRequestId.end() && number->second == pending->number) {
         m_numberByRequestId.erase(number);
@@ -455,9 +474,9 @@
 /// How the server framed its latest response, for the log; empty without one.
 std::string_view front_task::framingName(const pending_request &pending)
 {
-    return pending.responseHead.status == 0
+    return pending.attempt.head.status == 0
         ? std::string_view()
-        : nameOf(framingOf(pending.responseHead, pending.request.head.method == "HEAD"));
+        : nameOf(framingOf(pending.attempt.head, pending.request.head.method == "HEAD"));
 }
 
 bool front_task::knowsAnyOwner() const
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/quota_task.h"
+#include "coordination/request_progress.h"
 #include "scheduling/choose_plain_server.h"
 #include "scheduling/connection_subset.h"
 #include "scheduling/heartbeat_groups.h"
@@ -62,6 +63,8 @@
     std::uint64_t sends = 0; ///< requests sent to servers, including retries
     std::uint64_t retries = 0;
     std::uint64_t retriesDenied = 0; ///< because the retry budget was exhausted
+    std::uint64_t sendsForbidden = 0; ///< sends that a handler asked for and the request's state forbids
+    std::uint64_t stageChangesForbidden = 0; ///< changes of a request's stage that are not allowed
     std::uint64_t slotRequests = 0; ///< messages sent, including repetitions
     std::uint64_t oversized = 0; ///< responses cut off for their size
     std::uint64_t unreadableParts = 0; ///< requests whose list of prompt parts is malformed
@@ -108,6 +111,8 @@
 
 private:
     struct pending_request;
+    struct server_attempt;
+    struct server_response;
     using request_ptr = std::shared_ptr<pending_request>;
     /// The plain servers of a service, and which of them this daemon keeps connections to.
     struct plain_service
@@ -144,6 +149,9 @@
     void returnUnits(pending_request &pending);
     void acquireUnitsAndSend(const request_ptr &pending);
     account_counters &countersOf(const client_account &account);
+    void setStage(pending_request &pending, request_stage next);
+    static request_ptr lockAt(
+        const std::weak_ptr<pending_request> &weak, std::uint64_t attempt, request_stage stage);
     void waitAndRetry(const request_ptr &pending, void (front_task::*step)(const request_ptr &));
     void dispatch(const request_ptr &pending);
     void dispatchPlain(const request_ptr &pending);
@@ -174,12 +182,19 @@
     void reportLimit(const pending_request &pending);
     bool isBrittleRejection(const pending_request &pending) const;
     void reportRejection(const pending_request &pending);
+    void requestSlot(const request_ptr &pending);
     void sendSlotRequest(const request_ptr &pending);
     void resendSlotRequest(const request_ptr &pending);
     slot_terms termsOf(const pending_request &pending) const;
     service_features featuresFor(const std::string &service) const;
     void onSlotRequestUnanswered(const request_ptr &pending);
+    server_attempt &beginAttempt(pending_request &pending, const std::string &server);
+    static repeatability repeatabilityOf(const pending_request &pending);
+    static send_objection objectionTo(const pending_request &pending);
+    bool maySendNow(const request_ptr &pending, send_objection objection);
     void send(const request_ptr &pending, const backend_server &server);
+    send_handlers sendHandlers(const request_ptr &pending);
+    void watchForInactivity(const request_ptr &pending);
     bool onResponseHead(const request_ptr &pending, const http_head &head);
     void onResponseLimit(const pending_request &pending);
     void onResponseBody(const request_ptr &pending, const std::string &bytes);
@@ -191,29 +206,30 @@
     bool holdsTooMuch(const pending_request &pending) const;
     void releaseHeld(pending_request &pending);
     void onSendEnd(const request_ptr &pending, response_end end, const error &why);
-    void checkServerProcess(const request_ptr &pending, const response_end &end, const error &why);
-    void concludeSend(const request_ptr &pending, const response_end &end, const error &why);
-    void onUnsent(const request_ptr &pending, const error &why);
+    void checkServerProcess(const request_ptr &pending);
+    void concludeSend(const request_ptr &pending);
+    void onUnsent(const request_ptr &pending);
     void onResponseEnd(const request_ptr &pending);
-    void onResponseBroken(const request_ptr &pending, const response_end &end, const error &why);
+    void onResponseBroken(const request_ptr &pending);
+    void reportSuspectedCrash(const pending_request &pending);
     void retryBroken(const request_ptr &pending);
     void onServerUnresponsive(const request_ptr &pending);
     void onDeadline(const request_ptr &pending);
-    bool retryElsewhere(const request_ptr &pending, bool mayHaveRun, const char *reason);
-    void forwardResponse(const request_ptr &pending);
+    bool retryElsewhere(const request_ptr &pending, const char *reason);
+    static server_response responseOf(const server_attempt &attempt);
+    void forwardResponse(const request_ptr &pending, const server_response &response);
     void refuse(const request_ptr &pending, const char *reason, millis retryAfter, int status = 503);
     void fail(const request_ptr &pending, int status, const char *reason);
     void finish(const request_ptr &pending, const std::string &outcome);
     static std::string_view framingName(const pending_request &pending);
     static std::string partsText(const pending_request &pending);
-    void abandonServer(const request_ptr &pending, slot_event event);
+    void abandonServer(const request_ptr &pending);
     void announceRunning(const std::string &server, const std::string &orderer);
     void notifyOwner(const pending_request &pending, slot_event event);
+    void reportSlot(const std::string &owner, const slot_report &report);
     template <class message_type>
     void sendToOwner(const std::string &owner, const message_type &message);
     millis timeLeft(const pending_request &pending) const;
-    bool mayTryAnotherServer(const pending_request &pending) const;
-    bool mayRetry(const pending_request &pending) const;
 
     loop &m_loop;
     store_task &m_store;
@@ -245,6 +261,7 @@
     bool m_plainMembersCurrent = false; ///< m_plainServices has the members of the store's view
     announced_limits &m_limits; ///< owned by m_notices
     std::uint64_t m_lastNumber = 0;
+    std::uint64_t m_lastAttempt = 0;
     std::size_t m_heldBytes = 0; ///< of all responses that are held back
     std::size_t m_heartbeatGroups = 1; ///< number of heartbeat groups in this daemon's failure domain
     bool m_accepting = true;
--- a/packages/serving/front_version.cpp
+++ b/packages/serving/front_version.cpp
@@ -19,7 +19,7 @@
     m_origins.find(pending->request.resumes, pending->service,
         [this, weak = std::weak_ptr<pending_request>(pending)](const std::optional<stream_origin> &origin) {
             const auto locked = weak.lock();
-            if (locked && m_requests.count(locked->number) != 0) {
+            if (locked && locked->progress.stage == request_stage::Choosing) {
                 onStreamOrigin(locked, origin);
             }
         });
@@ -67,11 +67,11 @@
 /// Binds a stream to the version of the server that brought its first event.
 void front_task::onFirstEvent(pending_request &pending)
 {
-    const auto known = m_store.view().servers.find(pending.server);
+    const auto known = m_store.view().servers.find(pending.attempt.server);
     pending.versionUncertain = known != m_store.view().servers.end()
-        && (known->second.softwareVersion != pending.targetVersion
-            || known->second.startedAtMs != pending.targetStartedAtMs);
-    pending.origin = stream_origin{pending.service, pending.targetVersion};
+        && (known->second.softwareVersion != pending.attempt.softwareVersion
+            || known->second.startedAtMs != pending.attempt.startedAtMs);
+    pending.origin = stream_origin{pending.service, pending.attempt.softwareVersion};
     if (pending.matchedRoute->resumable && !pending.versionUncertain) {
         m_origins.onStreamBegan(pending.request.id, *pending.origin);
     }
@@ -81,11 +81,11 @@
 /// restart at another version may not have reached this daemon's view of the store.
 void front_task::confirmServer(const request_ptr &pending)
 {
-    pending->held.emplace();
+    pending->attempt.held.emplace();
     const std::weak_ptr<pending_request> weak = pending;
-    const auto conclude = [this, weak, sentAt = pending->sentAt](bool confirmed) {
-        const auto locked = weak.lock();
-        if (locked && locked->held && locked->sentAt == sentAt) {
+    const auto conclude = [this, weak, number = pending->attempt.number](bool confirmed) {
+        const auto locked = lockAt(weak, number, request_stage::Sent);
+        if (locked && locked->attempt.held) {
             onServerConfirmed(locked, confirmed);
         }
     };
@@ -97,45 +97,47 @@
     handlers.onBody = [body](const std::string &bytes) {
         *body += bytes;
     };
-    handlers.onEnd = [this, body, conclude, startedAtMs = pending->targetStartedAtMs](
+    handlers.onEnd = [this, body, conclude, startedAtMs = pending->attempt.startedAtMs](
                          const response_end &, const error &) {
         error why;
         const auto report = m_codec.readReport(*body, why); // which has to parse as a whole
         conclude(report && report->startedAtMs == startedAtMs);
     };
-    path_request request{
-        pending->request.id, pending->server, pending->granted, false, true, bootNow() + confirmTimeout, {}};
-    request.write = [this, server = pending->server]() -> std::optional<std::string> {
+    path_request request{pending->request.id, pending->attempt.server, pending->attempt.granted, false, true,
+        bootNow() + confirmTimeout, {}};
+    request.write = [this, server = pending->attempt.server]() -> std::optional<std::string> {
         const auto known = m_store.view().servers.find(server);
         return known == m_store.view().servers.end()
             ? std::nullopt
             : std::optional(m_codec.writeReportRequest(known->second));
     };
     m_paths.start(std::move(request), std::move(handlers));
-    pending->confirmTimer = m_loop.timer(confirmTimeout, {}, [conclude] {
+    pending->attempt.confirmTimer = m_loop.timer(confirmTimeout, {}, [conclude] {
         conclude(false);
     });
 }
 
 void front_task::onServerConfirmed(const request_ptr &pending, bool confirmed)
 {
-    const auto timer = std::exchange(pending->confirmTimer, nullptr); // kept until the end of this call
-    const pending_request::held_response held = *std::exchange(pending->held, std::nullopt);
+    const auto timer =
+        std::exchange(pending->attempt.confirmTimer, nullptr); // kept until the end of this call
+    const server_attempt::held_response held = *std::exchange(pending->attempt.held, std::nullopt);
     if (!confirmed) {
         m_log.important("stream.unconfirmed")
             .add("id", pending->request.id)
-            .add("server", pending->server)
-            .add("software", pending->targetVersion);
-        m_paths.cancel(*pending->activeSend);
+            .add("server", pending->attempt.server)
+            .add("software", pending->attempt.softwareVersion);
+        m_paths.cancel(pending->attempt.sendId);
         onSendEnd(pending, brokenEnd(connection_end::Open),
-            {error_kind::NoServer, pending->server, "it may have restarted at another software version"});
+            {error_kind::NoServer, pending->attempt.server,
+                "it may have restarted at another software version"});
         return;
     }
     beginReply(*pending);
     if (!held.body.empty()) {
         onResponseBody(pending, held.body);
     }
-    if (held.end && pending->activeSend) {
+    if (held.end && pending->progress.stage == request_stage::Sent) {
         onSendEnd(pending, held.end->first, held.end->second);
     }
 }
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -223,11 +223,14 @@
 
 void backend_standin::respondToHeld(const std::string &body)
 {
-    for (const auto &[requestId, reply] : m_held) {
+    for (const auto &[requestId, reply] : std::exchange(m_held, {})) {
+        if (ending) {
+            respondWithEnding(*reply, requestId, 0);
+            continue;
+        }
         reply->respond(
             200, {{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id}}, body);
     }
-    m_held.clear();
 }
 
 void backend_standin::crash()
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -52,7 +52,7 @@
     int brittleCrashes = 0;
     std::vector<millis> brittleRejections; ///< while crashes are possible, since the last crash
 
-    /// Responds to the requests that were received while Silent.
+    /// Responds to the requests that were received while Silent, as `ending` says if it is set.
     void respondToHeld(const std::string &body);
     /// Closes the listening socket and the connections of held streams in order, as the kernel does for a
     /// process that has crashed.
--- a/tests/serving/edge_process_test.cpp
+++ b/tests/serving/edge_process_test.cpp
@@ -1,6 +1,7 @@
 #include "ctl/story.h"
 #include "protocol/codec.h"
 #include "serving/backend_standin.h"
+#include "serving/fault_proxy.h"
 #include "serving/store_standin.h"
 #include "unit/http_fixture.h"
 
@@ -175,6 +176,32 @@
     EXPECT_EQ(exitStatus(), 0) << logText();
 }
 
+// Guards against a process that exits while it checks whether a response is whole: its caller would lose it.
+TEST_F(edge_process_test, TerminatedProcessCompletesTheCheckOfAResponsesEnd)
+{
+    fault_proxy link(m_loop, m_plain.port);
+    m_plain.advertisedPort = link.port();
+    m_store.put("servers/p-1", m_plain.entry());
+    startProcess();
+    m_plain.currentBehavior = behavior::Silent;
+    m_plain.ending = response_ending{body_framing::Connection, {}, false};
+    const auto caller = sendRequest("/once/x", false);
+    ASSERT_TRUE(runUntil([&] {
+        return m_plain.ran.size() == 1;
+    }));
+    kill(m_pid, SIGTERM);
+    ASSERT_TRUE(runUntil([&] {
+        return m_store.items.count("briarhead/daemon/n1") == 0;
+    })) << logText();
+    link.setFault(link_fault::HangsNew);
+    m_plain.respondToHeld("");
+    const std::string response = readResponse(*caller);
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << response;
+    EXPECT_TRUE(response.ends_with("served by p-1")) << response;
+    EXPECT_EQ(exitStatus(), 0) << logText();
+    EXPECT_EQ(m_plain.ran.size(), 1U);
+}
+
 // After a kill the store still has the process's ownership records. The restarted process must not have to
 // wait for their lease to expire.
 TEST_F(edge_process_test, RestartedProcessTakesItsServersAtOnceWithAHigherFencingToken)
--- a/tests/serving/fault_proxy.cpp
+++ b/tests/serving/fault_proxy.cpp
@@ -134,6 +134,7 @@
     }
     switch (fault) {
     case link_fault::Hangs:
+    case link_fault::HangsNew:
         listenOnPort(0);
         return;
     case link_fault::Refused:
--- a/tests/serving/fault_proxy.h
+++ b/tests/serving/fault_proxy.h
@@ -22,6 +22,7 @@
     Hangs, ///< bytes vanish, both ways; new connections are never established
     Refused, ///< connections are reset, new ones are refused
     RefusesNew, ///< connections live on, new ones are refused
+    HangsNew, ///< connections live on, new ones are never established
 };
 
 /// Passes TCP connections on to a port of the loopback, and harms them on demand. Bytes that were held up by
--- a/tests/serving/other_daemon.h
+++ b/tests/serving/other_daemon.h
@@ -80,6 +80,7 @@
     std::vector<slot_request> slotRequests;
     std::vector<limit_report> limitReports;
     std::vector<slot_report> slotEvents;
+    std::vector<running_request> running;
     std::vector<server_notice> notices;
     std::vector<plain_load> plainLoads; ///< from the latest load heartbeat
     slot_response lastResponse;
@@ -95,10 +96,14 @@
             lastResponse = *response;
         } else if (const auto *request = std::get_if<slot_request>(&datagram.body)) {
             slotRequests.push_back(*request);
+        } else if (const auto *extended = std::get_if<extended_slot_request>(&datagram.body)) {
+            slotRequests.push_back(extended->request);
         } else if (const auto *limitReport = std::get_if<limit_report>(&datagram.body)) {
             limitReports.push_back(*limitReport);
         } else if (const auto *slotEvent = std::get_if<slot_report>(&datagram.body)) {
             slotEvents.push_back(*slotEvent);
+        } else if (const auto *run = std::get_if<running_request>(&datagram.body)) {
+            running.push_back(*run);
         } else if (const auto *notice = std::get_if<server_notice>(&datagram.body)) {
             notices.push_back(*notice);
         } else if (const auto *loads = std::get_if<extended_heartbeat>(&datagram.body)) {
