Keep what a caller has of a response over all sends of its request

What callers saw: servers that send 400,000 bytes that are no events in the place of a stream that may be resumed, and break off.

Cause: headSent and passesThrough each said in part what had gone out. The repetition of an idempotent request asked the second, that of a resumable stream neither: it asked whether its events could be continued, and no event always can. send() reset passesThrough, and beginReply() kept the first server's head. Evidence: 256 KiB and the head are with the caller before the second request.sent, which names no event to go on after; a body of 10,000 bytes, which is held back, is replaced as a whole. Ruled out: bodies that are joined while they are held back (the caller has the bytes before); bytes taken for events (under the type of events they are held and dropped). Change: request_progress::callerHas: nothing, events, or bytes that only the same server can continue. It only grows. objectionToSend() and mayRepeat() ask it for every kind of request; the inactivity timeout and the break of silent connections behind a cut ask at their own time instead of that of the send. continuesReply() holds each byte for the caller against the attempt whose head it has (reply.mixed, replies_mixed_total). Why: the one fact that all ways to another server ask can't be lowered by a send.

--- a/packages/coordination/request_progress.cpp
+++ b/packages/coordination/request_progress.cpp
@@ -48,7 +48,7 @@
 std::string_view nameOf(send_objection value)
 {
     static constexpr std::array<std::string_view, static_cast<std::size_t>(lastOf(send_objection{})) + 1>
-        names{"none", "in_progress", "may_have_run", "servers_used_up", "same_server"};
+        names{"none", "in_progress", "caller_has_bytes", "may_have_run", "servers_used_up", "same_server"};
     return names[static_cast<std::size_t>(value)];
 }
 
@@ -93,6 +93,22 @@
     progress.mayHaveRunOn.erase(server);
 }
 
+void recordForwarded(request_progress &progress, caller_content content)
+{
+    progress.callerHas = std::max(progress.callerHas, content);
+}
+
+bool canBeContinued(const request_progress &progress, repeatability repeats)
+{
+    return progress.callerHas == caller_content::Nothing
+        || (progress.callerHas == caller_content::Events && repeats == repeatability::AfterLastEvent);
+}
+
+bool mayRepeat(const request_progress &progress, repeatability repeats)
+{
+    return repeats != repeatability::Never && canBeContinued(progress, repeats);
+}
+
 bool mayHaveRun(const request_progress &progress)
 {
     return !progress.mayHaveRunOn.empty();
@@ -108,6 +124,9 @@
     if (!isBeforeSend(progress)) {
         return send_objection::InProgress;
     }
+    if (!canBeContinued(progress, repeats)) {
+        return send_objection::CallerHasBytes;
+    }
     if (mayHaveRun(progress) && repeats == repeatability::Never) {
         return send_objection::MayHaveRun;
     }
--- a/packages/coordination/request_progress.h
+++ b/packages/coordination/request_progress.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <string_view>
 
-// Where a request stands, and which servers may have run it. Decides whether the request may be sent to
-// another server, and whether its caller may be told that it has not run.
+// Where a request stands, which servers may have run it, and what its caller has of the response. Decides
+// whether the request may be sent to another server, and whether its caller may be told that it has not run.
 namespace briarhead {
 
 /// Where a request stands. While it is Sent or CheckingEnd, a server may be working on it.
@@ -37,10 +37,19 @@
     Always,
 };
 
-/// Which servers a request has been sent to, and where it stands.
+/// What the caller has of the response.
+enum class caller_content : std::uint8_t
+{
+    Nothing,
+    Events, ///< the head of an event stream, and whole events that another server can continue after
+    OneServersBytes, ///< a head and bytes that only the same server can continue
+};
+
+/// Which servers a request has been sent to, where it stands, and what its caller has.
 struct request_progress
 {
     request_stage stage = request_stage::Choosing;
+    caller_content callerHas = caller_content::Nothing; ///< only grows
     std::set<std::string> sentTo; ///< servers that any byte of it may have reached
     std::set<std::string> mayHaveRunOn; ///< of those, the ones that may have run it, at least partly
 };
@@ -50,6 +59,7 @@
 {
     None,
     InProgress, ///< a server may be working on it, or it has ended
+    CallerHasBytes, ///< its caller has bytes that no other server can continue
     MayHaveRun, ///< it may have run, and may not be repeated
     ServersUsedUp, ///< it has been sent to as many servers as its route allows
     SameServer, ///< it has been sent to this server before
@@ -79,6 +89,12 @@
 /// Records the server's own statement that it has not run the request and will not.
 void recordNotRun(request_progress &progress, const std::string &server);
 
+/// Records what the caller is about to receive. What it has can't be taken back.
+void recordForwarded(request_progress &progress, caller_content content);
+/// Whether another server could continue the response, or begin it, as far as the caller can tell.
+bool canBeContinued(const request_progress &progress, repeatability repeats);
+/// Whether the request may be repeated if the outcome of its latest send is unknown.
+bool mayRepeat(const request_progress &progress, repeatability repeats);
 /// Whether any server may have run the request. Its caller must not be told otherwise.
 bool mayHaveRun(const request_progress &progress);
 /// Whether the route's limit on servers per request allows another one.
--- a/packages/serving/edge_metrics.cpp
+++ b/packages/serving/edge_metrics.cpp
@@ -55,6 +55,7 @@
     put(out, "repeats_total", front.retries);
     put(out, "repeats_denied_total", front.retriesDenied);
     put(out, "sends_forbidden_total", front.sendsForbidden);
+    put(out, "replies_mixed_total", front.bytesWithheld);
     put(out, "stage_changes_forbidden_total", front.stageChangesForbidden);
     put(out, "place_asks_total", front.slotRequests);
     put(out, "unreadable_part_lists_total", front.unreadableParts);
--- a/packages/serving/front_pending.h
+++ b/packages/serving/front_pending.h
@@ -65,7 +65,6 @@
     std::optional<held_response> held;
     std::shared_ptr<void> confirmTimer;
     std::string body; ///< held back, so that another server's response can replace it
-    bool passesThrough = false; ///< the response is too large for that, and goes to the caller as it arrives
     std::size_t discardedBytes = 0; ///< of a response that no caller gets
     std::size_t heldBytes = 0; ///< as counted in m_heldBytes
     bool streaming = false; ///< events are forwarded to the caller as they arrive
@@ -125,8 +124,8 @@
     std::optional<stream_origin> origin;
     bool versionUncertain = false; ///< its server's version changed while the first event came
     event_stream eventStream; ///< of all servers' responses
-    bool headSent = false; ///< the response head has been sent to the caller
-    body_framing callerFraming = body_framing::Chunked; ///< of the response to the caller, once headSent
+    std::uint64_t headAttempt = 0; ///< number of the attempt whose head the caller has; 0: none
+    body_framing callerFraming = body_framing::Chunked; ///< of the response to the caller
     millis firstEventDelay{-1}; ///< from arrival to the first event; negative before
     millis longestEventGap; ///< longest time between two chunks from a server
     std::shared_ptr<void> deadlineTimer;
--- a/packages/serving/front_response.cpp
+++ b/packages/serving/front_response.cpp
@@ -59,18 +59,20 @@
     if (pending->attempt.streaming && pending->origin && pending->attempt.startedAtMs != 0) {
         confirmServer(pending);
     } else if (pending->attempt.streaming) {
-        beginReply(*pending);
+        beginReply(*pending, caller_content::Events);
     }
     return true;
 }
 
-/// Sends the head of a stream to the caller, unless an earlier server's was sent.
-void front_task::beginReply(pending_request &pending)
+/// Sends the head of the current attempt's response to the caller, unless it has one.
+void front_task::beginReply(pending_request &pending, caller_content content)
 {
-    if (pending.headSent) {
+    const bool hasHead = pending.progress.callerHas != caller_content::Nothing;
+    recordForwarded(pending.progress, content);
+    if (hasHead) {
         return;
     }
-    pending.headSent = true;
+    pending.headAttempt = pending.attempt.number;
     // The caller is promised an end only if the server has announced one.
     const http_head &head = pending.attempt.head;
     const bool framed = framingOf(head, pending.request.head.method == "HEAD") != body_framing::Connection;
@@ -129,18 +131,18 @@
             m_crashes.onServerSurvived(pending->attributes);
         }
     }
-    pending->reply->write(complete);
+    writeToCaller(pending, complete);
 }
 
 /// Holds a response back while that is short, so that another server's can replace it if it fails.
 void front_task::onPlainBody(const request_ptr &pending, const std::string &bytes)
 {
     const response_meta &meta = pending->attempt.meta;
-    if (pending->attempt.passesThrough) {
+    if (pending->progress.callerHas == caller_content::OneServersBytes) {
         passToCaller(pending, bytes);
         return;
     }
-    if (!meta.signedByServer || meta.notExecuted || pending->headSent) {
+    if (!meta.signedByServer || meta.notExecuted || pending->progress.callerHas != caller_content::Nothing) {
         pending->attempt.discardedBytes += bytes.size();
         if (pending->attempt.discardedBytes > maxDiscardedBytes) {
             cutResponse(pending, "its body is not for the caller, and too long");
@@ -150,10 +152,9 @@
     pending->attempt.body += bytes;
     countHeld(*pending);
     if (holdsTooMuch(*pending)) {
-        pending->attempt.passesThrough = true;
         const std::string held = std::exchange(pending->attempt.body, {});
         releaseHeld(*pending);
-        beginReply(*pending);
+        beginReply(*pending, caller_content::OneServersBytes);
         pending->reply->onDrained([this, weak = std::weak_ptr<pending_request>(pending)] {
             const auto locked = weak.lock();
             if (locked && locked->progress.stage == request_stage::Sent) {
@@ -164,11 +165,37 @@
     }
 }
 
+/// Whether bytes of the current attempt fit behind what the caller has: they are of the response whose head
+/// it has, or events that continue a stream.
+bool front_task::continuesReply(const pending_request &pending)
+{
+    return pending.headAttempt == pending.attempt.number
+        || (pending.progress.callerHas == caller_content::Events && pending.attempt.streaming);
+}
+
+/// Writes bytes of the current attempt to the caller. Bytes that don't fit behind what it has break the
+/// response off. Returns whether they were written.
+bool front_task::writeToCaller(const request_ptr &pending, const std::string &bytes)
+{
+    if (continuesReply(*pending)) {
+        pending->reply->write(bytes);
+        return true;
+    }
+    ++m_counters.bytesWithheld;
+    m_log.important("reply.mixed")
+        .add("id", pending->request.id)
+        .add("server", pending->attempt.server)
+        .add("stage", nameOf(pending->progress.stage));
+    abandonServer(pending);
+    pending->reply->abort();
+    finish(pending, "cut_off");
+    return false;
+}
+
 /// Passes bytes of a large response on, no faster than the caller takes them.
 void front_task::passToCaller(const request_ptr &pending, const std::string &bytes)
 {
-    pending->reply->write(bytes);
-    if (pending->reply->pendingBytes() > maxUnsentResponseBytes) {
+    if (writeToCaller(pending, bytes) && pending->reply->pendingBytes() > maxUnsentResponseBytes) {
         m_paths.setReceiving(pending->attempt.sendId, false);
     }
 }
@@ -215,7 +242,8 @@
     attempt.restBytes = pending->eventStream.partial.size();
     --m_inFlight[attempt.server];
     end.insideEvent = attempt.streaming && isInsideEvent(pending->eventStream);
-    end.endPromised = pending->headSent && pending->callerFraming != body_framing::Connection;
+    end.endPromised = pending->progress.callerHas != caller_content::Nothing
+        && pending->callerFraming != body_framing::Connection;
     attempt.end = end;
     attempt.endReason = why;
     const bool executed = attempt.meta.signedByServer && !attempt.meta.notExecuted;
@@ -334,7 +362,7 @@
         .add("route", pending->matchedRoute->name)
         .add("parts", partsText(*pending))
         .add("status", pending->attempt.head.status)
-        .add("begun", pending->headSent ? 1 : 0)
+        .add("begun", pending->progress.callerHas != caller_content::Nothing ? 1 : 0)
         .add("last_event", pending->eventStream.lastId)
         .add("framing", framingName(*pending))
         .add("connection", nameOf(attempt.end.connection))
@@ -363,7 +391,7 @@
 /// Retries a request whose response broke off, once it is known whether that makes it blocked.
 void front_task::retryBroken(const request_ptr &pending)
 {
-    if (repeatabilityOf(*pending) != repeatability::Never
+    if (mayRepeat(pending->progress, repeatabilityOf(*pending))
         && m_crashes.mayBecomeBlocked(pending->attributes)) {
         waitAndRetry(pending, &front_task::retryBroken);
         return;
@@ -371,7 +399,7 @@
     if (retryElsewhere(pending, "broken")) {
         return;
     }
-    if (pending->headSent) {
+    if (pending->progress.callerHas != caller_content::Nothing) {
         pending->reply->abort();
         finish(pending, "cut_off");
         return;
@@ -396,20 +424,20 @@
         finish(pending, servedOutcome(pending->attempt.result));
         return;
     }
-    if (pending->attempt.passesThrough) {
+    if (pending->progress.callerHas == caller_content::OneServersBytes) {
         pending->reply->end();
         finish(pending,
             isSuccess(pending->attempt.head.status) ? servedOutcome(pending->attempt.result)
                                                     : "server_failed");
         return;
     }
-    if (pending->headSent) { // the stream was resumed, and the resumed response is a failure
+    if (pending->progress.callerHas != caller_content::Nothing) { // a stream was resumed, by another response
         pending->reply->abort();
         finish(pending, "cut_off");
         return;
     }
     if (pending->attempt.head.status >= firstServerError
-        && repeatabilityOf(*pending) != repeatability::Never) {
+        && mayRepeat(pending->progress, repeatabilityOf(*pending))) {
         pending->fallback = responseOf(pending->attempt);
         if (retryElsewhere(pending, "failed")) {
             return;
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -32,7 +32,7 @@
 {
     switch (pending.matchedRoute->kind) {
     case route_kind::Idempotent:
-        return pending.attempt.passesThrough ? repeatability::Never : repeatability::Always;
+        return repeatability::Always;
     case route_kind::Stream: {
         const bool canContinue =
             pending.matchedRoute->resumable && canResume(pending.eventStream) && !pending.versionUncertain;
@@ -138,8 +138,11 @@
     recordSend(pending->progress, server.id);
     const std::weak_ptr<pending_request> weak = pending;
     path_request request{pending->request.id, server.id, attempt.granted,
-        pending->request.head.method == "HEAD", repeatabilityOf(*pending) != repeatability::Never,
-        pending->deadlineAt, {}};
+        pending->request.head.method == "HEAD", {}, pending->deadlineAt, {}};
+    request.repeatable = [weak, number = attempt.number] {
+        const auto locked = lockAt(weak, number, request_stage::Sent);
+        return locked && mayRepeat(locked->progress, repeatabilityOf(*locked));
+    };
     request.write = [this, weak, options, number = attempt.number]() -> std::optional<std::string> {
         const auto locked = lockAt(weak, number, request_stage::Sent);
         const auto known = m_store.view().servers.find(options.server);
@@ -184,7 +187,7 @@
 
 void front_task::watchForInactivity(const request_ptr &pending)
 {
-    if (repeatabilityOf(*pending) == repeatability::Never) {
+    if (!mayRepeat(pending->progress, repeatabilityOf(*pending))) {
         return;
     }
     const millis timeout = pending->matchedRoute->kind == route_kind::Stream
@@ -236,7 +239,7 @@
         return; // while the caller doesn't take its bytes, no more are received
     }
     if (!mayTryAnotherServer(pending->progress, pending->matchedRoute->maxServers)
-        || repeatabilityOf(*pending) == repeatability::Never) {
+        || !mayRepeat(pending->progress, repeatabilityOf(*pending))) {
         return;
     }
     const std::string server = pending->attempt.server;
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -386,7 +386,7 @@
 void front_task::onDeadline(const request_ptr &pending)
 {
     abandonServer(pending);
-    if (pending->headSent) {
+    if (pending->progress.callerHas != caller_content::Nothing) {
         pending->reply->abort();
         finish(pending, "late_stream");
     } else if (mayHaveRun(pending->progress)) {
@@ -400,7 +400,7 @@
 {
     // A refusal promises that the request did not and will not run. If an earlier send may have run, it has
     // to be reported as a failure, or the caller might repeat a request that has been executed.
-    if (pending->headSent) {
+    if (pending->progress.callerHas != caller_content::Nothing) {
         pending->reply->abort();
         finish(pending, "cut_off");
         return;
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -64,6 +64,7 @@
     std::uint64_t retries = 0;
     std::uint64_t retriesDenied = 0; ///< because the retry budget was exhausted
     std::uint64_t sendsForbidden = 0; ///< sends that a handler asked for and the request's state forbids
+    std::uint64_t bytesWithheld = 0; ///< responses broken off before bytes of another server joined them
     std::uint64_t stageChangesForbidden = 0; ///< changes of a request's stage that are not allowed
     std::uint64_t slotRequests = 0; ///< messages sent, including repetitions
     std::uint64_t oversized = 0; ///< responses cut off for their size
@@ -140,7 +141,9 @@
     void onFirstEvent(pending_request &pending);
     void confirmServer(const request_ptr &pending);
     void onServerConfirmed(const request_ptr &pending, bool confirmed);
-    void beginReply(pending_request &pending);
+    void beginReply(pending_request &pending, caller_content content);
+    static bool continuesReply(const pending_request &pending);
+    bool writeToCaller(const request_ptr &pending, const std::string &bytes);
     static quota_urgency urgencyOf(const pending_request &pending);
     void acquireUnits(const request_ptr &pending, std::function<void()> proceed);
     void onQuotaDecision(
--- a/packages/serving/front_version.cpp
+++ b/packages/serving/front_version.cpp
@@ -103,8 +103,11 @@
         const auto report = m_codec.readReport(*body, why); // which has to parse as a whole
         conclude(report && report->startedAtMs == startedAtMs);
     };
-    path_request request{pending->request.id, pending->attempt.server, pending->attempt.granted, false, true,
-        bootNow() + confirmTimeout, {}};
+    const auto repeatable = [] {
+        return true;
+    };
+    path_request request{pending->request.id, pending->attempt.server, pending->attempt.granted, false,
+        repeatable, bootNow() + confirmTimeout, {}};
     request.write = [this, server = pending->attempt.server]() -> std::optional<std::string> {
         const auto known = m_store.view().servers.find(server);
         return known == m_store.view().servers.end()
@@ -133,7 +136,7 @@
                 "it may have restarted at another software version"});
         return;
     }
-    beginReply(*pending);
+    beginReply(*pending, caller_content::Events);
     if (!held.body.empty()) {
         onResponseBody(pending, held.body);
     }
--- a/packages/serving/server_path_check.cpp
+++ b/packages/serving/server_path_check.cpp
@@ -266,7 +266,7 @@
     }
     std::vector<send_ptr> silent;
     for (const auto &[id, send] : m_sends) {
-        const bool waits = send->request.repeatable && send->poolId && send->relay.empty()
+        const bool waits = send->request.repeatable() && send->poolId && send->relay.empty()
             && bootNow() - send->lastByteAt >= maxSilenceAtCut;
         if (waits && isCut(m_paths, send->request.server)) {
             silent.push_back(send);
--- a/packages/serving/server_path_task.h
+++ b/packages/serving/server_path_task.h
@@ -32,7 +32,7 @@
     std::string server;
     bool granted = false; ///< it has a slot or permit for the server
     bool noBody = false; ///< the response has no body (HEAD)
-    bool repeatable = false; ///< it may be sent again although a server may have run it
+    std::function<bool()> repeatable; ///< whether it may be sent again although a server may have run it
     millis deadlineAt;
     /// Writes the request as it is to be sent now, since a second path is tried some time after the first.
     /// Nothing if it must not be sent any more.
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -20,6 +20,11 @@
 /// An endless response: so many bytes each time.
 constexpr millis endlessPause{5};
 constexpr std::size_t endlessBlockBytes = 64 * 1024;
+constexpr std::size_t spoilsOneIn = 3;
+/// More than daemons hold back.
+constexpr std::size_t spoiledBytes = 400'000;
+/// Long enough for the bytes to be received before the reset.
+constexpr millis spoiledPause{50};
 /// How long a fatal request runs before it crashes the server.
 constexpr millis fatalRunTime{60};
 
@@ -337,6 +342,10 @@
     }
     const std::string after = valueOf(request, "last-event-id");
     const int first = after.empty() ? 1 : std::stoi(after) + 1;
+    if (onRun) {
+        onRun(requestId, model.empty() ? 0 : first, reply);
+        return;
+    }
     switch (currentBehavior) {
     case behavior::Fails:
         reply->respond(500, withNotices(signedFields, requestId), "broken");
@@ -368,6 +377,12 @@
     case behavior::Endless:
         respondWithoutEnd(reply);
         return;
+    case behavior::Spoils:
+        if (!model.empty() && ran.size() % spoilsOneIn == 0) {
+            spoilStream(reply, requestId);
+            return;
+        }
+        break;
     case behavior::CutsStream:
         respondWithStream(reply, requestId, first, std::min(first + 1, streamEvents));
         reply->write("id: 99\ndata: ha");
@@ -397,6 +412,19 @@
     }));
 }
 
+void backend_standin::spoilStream(const std::shared_ptr<front_reply> &reply, const std::string &requestId)
+{
+    reply->begin(200,
+        withNotices({{"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id},
+                        {"Content-Type", "application/octet-stream"}},
+            requestId),
+        body_framing::Chunked);
+    reply->write(std::string(spoiledBytes, '#'));
+    m_timers.push_back(m_loop.timer(spoiledPause, {}, [reply] {
+        reply->reset();
+    }));
+}
+
 /// Occupies a slot until the response is sent, or the connection is closed.
 void backend_standin::respondLater(
     const std::shared_ptr<front_reply> &reply, const std::string &requestId, int firstEvent, millis delay)
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -75,6 +75,7 @@
         CutsStream, ///< closes the connection after the second event
         HoldsStream, ///< sends two events and keeps the stream open
         Endless, ///< returns bytes that nobody signed, without end
+        Spoils, ///< sends many bytes that are no events in the place of each third stream, and resets
     };
     behavior currentBehavior = behavior::Serves;
     std::optional<response_ending> ending; ///< of responses while Serves; empty: framed and whole
@@ -110,6 +111,11 @@
     /// A request with one of these parts in its prompt crashes the server, unless the part is its last.
     std::set<std::string> fatalParts;
     std::size_t fatalRuns = 0; ///< requests that crash the server and were run
+    /// Answers requests in place of `currentBehavior`, unless it is empty. `firstEvent` is 0 for plain
+    /// requests.
+    std::function<void(
+        const std::string &requestId, int firstEvent, const std::shared_ptr<front_reply> &reply)>
+        onRun;
     /// Called with the request's id shortly after a fatal request began to run. The callee destroys this
     /// object.
     std::function<void(const std::string &requestId)> onFatal;
@@ -121,6 +127,7 @@
     std::vector<http_field> withNotices(std::vector<http_field> fields, const std::string &requestId = "");
     void reject(const std::string &requestId, front_reply &reply);
     void respondWithoutEnd(const std::shared_ptr<front_reply> &reply);
+    void spoilStream(const std::shared_ptr<front_reply> &reply, const std::string &requestId);
     void run(const front_request &request, const std::shared_ptr<front_reply> &reply);
     void runFatalRequest(
         const std::string &requestId, const std::shared_ptr<front_reply> &reply, bool stream);
--- a/tests/unit/request_progress_test.cpp
+++ b/tests/unit/request_progress_test.cpp
@@ -113,6 +113,30 @@
     EXPECT_EQ(progress.sentTo.size(), 1U);
 }
 
+// Guards against bytes of a second server behind those of the first, and against streams begun anew.
+TEST(request_progress_test, WhatTheCallerHasDecidesWhoMayContinue)
+{
+    request_progress progress;
+    recordSend(progress, "a");
+    const auto objection = [&progress](repeatability repeats) {
+        return objectionToSend(progress, repeats, 2);
+    };
+    EXPECT_EQ(objection(repeatability::Always), send_objection::None);
+    EXPECT_EQ(objection(repeatability::AfterLastEvent), send_objection::None);
+    recordForwarded(progress, caller_content::Events);
+    EXPECT_EQ(objection(repeatability::Always), send_objection::CallerHasBytes);
+    EXPECT_EQ(objection(repeatability::AfterLastEvent), send_objection::None);
+    EXPECT_TRUE(mayRepeat(progress, repeatability::AfterLastEvent));
+    recordForwarded(progress, caller_content::OneServersBytes);
+    recordForwarded(progress, caller_content::Events);
+    EXPECT_EQ(progress.callerHas, caller_content::OneServersBytes);
+    for (const repeatability each :
+        {repeatability::Never, repeatability::AfterLastEvent, repeatability::Always}) {
+        EXPECT_EQ(objection(each), send_objection::CallerHasBytes);
+        EXPECT_FALSE(mayRepeat(progress, each));
+    }
+}
+
 // Guards against a second run of a request that may run once, whatever comes in whichever order.
 RC_GTEST_PROP(request_progress_test, ARequestThatMayRunOnceReachesOneServerThatMayRunIt, ())
 {
@@ -122,8 +146,9 @@
     request.maxServers = *rc::gen::inRange(0, 4);
     const std::vector<std::string> servers{"a", "b", "c", "d"};
     const int steps = *rc::gen::inRange(1, 40);
+    std::string onlyThere; ///< the server whose bytes the caller has, which no other can continue
     for (int i = 0; i < steps; ++i) {
-        switch (*rc::gen::inRange(0, 5)) {
+        switch (*rc::gen::inRange(0, 6)) {
         case 0:
         case 1:
             request.trySend(*rc::gen::elementOf(servers), *rc::gen::arbitrary<bool>());
@@ -136,6 +161,14 @@
                 changeStage(request.progress, request_stage::Judged);
             }
             break;
+        case 4:
+            if (request.progress.stage == request_stage::Sent) {
+                recordForwarded(request.progress,
+                    *rc::gen::element(caller_content::Events, caller_content::OneServersBytes));
+                onlyThere = request.progress.callerHas == caller_content::OneServersBytes ? request.server
+                                                                                          : onlyThere;
+            }
+            break;
         default: // any handler may try any change of the stage that precedes a send
             changeStage(request.progress,
                 *rc::gen::element(
@@ -146,6 +179,7 @@
         }
         RC_ASSERT(request.ranOn.size() <= static_cast<std::size_t>(std::max(request.maxServers, 1)));
         RC_ASSERT(mayHaveRun(request.progress) || request.ranOn.empty());
+        RC_ASSERT(onlyThere.empty() || request.server == onlyThere);
     }
 }
 
