Let the soak's servers spoil streams and delay connections

Ruled out: more variants of the drawn faults (they would change what the known seeds draw). The witness holds plain bodies against stamps, and looks for events behind other bytes.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -61,9 +61,19 @@
     const auto crowdTimer = m_loop.timer(pause, pause, [this] {
         sendToCrowded();
     });
-    for (const endless_plan &each : drawEndless(m_options.seed, m_options.length, m_servers.size())) {
+    for (const server_spell &each : drawEndless(m_options.seed, m_options.length, m_servers.size())) {
         after(each.at, [this, each] {
-            beginEndless(each);
+            beginSpell(each, backend_standin::behavior::Endless, "responds without end");
+        });
+    }
+    for (const server_spell &each : drawSpoiling(m_options.seed, m_options.length, m_options.modelServers)) {
+        after(each.at, [this, each] {
+            beginSpell(each, backend_standin::behavior::Spoils, "spoils streams");
+        });
+    }
+    for (const server_spell &each : drawSlowConnects(m_options.seed, m_options.length, m_servers.size())) {
+        after(each.at, [this, each] {
+            delayConnects(each);
         });
     }
     for (const fault &each :
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -229,26 +229,43 @@
     }
 }
 
-void soak_run::beginEndless(const endless_plan &plan)
+void soak_run::beginSpell(const server_spell &spell, behavior mood, const char *what)
 {
-    served_server &server = m_servers[plan.server];
+    served_server &server = m_servers[spell.server];
     if (!server.standin || m_healed || server.standin->currentBehavior != behavior::Serves) {
         return;
     }
     std::ostringstream line;
-    line << plan.at.count << " ms, for " << plan.lasts.count << ": " << server.standin->id
-         << " responds without end";
+    line << spell.at.count << " ms, for " << spell.lasts.count << ": " << server.standin->id << ' ' << what;
     m_report.faults.push_back(line.str());
-    m_witness.disturbed(bootNow() + plan.lasts);
-    setMood(server, behavior::Endless);
-    after(plan.lasts, [&server, id = server.standin->id] {
-        if (server.standin && server.standin->id == id
-            && server.standin->currentBehavior == behavior::Endless) {
+    m_witness.disturbed(bootNow() + spell.lasts);
+    setMood(server, mood);
+    after(spell.lasts, [&server, mood, id = server.standin->id] {
+        if (server.standin && server.standin->id == id && server.standin->currentBehavior == mood) {
             setMood(server, behavior::Serves);
         }
     });
 }
 
+/// Widens the time in which daemons wait for a connection, and other events come between.
+void soak_run::delayConnects(const server_spell &spell)
+{
+    served_server &server = m_servers[spell.server];
+    if (!server.standin || m_healed) {
+        return;
+    }
+    std::ostringstream line;
+    line << spell.at.count << " ms, for " << spell.lasts.count << ": no connection to " << server.standin->id
+         << " is established";
+    m_report.faults.push_back(line.str());
+    m_witness.disturbed(bootNow() + spell.lasts);
+    m_witness.heldUp(server.standin->id, bootNow(), bootNow() + spell.lasts);
+    setLink(server, link_fault::HangsNew);
+    after(spell.lasts, [this, &server] {
+        setLink(server, link_fault::None);
+    });
+}
+
 void soak_run::makeBrittle(const brittle_plan &plan)
 {
     const served_server &server = m_servers[plan.server];
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -19,8 +19,8 @@
 constexpr std::size_t variants = 8;
 constexpr std::int64_t shortestFatalMs = 150;
 constexpr std::int64_t allRoutes = 4;
-constexpr int endlessSpells = 2;
-constexpr std::int64_t shortestEndlessMs = 400;
+constexpr int serverSpells = 2;
+constexpr std::int64_t shortestSpellMs = 400;
 constexpr std::int64_t shortestCrowdMs = 2'000;
 constexpr std::size_t firstModelRoute = 2;
 constexpr std::int64_t modelRoutes = 2;
@@ -47,6 +47,20 @@
     };
 }
 
+std::vector<server_spell> drawServerSpells(std::uint64_t seed, millis length, std::size_t servers)
+{
+    std::mt19937_64 random(seed);
+    const auto below = drawsBelow(random);
+    std::vector<server_spell> spells;
+    spells.reserve(serverSpells);
+    for (int i = 0; i < serverSpells; ++i) {
+        spells.push_back({{calmStartMs + below(std::max<std::int64_t>(length.count - 2 * calmStartMs, 1))},
+            {shortestSpellMs + below(shortestSpellMs)},
+            static_cast<std::size_t>(below(static_cast<std::int64_t>(servers)))});
+    }
+    return spells;
+}
+
 fatal_spell drawSpell(std::uint64_t seed, millis length, std::size_t firstRoute, std::int64_t routes)
 {
     std::mt19937_64 random(seed);
@@ -115,18 +129,19 @@
     return drawSpell(seed * 41 + 23, length, firstModelRoute, modelRoutes);
 }
 
-std::vector<endless_plan> drawEndless(std::uint64_t seed, millis length, std::size_t servers)
+std::vector<server_spell> drawEndless(std::uint64_t seed, millis length, std::size_t servers)
 {
-    std::mt19937_64 random(seed * 71 + 5);
-    const auto below = drawsBelow(random);
-    std::vector<endless_plan> plans;
-    plans.reserve(endlessSpells);
-    for (int i = 0; i < endlessSpells; ++i) {
-        plans.push_back({{calmStartMs + below(std::max<std::int64_t>(length.count - 2 * calmStartMs, 1))},
-            {shortestEndlessMs + below(shortestEndlessMs)},
-            static_cast<std::size_t>(below(static_cast<std::int64_t>(servers)))});
-    }
-    return plans;
+    return drawServerSpells(seed * 71 + 5, length, servers);
+}
+
+std::vector<server_spell> drawSpoiling(std::uint64_t seed, millis length, std::size_t modelServers)
+{
+    return drawServerSpells(seed * 79 + 3, length, modelServers);
+}
+
+std::vector<server_spell> drawSlowConnects(std::uint64_t seed, millis length, std::size_t servers)
+{
+    return drawServerSpells(seed * 83 + 7, length, servers);
 }
 
 std::vector<crowd_plan> drawCrowds(std::uint64_t seed, millis length, std::size_t daemons)
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -77,16 +77,22 @@
 /// Drawn apart from the faults.
 std::vector<word_plan> drawWords(std::uint64_t seed, millis length, std::size_t servers);
 
-/// A server's responses are bytes without end for a while.
-struct endless_plan
+/// Something is wrong with one server for a while.
+struct server_spell
 {
     millis at; ///< since the start of traffic
     millis lasts;
     std::size_t server = 0;
 };
 
-/// Drawn apart from the faults.
-std::vector<endless_plan> drawEndless(std::uint64_t seed, millis length, std::size_t servers);
+/// Spells in which a server's responses are bytes without end. Drawn apart from the faults.
+std::vector<server_spell> drawEndless(std::uint64_t seed, millis length, std::size_t servers);
+/// Spells in which a model server sends large responses that are no streams, and breaks them off. Drawn apart
+/// from the faults.
+std::vector<server_spell> drawSpoiling(std::uint64_t seed, millis length, std::size_t modelServers);
+/// Spells in which connections to a server are not established, while open ones live on. Drawn apart from the
+/// faults.
+std::vector<server_spell> drawSlowConnects(std::uint64_t seed, millis length, std::size_t servers);
 
 /// Most new connections go to one daemon, and there are more of them.
 struct crowd_plan
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -135,7 +135,8 @@
     void sendFatalPart();
     void sendToCrowded();
     std::size_t crowdedDaemon() const;
-    void beginEndless(const endless_plan &plan);
+    void beginSpell(const server_spell &spell, backend_standin::behavior mood, const char *what);
+    void delayConnects(const server_spell &spell);
     void checkMemory(const daemon_process &daemon);
     std::string promptOf(const std::string &id, bool fatal) const;
     bool isCalm(const std::string &name) const;
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -194,6 +194,7 @@
     if (answer.stream) {
         checkVersions(answer, request);
     }
+    checkOrigin(answer);
     const std::string who = answer.id + " at " + request.daemon + ": ";
     if (answer.how == send_result::Unknown && status >= 200 && status < 300) {
         onUnframedAnswer(answer, request);
@@ -252,6 +253,22 @@
     }
 }
 
+/// A plain body is of the server whose stamp it bears, and no event stands behind bytes that are none.
+void witness::checkOrigin(const caller_answer &answer)
+{
+    const std::string *stamp = findField(answer.head, "x-briarhead-server-stamp");
+    if (stamp == nullptr || answer.head.status != 200) {
+        return;
+    }
+    const std::string ownBody = "served by " + stamp->substr(stampBegin.size());
+    if (!answer.stream && answer.body != ownBody.substr(0, answer.body.size())) {
+        wrong("MIXED " + answer.id + ": " + answer.body + " under the stamp " + *stamp);
+    }
+    if (answer.stream && answer.body.starts_with('#') && answer.body.find("id: ") != std::string::npos) {
+        wrong("MIXED " + answer.id + ": a stream behind another server's bytes, stamp " + *stamp);
+    }
+}
+
 /// Events are numbered from 1, each once, and an answer that ends as whole has them all.
 void witness::checkStream(const caller_answer &answer, bool whole)
 {
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -123,6 +123,7 @@
     std::string senderAt(const std::string &server, const std::string &id, millis at, bool cutsExcuse) const;
     bool countsAt(const std::string &server, const std::string &daemon, millis at) const;
     void checkStream(const caller_answer &answer, bool whole);
+    void checkOrigin(const caller_answer &answer);
     void onUnframedAnswer(const caller_answer &answer, sent_request &request);
     void wrong(const std::string &what);
 
