Keep the newest versions of adapters where they outlive all daemons

Cause: an unanswered write of version 2 is executed after version 3 was acknowledged and stands in the operator's item from then on. Daemons kept the maximum in memory, so those that started knew the item alone. Second cause, of the same class: of several changes of a key in one response of a watch only the last was applied and passed on, so daemons that ran missed 3 where 3 and the late 2 came together. Evidence: the daemons' logs: all name 3, those that start later name 2 at a higher revision. Ruled out: a wrong order of revisions (each daemon applied the item's latest revision); versions taken from what servers report: one garbled or foreign entry would raise a maximum for good. While a late write may replace a declared version (60 s), and as long as the item is behind, a record of the project's own holds it, in 64 shards, written under the condition of its revision by one daemon, or by two others in turn. A daemon that starts reads the record with everything else, and the store's history of declarations, which covers what no daemon saw. Why it works: a version is in the item, the record, or the history until the record holds it. A late write of ours finds the revision that it was derived from, and then takes nothing back, or does nothing.

--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -387,6 +387,11 @@
     return encodeMessage(record);
 }
 
+std::string encode(const adapter_versions_record &record)
+{
+    return encodeMessage(record);
+}
+
 std::string encode(const relay_request &request)
 {
     return encodeMessage(request);
@@ -463,6 +468,11 @@
     return decodeExactly<service_versions_record>(bytes, why);
 }
 
+std::optional<adapter_versions_record> decodeAdapterVersions(std::string_view bytes, error &why)
+{
+    return decodeExactly<adapter_versions_record>(bytes, why);
+}
+
 std::optional<peer_message> decodePeerMessage(std::string_view bytes, error &why)
 {
     return decodeExactly<peer_message>(bytes, why);
--- a/packages/protocol/codec.h
+++ b/packages/protocol/codec.h
@@ -3,6 +3,7 @@
 #include "protocol/fleet_messages.h"
 #include "protocol/messages.h"
 #include "protocol/relay_messages.h"
+#include "protocol/version_messages.h"
 #include "state/error.h"
 
 #include <cstddef>
@@ -28,6 +29,7 @@
 std::string encode(const quota_home_record &record);
 std::string encode(const crash_record &record);
 std::string encode(const service_versions_record &record);
+std::string encode(const adapter_versions_record &record);
 std::string encode(const relay_request &request);
 std::string encode(const relay_part &part);
 
@@ -45,6 +47,7 @@
 std::optional<quota_home_record> decodeQuotaHomeRecord(std::string_view bytes, error &why);
 std::optional<crash_record> decodeCrashRecord(std::string_view bytes, error &why);
 std::optional<service_versions_record> decodeServiceVersions(std::string_view bytes, error &why);
+std::optional<adapter_versions_record> decodeAdapterVersions(std::string_view bytes, error &why);
 std::optional<relay_request> decodeRelayRequest(std::string_view bytes, error &why);
 std::optional<relay_part> decodeRelayPart(std::string_view bytes, error &why);
 
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -3,6 +3,7 @@
 #include "coordination/connection_gate.h"
 #include "protocol/codec.h"
 #include "scheduling/heartbeat_groups.h"
+#include "serving/adapter_version_task.h"
 #include "serving/crash_store.h"
 #include "serving/edge_metrics.h"
 #include "serving/fleet_port.h"
@@ -106,6 +107,7 @@
               defaultQuotaPlan, settings.quota))
         , m_notices(eventLoop, m_bus, m_store, settings, log)
         , m_paths(eventLoop, m_bus, m_store, m_notices, m_pool, m_dependencies.requests, settings, log)
+        , m_adapterVersions(eventLoop, m_bus, m_store, settings)
         , m_origins(eventLoop, m_bus, m_store, settings, log)
         , m_front(eventLoop, m_bus, m_store, m_crashes, *m_quota, m_notices, m_paths, m_origins, m_pool,
               m_dependencies.requests, settings, log)
@@ -169,6 +171,7 @@
     std::unique_ptr<quota_task> m_quota; ///< its own links refer to it through this pointer
     server_notice_task m_notices;
     server_path_task m_paths;
+    adapter_version_task m_adapterVersions;
     stream_origin_task m_origins;
     front_task m_front;
     server_owner_task m_serverOwner;
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -111,9 +111,8 @@
     send_options options;
     options.server = server.id;
     options.account = pending->account == nullptr ? std::string() : pending->account->name;
-    const auto announced =
-        m_store.view().versions.find(adapterKey(pending->request.model, pending->request.adapter));
-    const std::int64_t newest = announced == m_store.view().versions.end() ? 0 : announced->second;
+    const std::int64_t newest = newestVersionOf(
+        m_store.view().versions, adapterKey(pending->request.model, pending->request.adapter));
     options.adapterVersion = pending->usesModelServer ? std::max(pending->attempt.adapterVersion, newest) : 0;
     options.lastEventId = pending->eventStream.lastId;
     const auto limit = m_limits.find(server.id);
--- a/packages/serving/server_owner_orders.cpp
+++ b/packages/serving/server_owner_orders.cpp
@@ -24,8 +24,7 @@
 
 std::int64_t server_owner_task::newestVersion(const std::string &model, const std::string &adapter) const
 {
-    const auto found = m_store.view().versions.find(adapterKey(model, adapter));
-    return found == m_store.view().versions.end() ? 0 : found->second;
+    return newestVersionOf(m_store.view().versions, adapterKey(model, adapter));
 }
 
 bool server_owner_task::mayLoadModel(const engine_spec &engine) const
--- a/packages/serving/store_apply.cpp
+++ b/packages/serving/store_apply.cpp
@@ -62,6 +62,9 @@
     for (const auto &[service, versions] : m_view.serviceVersions) {
         keys.push_back(detail::serviceVersionsPrefix + service);
     }
+    for (const auto &[shard, versions] : m_view.adapterVersions) {
+        keys.push_back(detail::adapterVersionsPrefix + shard);
+    }
     for (const auto &[attribute, crash] : m_view.crashes) {
         keys.push_back(detail::crashPrefix + attribute);
     }
@@ -88,6 +91,9 @@
 /// Applies one item. Returns false if it holds nothing new for this daemon or those it sends updates to.
 bool store_task::applyItem(const stored_item &item, view_changed &change)
 {
+    if (isUnder(item.key, m_codec.versionPrefix)) {
+        return applyVersion(item, change);
+    }
     const auto kept = m_items.find(item.key);
     if (kept != m_items.end() && item.revision != 0 && item.revision <= kept->second.revision) {
         return false; // a duplicate, or a read older than a reader's update
@@ -100,25 +106,67 @@
     recordItem(item, true);
     if (item.key == m_codec.configKey) {
         applyConfig(item, change);
-    } else if (isUnder(item.key, m_codec.versionPrefix)) {
-        error why;
-        const auto version = item.removed ? std::nullopt : m_codec.readVersion(item.value, why);
-        if (!version && !item.removed) {
+    } else if (isUnder(item.key, detail::projectPrefix)) {
+        applyProjectRecord(item, change);
+    }
+    return true;
+}
+
+/// Applies the declaration of an adapter's version. Unlike other items it counts whatever its revision is: a
+/// late write may have replaced a newer version under a higher revision. Returns whether it is news.
+bool store_task::applyVersion(const stored_item &item, view_changed &change)
+{
+    const auto kept = m_items.find(item.key);
+    const bool isLatest = kept == m_items.end() || item.revision > kept->second.revision;
+    error why;
+    const auto declared = item.removed ? std::nullopt : m_codec.readVersion(item.value, why);
+    if (!declared) {
+        if (!item.removed) {
             logUnreadable(item, why);
         }
-        if (version) {
-            auto &known = m_view.versions[adapterKey(version->model, version->adapter)];
-            if (version->version > known) {
-                known = version->version;
-                m_log.important("version.named")
-                    .add("adapter", adapterKey(version->model, version->adapter))
-                    .add("version", version->version)
-                    .add("revision", item.revision);
-            }
+        if (isLatest) {
+            recordItem(item, true);
         }
-    } else if (isUnder(item.key, detail::projectPrefix)) {
-        applyProjectRecord(item, change);
+        return isLatest;
+    }
+    const std::string adapter = adapterKey(declared->model, declared->adapter);
+    const bool raised = raiseVersion(adapter, declared->version, item, change);
+    if (isLatest) {
+        newest_version &known = m_view.versions[adapter];
+        known.declared = declared->version;
+        stored_item newest = item;
+        if (isItemBehind(known)) {
+            change.unsafeVersions.push_back(adapter);
+            m_log.important("version.item_behind")
+                .add("adapter", adapter)
+                .add("version", declared->version)
+                .add("newest", known.version)
+                .add("revision", item.revision);
+            // Daemons that fetch updates here get the newest version that this one has seen.
+            newest.value = kept == m_items.end() ? item.value : kept->second.value;
+        }
+        recordItem(newest, true);
     }
+    return isLatest || raised;
+}
+
+/// Raises the newest known version of an adapter; an older one changes nothing. Returns whether it was new.
+bool store_task::raiseVersion(
+    const std::string &adapter, std::int64_t version, const stored_item &source, view_changed &change)
+{
+    newest_version &known = m_view.versions[adapter];
+    if (version <= known.version) {
+        return false;
+    }
+    known.version = version;
+    if (m_view.firstReadAt.count != 0) { // earlier ones are no longer endangered by late writes
+        change.unsafeVersions.push_back(adapter);
+    }
+    m_log.important("version.named")
+        .add("adapter", adapter)
+        .add("version", version)
+        .add("key", source.key)
+        .add("revision", source.revision);
     return true;
 }
 
@@ -260,6 +308,8 @@
         applyCrash(item, change);
     } else if (isUnder(item.key, detail::serviceVersionsPrefix)) {
         applyServiceVersions(item);
+    } else if (isUnder(item.key, detail::adapterVersionsPrefix)) {
+        applyAdapterVersions(item, change);
     }
 }
 
@@ -378,4 +428,29 @@
     }
 }
 
+void store_task::applyAdapterVersions(const stored_item &item, view_changed &change)
+{
+    error why;
+    const std::string shard = item.key.substr(detail::adapterVersionsPrefix.size());
+    auto record = item.removed ? std::nullopt : decodeAdapterVersions(item.value, why);
+    if (!item.removed && !record) {
+        logUnreadable(item, why); // written by something else, and replaced
+        record = adapter_versions_record{};
+    }
+    if (!record) {
+        m_view.adapterVersions.erase(shard);
+        return;
+    }
+    for (const adapter_version_entry &entry : record->versions) {
+        raiseVersion(entry.adapter, entry.version, item, change);
+        if (m_view.firstReadAt.count == 0) {
+            change.unsafeVersions.push_back(entry.adapter); // this daemon doesn't know how old it is
+        }
+    }
+    stored_adapter_versions &stored = m_view.adapterVersions[shard];
+    if (item.revision >= stored.revision) {
+        stored = {std::move(*record), item.revision};
+    }
+}
+
 }
--- a/packages/serving/store_keys.h
+++ b/packages/serving/store_keys.h
@@ -21,6 +21,10 @@
 /// same reason.
 inline const std::string serviceVersionsPrefix = projectPrefix + "versions/";
 
+/// Followed by the number of a shard of adapters: newest versions that the operator's items may lose. Under
+/// no lease.
+inline const std::string adapterVersionsPrefix = projectPrefix + "newest/";
+
 /// Followed by the number of a shard of client accounts: the claim of its quota home, under that daemon's
 /// lease.
 inline const std::string quotaHomePrefix = projectPrefix + "quota/";
--- a/packages/serving/store_task.cpp
+++ b/packages/serving/store_task.cpp
@@ -420,29 +420,47 @@
 
 void store_task::writeServiceVersions(const std::string &service, const service_versions_record &record)
 {
-    if (m_leaving || m_lastCallFailed || !m_versionWritesInFlight.insert(service).second) {
+    writeVersions(detail::serviceVersionsPrefix + service, m_view.serviceVersions, service, record,
+        "software.recorded");
+}
+
+void store_task::writeAdapterVersions(const std::string &shard, const adapter_versions_record &record)
+{
+    writeVersions(
+        detail::adapterVersionsPrefix + shard, m_view.adapterVersions, shard, record, "version.recorded");
+}
+
+/// Replaces a record of versions, conditional on the revision in the view: a write that is executed late
+/// either finds the record that it was derived from, or does nothing. `records` is a map of m_view, so it
+/// outlives the call.
+template <class stored>
+void store_task::writeVersions(const std::string &key, std::map<std::string, stored> &records,
+    const std::string &name, const decltype(stored::record) &record, const char *logged)
+{
+    if (m_leaving || m_lastCallFailed || !m_versionWritesInFlight.insert(key).second) {
         return;
     }
-    const auto known = m_view.serviceVersions.find(service);
-    const std::string key = detail::serviceVersionsPrefix + service;
+    const auto known = records.find(name);
     store_change change;
-    change.expected.emplace_back(key, known == m_view.serviceVersions.end() ? 0 : known->second.revision);
+    change.expected.emplace_back(key, known == records.end() ? 0 : known->second.revision);
     change.puts.push_back({key, encode(record), 0});
-    m_store.change(change, [this, service, record](store_status status, std::int64_t revision) {
-        m_versionWritesInFlight.erase(service);
-        onCallDone(status == store_status::Ok || status == store_status::Conflict, "versions");
-        m_log.important("software.recorded")
-            .add("service", service)
-            .add("versions", static_cast<std::int64_t>(record.versions.size()))
-            .add("outcome", status == store_status::Ok ? "done" : "not done")
-            .add("revision", revision);
-        if (status == store_status::Ok) {
-            stored_service_versions &stored = m_view.serviceVersions[service];
-            if (revision > stored.revision) {
-                stored = {record, revision};
+    m_store.change(
+        change, [this, key, name, record, logged, &records](store_status status, std::int64_t revision) {
+            m_versionWritesInFlight.erase(key);
+            onCallDone(status == store_status::Ok || status == store_status::Conflict, "versions");
+            m_log.important(logged)
+                .add("name", name)
+                .add("versions", static_cast<std::int64_t>(record.versions.size()))
+                .add("outcome", status == store_status::Ok ? "done" : "not done")
+                .add("revision", revision);
+            if (status != store_status::Ok) {
+                return; // the watch shows what stands there, and the writer tries again
             }
-        }
-    });
+            stored &written = records[name];
+            if (revision > written.revision) {
+                written = {record, revision};
+            }
+        });
 }
 
 void store_task::setCutOff(bool cutOff)
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "protocol/fleet_messages.h"
+#include "protocol/version_messages.h"
+#include "scheduling/newest_versions.h"
 #include "serving/decision_log.h"
 #include "serving/lease_validity.h"
 #include "serving/metadata_store.h"
@@ -43,12 +45,18 @@
     std::int64_t revision = 0;
 };
 
+struct stored_adapter_versions
+{
+    adapter_versions_record record;
+    std::int64_t revision = 0;
+};
+
 /// This daemon's copy of the store's contents. The other tasks read it; only store_task changes it.
 struct store_view
 {
     std::shared_ptr<const serving_config> config; ///< null until the first one is read
     std::map<std::string, backend_server> servers; ///< by id
-    std::map<std::string, std::int64_t> versions; ///< by MODEL/ADAPTER
+    newest_versions versions; ///< by MODEL/ADAPTER
     daemon_map daemons; ///< registered daemons, including this one
     /// Daemons whose record expired recently. Most of them have lost the store or are shutting down, but
     /// still reach the other daemons and have callers, so messages to them are still sent.
@@ -58,6 +66,7 @@
     ownership_map quotaHomes; ///< by the decimal number of a shard of client accounts
     std::map<std::string, stored_crash_record> crashes; ///< by attribute of requests
     std::map<std::string, stored_service_versions> serviceVersions; ///< by service
+    std::map<std::string, stored_adapter_versions> adapterVersions; ///< by shard of adapters
     millis registeredAt; ///< when this daemon's record was last written
     millis lastResponseAt; ///< when the store last answered a call
     millis firstReadAt; ///< when all keys were first read; 0: not yet
@@ -91,6 +100,8 @@
     /// The removed ones that had not announced leaving. The others stop as planned, with what they still ran.
     std::vector<std::string> crashedServers;
     std::vector<std::string> crashes; ///< keys of attributes whose record was written or removed
+    /// Adapters, as MODEL/ADAPTER, whose newest version the store may lose; see newest_versions.h.
+    std::vector<std::string> unsafeVersions;
 };
 
 /// Follows the store with one watch over all keys, or through the store readers of the failure domain, and
@@ -157,6 +168,8 @@
     /// Writes the software versions of a service, replacing the record in the view. Nothing is written if
     /// another daemon has changed it since.
     void writeServiceVersions(const std::string &service, const service_versions_record &record);
+    /// The same for the newest versions of a shard of adapters.
+    void writeAdapterVersions(const std::string &shard, const adapter_versions_record &record);
     /// Publishes whether this daemon is cut off from all backend servers. While it is, the records of the
     /// servers that it owns are released.
     void setCutOff(bool cutOff);
@@ -166,6 +179,7 @@
 private:
     void readAll();
     void scheduleFirstRead();
+    void readVersionHistory(std::int64_t revision, std::int64_t changes, int reads);
     void retryRead();
     void applyFullRead(const store_read &read);
     void followStore();
@@ -180,6 +194,10 @@
     bool applyItem(const stored_item &item, view_changed &change);
     void applyConfig(const stored_item &item, view_changed &change);
     bool applyServer(const stored_item &item, view_changed &change);
+    bool applyVersion(const stored_item &item, view_changed &change);
+    bool raiseVersion(
+        const std::string &adapter, std::int64_t version, const stored_item &source, view_changed &change);
+    std::vector<stored_item> latestOf(const std::vector<stored_item> &items) const;
     void logUnreadable(const stored_item &item, const error &why);
     void applyProjectRecord(const stored_item &item, view_changed &change);
     void applyDaemon(const stored_item &item);
@@ -194,6 +212,10 @@
     void confirmQuotaHomes();
     void applyCrash(const stored_item &item, view_changed &change);
     void applyServiceVersions(const stored_item &item);
+    void applyAdapterVersions(const stored_item &item, view_changed &change);
+    template <class stored>
+    void writeVersions(const std::string &key, std::map<std::string, stored> &records,
+        const std::string &name, const decltype(stored::record) &record, const char *logged);
     void changeCrashRecord(const std::string &attribute, store_change change, std::function<void(bool)> done);
     void removeMissing(const std::set<std::string> &present, view_changed &change);
     void removeUnreturnedServers();
@@ -247,7 +269,7 @@
     std::set<std::string> m_missingServers; ///< expired in an outage, kept for missingGrace
     std::set<std::string> m_claimsInFlight; ///< keys
     std::set<std::string> m_crashChangesInFlight; ///< attributes
-    std::set<std::string> m_versionWritesInFlight; ///< services
+    std::set<std::string> m_versionWritesInFlight; ///< keys
     std::map<std::string, millis> m_expiredAt; ///< when a daemon's record expired, by node
     std::set<std::string> m_loggedUnreadable; ///< keys whose item was logged as unreadable
     std::shared_ptr<void> m_watchTimer;
--- a/packages/serving/store_watch.cpp
+++ b/packages/serving/store_watch.cpp
@@ -23,23 +23,13 @@
 /// Larger updates are fetched instead of sent: this much, once compressed, fits into a datagram that links of
 /// 10 Mbit/s carry without queueing.
 constexpr std::size_t maxUpdateBytes = 120'000; // uncompressed; a configuration compresses to about a tenth
-
-/// The latest change of each key, in order of revision. Of several configurations in quick succession, each
-/// some tens of kilobytes, only the last one matters.
-std::vector<stored_item> latestOf(const std::vector<stored_item> &items)
-{
-    std::map<std::string, std::int64_t> last;
-    for (const stored_item &item : items) {
-        last[item.key] = item.revision;
-    }
-    std::vector<stored_item> out;
-    for (const stored_item &item : items) {
-        if (last[item.key] == item.revision) {
-            out.push_back(item);
-        }
-    }
-    return out;
-}
+/// Changes of the store that a starting daemon looks back over: those of its history of 20 s, in which each
+/// server writes its entry every 1.2 s.
+constexpr std::int64_t historyChangesPerServer = 16;
+constexpr std::int64_t minHistoryChanges = 256;
+/// Shorter spans are tried where the store has discarded its history sooner.
+constexpr int maxHistoryReads = 3;
+constexpr millis historyReadWait{1}; ///< there may be no declaration
 
 }
 
@@ -61,9 +51,15 @@
         m_failedReads = 0;
         // Counts as an update for a moment, so that the readers can send theirs before this daemon watches.
         m_lastUpdateAt = bootNow() - maxUpdateAge + firstUpdateGrace;
+        const bool isFirst = m_view.firstReadAt.count == 0;
         if (read.revision >= m_revision) { // otherwise a reader's update was newer
             applyFullRead(read);
         }
+        if (isFirst && !m_settings.bootstrap) {
+            const auto servers = static_cast<std::int64_t>(m_view.servers.size());
+            readVersionHistory(
+                m_revision, std::max(minHistoryChanges, servers * historyChangesPerServer), maxHistoryReads);
+        }
         onRecordsRead(m_ownershipValidity, sentAt);
         onRecordsRead(m_quotaHomeValidity, sentAt);
         m_configConfirmedAt = bootNow();
@@ -71,6 +67,32 @@
     });
 }
 
+/// Reads the latest declarations of adapters' versions. A late write may have replaced a version that was
+/// acknowledged while no daemon ran, so that neither its item nor a record holds it.
+void store_task::readVersionHistory(std::int64_t revision, std::int64_t changes, int reads)
+{
+    const std::int64_t after = std::max(revision - changes, std::int64_t{0});
+    m_store.watch(m_codec.versionPrefix, after, historyReadWait,
+        [this, revision, changes, reads](const store_read &read) {
+            if (m_leaving) {
+                return;
+            }
+            if (read.status == store_status::HistoryGone && reads > 1) {
+                readVersionHistory(revision, changes / 2, reads - 1);
+                return;
+            }
+            view_changed change;
+            for (const stored_item &item : read.items) {
+                applyItem(item, change);
+            }
+            m_log.important("version.history")
+                .add("changes", changes)
+                .add("read", read.status == store_status::Ok ? 1 : 0)
+                .add("declarations", static_cast<std::int64_t>(read.items.size()));
+            publish(change);
+        });
+}
+
 /// Delays the first read in a cold start until the other daemons have registered. A daemon that reads earlier
 /// sees itself alone and acts as a reader of its failure domain. With 195 daemons the needless watches were a
 /// quarter of a day's calls.
@@ -98,6 +120,24 @@
     });
 }
 
+/// The latest change of each key, in order of revision: of several configurations in quick succession, each
+/// some tens of kilobytes, only the last one matters. Declared versions of adapters are all kept, since the
+/// last one may be a late write of an older version.
+std::vector<stored_item> store_task::latestOf(const std::vector<stored_item> &items) const
+{
+    std::map<std::string, std::int64_t> last;
+    for (const stored_item &item : items) {
+        last[item.key] = item.revision;
+    }
+    std::vector<stored_item> out;
+    for (const stored_item &item : items) {
+        if (last[item.key] == item.revision || item.key.starts_with(m_codec.versionPrefix)) {
+            out.push_back(item);
+        }
+    }
+    return out;
+}
+
 void store_task::applyFullRead(const store_read &read)
 {
     view_changed change;
--- a/tests/serving/backend_standin.cpp
+++ b/tests/serving/backend_standin.cpp
@@ -69,6 +69,12 @@
     return object.dump();
 }
 
+std::int64_t backend_standin::versionOf(const std::string &adapter) const
+{
+    const auto found = adapterVersions.find(adapter);
+    return found == adapterVersions.end() ? 1 : found->second;
+}
+
 void backend_standin::setLimit(std::optional<double> perSecond)
 {
     const millis at = bootNow();
@@ -172,7 +178,11 @@
         }
         json models = json::array();
         if (holdsModel) {
-            models.push_back({{"name", "m0"}, {"version", 1}, {"adapters", adapters}});
+            json names = json::array();
+            for (const std::string &adapter : adapters) {
+                names.push_back(adapter + '@' + std::to_string(versionOf(adapter)));
+            }
+            models.push_back({{"name", "m0"}, {"version", 1}, {"adapters", names}});
         }
         json report{{"seq", sequence}, {"busy", m_modelLoadedAt.has_value()}, {"models", models}};
         if (startedAtMs != 0) {
@@ -209,7 +219,8 @@
         return 409;
     }
     const std::string adapter = order.value("adapter", "");
-    if (order.at("opcode") == "load" && adapters.count(adapter) != 0) {
+    const std::int64_t version = order.value("version", versionOf(adapter));
+    if (order.at("opcode") == "load" && adapters.count(adapter) != 0 && version == versionOf(adapter)) {
         return 200;
     }
     ++sequence;
@@ -219,6 +230,7 @@
     }
     if (order.at("opcode") == "load") {
         adapters.insert(adapter);
+        adapterVersions[adapter] = version;
         maxAdapters = std::max(maxAdapters, adapters.size());
         return 202;
     }
@@ -318,7 +330,10 @@
     const std::string requestId = valueOf(request, "x-briarhead-request-id");
     const std::string model = valueOf(request, "x-briarhead-model");
     const std::size_t slash = model.find('/');
-    const bool held = slash == std::string::npos || adapters.count(model.substr(slash + 1)) != 0;
+    const std::string expected = valueOf(request, "x-briarhead-expect-version");
+    const bool held = slash == std::string::npos
+        || (adapters.count(model.substr(slash + 1)) != 0
+            && (expected.empty() || std::stoll(expected) == versionOf(model.substr(slash + 1))));
     arrivals.push_back({requestId, bootNow()});
     const std::vector<http_field> signedFields{
         {"X-Briarhead-Request-Id", requestId}, {"X-Briarhead-Server-Stamp", "by-" + id}};
--- a/tests/serving/backend_standin.h
+++ b/tests/serving/backend_standin.h
@@ -86,6 +86,7 @@
     std::string softwareVersion; ///< included in the entry unless it is empty
     std::int64_t startedAtMs = 0; ///< included in the entry and in reports unless it is 0
     std::set<std::string> adapters; ///< resident
+    std::map<std::string, std::int64_t> adapterVersions; ///< of resident ones, as ordered; absent: 1
     bool holdsModel = true; ///< the base model is loaded
     millis modelLoadTime; ///< duration of a load of the base model
     std::size_t reportRequests = 0; ///< number received
@@ -137,6 +138,7 @@
         millis delay);
     void respondWithEnding(front_reply &reply, const std::string &requestId, int firstEvent);
     std::string eventText(int number) const;
+    std::int64_t versionOf(const std::string &adapter) const;
     bool isFatal(const front_request &request) const;
 
     bool rejectsForLackOfRoom(const std::string &requestId, front_reply &reply);
--- a/tests/serving/fake_store.cpp
+++ b/tests/serving/fake_store.cpp
@@ -21,6 +21,35 @@
     return revision;
 }
 
+store_status fake_store::execute(const store_change &transaction)
+{
+    for (const auto &[key, expected] : transaction.expected) {
+        const auto found = items.find(key);
+        if ((found == items.end() ? 0 : found->second.revision) != expected) {
+            return store_status::Conflict;
+        }
+    }
+    for (const store_put &put : transaction.puts) {
+        if (put.lease != 0 && !leaseIsOpen[put.lease]) {
+            return store_status::LeaseNotFound;
+        }
+    }
+    for (const store_put &each : transaction.puts) {
+        put(each.key, each.value, each.lease);
+    }
+    for (const std::string &key : transaction.removes) {
+        remove(key);
+    }
+    return store_status::Ok;
+}
+
+void fake_store::executeLater(const store_change &transaction, millis delay)
+{
+    lateChanges.push_back(events.timer(delay, {}, [this, transaction] {
+        execute(transaction);
+    }));
+}
+
 void fake_store::remove(const std::string &key)
 {
     if (items.erase(key) > 0) {
@@ -144,31 +173,17 @@
         });
         return;
     }
-    respondLater([this, transaction, done] {
-        for (const auto &[key, revision] : transaction.expected) {
-            const auto found = m_shared.items.find(key);
-            if ((found == m_shared.items.end() ? 0 : found->second.revision) != revision) {
-                done(store_status::Conflict, 0);
-                return;
-            }
-        }
-        for (const store_put &put : transaction.puts) {
-            if (put.lease != 0 && !m_shared.leaseIsOpen[put.lease]) {
-                done(store_status::LeaseNotFound, 0);
-                return;
-            }
-        }
-        for (const store_put &put : transaction.puts) {
-            m_shared.put(put.key, put.value, put.lease);
-        }
-        for (const std::string &key : transaction.removes) {
-            m_shared.remove(key);
-        }
-        if (fault == store_fault::LosesWriteResponses) {
+    if (fault == store_fault::ExecutesChangesLate) {
+        m_shared.executeLater(transaction, lateBy);
+        m_timers.push_back(m_shared.events.timer(callTimeout, {}, [done] {
             done(store_status::Unknown, 0);
-        } else {
-            done(store_status::Ok, m_shared.revision);
-        }
+        }));
+        return;
+    }
+    respondLater([this, transaction, done] {
+        const store_status status = m_shared.execute(transaction);
+        const bool lost = fault == store_fault::LosesWriteResponses && status == store_status::Ok;
+        done(lost ? store_status::Unknown : status, lost ? 0 : m_shared.revision);
     });
 }
 
--- a/tests/serving/fake_store.h
+++ b/tests/serving/fake_store.h
@@ -17,6 +17,8 @@
     Unresponsive, ///< calls are not executed and time out
     LosesWriteResponses, ///< writes are executed but not answered
     LeasesOnly, ///< lease calls work; all others are unresponsive
+    ExecutesChangesLate, ///< changes are not answered, and executed after `lateBy` if their condition holds
+                         ///< then
     RefusesChanges, ///< reads and lease calls work; changes of records are refused
 };
 
@@ -31,6 +33,9 @@
 
     /// Writes as the operator or a server does. Returns the revision of the change.
     std::int64_t put(const std::string &key, const std::string &value, std::int64_t lease = 0);
+    store_status execute(const store_change &transaction);
+    /// Executes a change after a while, also if the client that sent it is gone by then.
+    void executeLater(const store_change &transaction, millis delay);
     void remove(const std::string &key);
     void expire(std::int64_t lease);
     /// Drops the history: watches from an earlier revision fail with HistoryGone.
@@ -48,17 +53,20 @@
     std::uint64_t calls = 0;
     std::uint64_t watches = 0;
     std::uint64_t lists = 0; ///< calls that were answered
+    std::vector<std::shared_ptr<void>> lateChanges;
 };
 
 /// One daemon's client of a fake_store, with its own faults.
 class fake_store_client final : public metadata_store
 {
 public:
-    explicit fake_store_client(fake_store &shared)
-        : m_shared(shared)
+    explicit fake_store_client(fake_store &shared, store_fault initialFault = store_fault::None)
+        : fault(initialFault)
+        , m_shared(shared)
     {
     }
-    store_fault fault = store_fault::None;
+    store_fault fault;
+    millis lateBy{1'000};
 
     void list(const std::string &prefix, std::function<void(const store_read &)> done) override;
     void watch(const std::string &prefix, std::int64_t after, millis wait,
--- a/tests/soak/fleet_fixture.h
+++ b/tests/soak/fleet_fixture.h
@@ -126,6 +126,30 @@
         }));
         return seen.starts_with("HTTP/1.1 200");
     }
+    /// Waits until killed daemons run again.
+    void awaitRestart(std::size_t totalStarts)
+    {
+        const millis end = bootNow() + http_testing::testTimeout;
+        const auto starts = [this] {
+            std::size_t sum = 0;
+            for (const daemon_process &daemon : m_daemons) {
+                sum += daemon.starts;
+            }
+            return sum;
+        };
+        while (starts() < totalStarts && bootNow() < end) {
+            for (daemon_process &daemon : m_daemons) {
+                follow(daemon, BRIARHEAD_EDGE, {14'000});
+            }
+            runRounds(20);
+        }
+        for (const daemon_process &daemon : m_daemons) {
+            while (!isReady(daemon) && bootNow() < end) {
+                runRounds(20);
+            }
+        }
+        EXPECT_LT(bootNow(), end);
+    }
     static std::string logOf(const daemon_process &daemon)
     {
         std::ostringstream text;
