Begin streams only at software versions that daemons that start will know of

Callers saw: streams that they took up after all daemons had been killed were answered 200 and ran to the end, but the text was joined from two software versions. Cause: without a record of its origin a stream goes on at the only version that its service has. Daemons that start know of earlier versions by the store's record of them alone. That record was written by one daemon, whose writes could fail for as long as it lived, while the others already sent streams to the new version's servers. If these had left when all daemons were killed, the first version passed for the only one. Evidence: a test of real processes: a second version comes, its record is refused by the store, its servers leave, all daemons are killed. 9 of 20 streams went on at the first version on; each had begun at the second ("known 1, recorded 0" in the daemons' logs). Change: the record is written by the first daemon in turn, and by two others where it does not appear. Streams that callers may take up begin only at recorded versions, as long as a recorded version has a server that stays; where none has, the service is kept. Why it works: a version that began a stream is in the record before any daemon can forget it.

--- a/packages/serving/stream_origin_task.cpp
+++ b/packages/serving/stream_origin_task.cpp
@@ -1,6 +1,7 @@
 #include "serving/stream_origin_task.h"
 
 #include "coordination/rendezvous.h"
+#include "coordination/write_turn.h"
 #include "serving/fleet_send.h"
 
 #include <algorithm>
@@ -85,10 +86,11 @@
         }
     }
     maintainRecords();
+    findUnrecordedVersions();
 }
 
-/// Brings the records of versions that this daemon writes in line with what it has seen. Services are dealt
-/// to daemons by rendezvous hash; a daemon with another view of the members is stopped by the revision.
+/// Brings the records of versions in line with what this daemon has seen, if it is its turn to write them; a
+/// daemon with another view of the members is stopped by the revision.
 void stream_origin_task::maintainRecords()
 {
     const store_view &view = m_store.view();
@@ -99,14 +101,46 @@
     for (const auto &[service, seen] : m_sightings) {
         const std::vector<std::string> versions = versionsOf(m_sightings, service);
         const auto stored = view.serviceVersions.find(service);
-        const bool current =
-            stored != view.serviceVersions.end() && stored->second.record.versions == versions;
-        if (!current && rendezvousFirst(service, daemons) == m_settings.node) {
+        if (stored != view.serviceVersions.end() && stored->second.record.versions == versions) {
+            m_outdatedSince.erase(service);
+            continue;
+        }
+        const millis since = m_outdatedSince.try_emplace(service, bootNow()).first->second;
+        const auto delay = writeDelayOf(service, daemons, m_settings.node);
+        if (delay && bootNow() - since >= *delay) {
             m_store.writeServiceVersions(service, {versions});
         }
     }
 }
 
+/// A version without a record is avoided only while a recorded one has servers.
+void stream_origin_task::findUnrecordedVersions()
+{
+    m_unrecordedVersions.clear();
+    std::set<std::string> withRecordedServers;
+    for (const auto &[id, server] : m_store.view().servers) {
+        const auto stored = m_store.view().serviceVersions.find(server.service);
+        if (stored == m_store.view().serviceVersions.end()) {
+            continue; // no version passes for the only one
+        }
+        const auto &recorded = stored->second.record.versions;
+        if (std::find(recorded.begin(), recorded.end(), server.softwareVersion) == recorded.end()) {
+            m_unrecordedVersions[server.service].insert(server.softwareVersion);
+        } else if (!server.draining) {
+            withRecordedServers.insert(server.service);
+        }
+    }
+    std::erase_if(m_unrecordedVersions, [&withRecordedServers](const auto &each) {
+        return withRecordedServers.count(each.first) == 0;
+    });
+}
+
+bool stream_origin_task::isUnrecordedVersion(const std::string &service, const std::string &version) const
+{
+    const auto found = m_unrecordedVersions.find(service);
+    return found != m_unrecordedVersions.end() && found->second.count(version) != 0;
+}
+
 version_sight stream_origin_task::sightOf(const std::string &service, std::string &soleVersion) const
 {
     const std::vector<std::string> versions = versionsOf(m_sightings, service);
--- a/packages/serving/stream_origin_task.h
+++ b/packages/serving/stream_origin_task.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -53,6 +54,9 @@
     void onQuery(const std::string &node, const stream_origin_query &query);
     void onAnswer(const std::string &node, const stream_origin_answer &answer);
     const origin_counters &counters() const;
+    /// Whether a stream that callers may take up should not begin at this software version yet: daemons that
+    /// start would not know of it, and could take another version for the only one.
+    bool isUnrecordedVersion(const std::string &service, const std::string &version) const;
 
 private:
     struct lookup;
@@ -60,6 +64,7 @@
 
     void onViewChanged();
     void maintainRecords();
+    void findUnrecordedVersions();
     version_sight sightOf(const std::string &service, std::string &soleVersion) const;
     std::vector<std::string> homesOf(const std::string &id, std::size_t count) const;
     void announce(const std::string &id, const stream_origin &origin);
@@ -82,6 +87,8 @@
     stream_origins m_kept; ///< as a home
     std::deque<std::pair<std::string, stream_origin_record>> m_announcements; ///< home and record, to be sent
     std::map<std::string, lookup_ptr> m_lookups; ///< by stream id
+    std::map<std::string, millis> m_outdatedSince; ///< records of versions, by service
+    std::map<std::string, std::set<std::string>> m_unrecordedVersions; ///< by service
     std::shared_ptr<void> m_maintainTimer;
     std::shared_ptr<void> m_announceTimer;
 };
--- a/tests/serving/fake_store.cpp
+++ b/tests/serving/fake_store.cpp
@@ -23,6 +23,13 @@
 
 store_status fake_store::execute(const store_change &transaction)
 {
+    const bool refused = std::any_of(
+        transaction.puts.begin(), transaction.puts.end(), [this](const store_put &each) {
+            return !refusedPrefix.empty() && each.key.starts_with(refusedPrefix);
+        });
+    if (refused) {
+        return store_status::Refused;
+    }
     for (const auto &[key, expected] : transaction.expected) {
         const auto found = items.find(key);
         if ((found == items.end() ? 0 : found->second.revision) != expected) {
@@ -187,7 +194,7 @@
     });
 }
 
-void fake_store_client::grantLease(millis, std::function<void(store_status, std::int64_t)> done)
+void fake_store_client::grantLease(millis ttl, std::function<void(store_status, std::int64_t)> done)
 {
     if (respondWithFault(
             [done](store_status status) {
@@ -196,8 +203,9 @@
             true)) {
         return;
     }
-    respondLater([this, done] {
+    respondLater([this, ttl, done] {
         m_shared.leaseIsOpen[++m_shared.lastLease] = true;
+        m_shared.ttls[m_shared.lastLease] = ttl;
         m_shared.renewedAt[m_shared.lastLease] = bootNow();
         done(store_status::Ok, m_shared.lastLease);
     });
--- a/tests/serving/fake_store.h
+++ b/tests/serving/fake_store.h
@@ -50,10 +50,12 @@
     std::int64_t lastLease = 0;
     std::map<std::int64_t, bool> leaseIsOpen; ///< by lease
     std::map<std::int64_t, millis> renewedAt; ///< when a lease was last granted or renewed
+    std::map<std::int64_t, millis> ttls; ///< as requested, by lease
     std::uint64_t calls = 0;
     std::uint64_t watches = 0;
     std::uint64_t lists = 0; ///< calls that were answered
     std::vector<std::shared_ptr<void>> lateChanges;
+    std::string refusedPrefix; ///< changes of keys that begin with it are refused; empty: none
 };
 
 /// One daemon's client of a fake_store, with its own faults.
