Record where streams began in the store while several software versions serve

Cause: two daemons keep the origin of a stream in memory, and power is lost for all at once. What isn't known is refused, so everyone had to begin anew. Evidence: each line stream.taken_up after the kill said "known 0, recorded 0". Ruled out: homes that write for others: a home that is down loses the streams of all; the version as a function of the attempt's id: it halves the choice of servers while a release runs, and says nothing of streams that are older; servers: their reports list only what still runs. Up to 64 daemons write; in larger fleets the others send theirs to these. A home also writes what a daemon that has ended told it last. Daemons read all segments with their first read, and once more where no home knows a stream, at most every 300 ms. An id with two origins is refused. Nothing is written while a service has one version, or for a stream that ends before its write. Why it works: what a take-up needs is in the store some milliseconds after the stream's first event, which does not wait for it; a missing, old or unreadable record is a refusal as before.

--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -392,6 +392,11 @@
     return encodeMessage(record);
 }
 
+std::string encode(const stored_origins_record &record)
+{
+    return encodeMessage(record);
+}
+
 std::string encode(const relay_request &request)
 {
     return encodeMessage(request);
@@ -473,6 +478,11 @@
     return decodeExactly<adapter_versions_record>(bytes, why);
 }
 
+std::optional<stored_origins_record> decodeStoredOrigins(std::string_view bytes, error &why)
+{
+    return decodeExactly<stored_origins_record>(bytes, why);
+}
+
 std::optional<peer_message> decodePeerMessage(std::string_view bytes, error &why)
 {
     return decodeExactly<peer_message>(bytes, why);
--- a/packages/protocol/codec.h
+++ b/packages/protocol/codec.h
@@ -30,6 +30,7 @@
 std::string encode(const crash_record &record);
 std::string encode(const service_versions_record &record);
 std::string encode(const adapter_versions_record &record);
+std::string encode(const stored_origins_record &record);
 std::string encode(const relay_request &request);
 std::string encode(const relay_part &part);
 
@@ -48,6 +49,7 @@
 std::optional<crash_record> decodeCrashRecord(std::string_view bytes, error &why);
 std::optional<service_versions_record> decodeServiceVersions(std::string_view bytes, error &why);
 std::optional<adapter_versions_record> decodeAdapterVersions(std::string_view bytes, error &why);
+std::optional<stored_origins_record> decodeStoredOrigins(std::string_view bytes, error &why);
 std::optional<relay_request> decodeRelayRequest(std::string_view bytes, error &why);
 std::optional<relay_part> decodeRelayPart(std::string_view bytes, error &why);
 
--- a/packages/protocol/origin_messages.h
+++ b/packages/protocol/origin_messages.h
@@ -101,4 +101,30 @@
     }
 };
 
+/// Streams with the same origin.
+struct stream_origins_group
+{
+    stream_origin origin;
+    std::vector<std::string> ids;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(origin, ids);
+    }
+};
+
+/// A record in the platform's store, one of several of each daemon that writes such: where streams began.
+/// Under a lease that outlives the daemon.
+struct stored_origins_record
+{
+    std::vector<stream_origins_group> groups;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(groups);
+    }
+};
+
 }
--- a/packages/scheduling/stream_versions.cpp
+++ b/packages/scheduling/stream_versions.cpp
@@ -29,7 +29,8 @@
     if (!isNew && found->second.usedAt == now && found->second.origin == origin) {
         return;
     }
-    found->second = {origin, now};
+    const bool ambiguous = found->second.ambiguous || !(found->second.origin == origin);
+    found->second = {origin, now, ambiguous};
     origins.byUse.emplace_back(now, id);
     dropOldOrigins(origins, now);
 }
@@ -37,7 +38,8 @@
 const stream_origin *findOrigin(stream_origins &origins, const std::string &id, millis now)
 {
     const auto found = origins.byId.find(id);
-    if (found == origins.byId.end() || now - found->second.usedAt > originLifetime) {
+    if (found == origins.byId.end() || found->second.ambiguous
+        || now - found->second.usedAt > originLifetime) {
         return nullptr;
     }
     if (found->second.usedAt != now) {
--- a/packages/scheduling/stream_versions.h
+++ b/packages/scheduling/stream_versions.h
@@ -29,13 +29,14 @@
     {
         stream_origin origin;
         millis usedAt;
+        bool ambiguous = false; ///< two origins were recorded under the id
     };
     std::unordered_map<std::string, entry> byId;
     std::deque<std::pair<millis, std::string>> byUse; ///< oldest first; may have outdated entries
 };
 
 void recordOrigin(stream_origins &origins, const std::string &id, const stream_origin &origin, millis now);
-/// The origin of a stream, or null. Extends its lifetime.
+/// The origin of a stream; null if it is unknown or ambiguous. Extends its lifetime.
 const stream_origin *findOrigin(stream_origins &origins, const std::string &id, millis now);
 
 /// When each software version of each service was last seen.
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -345,7 +345,7 @@
             } else if constexpr (std::is_same_v<body_type, server_notice>) {
                 m_notices.onNotice(datagram.from, body);
             } else if constexpr (std::is_same_v<body_type, stream_origins_report>) {
-                m_origins.onReport(body);
+                m_origins.onReport(datagram.from, body);
             } else if constexpr (std::is_same_v<body_type, stream_origin_query>) {
                 m_origins.onQuery(datagram.from, body);
             } else if constexpr (std::is_same_v<body_type, stream_origin_answer>) {
--- a/packages/serving/edge_metrics.cpp
+++ b/packages/serving/edge_metrics.cpp
@@ -99,6 +99,10 @@
     put(out, "stream_origins_sent_total", sources.origins->recordsSent);
     put(out, "streams_taken_up_total{version=\"known\"}", sources.origins->found);
     put(out, "streams_taken_up_total{version=\"unknown\"}", sources.origins->unknown);
+    put(out, "streams_taken_up_total{version=\"store away\"}", sources.origins->storeAway);
+    put(out, "origin_log_writes_total", sources.origins->logWrites);
+    put(out, "origin_log_reads_total", sources.origins->logReads);
+    put(out, "origin_log_dropped_total", sources.origins->logDropped);
     put(out, "connections_opened_total", sources.pool->opened);
     put(out, "connections_failed_total", sources.pool->connectFailures);
     put(out, "connections_reused_total", sources.pool->reused);
--- a/packages/serving/front_version.cpp
+++ b/packages/serving/front_version.cpp
@@ -78,7 +78,7 @@
             || known->second.startedAtMs != pending.attempt.startedAtMs);
     pending.origin = stream_origin{pending.service, pending.attempt.softwareVersion};
     if (pending.matchedRoute->resumable && !pending.versionUncertain) {
-        m_origins.onStreamBegan(pending.request.id, *pending.origin);
+        m_origins.onStreamBegan(pending.request.id, *pending.origin, pending.request.resumes.empty());
     }
 }
 
--- a/packages/serving/store_apply.cpp
+++ b/packages/serving/store_apply.cpp
@@ -94,6 +94,12 @@
     if (isUnder(item.key, m_codec.versionPrefix)) {
         return applyVersion(item, change);
     }
+    if (isUnder(item.key, detail::originsPrefix)) {
+        if (m_view.firstReadAt.count == 0 && !item.removed) {
+            appendOrigins(item, change.origins);
+        }
+        return false;
+    }
     const auto kept = m_items.find(item.key);
     if (kept != m_items.end() && item.revision != 0 && item.revision <= kept->second.revision) {
         return false; // a duplicate, or a read older than a reader's update
--- a/packages/serving/store_keys.h
+++ b/packages/serving/store_keys.h
@@ -25,6 +25,10 @@
 /// no lease.
 inline const std::string adapterVersionsPrefix = projectPrefix + "newest/";
 
+/// Followed by a writer's node name, incarnation and a number: origins of streams. Under a lease of their
+/// own.
+inline const std::string originsPrefix = projectPrefix + "origins/";
+
 /// Followed by the number of a shard of client accounts: the claim of its quota home, under that daemon's
 /// lease.
 inline const std::string quotaHomePrefix = projectPrefix + "quota/";
--- a/packages/serving/store_task.h
+++ b/packages/serving/store_task.h
@@ -102,6 +102,7 @@
     std::vector<std::string> crashes; ///< keys of attributes whose record was written or removed
     /// Adapters, as MODEL/ADAPTER, whose newest version the store may lose; see newest_versions.h.
     std::vector<std::string> unsafeVersions;
+    std::vector<stream_origin_record> origins; ///< that the store held when all keys were first read
 };
 
 /// Follows the store with one watch over all keys, or through the store readers of the failure domain, and
@@ -170,6 +171,13 @@
     void writeServiceVersions(const std::string &service, const service_versions_record &record);
     /// The same for the newest versions of a shard of adapters.
     void writeAdapterVersions(const std::string &shard, const adapter_versions_record &record);
+    /// Writes a segment of this daemon's origin log. `done` receives whether it was certainly written, never
+    /// from inside the call.
+    void writeOrigins(
+        std::int64_t segment, const stored_origins_record &record, std::function<void(bool)> done);
+    /// Reads the origins of streams that all daemons have written; passes on nothing if the store does not
+    /// answer.
+    void readOrigins(std::function<void(std::optional<std::vector<stream_origin_record>>)> done);
     /// Publishes whether this daemon is cut off from all backend servers. While it is, the records of the
     /// servers that it owns are released.
     void setCutOff(bool cutOff);
@@ -213,6 +221,9 @@
     void applyCrash(const stored_item &item, view_changed &change);
     void applyServiceVersions(const stored_item &item);
     void applyAdapterVersions(const stored_item &item, view_changed &change);
+    void putOrigins(
+        std::int64_t segment, const stored_origins_record &record, std::function<void(bool)> done);
+    void appendOrigins(const stored_item &item, std::vector<stream_origin_record> &origins);
     template <class stored>
     void writeVersions(const std::string &key, std::map<std::string, stored> &records,
         const std::string &name, const decltype(stored::record) &record, const char *logged);
@@ -245,6 +256,8 @@
     std::int64_t m_revision = 0; ///< the view's revision
     std::int64_t m_configRevision = 0;
     std::int64_t m_lease = 0;
+    std::int64_t m_originLease = 0; ///< of the latest segments; 0: none
+    millis m_originLeaseAt; ///< when it was requested
     bool m_leaseCallInFlight = false;
     bool m_leaving = false;
     bool m_cutOff = false; ///< to be published
--- a/packages/serving/stream_origin_task.cpp
+++ b/packages/serving/stream_origin_task.cpp
@@ -24,6 +24,21 @@
 /// Announcements that become due at once are spread, since all daemons see a second version together.
 constexpr millis announceInterval{50};
 constexpr std::size_t recordsPerDatagram = 16;
+/// Daemons that write origin logs. Up to this many daemons each writes its own streams; in larger fleets the
+/// others send theirs to one of them.
+constexpr std::size_t maxLogWriters = 64;
+/// The least time between two writes of a daemon, for each writer: 125 writes a second in all, a third of
+/// what the store accepts.
+constexpr millis logIntervalPerWriter{8};
+/// Streams that fail to be written are tried again after this time.
+constexpr millis logRetryPause{300};
+/// The least time between two reads of the logs by a daemon, and how long a caller waits for one.
+constexpr millis logReadInterval{300};
+constexpr millis logReadTimeout{500};
+/// A daemon's end is known to the others by then, at least once it has started again or its lease has
+/// expired.
+constexpr millis reportMemory{10'000};
+constexpr std::size_t maxRecentReports = 4'096;
 
 }
 
@@ -45,7 +60,10 @@
     , m_settings(settings)
     , m_log(log)
 {
-    messages.on<view_changed>([this](const view_changed &) {
+    messages.on<view_changed>([this](const view_changed &change) {
+        for (const stream_origin_record &each : change.origins) {
+            recordOrigin(m_kept, each.id, each.origin, bootNow());
+        }
         onViewChanged();
     });
     m_maintainTimer = m_loop.timer(maintainInterval, maintainInterval, [this] {
@@ -87,6 +105,7 @@
     }
     maintainRecords();
     findUnrecordedVersions();
+    logForEndedDaemons();
 }
 
 /// Brings the records of versions in line with what this daemon has seen, if it is its turn to write them; a
@@ -173,19 +192,79 @@
     return order;
 }
 
-void stream_origin_task::onStreamBegan(const std::string &id, const stream_origin &origin)
+void stream_origin_task::onStreamBegan(const std::string &id, const stream_origin &origin, bool isNew)
 {
     recordOrigin(m_own, id, origin, bootNow());
     std::string soleVersion;
-    if (sightOf(origin.service, soleVersion) != version_sight::Sole) {
-        announce(id, origin);
-        sendAnnouncements();
+    const version_sight sight = sightOf(origin.service, soleVersion);
+    if (sight == version_sight::Sole) {
+        return;
+    }
+    announce(id, origin);
+    sendAnnouncements();
+    if (isNew && sight == version_sight::Several) { // callers name the attempt that brought the first event
+        logOrigin(id, origin);
+        writeLog();
     }
 }
 
 void stream_origin_task::onStreamComplete(const std::string &id)
 {
     m_own.byId.erase(id);
+    dropPending(m_originLog, id);
+}
+
+std::vector<std::string> stream_origin_task::logWriters() const
+{
+    return rendezvousOrder("origin log writers", nodesOf(m_store.view().daemons), maxLogWriters);
+}
+
+/// The daemon that writes the stream to the store, apart from the one that began it.
+std::string stream_origin_task::logWriterOf(
+    const std::string &id, const std::vector<std::string> &writers) const
+{
+    return m_store.view().daemons.size() > maxLogWriters ? rendezvousFirst(id, writers) : std::string();
+}
+
+/// Records a stream that began here in the origin log, or has its writer record it.
+void stream_origin_task::logOrigin(const std::string &id, const stream_origin &origin)
+{
+    const std::string writer = logWriterOf(id, logWriters());
+    if (writer.empty() || writer == m_settings.node) {
+        appendOrigin(m_originLog, id, origin);
+    } else {
+        m_announcements.push_back({writer, {id, origin}});
+        sendAnnouncements();
+    }
+}
+
+/// Writes the origin log, at once if the last write is long enough ago.
+void stream_origin_task::writeLog()
+{
+    const millis now = bootNow();
+    const auto writers = static_cast<std::int64_t>(std::max<std::size_t>(logWriters().size(), 1));
+    const millis due = m_logWrittenAt + millis{writers * logIntervalPerWriter.count};
+    if (m_originLog.isWriting || m_originLog.pending.empty() || m_logTimer) {
+        return;
+    }
+    if (now < due) {
+        m_logTimer = m_loop.timer(due - now, {}, [this] {
+            const auto timer = std::exchange(m_logTimer, nullptr); // kept until the end of this call
+            writeLog();
+        });
+        return;
+    }
+    const auto write = beginWrite(m_originLog, now);
+    m_logWrittenAt = now;
+    ++m_counters.logWrites;
+    m_store.writeOrigins(write->segment, write->record, [this](bool done) {
+        finishWrite(m_originLog, done);
+        m_counters.logDropped = m_originLog.dropped;
+        if (!done) {
+            m_logWrittenAt = bootNow() + logRetryPause;
+        }
+        writeLog();
+    });
 }
 
 void stream_origin_task::announce(const std::string &id, const stream_origin &origin)
@@ -205,8 +284,10 @@
     for (const auto &[id, entry] : m_own.byId) {
         if (entry.origin.service == service) {
             announce(id, entry.origin);
+            logOrigin(id, entry.origin);
         }
     }
+    writeLog();
     std::stable_sort(m_announcements.begin(), m_announcements.end(), [](const auto &a, const auto &b) {
         return a.first < b.first;
     });
@@ -294,7 +375,68 @@
     });
 }
 
+/// Ends a lookup by what the homes know, or has the store's records read.
 void stream_origin_task::conclude(const std::string &id)
+{
+    const auto found = m_lookups.find(id);
+    if (found == m_lookups.end()) {
+        return;
+    }
+    const origin_evidence &evidence = found->second->evidence;
+    if (versionToGoOnAt(evidence)) {
+        finish(id, evidence.record ? "home" : "sole version");
+        return;
+    }
+    if (!m_store.view().reachable) {
+        finish(id, "store away");
+        return;
+    }
+    m_awaitingLogs.push_back(id);
+    readLogs();
+}
+
+/// Reads the origin logs for all lookups that wait for them.
+void stream_origin_task::readLogs()
+{
+    if (m_readingLogs || m_readTimer) {
+        return;
+    }
+    const millis now = bootNow();
+    const millis due = m_logsReadAt + logReadInterval;
+    if (now < due) {
+        m_readTimer = m_loop.timer(due - now, {}, [this] {
+            const auto timer = std::exchange(m_readTimer, nullptr); // kept until the end of this call
+            readLogs();
+        });
+        return;
+    }
+    m_readingLogs = true;
+    m_logsReadAt = now;
+    ++m_counters.logReads;
+    const auto waiting = std::make_shared<std::vector<std::string>>(std::exchange(m_awaitingLogs, {}));
+    m_readTimer = m_loop.timer(logReadTimeout, {}, [this, waiting] {
+        const auto timer = std::exchange(m_readTimer, nullptr); // kept until the end of this call
+        for (const std::string &id : std::exchange(*waiting, {})) {
+            finish(id, "store away");
+        }
+    });
+    m_store.readOrigins([this, waiting](const std::optional<std::vector<stream_origin_record>> &origins) {
+        m_readingLogs = false;
+        m_readTimer.reset();
+        for (const stream_origin_record &each : origins.value_or(std::vector<stream_origin_record>{})) {
+            recordOrigin(m_kept, each.id, each.origin, bootNow());
+        }
+        for (const std::string &id : std::exchange(*waiting, {})) {
+            finish(id, origins ? "log" : "store away");
+        }
+        if (!m_awaitingLogs.empty()) {
+            readLogs();
+        }
+    });
+}
+
+/// Passes on what is known of a stream's origin. `evidence`: where it was looked for last.
+void stream_origin_task::finish(const std::string &id, const char *evidence)
 {
     const auto found = m_lookups.find(id);
     if (found == m_lookups.end()) {
@@ -302,28 +444,65 @@
     }
     const lookup_ptr asked = found->second;
     m_lookups.erase(found);
-    const origin_evidence &evidence = asked->evidence;
-    std::optional<stream_origin> origin = evidence.record;
-    if (const auto version = versionToGoOnAt(evidence); version && !origin) {
+    std::optional<stream_origin> origin = asked->evidence.record;
+    if (const stream_origin *kept = findOrigin(m_kept, id, bootNow()); kept != nullptr && !origin) {
+        origin = *kept;
+    }
+    if (const auto version = versionToGoOnAt(asked->evidence); version && !origin) {
         origin = stream_origin{asked->service, *version};
     }
-    (origin ? m_counters.found : m_counters.unknown) += asked->callbacks.size();
+    const bool storeAway = !origin && evidence == std::string_view("store away");
+    std::uint64_t &counter =
+        origin ? m_counters.found : (storeAway ? m_counters.storeAway : m_counters.unknown);
+    counter += asked->callbacks.size();
     m_log.important("stream.taken_up")
         .add("resumes", id)
         .add("software", origin ? origin->softwareVersion : std::string())
         .add("known", origin ? 1 : 0)
-        .add("recorded", evidence.record ? 1 : 0)
+        .add("recorded", asked->evidence.record ? 1 : 0)
+        .add("evidence", evidence)
         .add("silent_homes", static_cast<std::int64_t>(asked->open.size()));
     for (const auto &done : asked->callbacks) {
         done(origin);
     }
 }
 
-void stream_origin_task::onReport(const stream_origins_report &report)
+void stream_origin_task::onReport(const std::string &node, const stream_origins_report &report)
 {
+    const millis now = bootNow();
+    const auto &daemons = m_store.view().daemons;
+    const auto sender = daemons.find(node);
+    const std::uint64_t incarnation = sender == daemons.end() ? 0 : sender->second.incarnation;
+    const std::vector<std::string> writers = logWriters();
     for (const stream_origin_record &each : report.records) {
-        recordOrigin(m_kept, each.id, each.origin, bootNow());
+        recordOrigin(m_kept, each.id, each.origin, now);
+        if (logWriterOf(each.id, writers) == m_settings.node) {
+            appendOrigin(m_originLog, each.id, each.origin);
+        } else {
+            m_recentReports.push_back({now, node, incarnation, each.id});
+        }
+    }
+    while (m_recentReports.size() > maxRecentReports) {
+        m_recentReports.pop_front();
     }
+    writeLog();
+}
+
+/// Records streams of daemons that have ended, which may not have recorded the last ones.
+void stream_origin_task::logForEndedDaemons()
+{
+    const millis now = bootNow();
+    const auto &daemons = m_store.view().daemons;
+    std::erase_if(m_recentReports, [&](const recent_report &report) {
+        const auto sender = daemons.find(report.node);
+        const bool ended = sender == daemons.end() || sender->second.incarnation != report.incarnation;
+        const stream_origin *origin = ended ? findOrigin(m_kept, report.id, now) : nullptr;
+        if (origin != nullptr) {
+            appendOrigin(m_originLog, report.id, *origin);
+        }
+        return ended || now - report.at > reportMemory;
+    });
+    writeLog();
 }
 
 stream_origin_answer stream_origin_task::answerTo(const stream_origin_query &query)
--- a/packages/serving/stream_origin_task.h
+++ b/packages/serving/stream_origin_task.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduling/origin_log.h"
 #include "scheduling/stream_versions.h"
 #include "serving/decision_log.h"
 #include "serving/fleet_port.h"
@@ -27,12 +28,17 @@
     std::uint64_t recordsSent = 0; ///< to homes of this daemon's streams
     std::uint64_t queries = 0; ///< streams that callers took up here and that homes were asked about
     std::uint64_t found = 0; ///< streams taken up whose version was known
-    std::uint64_t unknown = 0; ///< streams taken up that were refused, because it was not
+    std::uint64_t unknown = 0; ///< streams taken up that were refused, because it was never recorded
+    std::uint64_t storeAway = 0; ///< the same, where the store's records could not be read
+    std::uint64_t logWrites = 0; ///< of this daemon's origin log to the store
+    std::uint64_t logReads = 0; ///< of all daemons' origin logs
+    std::uint64_t logDropped = 0; ///< streams that could not be written in time
 };
 
 /// Remembers at which software version streams began. While a service has one version, nothing is sent. Once
 /// it has several, each stream's beginning daemon tells two homes, found by rendezvous hash of the stream's
-/// id, so that any daemon can ask them when a caller takes the stream up there.
+/// id, so that any daemon can ask them when a caller takes the stream up there. The stream is also recorded
+/// in the store, which is read where no home knows it: all daemons may have ended since.
 class stream_origin_task
 {
 public:
@@ -41,8 +47,9 @@
 
     void setPort(fleet_port &port);
 
-    /// Records that a stream's first event goes to its caller. `id`: of the caller's attempt.
-    void onStreamBegan(const std::string &id, const stream_origin &origin);
+    /// Records that a stream's first event goes to its caller. `id`: of the caller's attempt. `isNew`: no
+    /// earlier attempt brought events of the stream.
+    void onStreamBegan(const std::string &id, const stream_origin &origin, bool isNew);
     /// The stream is complete, so its caller won't take it up.
     void onStreamComplete(const std::string &id);
     /// Passes on where a stream began, or nothing if that isn't known. `service`: where the stream goes on if
@@ -50,7 +57,7 @@
     void find(const std::string &id, const std::string &service,
         std::function<void(const std::optional<stream_origin> &)> done);
 
-    void onReport(const stream_origins_report &report);
+    void onReport(const std::string &node, const stream_origins_report &report);
     void onQuery(const std::string &node, const stream_origin_query &query);
     void onAnswer(const std::string &node, const stream_origin_answer &answer);
     const origin_counters &counters() const;
@@ -72,6 +79,13 @@
     void sendAnnouncements();
     void askHomes(const std::string &id, const lookup_ptr &asked);
     void conclude(const std::string &id);
+    void readLogs();
+    void finish(const std::string &id, const char *evidence);
+    std::vector<std::string> logWriters() const;
+    std::string logWriterOf(const std::string &id, const std::vector<std::string> &writers) const;
+    void logOrigin(const std::string &id, const stream_origin &origin);
+    void logForEndedDaemons();
+    void writeLog();
     stream_origin_answer answerTo(const stream_origin_query &query);
 
     loop &m_loop;
@@ -89,6 +103,22 @@
     std::map<std::string, lookup_ptr> m_lookups; ///< by stream id
     std::map<std::string, millis> m_outdatedSince; ///< records of versions, by service
     std::map<std::string, std::set<std::string>> m_unrecordedVersions; ///< by service
+    origin_log m_originLog; ///< as a writer
+    /// Streams that other daemons have lately reported to this one as a home.
+    struct recent_report
+    {
+        millis at;
+        std::string node;
+        std::uint64_t incarnation = 0; ///< of the node's daemon then; 0: unknown
+        std::string id;
+    };
+    std::deque<recent_report> m_recentReports; ///< oldest first
+    millis m_logWrittenAt;
+    std::shared_ptr<void> m_logTimer;
+    std::vector<std::string> m_awaitingLogs; ///< keys of lookups that wait for the store
+    bool m_readingLogs = false;
+    millis m_logsReadAt;
+    std::shared_ptr<void> m_readTimer;
     std::shared_ptr<void> m_maintainTimer;
     std::shared_ptr<void> m_announceTimer;
 };
