Let the soak kill all daemons at once, behind late writes of versions

Ruled out: drawing these with the other faults: seeds that once failed would play something else. After the last fault the witness holds each run against the newest declared version. Leases end after the time that they were asked for if that is longer than a daemon's.

--- a/tests/serving/store_standin.cpp
+++ b/tests/serving/store_standin.cpp
@@ -115,7 +115,9 @@
     } else if (target == "/v1/kv-txn") {
         onChange(request, reply);
     } else if (target == "/v1/kv-lease") {
-        client.grantLease({}, [reply](store_status status, std::int64_t lease) {
+        const json body = json::parse(request.body, nullptr, false);
+        const millis ttl{body.is_object() ? body.value("ttlMs", std::int64_t{0}) : 0};
+        client.grantLease(ttl, [reply](store_status status, std::int64_t lease) {
             respond(*reply, status, {{"lease", lease}, {"ttlMs", 3'000}});
         });
     } else if (target.starts_with("/v1/kv-keep/")) {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -14,6 +14,7 @@
 
 Usage:
   briarhead_soak [--first=SEED] [--seeds=COUNT] [--seconds=SPAN] [--daemons=COUNT] [--program=FILE]
+                [--power-losses]
   briarhead_soak (-h | --help)
 
 Options:
@@ -21,6 +22,7 @@
   --seeds=COUNT    How many, one after the other [default: 1].
   --seconds=SPAN   Traffic under faults, for each seed [default: 12].
   --daemons=COUNT  Processes of briarhead-edge [default: 4].
+  --power-losses   Also kill all processes at once, behind late writes of adapters' versions.
   --program=FILE   briarhead-edge, where it isn't the one built beside this.
   -h --help        Show this text.
 
@@ -73,6 +75,7 @@
         seeds = static_cast<std::uint64_t>(arguments.at("--seeds").asLong());
         options.length = {arguments.at("--seconds").asLong() * 1'000};
         options.daemons = static_cast<std::size_t>(arguments.at("--daemons").asLong());
+        options.powerLosses = arguments.at("--power-losses").asBool();
     } catch (const docopt::DocoptExitHelp &) {
         std::cout << usage;
         return 0;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -97,6 +97,16 @@
             cutDomain(each);
         });
     }
+    for (const power_loss_plan &each : m_options.powerLosses
+            ? drawPowerLosses(m_options.seed, m_options.length)
+            : std::vector<power_loss_plan>()) {
+        after(each.at - each.versionsBefore, [this, each] {
+            nameVersionBeforeLateWrite(each);
+        });
+        after(each.at, [this] {
+            killAllDaemons();
+        });
+    }
     for (const brittle_plan &each : drawBrittle(m_options.seed, m_options.modelServers, m_servers.size())) {
         after(each.at, [this, each] {
             makeBrittle(each);
@@ -113,6 +123,7 @@
     }
     m_report.recovered = bootNow() - healed;
     runFor(calmAfter);
+    m_witness.checkAdapterVersionsFrom(bootNow());
     // That a server names its limit no more is known from its next answer, which may be a turn away.
     runUntil(longestTurn, [this, healed] {
         sendOne();
@@ -180,7 +191,9 @@
         }
     }
     for (const auto &[lease, kept] : m_store.renewedAt) {
-        if (m_store.leaseIsOpen[lease] && now - kept > shortLeaseTtl) {
+        const bool outlivesDaemons = m_store.ttls[lease] > longestDaemonLease;
+        const millis ttl = outlivesDaemons ? m_store.ttls[lease] : shortLeaseTtl;
+        if (m_store.leaseIsOpen[lease] && now - kept > ttl) {
             m_store.expire(lease);
         }
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -20,6 +20,7 @@
     std::size_t modelServers = 3;
     std::size_t plainServers = 2;
     double perSecond = 60; ///< requests
+    bool powerLosses = false; ///< all daemons are killed at once, behind late writes of adapters' versions
     std::string program; ///< briarhead-edge
     std::filesystem::path folder; ///< settings and logs
 };
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -7,6 +7,15 @@
 // What is done to daemons, servers, the store and the configuration, and how it ends.
 namespace briarhead::soak {
 
+namespace {
+
+std::string declarationOf(const std::string &adapter, int version)
+{
+    return R"({"model":"m0","adapter":")" + adapter + R"(","version":)" + std::to_string(version) + '}';
+}
+
+}
+
 void soak_run::startServer(served_server &server)
 {
     const std::string id = server.name + '.' + std::to_string(++server.starts);
@@ -117,12 +126,40 @@
     case fault_kind::ChangeConfig:
         changeConfig();
         return;
-    case fault_kind::NameVersion: {
-        const std::string adapter = "a" + std::to_string(what.variant % adapters);
-        m_store.put("op/version/m0." + adapter,
-            R"({"model":"m0","adapter":")" + adapter + R"(","version":)" + std::to_string(++m_lastId) + '}');
+    case fault_kind::NameVersion:
+        nameVersion(static_cast<int>(what.variant) % adapters);
         return;
     }
+}
+
+void soak_run::nameVersion(int adapter)
+{
+    const std::string name = "a" + std::to_string(adapter);
+    m_store.put("op/version/m0." + name, declarationOf(name, ++m_lastId));
+    m_witness.versionNamed(name, m_lastId, bootNow());
+}
+
+/// The older version's write comes first, is not answered, and executed after the newer one.
+void soak_run::nameVersionBeforeLateWrite(const power_loss_plan &plan)
+{
+    const int adapter = static_cast<int>(plan.adapter) % adapters;
+    const std::string name = "a" + std::to_string(adapter);
+    m_store.executeLater(
+        {{}, {{"op/version/m0." + name, declarationOf(name, ++m_lastId), 0}}, {}}, plan.lateBy);
+    nameVersion(adapter);
+}
+
+void soak_run::killAllDaemons()
+{
+    if (m_healed) {
+        return;
+    }
+    m_report.faults.push_back(std::to_string((bootNow() - m_begin).count) + " ms: all daemons are killed");
+    m_witness.disturbed(bootNow());
+    for (daemon_process &daemon : m_daemons) {
+        m_witness.excuse(daemon.name, bootNow(), bootNow());
+        disturb(daemon, {});
+        signal(daemon, SIGKILL);
     }
 }
 
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -194,6 +194,20 @@
     return cuts;
 }
 
+std::vector<power_loss_plan> drawPowerLosses(std::uint64_t seed, millis length)
+{
+    std::mt19937_64 random(seed * 89 + 13);
+    const auto below = drawsBelow(random);
+    std::vector<power_loss_plan> plans;
+    std::int64_t at = calmStartMs + shortestCrowdMs + below(2 * calmStartMs);
+    while (at + 2 * calmStartMs < length.count) {
+        const millis before{below(2 * longestMs / 2)};
+        plans.push_back({{at}, before, {below(2 * longestMs)}, static_cast<std::size_t>(below(variants))});
+        at += shortestCutMs + below(shortestCutMs);
+    }
+    return plans;
+}
+
 std::vector<brittle_plan> drawBrittle(std::uint64_t seed, std::size_t first, std::size_t last)
 {
     std::mt19937_64 random(seed * 101 + 3);
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -105,6 +105,19 @@
 /// Drawn apart from the faults; one follows the other at another daemon.
 std::vector<crowd_plan> drawCrowds(std::uint64_t seed, millis length, std::size_t daemons);
 
+/// All daemons are killed at once. Shortly before, versions of an adapter are declared, and the store
+/// executes the write of an older one late.
+struct power_loss_plan
+{
+    millis at; ///< since the start of traffic
+    millis versionsBefore;
+    millis lateBy; ///< from the declaration on
+    std::size_t adapter = 0;
+};
+
+/// Drawn apart from the faults.
+std::vector<power_loss_plan> drawPowerLosses(std::uint64_t seed, millis length);
+
 /// All daemons of a failure domain are cut off from all servers.
 struct cut_plan
 {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -21,6 +21,7 @@
 using behavior = backend_standin::behavior;
 
 constexpr millis shortLeaseTtl{3'000};
+constexpr millis longestDaemonLease{60'000}; ///< longer ones are for records that outlive daemons
 constexpr millis lookEvery{20};
 /// What the smallest daemon of a large deployment has.
 constexpr std::size_t maxResidentKb = 160 * 1024;
@@ -116,6 +117,9 @@
     void cutDomain(const cut_plan &cut);
     void endCut(std::size_t domain);
     void makeBrittle(const brittle_plan &plan);
+    void nameVersion(int adapter);
+    void nameVersionBeforeLateWrite(const power_loss_plan &plan);
+    void killAllDaemons();
     void setStoreFault(store_fault value);
     void nameLimit(const limit_change_plan &change);
     void say(const word_plan &plan);
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -9,9 +9,11 @@
 
 namespace {
 
-void expectNoViolation(std::uint64_t seed, millis length, std::size_t daemons = soak_options{}.daemons)
+void expectNoViolation(
+    std::uint64_t seed, millis length, std::size_t daemons = soak_options{}.daemons, bool powerLosses = false)
 {
     soak_options options;
+    options.powerLosses = powerLosses;
     options.daemons = daemons;
     options.seed = seed;
     options.length = length;
@@ -70,6 +72,12 @@
     expectNoViolation(82013, {12'000});
 }
 
+/// Guards against facts that end with the daemons that know them: origins of streams, versions of adapters.
+TEST(Soak, PromisesHoldWhereAllDaemonsAreKilledUnderASeedsFaults)
+{
+    expectNoViolation(3, {16'000}, 4, true);
+}
+
 /// Guards against requests that are refused as not run while the end of their response is being checked.
 TEST(Soak, RefusedRequestsHaveNotRunUnderASeedsFaults)
 {
--- a/tests/soak/witness.cpp
+++ b/tests/soak/witness.cpp
@@ -28,6 +28,8 @@
 /// The rule on cut off daemons binds from this long after the cut.
 constexpr millis cutBindsAfter{3'000};
 constexpr millis comparedSpan{500};
+/// A declared version of an adapter is in force by then.
+constexpr millis versionBound{5'000};
 const std::string stampBegin = "by-";
 
 /// The number of the last event in a stream's body; 0 without one.
@@ -494,6 +496,7 @@
     for (std::size_t i = 0; i < server.ran.size(); ++i) {
         const front_request &run = server.ran[i];
         checkAccount(server, run, server.ranAt[i]);
+        checkAdapterVersion(run, server.ranAt[i]);
         const std::string *id = findField(run.head, "x-briarhead-request-id");
         const auto found = id == nullptr ? m_requests.end() : m_requests.find(*id);
         if (found == m_requests.end()) {
@@ -519,6 +522,35 @@
     }
 }
 
+void witness::versionNamed(const std::string &adapter, std::int64_t version, millis at)
+{
+    m_adapterVersions[adapter].emplace_back(at, version);
+}
+
+void witness::checkAdapterVersionsFrom(millis at)
+{
+    m_adapterVersionsFrom = at;
+}
+
+void witness::checkAdapterVersion(const front_request &run, millis at)
+{
+    const std::string *model = findField(run.head, "x-briarhead-model");
+    const std::size_t slash = model == nullptr ? std::string::npos : model->find('/');
+    if (slash == std::string::npos || !m_adapterVersionsFrom || at < *m_adapterVersionsFrom) {
+        return;
+    }
+    std::int64_t newest = 0;
+    for (const auto &[declaredAt, version] : m_adapterVersions[model->substr(slash + 1)]) {
+        newest = at - declaredAt > versionBound ? std::max(newest, version) : newest;
+    }
+    const std::string *expected = findField(run.head, "x-briarhead-expect-version");
+    const std::int64_t version = expected == nullptr ? 0 : std::stoll(*expected);
+    if (version < newest) {
+        wrong("VERSION a request begins on version " + std::to_string(version) + " of " + *model
+            + " after version " + std::to_string(newest));
+    }
+}
+
 /// Servers are told the account of the caller's key, whatever the caller says of it, and never the key.
 void witness::checkAccount(const backend_standin &server, const front_request &run, millis at)
 {
--- a/tests/soak/witness.h
+++ b/tests/soak/witness.h
@@ -82,6 +82,10 @@
         const std::string &daemon, millis from, millis until, excuse_kind kind = excuse_kind::Stopped);
     /// A server's link holds back what is sent to it.
     void heldUp(const std::string &server, millis from, millis until);
+    /// A version of an adapter was declared and acknowledged.
+    void versionNamed(const std::string &adapter, std::int64_t version, millis at);
+    /// Requests that run from then on must not run on an older version of their adapter: all is calm.
+    void checkAdapterVersionsFrom(millis at);
     /// Something goes wrong somewhere until then.
     void disturbed(millis until);
     /// What a server ran and was ordered, up to now.
@@ -118,6 +122,7 @@
     void checkCuts(soak_report &report) const;
     void checkFirstParts(soak_report &report) const;
     void checkCrowds(soak_report &report) const;
+    void checkAdapterVersion(const front_request &run, millis at);
     void checkServerLimit(const backend_standin &server);
     void checkWords(const backend_standin &server);
     std::string senderAt(const std::string &server, const std::string &id, millis at, bool cutsExcuse) const;
@@ -129,6 +134,8 @@
 
     std::map<std::string, sent_request> m_requests;
     std::map<std::string, std::string> m_serverVersions; ///< by server
+    std::map<std::string, std::vector<std::pair<millis, std::int64_t>>> m_adapterVersions; ///< as declared
+    std::optional<millis> m_adapterVersionsFrom;
     std::map<std::string, std::set<std::string>> m_streamVersions; ///< by the root attempt
     struct stream_counts
     {
