--- a/tests/scheduling/newest_versions_test.cpp
+++ b/tests/scheduling/newest_versions_test.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/newest_versions.h"
 
 #include "coordination/write_turn.h"
+#include "protocol/codec.h"
 
 #include <gtest/gtest.h>
 
@@ -48,6 +49,24 @@
     }));
 }
 
+TEST(NewestVersions, RecordsOfABusyMinuteAreSmall)
+{
+    constexpr int declared = 5'000;
+    newest_versions versions;
+    unsafe_versions unsafe;
+    for (int i = 0; i < declared; ++i) {
+        const std::string adapter = "daka510000/a" + std::to_string(i);
+        versions[adapter] = {3, 3};
+        unsafe[adapter] = {1};
+    }
+    std::size_t bytes = 0;
+    for (const auto &[shard, record] : requiredRecords(unsafe, versions)) {
+        bytes += encode(record).size();
+    }
+    RecordProperty("bytes", static_cast<int>(bytes));
+    EXPECT_LT(bytes, declared * 32U);
+}
+
 TEST(WriteTurn, ThreeDaemonsTakeTurns)
 {
     std::vector<std::string> daemons;
--- a/tests/scheduling/origin_log_test.cpp
+++ b/tests/scheduling/origin_log_test.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/origin_log.h"
 
+#include "protocol/codec.h"
 #include "scheduling/stream_versions.h"
 
 #include <gtest/gtest.h>
@@ -122,6 +123,22 @@
     }
 }
 
+TEST(OriginLog, WritesAreSmall)
+{
+    origin_log log;
+    std::size_t written = 0;
+    constexpr int streams = 1'000;
+    for (int i = 0; i < streams; ++i) {
+        appendOrigin(log, "9c41d07be2a3" + std::to_string(1'000 + i), firstVersion);
+        const auto write = beginWrite(log, {1 + 100 * i}); // ten streams a second, each written at once
+        ASSERT_TRUE(write);
+        written += encode(write->record).size();
+        finishWrite(log, true);
+    }
+    RecordProperty("bytesPerStream", static_cast<int>(written / streams));
+    EXPECT_LT(written / streams, 1'000U) << "a segment of five seconds is rewritten with each stream";
+}
+
 TEST(StreamVersions, IdOfTwoOriginsIsUnknown)
 {
     stream_origins origins;
