--- a/tests/scheduling/newest_versions_test.cpp
+++ b/tests/scheduling/newest_versions_test.cpp
@@ -69,9 +69,10 @@
 
 TEST(WriteTurn, ThreeDaemonsTakeTurns)
 {
-    std::vector<std::string> daemons;
-    for (int i = 0; i < 20; ++i) {
-        daemons.push_back("n" + std::to_string(i));
+    constexpr std::size_t count = 20;
+    std::vector<std::string> daemons(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        daemons[i] = "n" + std::to_string(i);
     }
     std::multiset<std::int64_t> delays;
     for (const std::string &node : daemons) {
--- a/tests/serving/adapter_version_test.cpp
+++ b/tests/serving/adapter_version_test.cpp
@@ -315,6 +315,7 @@
         }
     };
     std::vector<std::unique_ptr<history>> all;
+    all.reserve(histories);
     for (int i = 0; i < histories; ++i) {
         all.push_back(std::make_unique<history>(events, static_cast<unsigned>(i + 1)));
     }
@@ -378,7 +379,7 @@
             break;
         }
     };
-    const auto check = [applyTime](history &h) {
+    const auto check = [applyTime, knownFor](history &h) {
         const millis now = bootNow();
         std::int64_t floor = 0;
         for (auto &each : h.acknowledged) {
--- a/tests/serving/fake_store.cpp
+++ b/tests/serving/fake_store.cpp
@@ -23,8 +23,8 @@
 
 store_status fake_store::execute(const store_change &transaction)
 {
-    const bool refused = std::any_of(
-        transaction.puts.begin(), transaction.puts.end(), [this](const store_put &each) {
+    const bool refused =
+        std::any_of(transaction.puts.begin(), transaction.puts.end(), [this](const store_put &each) {
             return !refusedPrefix.empty() && each.key.starts_with(refusedPrefix);
         });
     if (refused) {
