Keep recorded versions whose age a daemon that has just started doesn't know

Callers saw: nothing yet; found by reading the change. A version that was declared seconds before a daemon started left the record with that daemon's first write of the shard, and a late write together with a loss of all daemons could then bring the older version back. Cause: records that arrived after the first read did not mark their versions as endangered, though the daemon had taken the item of its first read for an old one. Change: for the length of the window after its start a daemon keeps all that the record holds. Measured: adapter_version_test.DaemonThatStartedLaterKeepsWhatTheRecordHolds failed without it; 13 of 13 with it.

--- a/packages/serving/store_apply.cpp
+++ b/packages/serving/store_apply.cpp
@@ -447,10 +447,12 @@
         m_view.adapterVersions.erase(shard);
         return;
     }
+    // A daemon that has just started doesn't know how long ago the versions were declared.
+    const bool isYoung = m_view.firstReadAt.count == 0 || bootNow() - m_view.firstReadAt < lateWriteWindow;
     for (const adapter_version_entry &entry : record->versions) {
         raiseVersion(entry.adapter, entry.version, item, change);
-        if (m_view.firstReadAt.count == 0) {
-            change.unsafeVersions.push_back(entry.adapter); // this daemon doesn't know how old it is
+        if (isYoung) {
+            change.unsafeVersions.push_back(entry.adapter);
         }
     }
     stored_adapter_versions &stored = m_view.adapterVersions[shard];
--- a/tests/serving/adapter_version_test.cpp
+++ b/tests/serving/adapter_version_test.cpp
@@ -258,6 +258,35 @@
     EXPECT_LT(store.calls - callsBefore, 12U);
 }
 
+/// Guards against a record that loses a version when a daemon writes it that started after the declaration.
+TEST_F(adapter_version_test, DaemonThatStartedLaterKeepsWhatTheRecordHolds)
+{
+    std::string other;
+    for (int i = 0; versionShardOf("m/" + other) != versionShardOf(adapter); ++i) {
+        other = "b" + std::to_string(i);
+    }
+    declare(1);
+    auto running = startDaemon("n1");
+    declare(3);
+    awaitVersion(*running, 3);
+    const auto started = startDaemon("n2"); // before the version is recorded
+    const std::string key = detail::adapterVersionsPrefix + versionShardOf(adapter);
+    ASSERT_TRUE(runUntil([&] {
+        return store.items.count(key) != 0;
+    }));
+    runFor({1'000});
+    kill(running);
+    const std::int64_t recordedAt = store.items.at(key).revision;
+    store.put("op/version/m." + other, R"({"model":"m","adapter":")" + other + R"(","version":2})");
+    ASSERT_TRUE(runUntil([&] {
+        return store.items.at(key).revision > recordedAt;
+    }));
+    error why;
+    const auto record = decodeAdapterVersions(store.items.at(key).value, why);
+    ASSERT_TRUE(record);
+    EXPECT_EQ(record->versions, (std::vector<adapter_version_entry>{{adapter, 3}, {"m/" + other, 2}}));
+}
+
 /// Guards against a version that was acknowledged while no daemon ran, and replaced before one did.
 TEST_F(adapter_version_test, VersionThatNoDaemonSawIsFoundInTheHistory)
 {
