Let only the first daemon in turn remove versions from the record of a service

Callers saw: nothing yet; found by reading the change. Since three daemons may write the record, those that forget a version at different times (a daemon counts the two minutes from its start) would undo each other's writes, three a second for up to two minutes. Cause: each wrote exactly what it had seen. Change: the second and third in turn write what they have seen and what is recorded. A report from a daemon that is not yet in the view no longer counts as one of an ended daemon.

--- a/packages/scheduling/stream_versions.cpp
+++ b/packages/scheduling/stream_versions.cpp
@@ -1,5 +1,8 @@
 #include "scheduling/stream_versions.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace briarhead {
 
 namespace {
@@ -82,6 +85,18 @@
     return versions;
 }
 
+std::vector<std::string> versionsToRecord(const version_sightings &sightings, const std::string &service,
+    const std::vector<std::string> &recorded, bool mayRemove)
+{
+    std::vector<std::string> seen = versionsOf(sightings, service);
+    if (mayRemove) {
+        return seen;
+    }
+    std::vector<std::string> versions;
+    std::set_union(seen.begin(), seen.end(), recorded.begin(), recorded.end(), std::back_inserter(versions));
+    return versions;
+}
+
 std::optional<std::string> versionToGoOnAt(const origin_evidence &evidence)
 {
     if (evidence.record) {
--- a/packages/scheduling/stream_versions.h
+++ b/packages/scheduling/stream_versions.h
@@ -51,6 +51,11 @@
 /// The versions of a service, sorted.
 std::vector<std::string> versionsOf(const version_sightings &sightings, const std::string &service);
 
+/// What the store's record of a service's versions, sorted, should hold. Only the first daemon in turn to
+/// write it may remove versions: daemons forget them at different times, and would undo each other's writes.
+std::vector<std::string> versionsToRecord(const version_sightings &sightings, const std::string &service,
+    const std::vector<std::string> &recorded, bool mayRemove);
+
 /// What is known about where a stream began when its caller takes it up.
 struct origin_evidence
 {
--- a/packages/serving/stream_origin_task.cpp
+++ b/packages/serving/stream_origin_task.cpp
@@ -118,14 +118,18 @@
     }
     const std::vector<std::string> daemons = nodesOf(view.daemons);
     for (const auto &[service, seen] : m_sightings) {
-        const std::vector<std::string> versions = versionsOf(m_sightings, service);
         const auto stored = view.serviceVersions.find(service);
-        if (stored != view.serviceVersions.end() && stored->second.record.versions == versions) {
+        const auto delay = writeDelayOf(service, daemons, m_settings.node);
+        const std::vector<std::string> recorded = stored == view.serviceVersions.end()
+            ? std::vector<std::string>()
+            : stored->second.record.versions;
+        const std::vector<std::string> versions =
+            versionsToRecord(m_sightings, service, recorded, delay == millis{});
+        if (stored != view.serviceVersions.end() && recorded == versions) {
             m_outdatedSince.erase(service);
             continue;
         }
         const millis since = m_outdatedSince.try_emplace(service, bootNow()).first->second;
-        const auto delay = writeDelayOf(service, daemons, m_settings.node);
         if (delay && bootNow() - since >= *delay) {
             m_store.writeServiceVersions(service, {versions});
         }
@@ -495,7 +499,9 @@
     const auto &daemons = m_store.view().daemons;
     std::erase_if(m_recentReports, [&](const recent_report &report) {
         const auto sender = daemons.find(report.node);
-        const bool ended = sender == daemons.end() || sender->second.incarnation != report.incarnation;
+        const bool restarted = sender != daemons.end() && report.incarnation != 0
+            && sender->second.incarnation != report.incarnation;
+        const bool ended = sender == daemons.end() || restarted;
         const stream_origin *origin = ended ? findOrigin(m_kept, report.id, now) : nullptr;
         if (origin != nullptr) {
             appendOrigin(m_originLog, report.id, *origin);
--- a/tests/scheduling/origin_log_test.cpp
+++ b/tests/scheduling/origin_log_test.cpp
@@ -139,6 +139,17 @@
     EXPECT_LT(written / streams, 1'000U) << "a segment of five seconds is rewritten with each stream";
 }
 
+/// Guards against daemons that undo each other's writes, because they forget versions at different times.
+TEST(StreamVersions, OnlyTheFirstInTurnRemovesVersionsFromTheRecord)
+{
+    version_sightings sightings;
+    recordVersions(sightings, "llm", {"v2"}, {1});
+    const std::vector<std::string> recorded{"v1", "v2"};
+    EXPECT_EQ(versionsToRecord(sightings, "llm", recorded, false), recorded);
+    EXPECT_EQ(versionsToRecord(sightings, "llm", recorded, true), std::vector<std::string>{"v2"});
+    EXPECT_EQ(versionsToRecord(sightings, "llm", {"v1"}, false), recorded);
+}
+
 TEST(StreamVersions, IdOfTwoOriginsIsUnknown)
 {
     stream_origins origins;
