--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -322,6 +322,17 @@
         });
     }
 
+    /// A server has ended: its entry is removed after three heartbeats.
+    void silence(const std::string &server)
+    {
+        call([&] {
+            m_entries.erase("servers/" + server);
+            m_silenced.push_back(m_events->timer({3 * 1'200}, {}, [this, server] {
+                m_store->remove("servers/" + server);
+            }));
+        });
+    }
+
 private:
     void run()
     {
@@ -356,11 +367,13 @@
         });
         m_ready = true;
         events.run();
+        m_silenced.clear();
     }
 
     briarhead::loop *m_events = nullptr;
     briarhead::fake_store *m_store = nullptr;
     std::map<std::string, json> m_entries;
+    std::vector<std::shared_ptr<void>> m_silenced;
     std::atomic<bool> m_ready{false};
     std::uint16_t m_port = 0;
     std::mutex m_mutex;
