--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -14,7 +14,8 @@
 for case in review/[4-8]/case.cpp; do
     number=$(basename "$(dirname "$case")")
     g++ -std=c++20 -O1 -Ireview/standins-2 -Itests -Ipackages -I. "$case" tests/serving/fake_store.cpp \
-        tests/serving/store_standin.cpp -o "target/review-2/case-$number" -Wl,--start-group $libraries \
+        tests/serving/store_standin.cpp tests/serving/backend_standin.cpp \
+        tests/serving/fault_proxy.cpp tests/serving/notice_check.cpp tests/scheduling/limit_check.cpp -o "target/review-2/case-$number" -Wl,--start-group $libraries \
         -Wl,--end-group $(pkg-config --libs libcurl libmicrohttpd libsodium spdlog fmt zlib 2>/dev/null) \
         -lev -lz -lxxhash -lpthread
 done
