--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,6 +1,6 @@
 // Streams that may be resumed run through one machine, at servers of software version v1, the only one so
 // far. The machine loses power: it stands still, and its connections end when it is back after 3.5 s. One
-// second after the loss the first servers of v2 appear, as at the beginning of a release. The callers take
+// second after the loss the first server of v2 appears, as at the beginning of a release. The callers take
 // their streams up at the other machines, while all servers of v1 serve on.
 #include "fleet.h"
 #include "serving/backend_standin.h"
@@ -12,7 +12,7 @@
 
 constexpr int machineCount = 3;
 constexpr int oldCount = 3; ///< servers of v1
-constexpr int newCount = 2; ///< servers of v2
+constexpr int newCount = 1; ///< servers of v2
 constexpr int eventCount = 80; ///< of a stream
 constexpr std::int64_t eventPauseMs = 150;
 constexpr std::int64_t firstEventMs = 8;
@@ -214,7 +214,7 @@
         }
     });
     at(releaseAtMs, [&] {
-        record.line("the first servers of v2 appear");
+        record.line("the first server of v2 appears");
         startServers("v2", newCount);
     });
     std::size_t firstNew = 0;
