--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -102,19 +102,25 @@
     return fd;
 }
 
-/// A port that is free on the loopback addresses of the stand-ins and of the machines.
+/// A port that is free on the loopback addresses of the stand-ins and of the machines. Each call returns
+/// another one, below the ports that the kernel gives to outgoing connections.
 inline std::uint16_t freePort()
 {
+    constexpr int firstPort = 10'000;
+    constexpr int portCount = 20'000;
+    constexpr int step = 17; // room for the range of internal ports
+    static int drawn = static_cast<int>(getpid()) % (portCount / step) * step;
     for (;;) {
-        std::uint16_t port = 0;
-        const int first = listenOn("127.0.0.1", port);
-        bool free = first >= 0;
-        for (int i = 1; free && i <= 6; ++i) {
-            const int other = listenOn("127.0.0.1" + std::to_string(i), port);
-            free = other >= 0;
-            close(other);
+        drawn = (drawn + step) % portCount;
+        auto port = static_cast<std::uint16_t>(firstPort + drawn);
+        bool free = true;
+        for (const char *last : {"1", "11", "12", "13", "14", "15", "16"}) {
+            const int fd = listenOn(std::string("127.0.0.") + last, port);
+            free = free && fd >= 0;
+            if (fd >= 0) {
+                close(fd);
+            }
         }
-        close(first);
         if (free) {
             return port;
         }
