--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -148,7 +148,7 @@
     for (int i = 1; i <= machineCount; ++i) {
         const std::string number = std::to_string(i);
         machines.push_back(std::make_unique<machine>(
-            "edge-" + number, "127.0.0.1" + number, "z" + number, ports, platform.port(), folder.path));
+            "edge-" + number, machineAddress(i), "z" + number, ports, platform.port(), folder.path));
         if (!machines.back()->start()) {
             return exitCouldNotRun;
         }
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -102,20 +102,29 @@
     return fd;
 }
 
-/// A port that is free on the loopback addresses of the stand-ins and of the machines. Each call returns
-/// another one, below the ports that the kernel gives to outgoing connections.
+/// The loopback address of a machine, by its number from 1 on. Each play has addresses of its own, so that
+/// plays beside each other don't meet.
+inline std::string machineAddress(int number)
+{
+    const int pid = static_cast<int>(getpid());
+    return "127." + std::to_string(1 + pid % 250) + '.' + std::to_string(1 + pid / 250 % 250) + '.'
+        + std::to_string(10 + number);
+}
+
+/// A port of the machines, which have the same ones. Each call returns another, below the ports that the
+/// kernel gives to outgoing connections.
 inline std::uint16_t freePort()
 {
-    constexpr int firstPort = 10'000;
-    constexpr int portCount = 20'000;
-    constexpr int step = 17; // room for the range of internal ports
-    static int drawn = static_cast<int>(getpid()) % (portCount / step) * step;
+    constexpr int firstPort = 12'000;
+    constexpr int step = 20; // room for the range of internal ports
+    constexpr int machineCount = 6;
+    static int drawn = 0;
     for (;;) {
-        drawn = (drawn + step) % portCount;
+        drawn += step;
         auto port = static_cast<std::uint16_t>(firstPort + drawn);
         bool free = true;
-        for (const char *last : {"1", "11", "12", "13", "14", "15", "16"}) {
-            const int fd = listenOn(std::string("127.0.0.") + last, port);
+        for (int number = 1; number <= machineCount; ++number) {
+            const int fd = listenOn(machineAddress(number), port);
             free = free && fd >= 0;
             if (fd >= 0) {
                 close(fd);
