Name the base of a service's versions, so that streams of lost daemons go on

Callers saw: a machine loses power, and within seconds a release brings the first server of another software version. All streams of that machine are refused where callers take them up, though three servers of their version serve.

Cause: While a service has one version nobody is told where streams begin, and the beginner, which tells when a second one appears, is gone. The others asked how many versions there are, not which one can have begun the stream. Ruled out: homes that don't answer (stream.taken_up: no silent homes, no record). Change: The record of a service's versions names the base: the version that was the only one. Until streams from before the release have ended, streams that may be taken up begin at the base alone, so one without a record began there; then the record drops the base, and 3 s later streams begin at all versions, with records as before. The base is dropped at once where it has less than half of the servers that stay. No such stream begins at an unrecorded version any more, also where no other has a server: the record alone then proves what it says, for daemons that start, too. Tests of two versions wait until both begin streams; those of the moment before keep their own wait (addSecondVersion).

--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -470,7 +470,10 @@
 
 std::optional<service_versions_record> decodeServiceVersions(std::string_view bytes, error &why)
 {
-    return decodeExactly<service_versions_record>(bytes, why);
+    const auto withoutBase = decodeExactly<service_versions_record>(bytes, why);
+    service_versions_record based;
+    based.base = "?"; // any, so that one is read
+    return withoutBase ? withoutBase : decodeExactly(bytes, why, based);
 }
 
 std::optional<adapter_versions_record> decodeAdapterVersions(std::string_view bytes, error &why)
--- a/packages/protocol/origin_messages.h
+++ b/packages/protocol/origin_messages.h
@@ -93,11 +93,21 @@
 struct service_versions_record
 {
     std::vector<std::string> versions; ///< sorted
+    /// The version that was the only one until another was recorded, while streams may go on that began then:
+    /// no daemon has told another one where. Meanwhile streams begin at this version alone, so that one
+    /// without a record began there. Empty: none.
+    std::string base;
 
+    bool operator==(const service_versions_record &) const = default;
+
+    /// Without a base, the record has the layout of builds that know none.
     template <class Archive>
     void serialize(Archive &archive)
     {
         archive(versions);
+        if (!base.empty()) {
+            archive(base);
+        }
     }
 };
 
--- a/packages/scheduling/stream_versions.cpp
+++ b/packages/scheduling/stream_versions.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace briarhead {
 
@@ -24,6 +25,17 @@
     }
 }
 
+bool contains(const std::vector<std::string> &versions, const std::string &version)
+{
+    return std::find(versions.begin(), versions.end(), version) != versions.end();
+}
+
+std::size_t stayingOf(const staying_servers &staying, const std::string &version)
+{
+    const auto found = staying.find(version);
+    return found == staying.end() ? 0 : found->second;
+}
+
 }
 
 void recordOrigin(stream_origins &origins, const std::string &id, const stream_origin &origin, millis now)
@@ -97,6 +109,70 @@
     return versions;
 }
 
+void learnRecord(version_record_state &state, const service_versions_record &record, millis now)
+{
+    const bool isFirst = !std::exchange(state.known, true);
+    if (state.base != record.base) {
+        state.base = record.base;
+        state.baseSince = now;
+    }
+    const std::vector<std::string> open =
+        record.base.empty() ? record.versions : std::vector<std::string>{record.base};
+    std::erase_if(state.openSince, [&open](const auto &each) {
+        return !contains(open, each.first);
+    });
+    for (const std::string &version : open) {
+        state.openSince.try_emplace(version, isFirst ? millis{} : now);
+    }
+}
+
+std::string baseToRecord(const version_record_state &state, const service_versions_record &recorded,
+    const std::vector<std::string> &versions, const staying_servers &staying, millis settleTime, millis now)
+{
+    const std::string base = versions.size() > 1 ? versionWithoutRecords(recorded).value_or("") : "";
+    if (base.empty() || !contains(versions, base)) {
+        return {};
+    }
+    const bool settled = settleTime.count == 0
+        || (!recorded.base.empty() && state.base == recorded.base && now - state.baseSince >= settleTime);
+    // Streams can't all begin at servers that are the smaller part.
+    std::size_t all = 0;
+    for (const auto &[version, count] : staying) {
+        all += count;
+    }
+    const std::size_t ofBase = stayingOf(staying, base);
+    return settled || ofBase == 0 || 2 * ofBase < all ? std::string() : base;
+}
+
+std::vector<std::string> versionsHeldBack(const version_record_state &state,
+    const service_versions_record &recorded, const staying_servers &staying, millis now)
+{
+    const auto isYoung = [&](const std::string &version) {
+        const auto since = state.openSince.find(version);
+        return since == state.openSince.end()
+            || (since->second.count != 0 && now - since->second <= maxViewAge);
+    };
+    const bool hasOldServers = std::any_of(staying.begin(), staying.end(), [&](const auto &each) {
+        return each.second > 0 && contains(recorded.versions, each.first) && !isYoung(each.first);
+    });
+    std::vector<std::string> heldBack;
+    for (const auto &[version, count] : staying) {
+        const bool isLater = !recorded.base.empty() && version != recorded.base;
+        if (!contains(recorded.versions, version) || isLater || (isYoung(version) && hasOldServers)) {
+            heldBack.push_back(version);
+        }
+    }
+    return heldBack;
+}
+
+std::optional<std::string> versionWithoutRecords(const service_versions_record &recorded)
+{
+    if (!recorded.base.empty()) {
+        return recorded.base;
+    }
+    return recorded.versions.size() == 1 ? std::optional(recorded.versions.front()) : std::nullopt;
+}
+
 std::optional<std::string> versionToGoOnAt(const origin_evidence &evidence)
 {
     if (evidence.record) {
--- a/packages/scheduling/stream_versions.h
+++ b/packages/scheduling/stream_versions.h
@@ -56,6 +56,39 @@
 std::vector<std::string> versionsToRecord(const version_sightings &sightings, const std::string &service,
     const std::vector<std::string> &recorded, bool mayRemove);
 
+/// A view of the store that was not confirmed for this long may lack a version.
+constexpr millis maxViewAge{3'000};
+
+/// Servers of a service that stay, that is, don't drain, by software version. A version with draining servers
+/// alone counts 0.
+using staying_servers = std::map<std::string, std::size_t>;
+
+/// What a daemon has learned of the record of a service's versions, and when.
+struct version_record_state
+{
+    bool known = false; ///< a record has been read
+    millis baseSince; ///< when the record's present base was learned
+    std::string base;
+    /// Since when streams may begin at a version, by this daemon's view. 0: since before its first view.
+    std::map<std::string, millis> openSince;
+};
+
+/// Applies a record that has been read or written.
+void learnRecord(version_record_state &state, const service_versions_record &record, millis now);
+/// The base that the store's record should name. `versions`: those that it should list; `settleTime`: how
+/// long a stream that began at the only version can last, 0 if streams of the service are never taken up.
+std::string baseToRecord(const version_record_state &state, const service_versions_record &recorded,
+    const std::vector<std::string> &versions, const staying_servers &staying, millis settleTime, millis now);
+
+/// Versions at which no stream that callers may take up should begin yet. A daemon whose view lacks them, or
+/// that goes by the base, could take it for a stream of another version.
+std::vector<std::string> versionsHeldBack(const version_record_state &state,
+    const service_versions_record &recorded, const staying_servers &staying, millis now);
+
+/// The version at which a stream without a record began, if the record leaves only one: no stream begins at a
+/// version before it is recorded.
+std::optional<std::string> versionWithoutRecords(const service_versions_record &recorded);
+
 /// What is known about where a stream began when its caller takes it up.
 struct origin_evidence
 {
--- a/packages/serving/front_version.cpp
+++ b/packages/serving/front_version.cpp
@@ -42,14 +42,13 @@
 }
 
 /// Whether the server may serve the request. If no event of the stream has gone to the caller, any one may
-/// whose version is recorded, as far as callers may take the stream up.
+/// whose version is not held back, as far as callers may take the stream up.
 bool front_task::isOfStreamVersion(const pending_request &pending, const backend_server &server) const
 {
     if (pending.origin) {
         return pending.origin->softwareVersion == server.softwareVersion;
     }
-    return !pending.matchedRoute->resumable
-        || !m_origins.isUnrecordedVersion(server.service, server.softwareVersion);
+    return !pending.matchedRoute->resumable || !m_origins.isHeldBack(server.service, server.softwareVersion);
 }
 
 /// Refuses a stream that goes on if its version has no server any more. Returns whether it did.
--- a/packages/serving/stream_origin_task.cpp
+++ b/packages/serving/stream_origin_task.cpp
@@ -18,8 +18,6 @@
 /// An answer takes a few milliseconds.
 constexpr millis answerTimeout{120};
 constexpr int maxQueryRounds = 3;
-/// A view of the store that was not confirmed for this long may lack a version.
-constexpr millis maxViewAge{3'000};
 constexpr millis maintainInterval{1'000};
 /// Announcements that become due at once are spread, since all daemons see a second version together.
 constexpr millis announceInterval{50};
@@ -89,6 +87,7 @@
         // Once, or the record would keep a version that it alone still has.
         if (std::exchange(m_appliedRevisions[service], stored.revision) != stored.revision) {
             recordVersions(m_sightings, service, stored.record.versions, now);
+            learnRecord(m_records[service], stored.record, now);
         }
     }
     recordVersions(m_sightings, view.servers, now);
@@ -104,7 +103,7 @@
         }
     }
     maintainRecords();
-    findUnrecordedVersions();
+    findVersionsHeldBack();
     logForEndedDaemons();
 }
 
@@ -118,66 +117,96 @@
     }
     const std::vector<std::string> daemons = nodesOf(view.daemons);
     for (const auto &[service, seen] : m_sightings) {
-        const auto stored = view.serviceVersions.find(service);
-        const auto delay = writeDelayOf(service, daemons, m_settings.node);
-        const std::vector<std::string> recorded = stored == view.serviceVersions.end()
-            ? std::vector<std::string>()
-            : stored->second.record.versions;
-        const std::vector<std::string> versions =
-            versionsToRecord(m_sightings, service, recorded, delay == millis{});
-        if (stored != view.serviceVersions.end() && recorded == versions) {
-            m_outdatedSince.erase(service);
-            continue;
-        }
-        const millis since = m_outdatedSince.try_emplace(service, bootNow()).first->second;
-        if (delay && bootNow() - since >= *delay) {
-            m_store.writeServiceVersions(service, {versions});
-        }
+        maintainRecord(service, daemons);
     }
 }
 
-/// A version without a record is avoided only while a recorded one has servers.
-void stream_origin_task::findUnrecordedVersions()
+void stream_origin_task::maintainRecord(const std::string &service, const std::vector<std::string> &daemons)
 {
-    m_unrecordedVersions.clear();
-    std::set<std::string> withRecordedServers;
+    const auto stored = m_store.view().serviceVersions.find(service);
+    const bool isStored = stored != m_store.view().serviceVersions.end();
+    const service_versions_record recorded = isStored ? stored->second.record : service_versions_record{};
+    const auto delay = writeDelayOf(service, daemons, m_settings.node);
+    service_versions_record wanted{
+        versionsToRecord(m_sightings, service, recorded.versions, delay == millis{}), {}};
+    wanted.base = baseToRecord(m_records[service], recorded, wanted.versions, stayingServersOf(service),
+        settleTimeOf(service), bootNow());
+    if (isStored && recorded == wanted) {
+        m_outdatedSince.erase(service);
+        return;
+    }
+    const millis since = m_outdatedSince.try_emplace(service, bootNow()).first->second;
+    if (delay && bootNow() - since >= *delay) {
+        m_store.writeServiceVersions(service, wanted);
+    }
+}
+
+staying_servers stream_origin_task::stayingServersOf(const std::string &service) const
+{
+    staying_servers staying;
     for (const auto &[id, server] : m_store.view().servers) {
-        const auto stored = m_store.view().serviceVersions.find(server.service);
-        if (stored == m_store.view().serviceVersions.end()) {
-            continue; // no version passes for the only one
+        if (server.service == service) {
+            staying[server.softwareVersion] += server.draining ? 0 : 1;
         }
-        const auto &recorded = stored->second.record.versions;
-        if (std::find(recorded.begin(), recorded.end(), server.softwareVersion) == recorded.end()) {
-            m_unrecordedVersions[server.service].insert(server.softwareVersion);
-        } else if (!server.draining) {
-            withRecordedServers.insert(server.service);
+    }
+    return staying;
+}
+
+/// How long a stream that began at a service's only version can last after another one has been recorded: a
+/// daemon may begin streams without that record while it takes its view for current. 0 if no streams of the
+/// service are taken up.
+millis stream_origin_task::settleTimeOf(const std::string &service) const
+{
+    millis longest;
+    if (!m_store.view().config) {
+        return longest;
+    }
+    for (const route &each : m_store.view().config->routes) {
+        const bool leadsThere =
+            std::any_of(each.services.begin(), each.services.end(), [&service](const auto &share) {
+                return share.service == service;
+            });
+        if (each.resumable && leadsThere) {
+            longest = std::max(longest, each.timeout + maxViewAge);
         }
     }
-    std::erase_if(m_unrecordedVersions, [&withRecordedServers](const auto &each) {
-        return withRecordedServers.count(each.first) == 0;
-    });
+    return longest;
+}
+
+void stream_origin_task::findVersionsHeldBack()
+{
+    m_heldBack.clear();
+    for (const auto &[service, stored] : m_store.view().serviceVersions) {
+        m_heldBack[service] =
+            versionsHeldBack(m_records[service], stored.record, stayingServersOf(service), bootNow());
+    }
 }
 
-bool stream_origin_task::isUnrecordedVersion(const std::string &service, const std::string &version) const
+bool stream_origin_task::isHeldBack(const std::string &service, const std::string &version) const
 {
-    const auto found = m_unrecordedVersions.find(service);
-    return found != m_unrecordedVersions.end() && found->second.count(version) != 0;
+    const auto found = m_heldBack.find(service);
+    return found != m_heldBack.end()
+        && std::find(found->second.begin(), found->second.end(), version) != found->second.end();
 }
 
+bool stream_origin_task::hasSeveralVersions(const std::string &service) const
+{
+    const auto found = m_sightings.find(service);
+    return found != m_sightings.end() && found->second.size() > 1;
+}
+
+/// What this daemon knows of the versions at which a stream without a record can have begun.
 version_sight stream_origin_task::sightOf(const std::string &service, std::string &soleVersion) const
 {
-    const std::vector<std::string> versions = versionsOf(m_sightings, service);
-    if (versions.size() > 1) {
-        return version_sight::Several;
-    }
     const auto confirmed = m_store.configConfirmedAt();
     const bool current = confirmed && bootNow() - *confirmed <= maxViewAge;
-    const bool recorded = m_store.view().serviceVersions.count(service) != 0;
-    if (versions.empty() || !current || !recorded) {
-        return version_sight::Unsure;
+    const auto stored = m_store.view().serviceVersions.find(service);
+    if (current && stored != m_store.view().serviceVersions.end()) {
+        const auto version = versionWithoutRecords(stored->second.record);
+        soleVersion = version.value_or("");
+        return version ? version_sight::Sole : version_sight::Several;
     }
-    soleVersion = versions.front();
-    return version_sight::Sole;
+    return hasSeveralVersions(service) ? version_sight::Several : version_sight::Unsure;
 }
 
 /// The first daemons by rendezvous hash, of which the second is of another failure domain than the first.
@@ -200,13 +229,13 @@
 {
     recordOrigin(m_own, id, origin, bootNow());
     std::string soleVersion;
-    const version_sight sight = sightOf(origin.service, soleVersion);
-    if (sight == version_sight::Sole) {
+    const bool several = hasSeveralVersions(origin.service);
+    if (!several && sightOf(origin.service, soleVersion) == version_sight::Sole) {
         return;
     }
     announce(id, origin);
     sendAnnouncements();
-    if (isNew && sight == version_sight::Several) { // callers name the attempt that brought the first event
+    if (isNew && several) { // callers name the attempt that brought the first event
         logOrigin(id, origin);
         writeLog();
     }
--- a/packages/serving/stream_origin_task.h
+++ b/packages/serving/stream_origin_task.h
@@ -61,9 +61,9 @@
     void onQuery(const std::string &node, const stream_origin_query &query);
     void onAnswer(const std::string &node, const stream_origin_answer &answer);
     const origin_counters &counters() const;
-    /// Whether a stream that callers may take up should not begin at this software version yet: daemons that
-    /// start would not know of it, and could take another version for the only one.
-    bool isUnrecordedVersion(const std::string &service, const std::string &version) const;
+    /// Whether a stream that callers may take up should not begin at this software version yet: another
+    /// daemon could take it for a stream of another version.
+    bool isHeldBack(const std::string &service, const std::string &version) const;
 
 private:
     struct lookup;
@@ -71,7 +71,11 @@
 
     void onViewChanged();
     void maintainRecords();
-    void findUnrecordedVersions();
+    void maintainRecord(const std::string &service, const std::vector<std::string> &daemons);
+    void findVersionsHeldBack();
+    staying_servers stayingServersOf(const std::string &service) const;
+    millis settleTimeOf(const std::string &service) const;
+    bool hasSeveralVersions(const std::string &service) const;
     version_sight sightOf(const std::string &service, std::string &soleVersion) const;
     std::vector<std::string> homesOf(const std::string &id, std::size_t count) const;
     void announce(const std::string &id, const stream_origin &origin);
@@ -102,7 +106,8 @@
     std::deque<std::pair<std::string, stream_origin_record>> m_announcements; ///< home and record, to be sent
     std::map<std::string, lookup_ptr> m_lookups; ///< by stream id
     std::map<std::string, millis> m_outdatedSince; ///< records of versions, by service
-    std::map<std::string, std::set<std::string>> m_unrecordedVersions; ///< by service
+    std::map<std::string, version_record_state> m_records; ///< of the store, by service
+    std::map<std::string, std::vector<std::string>> m_heldBack; ///< software versions, by service
     origin_log m_originLog; ///< as a writer
     /// Streams that other daemons have lately reported to this one as a home.
     struct recent_report
--- a/tests/scheduling/stream_versions_test.cpp
+++ b/tests/scheduling/stream_versions_test.cpp
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <cstdio>
+#include <set>
 
 namespace briarhead {
 
@@ -132,4 +134,155 @@
     EXPECT_LE(answer, 100U);
 }
 
+namespace {
+
+constexpr millis settleTime{9'000};
+
+/// One service's record as the only writer keeps it.
+struct record_history
+{
+    version_record_state state;
+    service_versions_record record;
+    staying_servers staying;
+    std::vector<std::string> seen;
+    millis now{1'000'000};
+
+    void step(millis span)
+    {
+        now = now + span;
+        const service_versions_record next{seen, baseToRecord(state, record, seen, staying, settleTime, now)};
+        if (!(next == record)) {
+            record = next;
+            learnRecord(state, record, now);
+        }
+    }
+    bool mayBegin(const std::string &version) const
+    {
+        const auto heldBack = versionsHeldBack(state, record, staying, now);
+        return std::find(heldBack.begin(), heldBack.end(), version) == heldBack.end();
+    }
+    std::optional<std::string> withoutRecords() const
+    {
+        return versionWithoutRecords(record);
+    }
+    void release()
+    {
+        staying = {{"v1", 3}};
+        seen = {"v1"};
+        step({0});
+        step({1'000});
+        staying["v2"] = 1;
+        seen = {"v1", "v2"};
+    }
+};
+
+}
+
+/// Guards against a second version that makes all streams of lost daemons unknown.
+TEST(StreamVersions, StreamWithoutARecordBeganAtTheBaseUntilTheReleaseHasSettled)
+{
+    record_history each;
+    each.release();
+    EXPECT_FALSE(each.mayBegin("v2")) << "not recorded yet";
+    EXPECT_EQ(each.withoutRecords(), "v1");
+    each.step({1'000});
+    EXPECT_EQ(each.record.base, "v1");
+    EXPECT_FALSE(each.mayBegin("v2"));
+    EXPECT_TRUE(each.mayBegin("v1"));
+    EXPECT_EQ(each.withoutRecords(), "v1");
+    each.step(settleTime - millis{1});
+    EXPECT_EQ(each.withoutRecords(), "v1") << "streams from before the release may still run";
+    each.step({1});
+    EXPECT_EQ(each.record.base, "");
+    EXPECT_EQ(each.withoutRecords(), std::nullopt);
+    EXPECT_FALSE(each.mayBegin("v2")) << "other daemons may still go by the base";
+    each.step(maxViewAge + millis{1});
+    EXPECT_TRUE(each.mayBegin("v2"));
+    EXPECT_TRUE(each.mayBegin("v1"));
+}
+
+/// Guards against streams that crowd the few servers of a version that a release replaces.
+TEST(StreamVersions, ReleaseSettlesOnceTheBaseHasTheSmallerPartOfTheServers)
+{
+    record_history each;
+    each.release();
+    each.step({1'000});
+    each.staying = {{"v1", 1}, {"v2", 3}};
+    each.step({1'000});
+    EXPECT_EQ(each.record.base, "");
+    EXPECT_FALSE(each.mayBegin("v2"));
+    each.staying = {{"v1", 0}, {"v2", 3}};
+    EXPECT_TRUE(each.mayBegin("v2")) << "nothing else is left";
+}
+
+/// Guards against a base that a daemon has to have seen serve alone: all may have ended before the release.
+TEST(StreamVersions, DaemonThatFindsTwoVersionsGoesByTheRecord)
+{
+    record_history each;
+    each.record = {{"v1"}, ""};
+    learnRecord(each.state, each.record, each.now);
+    each.staying = {{"v1", 3}, {"v2", 1}};
+    each.seen = {"v1", "v2"};
+    EXPECT_EQ(each.withoutRecords(), "v1");
+    EXPECT_FALSE(each.mayBegin("v2"));
+    each.step({1'000});
+    EXPECT_EQ(each.record.base, "v1");
+}
+
+/// Guards against a version without servers that holds the others back.
+TEST(StreamVersions, VersionWithoutServersIsNoBase)
+{
+    record_history each;
+    each.release();
+    each.staying = {{"v2", 1}};
+    EXPECT_FALSE(each.mayBegin("v2")) << "not recorded yet";
+    each.step({1'000});
+    EXPECT_EQ(each.record.base, "");
+    EXPECT_TRUE(each.mayBegin("v2"));
+    each.staying["v1"] = 3;
+    EXPECT_EQ(each.withoutRecords(), std::nullopt);
+}
+
+/// Guards against builds that can't read the records of others.
+TEST(StreamVersions, RecordWithoutABaseHasTheEarlierLayout)
+{
+    const service_versions_record plain{{"v1", "v2"}, ""};
+    const service_versions_record based{{"v1", "v2"}, "v1"};
+    error why;
+    EXPECT_EQ(decodeServiceVersions(encode(plain), why), plain);
+    EXPECT_EQ(decodeServiceVersions(encode(based), why), based);
+    EXPECT_LT(encode(plain).size(), encode(based).size());
+    EXPECT_FALSE(decodeServiceVersions(encode(based).substr(0, encode(plain).size() + 1), why));
+}
+
+/// Any releases and returns of versions: while a daemon goes by one version for streams without a record, no
+/// stream begins at another one.
+RC_GTEST_PROP(StreamVersions, StreamsWithoutARecordHaveOneVersion, ())
+{
+    record_history each;
+    each.staying = {{"v1", 2}};
+    each.seen = {"v1"};
+    each.step({0});
+    std::set<std::string> began{"v1"};
+    const int steps = *rc::gen::inRange(1, 40);
+    for (int i = 0; i < steps; ++i) {
+        const auto version = "v" + std::to_string(*rc::gen::inRange(1, 4));
+        each.staying[version] = static_cast<std::size_t>(*rc::gen::inRange(0, 4));
+        if (std::find(each.seen.begin(), each.seen.end(), version) == each.seen.end()) {
+            each.seen.push_back(version);
+            std::sort(each.seen.begin(), each.seen.end());
+        }
+        if (*rc::gen::inRange(0, 3) != 0) { // else the record can't be written
+            each.step(millis{*rc::gen::inRange(0, 6'000)});
+        }
+        for (const auto &[served, count] : each.staying) {
+            if (count > 0 && each.mayBegin(served)) {
+                began.insert(served);
+            }
+        }
+        const auto assumed = each.withoutRecords();
+        RC_ASSERT(!assumed || began == std::set<std::string>{*assumed});
+    }
+}
+
 }
--- a/tests/serving/stream_origin_property_test.cpp
+++ b/tests/serving/stream_origin_property_test.cpp
@@ -84,6 +84,7 @@
     std::string version;
     millis at;
     bool recorded = false; ///< its daemon ran and reached the store for long enough afterwards
+    bool beganAlone = false; ///< streams without a record could begin at its version alone
 };
 
 struct history
@@ -109,6 +110,25 @@
     {
         return random() % bound;
     }
+    /// A route whose streams callers may take up.
+    void configure()
+    {
+        store.put("op/config",
+            R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","routeType":"streaming",
+               "timeoutMs":300,"targetLatencyMs":100,"maxAttempts":1,"service":"llm","resumable":true}],
+               "services":[{"name":"llm"}]})");
+    }
+    /// Whether the store's record says that a stream without a record began at this version.
+    bool isOnlyVersion(const std::string &version) const
+    {
+        error why;
+        const auto item = store.items.find("briarhead/versions/llm");
+        const auto record =
+            item == store.items.end() ? std::nullopt : decodeServiceVersions(item->second.value, why);
+        return record
+            && (record->base == version
+                || (record->base.empty() && record->versions == std::vector<std::string>{version}));
+    }
     void serve(const std::string &version)
     {
         servedVersions.insert(version);
@@ -148,11 +168,12 @@
         }
         for (const auto &[id, server] : daemon->store.view().servers) {
             if (servedVersions.count(server.softwareVersion) == 0 || below(2) == 0
-                || daemon->origins.isUnrecordedVersion(service, server.softwareVersion)) {
+                || daemon->origins.isHeldBack(service, server.softwareVersion)) {
                 continue;
             }
             const std::string stream = "s" + std::to_string(streams.size());
-            streams[stream] = {server.softwareVersion, bootNow(), false};
+            streams[stream] = {
+                server.softwareVersion, bootNow(), false, isOnlyVersion(server.softwareVersion)};
             daemon->origins.onStreamBegan(stream, {service, server.softwareVersion}, true);
             timers.push_back(events.timer(settled, {}, [this, stream, daemon, began = bootNow()] {
                 streams[stream].recorded =
@@ -171,7 +192,8 @@
         const millis now = bootNow();
         const bool calm = daemon->startedAt + settled < now
             && (daemon->disturbedAt.count == 0 || daemon->disturbedAt + settled + settled < now);
-        const bool counts = calm && stream->second.recorded;
+        const bool certain = stream->second.beganAlone && isOnlyVersion(stream->second.version);
+        const bool counts = calm && (stream->second.recorded || certain);
         daemon->origins.find(stream->first, service,
             [this, counts, id = stream->first, daemon](const std::optional<stream_origin> &origin) {
                 if (daemon->ended) {
@@ -261,6 +283,7 @@
     all.reserve(histories);
     for (int i = 0; i < histories; ++i) {
         all.push_back(std::make_unique<history>(events, static_cast<unsigned>(i + 1)));
+        all.back()->configure();
         all.back()->serve("v1");
         all.back()->startMissing();
     }
@@ -287,4 +310,59 @@
     EXPECT_GE(10 * wentOn, 9 * due);
 }
 
+/// Guards against a loss of streams whose daemons, one to all, lose power before a second version appears:
+/// nobody was told where they began.
+TEST(StreamOrigins, StreamsOfLostDaemonsGoOnOnceASecondVersionHasAppeared)
+{
+    loop events;
+    const auto runFor = [&events](millis span) {
+        const auto end = events.timer(span, {}, [&events] {
+            events.stop();
+        });
+        events.run();
+    };
+    std::vector<std::unique_ptr<history>> all;
+    for (std::size_t lost = 1; lost <= 3; ++lost) {
+        all.push_back(std::make_unique<history>(events, static_cast<unsigned>(lost)));
+        all.back()->configure();
+        all.back()->serve("v1");
+        all.back()->startMissing();
+    }
+    runFor({2'500});
+    std::vector<std::vector<std::optional<stream_origin>>> found(all.size());
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        for (int stream = 0; stream < 12; ++stream) {
+            all[i]->daemons.at("n0")->origins.onStreamBegan(
+                "s" + std::to_string(stream), {service, "v1"}, true);
+        }
+        for (std::size_t lost = 0; lost <= i; ++lost) {
+            all[i]->kill("n" + std::to_string(lost));
+        }
+    }
+    runFor({300});
+    for (const auto &each : all) {
+        each->serve("v2");
+    }
+    runFor({300});
+    for (const auto &each : all) {
+        each->startMissing();
+    }
+    runFor({1'500});
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        for (int stream = 0; stream < 12; ++stream) {
+            all[i]->daemons.at("n2")->origins.find("s" + std::to_string(stream), service,
+                [&found, i](const std::optional<stream_origin> &origin) {
+                    found[i].push_back(origin);
+                });
+        }
+    }
+    runFor({1'500});
+    for (std::size_t i = 0; i < found.size(); ++i) {
+        ASSERT_EQ(found[i].size(), 12U);
+        for (const auto &origin : found[i]) {
+            EXPECT_TRUE(origin && origin->softwareVersion == "v1") << i + 1 << " daemons were lost";
+        }
+    }
+}
+
 }
--- a/tests/soak/software_version_test.cpp
+++ b/tests/soak/software_version_test.cpp
@@ -94,13 +94,39 @@
 {
     const auto begun = begin(0);
     const auto lost = begin(0);
-    startSecondVersion(6);
+    addSecondVersion(6);
     for (int i = 0; i < 6; ++i) {
         const auto resumed = takeUp(i == 0 ? *begun : *lost, 1 + i % 2);
         expectGoesOn(i == 0 ? *begun : *lost, *resumed);
     }
 }
 
+/// Guards against the same where the release has settled, and streams begin at both versions.
+TEST_F(software_version_test, SecondVersionHasSettledAfterTheStreamBegan)
+{
+    const auto begun = begin(0);
+    startSecondVersion();
+    const auto resumed = takeUp(*begun, 1);
+    expectGoesOn(*begun, *resumed);
+}
+
+/// Guards against a loss of streams whose daemon lost power before a second version appeared: nobody was told
+/// where they began.
+TEST_F(software_version_test, StreamOfADaemonLostBeforeTheSecondVersionGoesOn)
+{
+    std::vector<std::unique_ptr<stream_attempt>> streams;
+    for (int i = 0; i < 8; ++i) {
+        streams.push_back(begin(0));
+    }
+    signal(m_daemons[0], SIGSTOP); // it tells nobody, as a machine without power
+    addSecondVersion(2);
+    signal(m_daemons[0], SIGKILL);
+    for (std::size_t i = 0; i < streams.size(); ++i) {
+        const auto resumed = takeUp(*streams[i], 1 + i % 2);
+        expectGoesOn(*streams[i], *resumed);
+    }
+}
+
 /// Guards against a stream whose version has no server any more.
 TEST_F(software_version_test, StreamIsRefusedAtOnceWhereItsVersionIsGone)
 {
--- a/tests/soak/stream_origin_test.cpp
+++ b/tests/soak/stream_origin_test.cpp
@@ -79,7 +79,7 @@
 TEST_F(stream_origin_test, StreamsFromBeforeTheSecondVersionGoOnAfterAllDaemonsWereKilled)
 {
     beginStreams(streamsOfOneVersion);
-    startSecondVersion();
+    addSecondVersion();
     killAndRestartAll();
     EXPECT_GE(takeUpAll(), leastGoingOn());
 }
@@ -194,7 +194,7 @@
 {
     runFor({2'000});
     m_store.refusedPrefix = "briarhead/versions/";
-    startSecondVersion();
+    addSecondVersion();
     beginStreams();
     const std::size_t starts = totalStarts();
     killAll();
--- a/tests/soak/versions_fixture.h
+++ b/tests/soak/versions_fixture.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "protocol/codec.h"
+#include "scheduling/stream_versions.h"
 #include "soak/fleet_fixture.h"
 
 #include <algorithm>
@@ -53,13 +55,27 @@
         server.softwareVersion = m_startVersion;
         m_versions[server.id] = m_startVersion;
     }
-    void startSecondVersion(int count = 3)
+    /// Starts servers of v2, and waits until all daemons know them.
+    void addSecondVersion(int count = 3)
     {
         m_startVersion = "v2";
         for (int i = 0; i < count; ++i) {
             startServer("llm");
         }
-        runFor({2'500}); // until all daemons use them
+        runFor({2'500});
+    }
+    /// The same, and waits until all daemons begin streams at both versions.
+    void startSecondVersion(int count = 3)
+    {
+        addSecondVersion(count);
+        EXPECT_TRUE(runUntil([this] {
+            error why;
+            const auto item = m_store.items.find("briarhead/versions/llm");
+            const auto record =
+                item == m_store.items.end() ? std::nullopt : decodeServiceVersions(item->second.value, why);
+            return record && record->versions.size() == 2 && record->base.empty();
+        }));
+        runFor(maxViewAge + millis{2'500});
     }
     std::vector<backend_standin *> modelServers()
     {
