Judge the end of a response by the first error of its connection

Callers saw: a server answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is still being written. The caller gets that part as a complete answer.

Cause: A failed send() takes the socket's pending error; the recv() behind it then returns 0, which passed for an orderly close, and that of a response without framing may be whole. Besides, one block of 16 KiB was read after the failure, and the rest of a whole early answer lost. Ruled out: the check for the server's process (a framed part, or an upload that was read whole before the reset, is broken as it should be). Change: The first error of a connection is kept, and no end behind it is orderly, EPIPE included. What has arrived is read to its end first. An early answer without a length whose server closes in order is still passed on without framing (RFC 9112, 9.6): the close comes behind all bytes of the server. SO_ERROR is read where a connection attempt ends only, before anything was sent.

--- a/packages/transport/backend_pool.cpp
+++ b/packages/transport/backend_pool.cpp
@@ -119,9 +119,11 @@
         bool connecting = false;
         std::string out; ///< the request
         std::size_t sent = 0; ///< bytes of `out` already sent
+        int failure = 0; ///< the error that ended sending; the system reports it only once
         std::string in; ///< bytes received and not parsed yet
         http_reader reader = newReader();
         int interimResponses = 0; ///< before the current response
+        bool receivedAny = false; ///< bytes on this connection since the request was started
         bool receiving = true;
         bool noBody = false;
         bool headDelivered = false; ///< onHead was called for the current response
@@ -177,6 +179,7 @@
     void onEvents(send_id id, int mask);
     void onWritable(send_id id, request_state &request);
     void onReadable(send_id id, request_state &request);
+    void onReceivedEnd(send_id id, request_state &request);
     bool parse(send_id id, request_state &request);
     /// What is known about the end of the current response.
     static response_end responseEnd(const request_state &request, connection_end connection);
@@ -314,7 +317,7 @@
             return;
         }
     }
-    while (request.sent < request.out.size()) {
+    while (request.sent < request.out.size() && request.failure == 0) {
         const ssize_t count = send(request.link->fd.get(), request.out.data() + request.sent,
             request.out.size() - request.sent, MSG_NOSIGNAL);
         if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
@@ -323,13 +326,9 @@
         }
         if (count < 0) {
             // The server may have responded before it had received the whole body; that response may still be
-            // in the receive buffer.
-            const int code = errno;
-            onReadable(id, request);
-            if (requests.count(id) != 0) {
-                end(id, request.sent == 0 ? unsentEnd() : brokenEnd(endOf(code)), std::strerror(code));
-            }
-            return;
+            // in the receive buffer, and is read to its end.
+            request.failure = errno;
+            break;
         }
         request.sent += static_cast<std::size_t>(count);
     }
@@ -340,22 +339,16 @@
 {
     std::array<char, readBlockBytes> block{};
     const ssize_t count = recv(request.link->fd.get(), block.data(), block.size(), 0);
-    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-        return;
-    }
-    if (count < 0) {
-        const int code = errno;
-        end(id, responseEnd(request, endOf(code)), std::strerror(code));
+    const int code = count < 0 ? errno : 0;
+    if (code == EINTR || (code == EAGAIN && request.failure == 0)) {
         return;
     }
-    if (count == 0) {
-        const response_end ended = responseEnd(request, connection_end::Orderly);
-        end(id, ended,
-            resultOf(ended) == send_result::Unknown
-                ? "the response has no length and no chunks, and the server closed the connection"
-                : "the server closed the connection before its response was complete");
+    if (count <= 0) {
+        request.failure = request.failure != 0 ? request.failure : code;
+        onReceivedEnd(id, request);
         return;
     }
+    request.receivedAny = true;
     request.in.append(block.data(), static_cast<std::size_t>(count));
     const request_ptr requestGuard = requests.at(id); // its callbacks may cancel the request
     while (parse(id, request)) {
@@ -365,6 +358,23 @@
     }
 }
 
+/// Ends a request whose connection brings no more. After a failure it has not ended in order, even if the
+/// system now says so.
+void backend_pool::impl::onReceivedEnd(send_id id, request_state &request)
+{
+    if (request.failure != 0) {
+        const bool unsent = request.sent == 0 && !request.receivedAny;
+        end(id, unsent ? unsentEnd() : responseEnd(request, endOf(request.failure)),
+            std::strerror(request.failure));
+        return;
+    }
+    const response_end ended = responseEnd(request, connection_end::Orderly);
+    end(id, ended,
+        resultOf(ended) == send_result::Unknown
+            ? "the response has no length and no chunks, and the server closed the connection"
+            : "the server closed the connection before its response was complete");
+}
+
 response_end backend_pool::impl::responseEnd(const request_state &request, connection_end connection)
 {
     response_end end = brokenEnd(connection);
@@ -563,7 +573,7 @@
     }
     impl::request_state &request = *found->second;
     request.receiving = receiving;
-    if (!request.connecting && request.sent == request.out.size()) {
+    if (!request.connecting && (request.sent == request.out.size() || request.failure != 0)) {
         m_impl->watch(id, *request.link, impl::receiveEvents(request));
     }
 }
