Check heads and trailers alike in both HTTP parsers

Callers saw: on other systems of this kind, an answer whose status is 000, or in whose head a field's name holds a blank or a control byte, is passed on, or a body that isn't the server's. Here, a 101 that nobody asked for was skipped and the next answer taken, and what briarheadd reads of services and of the store was not checked.

Cause: Each parser checks what its library checks. Both libraries report trailers as fields, which became fields of the head, of requests too. Change: header_text has one set of checks: status 100 to 599 but 101, names that are tokens, values without controls, one length of digits and 64 bits, none beside a transfer coding. Ruled out: 000 and 099 (both libraries refuse them).

--- a/packages/transport/header_text.cpp
+++ b/packages/transport/header_text.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
 #include <system_error>
 
 namespace briarhead::detail {
@@ -18,6 +19,31 @@
     return text.substr(first, text.find_last_not_of(whitespace) - first + 1);
 }
 
+constexpr int statusDigits = 3;
+constexpr int firstStatus = 100;
+constexpr int firstFinalStatus = 200;
+constexpr int lastStatus = 599;
+constexpr int statusSwitchingProtocols = 101;
+
+/// Checks a field that says how long the body is.
+const char *findFramingFault(head_check &check, const std::string &name, std::string_view value)
+{
+    if (name == "transfer-encoding") {
+        check.hasTransferCoding = true;
+    } else if (name == "content-length") {
+        std::uint64_t length = 0;
+        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), length);
+        if (parsed.ec != std::errc() || parsed.ptr != value.data() + value.size()) {
+            return "its length is not a number of 64 bits";
+        }
+        if (check.length && *check.length != value) {
+            return "it has two lengths";
+        }
+        check.length = value;
+    }
+    return check.length && check.hasTransferCoding ? "it has a length beside a transfer coding" : nullptr;
+}
+
 }
 
 std::string lowerCase(std::string_view text)
@@ -46,8 +72,24 @@
         return std::nullopt;
     }
     int status = 0;
-    const auto parsed = std::from_chars(line.data() + space + 1, line.data() + line.size(), status);
-    return parsed.ec == std::errc() ? std::optional(status) : std::nullopt;
+    const char *first = line.data() + space + 1;
+    const auto parsed = std::from_chars(first, line.data() + line.size(), status);
+    const bool isNumber = parsed.ec == std::errc() && parsed.ptr - first == statusDigits && status >= 0;
+    return isNumber ? std::optional(status) : std::nullopt;
+}
+
+bool isToken(std::string_view text)
+{
+    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) {
+        return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+            || others.find(c) != std::string_view::npos;
+    });
+}
+
+bool isResponseStatus(int status)
+{
+    return status >= firstStatus && status <= lastStatus && status != statusSwitchingProtocols;
 }
 
 void addHeader(std::map<std::string, std::string> &headers, std::string_view line)
@@ -63,4 +105,34 @@
     }
 }
 
+const char *findFault(head_check &check, std::string_view line)
+{
+    const bool isEnded = line.ends_with('\n');
+    line.remove_suffix(isEnded ? 1 : 0);
+    line.remove_suffix(isEnded && line.ends_with('\r') ? 1 : 0);
+    if (!check.inTrailers && check.status == 0) {
+        const auto status = parseStatusLine(line);
+        if (!status || !isResponseStatus(*status) || hasControlBytes(line)) {
+            return "its status line is not valid";
+        }
+        check.status = *status;
+        return nullptr;
+    }
+    if (line.empty()) {
+        const bool isFinal = check.inTrailers || check.status >= firstFinalStatus;
+        check = {};
+        check.inTrailers = isFinal;
+        return nullptr;
+    }
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos || !isToken(line.substr(0, colon))) {
+        return "the name of a field is not a token";
+    }
+    const std::string_view value = trimmed(line.substr(colon + 1));
+    if (hasControlBytes(line.substr(colon + 1))) {
+        return "the value of a field has control characters";
+    }
+    return check.inTrailers ? nullptr : findFramingFault(check, lowerCase(line.substr(0, colon)), value);
+}
+
 }
--- a/packages/transport/http_client.cpp
+++ b/packages/transport/http_client.cpp
@@ -120,8 +120,9 @@
         http_result result;
         std::string undelivered; ///< body bytes not yet passed to onData
         std::size_t headBytes = 0; ///< of all heads so far
+        detail::head_check headCheck;
         std::size_t collected = 0; ///< as counted in collectedBytes
-        const char *oversized = nullptr; ///< what exceeded its limit; null: nothing
+        const char *fault = nullptr; ///< why the response is not taken; null: it is
         std::array<char, CURL_ERROR_SIZE> errorText{};
         bool queued = false; ///< its id is in `ready`
         bool finished = false;
@@ -320,14 +321,21 @@
     const std::string_view line(data, size * count);
     transfer.headBytes += line.size();
     if (transfer.headBytes > maxHeadBytesPerCall) {
-        transfer.oversized = "the response's head is too long";
+        transfer.fault = "the response's head is too long";
         return 0;
     }
-    if (const auto status = detail::parseStatusLine(line)) {
+    const bool isTrailer = transfer.headCheck.inTrailers;
+    const bool isFirstLine = !isTrailer && transfer.headCheck.status == 0;
+    transfer.fault = detail::findFault(transfer.headCheck, line);
+    if (transfer.fault != nullptr) {
+        return 0;
+    }
+    if (isFirstLine) {
         // Interim responses (1xx) and their headers are dropped.
-        result.status = *status >= firstFinalStatus ? *status : 0;
+        const int status = transfer.headCheck.status;
+        result.status = status >= firstFinalStatus ? status : 0;
         result.headers.clear();
-    } else {
+    } else if (!isTrailer) {
         detail::addHeader(result.headers, line);
     }
     return size * count;
@@ -346,7 +354,7 @@
         transfer.collected += size * count;
         *transfer.collectedBytes += size * count;
         if (transfer.collected > transfer.call.maxBodyBytes || *transfer.collectedBytes > maxCollectedBytes) {
-            transfer.oversized = "the response's body is too long";
+            transfer.fault = "the response's body is too long";
             return 0;
         }
     }
@@ -483,8 +491,8 @@
         transfer.result.why.detail =
             transfer.errorText[0] != '\0' ? transfer.errorText.data() : curl_easy_strerror(code);
     }
-    if (transfer.oversized != nullptr) {
-        transfer.result.why = {error_kind::ConnectionLost, transfer.call.url, transfer.oversized};
+    if (transfer.fault != nullptr) {
+        transfer.result.why = {error_kind::ConnectionLost, transfer.call.url, transfer.fault};
         transfer.result.body.clear();
     }
     transfer.finished = true;
--- a/packages/transport/http_wire.cpp
+++ b/packages/transport/http_wire.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_wire.h"
 
+#include "transport/header_text.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -88,15 +90,24 @@
         head.method = toString(method);
         head.target = toString(target);
     }
-    void on_response_impl(int status, beast_text reason, int httpVersion, error_code &) override
+    void on_response_impl(int status, beast_text reason, int httpVersion, error_code &code) override
     {
+        if (!detail::isResponseStatus(status)) {
+            code = beast_http::error::bad_status;
+        }
         version = httpVersion;
         head.status = status;
         head.reason = toString(reason);
     }
-    void on_field_impl(beast_http::field, beast_text name, beast_text value, error_code &) override
+    void on_field_impl(
+        beast_http::field, beast_text beastName, beast_text beastValue, error_code &code) override
     {
-        head.fields.push_back({toString(name), toString(value)});
+        http_field field{toString(beastName), toString(beastValue)};
+        if (!detail::isToken(field.name) || detail::hasControlBytes(field.value)) {
+            code = beast_http::error::bad_field;
+        } else if (!base::is_header_done()) { // trailers are no part of the head (RFC 9110, 6.5.1)
+            head.fields.push_back(std::move(field));
+        }
     }
     void on_header_impl(error_code &) override
     {
