--- a/packages/scheduling/stream_versions.cpp
+++ b/packages/scheduling/stream_versions.cpp
@@ -127,21 +127,25 @@
 }
 
 std::string baseToRecord(const version_record_state &state, const service_versions_record &recorded,
-    const std::vector<std::string> &versions, const staying_servers &staying, millis settleTime, millis now)
+    const std::vector<std::string> &versions, const staying_servers &staying, const settle_times &times,
+    millis now)
 {
     const std::string base = versions.size() > 1 ? versionWithoutRecords(recorded).value_or("") : "";
-    if (base.empty() || !contains(versions, base)) {
+    if (base.empty() || !contains(versions, base) || times.ofStreams.count == 0) {
         return {};
     }
-    const bool settled = settleTime.count == 0
-        || (!recorded.base.empty() && state.base == recorded.base && now - state.baseSince >= settleTime);
+    const bool isNamed = recorded.base == base && state.base == base;
+    const millis named = isNamed ? now - state.baseSince : millis{};
+    // Without a lost daemon, all streams from before have been announced.
+    const bool allToldOf = named >= times.ofDaemons && now - times.daemonLostAt >= times.ofStreams;
     // Streams can't all begin at servers that are the smaller part.
     std::size_t all = 0;
     for (const auto &[version, count] : staying) {
         all += count;
     }
     const std::size_t ofBase = stayingOf(staying, base);
-    return settled || ofBase == 0 || 2 * ofBase < all ? std::string() : base;
+    const bool bearsAll = ofBase > 0 && 2 * ofBase >= all;
+    return bearsAll && !allToldOf && named < times.ofStreams ? base : std::string();
 }
 
 std::vector<std::string> versionsHeldBack(const version_record_state &state,
--- a/packages/scheduling/stream_versions.h
+++ b/packages/scheduling/stream_versions.h
@@ -75,10 +75,21 @@
 
 /// Applies a record that has been read or written.
 void learnRecord(version_record_state &state, const service_versions_record &record, millis now);
-/// The base that the store's record should name. `versions`: those that it should list; `settleTime`: how
-/// long a stream that began at the only version can last, 0 if streams of the service are never taken up.
+/// When a release has settled.
+struct settle_times
+{
+    /// How long a stream that began at the only version can last. 0: streams of the service are never taken
+    /// up.
+    millis ofStreams;
+    /// By when daemons have told where their streams began, and the end of one that has not is known.
+    millis ofDaemons;
+    millis daemonLostAt; ///< when the end of a daemon was last seen
+};
+
+/// The base that the store's record should name. `versions`: those that it should list.
 std::string baseToRecord(const version_record_state &state, const service_versions_record &recorded,
-    const std::vector<std::string> &versions, const staying_servers &staying, millis settleTime, millis now);
+    const std::vector<std::string> &versions, const staying_servers &staying, const settle_times &times,
+    millis now);
 
 /// Versions at which no stream that callers may take up should begin yet. A daemon whose view lacks them, or
 /// that goes by the base, could take it for a stream of another version.
--- a/packages/serving/stream_origin_task.cpp
+++ b/packages/serving/stream_origin_task.cpp
@@ -65,6 +65,7 @@
         onViewChanged();
     });
     m_maintainTimer = m_loop.timer(maintainInterval, maintainInterval, [this] {
+        findLostDaemons();
         onViewChanged();
     });
 }
@@ -130,7 +131,7 @@
     service_versions_record wanted{
         versionsToRecord(m_sightings, service, recorded.versions, delay == millis{}), {}};
     wanted.base = baseToRecord(m_records[service], recorded, wanted.versions, stayingServersOf(service),
-        settleTimeOf(service), bootNow());
+        settleTimesOf(service), bootNow());
     if (isStored && recorded == wanted) {
         m_outdatedSince.erase(service);
         return;
@@ -152,14 +153,13 @@
     return staying;
 }
 
-/// How long a stream that began at a service's only version can last after another one has been recorded: a
-/// daemon may begin streams without that record while it takes its view for current. 0 if no streams of the
-/// service are taken up.
-millis stream_origin_task::settleTimeOf(const std::string &service) const
+/// A stream that began at a service's only version lasts for the timeout of its route, and a daemon begins
+/// such streams without telling others as long as it takes its view for current.
+settle_times stream_origin_task::settleTimesOf(const std::string &service) const
 {
-    millis longest;
+    settle_times times{{}, leaseTtlFor(m_settings) + maxViewAge, m_daemonLostAt};
     if (!m_store.view().config) {
-        return longest;
+        return times;
     }
     for (const route &each : m_store.view().config->routes) {
         const bool leadsThere =
@@ -167,10 +167,26 @@
                 return share.service == service;
             });
         if (each.resumable && leadsThere) {
-            longest = std::max(longest, each.timeout + maxViewAge);
+            times.ofStreams = std::max(times.ofStreams, each.timeout + maxViewAge);
         }
     }
-    return longest;
+    return times;
+}
+
+void stream_origin_task::findLostDaemons()
+{
+    const daemon_map &daemons = m_store.view().daemons;
+    const bool anyLost = std::any_of(m_daemons.begin(), m_daemons.end(), [&daemons](const auto &each) {
+        const auto found = daemons.find(each.first);
+        return found == daemons.end() || found->second.incarnation != each.second;
+    });
+    if (anyLost || m_daemons.empty()) {
+        m_daemonLostAt = bootNow();
+    }
+    m_daemons.clear();
+    for (const auto &[node, record] : daemons) {
+        m_daemons.emplace(node, record.incarnation);
+    }
 }
 
 void stream_origin_task::findVersionsHeldBack()
--- a/packages/serving/stream_origin_task.h
+++ b/packages/serving/stream_origin_task.h
@@ -74,7 +74,8 @@
     void maintainRecord(const std::string &service, const std::vector<std::string> &daemons);
     void findVersionsHeldBack();
     staying_servers stayingServersOf(const std::string &service) const;
-    millis settleTimeOf(const std::string &service) const;
+    settle_times settleTimesOf(const std::string &service) const;
+    void findLostDaemons();
     bool hasSeveralVersions(const std::string &service) const;
     version_sight sightOf(const std::string &service, std::string &soleVersion) const;
     std::vector<std::string> homesOf(const std::string &id, std::size_t count) const;
@@ -106,6 +107,8 @@
     std::deque<std::pair<std::string, stream_origin_record>> m_announcements; ///< home and record, to be sent
     std::map<std::string, lookup_ptr> m_lookups; ///< by stream id
     std::map<std::string, millis> m_outdatedSince; ///< records of versions, by service
+    std::map<std::string, std::uint64_t> m_daemons; ///< incarnations by node, when last looked at
+    millis m_daemonLostAt; ///< when the end of a daemon was last seen, this one's before its start included
     std::map<std::string, version_record_state> m_records; ///< of the store, by service
     std::map<std::string, std::vector<std::string>> m_heldBack; ///< software versions, by service
     origin_log m_originLog; ///< as a writer
--- a/tests/scheduling/stream_versions_test.cpp
+++ b/tests/scheduling/stream_versions_test.cpp
@@ -137,6 +137,7 @@
 namespace {
 
 constexpr millis settleTime{9'000};
+constexpr millis announceTime{5'000};
 
 /// One service's record as the only writer keeps it.
 struct record_history
@@ -146,11 +147,13 @@
     staying_servers staying;
     std::vector<std::string> seen;
     millis now{1'000'000};
+    millis daemonLostAt = now;
 
     void step(millis span)
     {
         now = now + span;
-        const service_versions_record next{seen, baseToRecord(state, record, seen, staying, settleTime, now)};
+        const service_versions_record next{
+            seen, baseToRecord(state, record, seen, staying, {settleTime, announceTime, daemonLostAt}, now)};
         if (!(next == record)) {
             record = next;
             learnRecord(state, record, now);
@@ -173,6 +176,7 @@
         step({1'000});
         staying["v2"] = 1;
         seen = {"v1", "v2"};
+        daemonLostAt = now;
     }
 };
 
@@ -190,6 +194,7 @@
     EXPECT_FALSE(each.mayBegin("v2"));
     EXPECT_TRUE(each.mayBegin("v1"));
     EXPECT_EQ(each.withoutRecords(), "v1");
+    each.daemonLostAt = each.now;
     each.step(settleTime - millis{1});
     EXPECT_EQ(each.withoutRecords(), "v1") << "streams from before the release may still run";
     each.step({1});
@@ -201,6 +206,19 @@
     EXPECT_TRUE(each.mayBegin("v1"));
 }
 
+/// Guards against new servers that stay without streams for longer than anyone could need it.
+TEST(StreamVersions, ReleaseSettlesSoonerIfNoDaemonWasLost)
+{
+    record_history each;
+    each.release();
+    each.daemonLostAt = each.now - settleTime;
+    each.step({1'000});
+    each.step(announceTime - millis{1});
+    EXPECT_EQ(each.record.base, "v1") << "a lost daemon may not be known yet";
+    each.step({1});
+    EXPECT_EQ(each.record.base, "");
+}
+
 /// Guards against streams that crowd the few servers of a version that a release replaces.
 TEST(StreamVersions, ReleaseSettlesOnceTheBaseHasTheSmallerPartOfTheServers)
 {
