Confirm a view as of the wait before the answer; a daemon out of step joins no streams

Callers saw (reported by other operators): during a release, streams that began at servers of the new version through other machines break, are taken up at a machine that was out of step for seconds, and go on at another version.

Cause: A view counts as current for 3 s, but streams began at a new version as soon as its record was written, and one answer of a home that was out of step too was enough. After a standstill, answers that had waited in the socket confirmed the view as of now. Now a confirmation also counts from the end of the wait before it (loop::inputsSince): the input arrived after that. Ruled out: followers of a peer (their updates carry all keys and a revision); repeats within an answer and relays (they go by the origin).

--- a/packages/serving/store_watch.cpp
+++ b/packages/serving/store_watch.cpp
@@ -62,7 +62,7 @@
         }
         onRecordsRead(m_ownershipValidity, sentAt);
         onRecordsRead(m_quotaHomeValidity, sentAt);
-        m_configConfirmedAt = bootNow();
+        m_configConfirmedAt = m_loop.inputsSince();
         followStore();
     });
 }
@@ -236,7 +236,7 @@
     }
     if (update.to == m_revision) {
         m_lastUpdateAt = bootNow();
-        m_configConfirmedAt = m_lastUpdateAt;
+        m_configConfirmedAt = m_loop.inputsSince();
         return;
     }
     if (update.mustFetch || update.from > m_revision) {
@@ -251,7 +251,7 @@
         }
     }
     m_lastUpdateAt = bootNow();
-    m_configConfirmedAt = m_lastUpdateAt;
+    m_configConfirmedAt = m_loop.inputsSince();
     applyEvents(read);
 }
 
@@ -271,7 +271,7 @@
             return;
         }
         m_lastUpdateAt = bootNow();
-        m_configConfirmedAt = m_lastUpdateAt;
+        m_configConfirmedAt = m_loop.inputsSince();
         store_read read;
         read.status = store_status::Ok;
         read.revision = update->to;
@@ -318,7 +318,7 @@
         }
         switch (read.status) {
         case store_status::Ok:
-            m_configConfirmedAt = bootNow();
+            m_configConfirmedAt = m_loop.inputsSince();
             applyEvents(read);
             m_watchTimer = m_loop.timer(watchPause, {}, [this] {
                 followStore();
--- a/packages/transport/loop.cpp
+++ b/packages/transport/loop.cpp
@@ -74,6 +74,8 @@
     ev_prepare prepare{};
     ev_check check{};
     millis waitBegan; ///< of the wait in progress, or the latest one
+    millis waitEnded = bootNow(); ///< of the latest wait
+    millis waitEndedBefore = waitEnded; ///< of the one before
     millis waited; ///< since `busySince`
     millis busySince = bootNow();
     ev_idle idle{};
@@ -114,9 +116,11 @@
     ev_prepare_start(m_impl->evLoop.get(), &m_impl->prepare);
     ev_check_init(&m_impl->check, [](struct ev_loop *, ev_check *self, int) {
         auto *state = static_cast<impl *>(self->data);
-        state->waited = state->waited + (bootNow() - state->waitBegan);
+        state->waitEndedBefore = std::exchange(state->waitEnded, bootNow());
+        state->waited = state->waited + (state->waitEnded - state->waitBegan);
     });
     m_impl->check.data = m_impl.get();
+    ev_set_priority(&m_impl->check, EV_MAXPRI); // before the callbacks of the same round
     ev_check_start(m_impl->evLoop.get(), &m_impl->check);
     ev_idle_init(&m_impl->idle, [](struct ev_loop *, ev_idle *, int) {});
 }
@@ -212,6 +216,11 @@
     return 1 - idle;
 }
 
+millis loop::inputsSince() const
+{
+    return m_impl->waitEndedBefore;
+}
+
 struct ev_loop *loop::raw()
 {
     return m_impl->evLoop.get();
--- a/packages/transport/loop.h
+++ b/packages/transport/loop.h
@@ -47,6 +47,10 @@
     /// The share of time since the last call, 0 to 1, in which the loop did not wait for events.
     double takeBusyShare();
 
+    /// What the loop handles now arrived after this time: when the wait before the latest one ended. It lies
+    /// far back where the process stood still in between.
+    millis inputsSince() const;
+
     /// The underlying libev loop, for watchers that this class doesn't offer.
     struct ev_loop *raw();
 
--- a/tests/serving/stream_origin_property_test.cpp
+++ b/tests/serving/stream_origin_property_test.cpp
@@ -59,7 +59,7 @@
     }
     void onDatagram(const fleet_datagram &datagram)
     {
-        if (ended) {
+        if (ended || isCutOff) {
             return;
         }
         if (const auto *report = std::get_if<stream_origins_report>(&datagram.body)) {
@@ -77,6 +77,7 @@
         client.fault = store_fault::Unresponsive;
     }
     bool ended = false;
+    bool isCutOff = false; ///< from the other daemons: their datagrams are lost
 };
 
 struct begun_stream
@@ -365,4 +366,65 @@
     }
 }
 
+/// Guards against a daemon that was out of step while servers of a new version joined, and takes the version
+/// that it knows for the only one: streams that began at the new one elsewhere would go on there.
+TEST(StreamOrigins, DaemonsOutOfStepJoinNoStreamsOfTwoVersions)
+{
+    constexpr int rounds = 12;
+    loop events;
+    const auto runFor = [&events](millis span) {
+        const auto end = events.timer(span, {}, [&events] {
+            events.stop();
+        });
+        events.run();
+    };
+    std::vector<std::unique_ptr<history>> all;
+    for (int i = 0; i < rounds; ++i) {
+        all.push_back(std::make_unique<history>(events, static_cast<unsigned>(i + 1)));
+        all.back()->configure();
+        all.back()->serve("v1");
+        all.back()->startMissing();
+    }
+    runFor({2'500});
+    for (const auto &each : all) {
+        each->store.put("op/other", "x"); // which confirms all views
+    }
+    runFor({100});
+    // Two daemons are cut off from the store and from the third, which begins streams and then ends.
+    for (const auto &each : all) {
+        each->daemons.at("n1")->isCutOff = true;
+        each->daemons.at("n2")->isCutOff = true;
+        each->daemons.at("n1")->client.fault = store_fault::Unresponsive;
+        each->daemons.at("n2")->client.fault = store_fault::Unresponsive;
+        each->serve("v2");
+    }
+    for (int step = 0; step < 24; ++step) {
+        runFor({100});
+        for (const auto &each : all) {
+            const auto &beginner = *each->daemons.at("n0");
+            const bool knowsNew = beginner.store.view().servers.count("i-v2") != 0;
+            const std::string version = knowsNew && !beginner.origins.isHeldBack(service, "v2") ? "v2" : "v1";
+            const std::string id = "s" + std::to_string(step);
+            each->streams[id] = {version, bootNow(), false, false};
+            each->daemons.at("n0")->origins.onStreamBegan(id, {service, version}, true);
+        }
+    }
+    for (const auto &each : all) {
+        each->kill("n0");
+        each->daemons.at("n1")->isCutOff = false;
+        each->daemons.at("n2")->isCutOff = false;
+    }
+    std::size_t joined = 0;
+    for (const auto &each : all) {
+        for (const auto &[id, stream] : each->streams) {
+            each->daemons.at("n1")->origins.find(
+                id, service, [&joined, version = stream.version](const std::optional<stream_origin> &origin) {
+                    joined += origin && origin->softwareVersion != version ? 1 : 0;
+                });
+        }
+    }
+    runFor({1'500});
+    EXPECT_EQ(joined, 0U);
+}
+
 }
--- a/tests/unit/loop_test.cpp
+++ b/tests/unit/loop_test.cpp
@@ -226,6 +226,28 @@
     EXPECT_EQ(signalCount, 1);
 }
 
+// Guards against an input that is taken for recent though the process stood still after it had arrived.
+TEST(loop, inputsAreAsOldAsTheStandstillBeforeThem)
+{
+    loop events;
+    const socket_pair sockets;
+    millis stoodStillAt;
+    millis arrivedAfter;
+    const auto pause = events.timer({20}, {}, [&] {
+        stoodStillAt = bootNow();
+        EXPECT_EQ(write(sockets.ends[1], "x", 1), 1);
+        usleep(300'000); // as a process that is stopped
+    });
+    const auto watch = events.watch(sockets.ends[0], 1, [&](int) {
+        arrivedAfter = events.inputsSince();
+        events.stop();
+    });
+    const auto ticks = events.timer({5}, {5}, [] {});
+    runUntilStopped(events);
+    EXPECT_LE(arrivedAfter, stoodStillAt);
+    EXPECT_GE(arrivedAfter, stoodStillAt - millis{200}) << "the loop had been running";
+}
+
 TEST(loop, handleCanOutliveTheLoop)
 {
     std::shared_ptr<void> timer;
