Send only what can end before a process that stops does

Callers saw (reported by other operators): in a planned stop requests that come late in the grace are taken and passed on, and end with no answer, among them those that may not be repeated.

Cause: The steps of a stop had fixed times, for a grace of 8 s; and no way to a server asked how much time is left, so requests that had waited for a slot were sent at any time. Change: planShutdown derives all steps from the grace. A request is sent only if it can end before the process: by its deadline, by what requests of its route usually take, or in the first three eighths. All ways to a server ask, briarheadd's mayRoute too; what can't is refused at once as not run. What is open just before the exit gets its final response. Nothing is relayed for peers from the signal on, and the settings no longer move the end.

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -189,6 +189,7 @@
         }
         spdlog::info("daemon: Shutting down. Requests in progress may finish within the drain time limit.");
         m_shuttingDown = true;
+        m_entry->beginShutdown(planShutdown(m_settings.drainTimeout));
         m_bus.post(drain_began{});
         m_graceTimer = m_loop.timer(balancerGrace, {}, [this] {
             m_server->stopListening();
--- a/packages/daemon/entry_task.cpp
+++ b/packages/daemon/entry_task.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// By then the load balancer sends callers elsewhere.
+constexpr millis retryAfterEnding{1'000};
+
 constexpr std::int64_t tickIntervalMs = 100;
 /// The owner enforces the deadline. The entry responds itself this long after it, in case the owner cannot be
 /// reached.
@@ -186,11 +189,31 @@
     }
 }
 
+void entry_task::beginShutdown(const shutdown_plan &plan)
+{
+    m_shutdown = running_shutdown{plan, bootNow()};
+}
+
+/// Whether the request can end before this process does if it is sent now.
+bool entry_task::canEndInTime(const pending_request &request) const
+{
+    const millis now = bootNow();
+    return !m_shutdown
+        || briarhead::canEndInTime(
+            m_shutdown->plan, now - m_shutdown->began, request.deadline - now, std::nullopt);
+}
+
 bool entry_task::mayRoute(const request_ptr &request)
 {
     const repeatability repeats =
         request->idempotent && !request->responseStarted ? repeatability::Always : repeatability::Never;
     const send_objection objection = objectionToSend(request->progress, repeats, maxAttempts);
+    if (objection == send_objection::None && !canEndInTime(*request)) {
+        respondFailure(request,
+            {outcome::NotRun, {error_kind::NotReady, m_options.self, "this instance is ending"},
+                retryAfterEnding});
+        return false;
+    }
     if (objection == send_objection::None) {
         setStage(*request, request_stage::Choosing);
         return true;
--- a/packages/daemon/entry_task.h
+++ b/packages/daemon/entry_task.h
@@ -8,6 +8,7 @@
 #include "coordination/retry.h"
 #include "coordination/routing.h"
 #include "coordination/server_notices.h"
+#include "coordination/shutdown_plan.h"
 #include "daemon/metrics.h"
 #include "transport/bus.h"
 #include "transport/event_stream.h"
@@ -48,6 +49,9 @@
     std::size_t open() const;
     /// Whether a configuration, the members and the platform's server list are known.
     bool ready() const;
+    /// The process was told to end. From now on, requests are sent only if they can end before it does, and
+    /// the others are refused.
+    void beginShutdown(const shutdown_plan &plan);
 
 private:
     /// A caller's request between its arrival and its response.
@@ -159,6 +163,7 @@
     /// Guards the ways that lead to a send. Responds with an error itself if it returns false, unless a
     /// server may still be working on the request.
     bool mayRoute(const request_ptr &request);
+    bool canEndInTime(const pending_request &request) const;
     static void setStage(pending_request &request, request_stage next);
     static void beginSend(pending_request &request);
     /// Routes the request again after a pause, or responds with an error after maxRedirects.
@@ -208,6 +213,12 @@
     millis m_nextCleanupAt;
     retry_budget m_retryBudget;
     std::uint64_t m_sequence = 0; ///< of the last request ID
+    struct running_shutdown
+    {
+        shutdown_plan plan;
+        millis began;
+    };
+    std::optional<running_shutdown> m_shutdown;
     std::mt19937_64 m_random;
     std::shared_ptr<void> m_timer;
 };
--- a/packages/serving/edge_daemon.cpp
+++ b/packages/serving/edge_daemon.cpp
@@ -1,6 +1,7 @@
 #include "serving/edge_daemon.h"
 
 #include "coordination/connection_gate.h"
+#include "coordination/shutdown_plan.h"
 #include "protocol/codec.h"
 #include "scheduling/heartbeat_groups.h"
 #include "serving/adapter_version_task.h"
@@ -42,25 +43,12 @@
 const std::string updatePath = "/news?after=";
 /// A relayed request is larger than the caller's, by its head and by what this system adds.
 constexpr std::uint64_t maxRelayOverheadBytes = 256 * 1024;
-/// The process runs for at least this long after the termination signal, because the load balancer removes a
-/// daemon only after two failed checks one second apart and sends it new connections until then.
-constexpr millis minShutdownTime{2'500};
-/// The daemon releases its servers this long after the termination signal. Until then it continues to send
-/// orders: releasing at once left each server without orders for three seconds per restart, since a new
-/// owner has to wait after the last order of the previous one.
-constexpr millis handOverAfter{2'300};
-/// The daemon accepts no connections or requests from this long after the termination signal. If most daemons
-/// of a failure domain shut down together, the load balancer keeps sending to all of them, and a request
-/// accepted later would be cut off at exit.
-constexpr millis stopAcceptingAfter{2'800};
 /// A daemon that has just started doesn't know the state of any model server before the first heartbeats. If
 /// none arrive, it becomes ready after this time, for plain services.
 constexpr millis readyWithoutOwnersAfter{3'000};
-constexpr millis shutdownCheckInterval{100};
+constexpr millis shutdownCheckInterval{50};
 /// Idle keep-alive connections are closed after this time once shutdown has begun.
 constexpr millis idleTimeoutAtShutdown{1'500};
-/// The process exits this long before the platform would kill it.
-constexpr millis shutdownMargin{500};
 constexpr millis settingsCheckInterval{2'000};
 constexpr millis lagSampleInterval{500};
 /// Limit on a compressed update of the whole store, from a peer.
@@ -193,7 +181,10 @@
     bool m_isolated = false; ///< receives no datagrams from the other daemons
     bool m_shuttingDown = false;
     bool m_handedOver = false; ///< the servers it owned have been released
-    bool m_stoppedAccepting = false;
+    bool m_stoppedListening = false;
+    bool m_failedOpen = false; ///< the requests that were open at the end have had their final response
+    bool m_cutRequests = false;
+    shutdown_plan m_shutdownPlan;
     int m_exitCode = 0;
 };
 
@@ -587,6 +578,10 @@
     }
     m_shuttingDown = true;
     m_shutdownBeganAt = bootNow();
+    // A later change of the settings doesn't change when the platform kills this process.
+    m_shutdownPlan = planShutdown(m_settings.shutdown);
+    m_front.beginShutdown(m_shutdownPlan);
+    m_paths.stopRelaying(); // peers have others to ask, and nothing excuses a relayed request that is cut
     m_log.important("process.ending").add("active", static_cast<std::int64_t>(m_front.active()));
     m_callers->closeAfterResponses(idleTimeoutAtShutdown);
     m_handles.push_back(m_loop.timer(shutdownCheckInterval, shutdownCheckInterval, [this] {
@@ -599,21 +594,25 @@
     const millis elapsed = bootNow() - m_shutdownBeganAt;
     const bool idle = m_front.active() == 0 && m_callers->activeRequests() == 0
         && m_callers->connections() == 0 && !m_paths.isRelaying();
-    const bool timeUp = elapsed > m_settings.shutdown - shutdownMargin;
-    if (elapsed > handOverAfter && !m_handedOver) {
+    if (elapsed > m_shutdownPlan.releaseServers && !m_handedOver) {
         m_handedOver = true;
-        m_paths.stopRelaying();
         m_serverOwner.stop();
         m_quota->stop();
         m_store.releaseRecords();
     }
-    if (elapsed > stopAcceptingAfter && !m_stoppedAccepting) {
-        m_stoppedAccepting = true;
+    if (elapsed > m_shutdownPlan.stopListening && !m_stoppedListening) {
+        m_stoppedListening = true;
         m_callers->stopListening();
-        m_front.stopAccepting();
     }
-    if ((idle && elapsed > minShutdownTime) || timeUp) {
-        m_exitCode = idle ? 0 : exitInterrupted;
+    m_front.refuseUnsendable();
+    if (elapsed > m_shutdownPlan.failOpen && !m_failedOpen) {
+        m_failedOpen = true;
+        m_cutRequests = m_front.active() != 0 || m_paths.isRelaying();
+        m_front.failOpen();
+    }
+    const bool timeUp = elapsed > m_shutdownPlan.exit;
+    if ((idle && elapsed > m_shutdownPlan.earliestExit) || timeUp) {
+        m_exitCode = idle && !m_cutRequests ? 0 : exitInterrupted;
         m_loop.stop();
     }
 }
--- a/packages/serving/front_send.cpp
+++ b/packages/serving/front_send.cpp
@@ -82,6 +82,11 @@
         refuseBlocked(pending);
         return;
     }
+    if (!canEndInTime(*pending)) {
+        notifyOwner(*pending, slot_event::Ended);
+        refuse(pending, "this instance is ending", retryAfterOtherInstance);
+        return;
+    }
     const server_access access = m_notices.accessOf(server);
     const bool fits = isOfStreamVersion(*pending, server);
     if (!fits || !maySend(access, pending->attempt.granted)) {
@@ -205,7 +210,8 @@
 bool front_task::retryElsewhere(const request_ptr &pending, const char *reason)
 {
     pending->excludedServers.insert(pending->attempt.server);
-    if (objectionTo(*pending) != send_objection::None || timeLeft(*pending).count <= 0) {
+    if (objectionTo(*pending) != send_objection::None || timeLeft(*pending).count <= 0
+        || !canEndInTime(*pending)) {
         return false;
     }
     if (mayHaveRun(pending->progress) && m_crashes.mayBecomeBlocked(pending->attributes)) {
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -13,6 +13,10 @@
 
 constexpr millis retryAfterNotReady{1'000};
 constexpr double msPerSecond = 1'000;
+constexpr const char *endingReason = "this instance is ending";
+/// How long a route's requests usually take is known from this many, and is this quantile of them.
+constexpr std::uint64_t minDurations = 20;
+constexpr double usualQuantile = 0.95;
 
 std::string secondsText(millis span)
 {
@@ -119,6 +123,11 @@
         }
     }
     m_features = std::move(features);
+    std::erase_if(m_durations, [&routes = m_store.view().config->routes](const auto &each) {
+        return std::none_of(routes.begin(), routes.end(), [&each](const route &known) {
+            return known.name == each.first;
+        });
+    });
     m_limitsByRank = limitsByRank(*m_store.view().config);
 }
 
@@ -146,9 +155,46 @@
     applyPlainLoads(node, heartbeat.plainServers);
 }
 
-void front_task::stopAccepting()
+void front_task::beginShutdown(const shutdown_plan &plan)
 {
-    m_accepting = false;
+    m_shutdown = running_shutdown{plan, bootNow()};
+}
+
+/// Whether the request can end before this process does if it is sent now.
+bool front_task::canEndInTime(const pending_request &pending) const
+{
+    if (!m_shutdown) {
+        return true;
+    }
+    std::optional<millis> usual;
+    const auto found = m_durations.find(pending.matchedRoute->name);
+    if (found != m_durations.end() && countOf(found->second) >= minDurations) {
+        usual = millis{static_cast<std::int64_t>(quantileMs(found->second, usualQuantile))};
+    }
+    return briarhead::canEndInTime(m_shutdown->plan, bootNow() - m_shutdown->began, timeLeft(pending), usual);
+}
+
+void front_task::refuseUnsendable()
+{
+    std::vector<request_ptr> late;
+    for (const auto &[number, pending] : m_requests) {
+        if (pending->matchedRoute != nullptr && isBeforeSend(pending->progress) && !canEndInTime(*pending)) {
+            late.push_back(pending);
+        }
+    }
+    for (const request_ptr &pending : late) {
+        abandonServer(pending);
+        refuse(pending, endingReason, retryAfterOtherInstance);
+    }
+}
+
+void front_task::failOpen()
+{
+    const auto open = m_requests;
+    for (const auto &[number, pending] : open) {
+        abandonServer(pending);
+        refuse(pending, endingReason, retryAfterOtherInstance);
+    }
 }
 
 void front_task::setIsolated(bool isolated)
@@ -172,8 +218,8 @@
     pending->reply = std::move(reply);
     pending->arrived = bootNow();
     m_requests.emplace(pending->number, pending);
-    if (!m_accepting) {
-        refuse(pending, "this instance is ending", retryAfterOtherInstance);
+    if (m_shutdown && pending->arrived - m_shutdown->began > m_shutdown->plan.stopAccepting) {
+        refuse(pending, endingReason, retryAfterOtherInstance);
         return;
     }
     pending->reply->onDisconnect([this, weak = std::weak_ptr<pending_request>(pending)] {
@@ -314,6 +360,10 @@
         return;
     }
     setStage(*pending, request_stage::Choosing);
+    if (!canEndInTime(*pending)) {
+        refuse(pending, endingReason, retryAfterOtherInstance);
+        return;
+    }
     if (refuseWithoutVersion(pending)) {
         return;
     }
@@ -443,6 +493,10 @@
     ++m_counters.ended[{kind, outcome}];
     record(m_counters.duration, static_cast<double>((bootNow() - pending->arrived).count));
     const bool served = outcome == "served";
+    if (served && pending->matchedRoute != nullptr) {
+        record(m_durations[pending->matchedRoute->name],
+            static_cast<double>((bootNow() - pending->arrived).count));
+    }
     (served ? m_log.ordinary("request.ended") : m_log.important("request.ended"))
         .add("id", pending->request.id)
         .add("outcome", outcome)
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -2,6 +2,7 @@
 
 #include "coordination/quota_task.h"
 #include "coordination/request_progress.h"
+#include "coordination/shutdown_plan.h"
 #include "scheduling/choose_plain_server.h"
 #include "scheduling/connection_subset.h"
 #include "scheduling/heartbeat_groups.h"
@@ -89,7 +90,13 @@
     void setRetryLimits(const retry_limits &limits);
 
     /// Refuses new requests from now on, because the process would exit before they are complete.
-    void stopAccepting();
+    /// The process was told to end. From now on, requests are sent only if they can end before it does, and
+    /// the others are refused.
+    void beginShutdown(const shutdown_plan &plan);
+    /// Refuses the requests that have waited until they can't end in time.
+    void refuseUnsendable();
+    /// Gives all open requests their final response.
+    void failOpen();
     /// While isolated, slots can't be requested from other daemons: only model servers that this daemon owns
     /// are used.
     void setIsolated(bool isolated);
@@ -194,6 +201,7 @@
     server_attempt &beginAttempt(pending_request &pending, const std::string &server);
     static repeatability repeatabilityOf(const pending_request &pending);
     static send_objection objectionTo(const pending_request &pending);
+    bool canEndInTime(const pending_request &pending) const;
     bool maySendNow(const request_ptr &pending, send_objection objection);
     void send(const request_ptr &pending, const backend_server &server);
     send_handlers sendHandlers(const request_ptr &pending);
@@ -267,7 +275,13 @@
     std::uint64_t m_lastAttempt = 0;
     std::size_t m_heldBytes = 0; ///< of all responses that are held back
     std::size_t m_heartbeatGroups = 1; ///< number of heartbeat groups in this daemon's failure domain
-    bool m_accepting = true;
+    struct running_shutdown
+    {
+        shutdown_plan plan;
+        millis began;
+    };
+    std::optional<running_shutdown> m_shutdown;
+    std::map<std::string, latency_histogram> m_durations; ///< of served requests, by route
     bool m_isolated = false;
 };
 
--- a/tests/serving/edge_process_test.cpp
+++ b/tests/serving/edge_process_test.cpp
@@ -46,13 +46,7 @@
         m_folder = name;
         m_front = freePort();
         m_ready = freePort();
-        const std::uint16_t peers = freePort();
-        std::ofstream settings(m_folder / "node.conf");
-        settings << "node=n1\nzone=z\nip=127.0.0.1\nlisten.front=127.0.0.1:" << m_front
-                 << "\nlisten.ready=127.0.0.1:" << m_ready << "\ninternalPorts=" << peers << ',' << peers + 1
-                 << "\nplatform.address=127.0.0.1:" << m_storeServer.port()
-                 << "\nbounds.graceS=8\nmetricsPort=" << freePort() << '\n';
-        settings.close();
+        writeSettings(8);
         m_store.put("servers/m-1", m_model.entry());
         m_store.put("servers/p-1", m_plain.entry());
         m_store.put("op/config",
@@ -72,6 +66,15 @@
         }
         std::filesystem::remove_all(m_folder);
     }
+    void writeSettings(int graceS)
+    {
+        const std::uint16_t peers = freePort();
+        std::ofstream settings(m_folder / "node.conf");
+        settings << "node=n1\nzone=z\nip=127.0.0.1\nlisten.front=127.0.0.1:" << m_front
+                 << "\nlisten.ready=127.0.0.1:" << m_ready << "\ninternalPorts=" << peers << ',' << peers + 1
+                 << "\nplatform.address=127.0.0.1:" << m_storeServer.port() << "\nbounds.graceS=" << graceS
+                 << "\nmetricsPort=" << freePort() << '\n';
+    }
     void startProcess()
     {
         const std::string settings = "--settings=" + (m_folder / "node.conf").string();
@@ -233,6 +236,82 @@
     EXPECT_EQ(exitStatus(), 0) << logText();
 }
 
+// Guards against requests that are passed on late in the grace and cut at its end, whatever its length.
+TEST_F(edge_process_test, RequestsLateInTheGraceAreAnsweredOrRefusedAsNotRun)
+{
+    constexpr int graceS = 3;
+    writeSettings(graceS);
+    startProcess();
+    m_plain.currentBehavior = behavior::Slow;
+    m_plain.responseDelay = {1'200};
+    kill(m_pid, SIGTERM);
+    struct late_call
+    {
+        std::string id;
+        std::unique_ptr<raw_socket> caller;
+        std::string received;
+        bool ended = false;
+    };
+    std::vector<late_call> calls;
+    const auto readAll = [&calls] {
+        std::size_t ended = 0;
+        for (late_call &each : calls) {
+            each.ended = each.ended || !each.caller->receive(each.received);
+            ended += each.ended ? 1U : 0U;
+        }
+        return ended == calls.size();
+    };
+    while (waitpid(m_pid, nullptr, WNOHANG) == 0) {
+        auto caller = std::make_unique<raw_socket>(socket(AF_INET, SOCK_STREAM, 0));
+        const sockaddr_in address = http_testing::loopbackAddress(m_front);
+        if (connect(caller->fd(), reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0) {
+            const std::string id = "late" + std::to_string(calls.size());
+            const std::string request = "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Briarhead-Request-Id: " + id
+                + "\r\nX-Briarhead-Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n";
+            if (::send(caller->fd(), request.data(), request.size(), MSG_NOSIGNAL) > 0) {
+                calls.push_back({id, std::move(caller), "", false});
+            }
+        }
+        runRounds(40);
+        readAll();
+    }
+    m_pid = 0;
+    EXPECT_TRUE(runUntil(readAll));
+    std::size_t served = 0;
+    std::size_t refused = 0;
+    for (const late_call &each : calls) {
+        const bool ran = std::any_of(m_plain.ran.begin(), m_plain.ran.end(), [&each](const auto &request) {
+            const std::string *id = findField(request.head, "x-briarhead-request-id");
+            return id != nullptr && *id == each.id;
+        });
+        if (ran) {
+            EXPECT_TRUE(each.received.starts_with("HTTP/1.1 200")) << each.id << ": " << each.received;
+        } else if (!each.received.empty()) { // else it was not read before the end
+            EXPECT_TRUE(each.received.starts_with("HTTP/1.1 503")) << each.id << ": " << each.received;
+        }
+        served += ran ? 1 : 0;
+        refused += each.received.starts_with("HTTP/1.1 503") ? 1 : 0;
+    }
+    EXPECT_GT(served, 0U);
+    EXPECT_GT(refused, 0U);
+}
+
+// Guards against requests that end with a closed connection where the process can still say so.
+TEST_F(edge_process_test, OpenRequestsGetTheirFinalResponseBeforeTheExit)
+{
+    writeSettings(3);
+    startProcess();
+    m_plain.currentBehavior = behavior::Silent;
+    const auto caller = sendRequest("/once/x", false);
+    ASSERT_TRUE(runUntil([&] {
+        return m_plain.ran.size() == 1;
+    }));
+    kill(m_pid, SIGTERM);
+    const std::string response = readResponse(*caller);
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 502")) << response << logText();
+    EXPECT_EQ(exitStatus(), 1);
+}
+
 // Guards against a long stream that is cut because its caller pauses: the server has to wait instead.
 TEST_F(edge_process_test, LongStreamIsPausedWhileItsCallerDoesNotRead)
 {
