Wait for records in the store, not for a time, where writes had no answer

Cause: StreamsGoOnWhereTheirRecordsWereNotAnswered failed once in a run of all tests (9 of 20 streams went on), and 3 of 8 at once beside six busy processes. A write that loses its answer is given up after 0.9 s and the next one follows 0.3 s later; the test killed all daemons 0.6 s after the last stream had begun. Change: It waits until the store has the origins of all streams, and fails if it never does: as strict, without the time.

--- a/tests/soak/stream_origin_test.cpp
+++ b/tests/soak/stream_origin_test.cpp
@@ -1,3 +1,4 @@
+#include "scheduling/origin_log.h"
 #include "soak/versions_fixture.h"
 
 namespace briarhead::soak {
@@ -44,6 +45,26 @@
         }
         return sum;
     }
+    /// Waits until the store has the origins of all streams: a write that had no answer is given up first.
+    void awaitRecords()
+    {
+        EXPECT_TRUE(runUntil([this] {
+            std::set<std::string> recorded;
+            for (const auto &[key, item] : m_store.items) {
+                error why;
+                const auto origins = key.starts_with("briarhead/origins/")
+                    ? decodeStoredOrigins(item.value, why)
+                    : std::nullopt;
+                for (const stream_origin_record &each :
+                    origins ? originsOf(*origins) : std::vector<stream_origin_record>{}) {
+                    recorded.insert(each.id);
+                }
+            }
+            return std::all_of(m_streams.begin(), m_streams.end(), [&recorded](const auto &stream) {
+                return recorded.count(stream->id) != 0;
+            });
+        }));
+    }
     /// Of streams that were recorded, nine in ten go on.
     std::size_t leastGoingOn() const
     {
@@ -123,7 +144,7 @@
     beginStreams(8);
     m_storeServer.client.fault = store_fault::None;
     beginStreams(streamCount - 8);
-    runFor(recordTime);
+    awaitRecords();
     killAndRestartAll();
     EXPECT_GE(takeUpAll(), leastGoingOn());
 }
