Format numbers in logs whole, and bound those that servers announce

Cause: decision_log appended as many bytes as snprintf would have written, from a buffer of 32: a Server-Limit of 40 digits put the stack into the log. Change: fmt formats; NaN and infinities are null. Ruled out: config_store's snprintf (32 digits by its format), vsnprintf in http_server (reads up to the terminator). Measured: DecisionLog.WritesNumbersOfAnySizeWhole and HugeTimeout... pass; they were not run on the code before, nor with sanitizers.

--- a/packages/serving/decision_log.cpp
+++ b/packages/serving/decision_log.cpp
@@ -1,5 +1,6 @@
 #include "serving/decision_log.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <fcntl.h>
@@ -8,7 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstdio>
+#include <cmath>
 #include <utility>
 
 namespace briarhead {
@@ -150,9 +151,7 @@
 {
     if (m_log != nullptr) {
         key(name);
-        std::array<char, 32> text{};
-        const int size = std::snprintf(text.data(), text.size(), "%.3f", value);
-        m_text.append(text.data(), static_cast<std::size_t>(size));
+        m_text += std::isfinite(value) ? fmt::format("{:.3f}", value) : std::string("null");
     }
     return *this;
 }
--- a/packages/serving/front_task.cpp
+++ b/packages/serving/front_task.cpp
@@ -2,9 +2,10 @@
 
 #include "coordination/request_attributes.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 #include <utility>
 
 namespace briarhead {
@@ -20,10 +21,7 @@
 
 std::string secondsText(millis span)
 {
-    char text[32];
-    std::snprintf(text, sizeof(text), "%.2f",
-        static_cast<double>(std::max<std::int64_t>(span.count, 10)) / msPerSecond);
-    return text;
+    return fmt::format("{:.2f}", static_cast<double>(std::max<std::int64_t>(span.count, 10)) / msPerSecond);
 }
 
 }
--- a/packages/transport/backend_pool.cpp
+++ b/packages/transport/backend_pool.cpp
@@ -34,6 +34,7 @@
 constexpr millis keepTimeExpiry{60'000};
 /// For servers that announce no timeout.
 constexpr millis defaultIdleTimeout{3'000};
+constexpr std::int64_t maxKeepSeconds = 24LL * 3'600; ///< of a timeout that a server announces
 /// Idle connections kept per server: more than are busy at once under steady load on a quarter of a core.
 constexpr std::size_t maxIdlePerServer = 16;
 constexpr millis sweepInterval{250};
@@ -88,7 +89,7 @@
     std::int64_t seconds = 0;
     const char *first = value->data() + position + std::strlen("timeout=");
     std::from_chars(first, value->data() + value->size(), seconds);
-    const millis timeout{seconds * 1'000};
+    const millis timeout{std::clamp<std::int64_t>(seconds, 0, maxKeepSeconds) * 1'000};
     const millis margin = std::clamp(
         millis{timeout.count / idleTimeoutMarginDivisor}, minIdleTimeoutMargin, maxIdleTimeoutMargin);
     return timeout - margin;
--- a/tests/serving/wire_test.cpp
+++ b/tests/serving/wire_test.cpp
@@ -4,12 +4,14 @@
 #include "unit/http_fixture.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
 
 #include <fcntl.h>
 #include <sys/resource.h>
 
 #include <filesystem>
+#include <limits>
 
 namespace briarhead {
 
@@ -655,4 +657,44 @@
     close(ends[1]);
 }
 
+// Guards against a number that is longer than the buffer it is formatted in, whose line then has other
+// memory.
+TEST(DecisionLog, WritesNumbersOfAnySizeWhole)
+{
+    int ends[2] = {};
+    ASSERT_EQ(pipe(ends), 0);
+    decision_log log(ends[1], "n1");
+    log.important("test.line")
+        .add("large", 1e60)
+        .add("small", -1e300)
+        .add("none", std::numeric_limits<double>::quiet_NaN())
+        .add("last", 1.5);
+    std::string text(64 * 1024, '\0');
+    const ssize_t count = read(ends[0], text.data(), text.size());
+    ASSERT_GT(count, 0);
+    text.resize(static_cast<std::size_t>(count));
+    const auto parsed = nlohmann::json::parse(text, nullptr, false);
+    ASSERT_FALSE(parsed.is_discarded()) << text;
+    EXPECT_EQ(parsed["large"], 1e60);
+    EXPECT_EQ(parsed["small"], -1e300);
+    EXPECT_TRUE(parsed["none"].is_null());
+    EXPECT_EQ(parsed["last"], 1.5);
+    close(ends[0]);
+    close(ends[1]);
+}
+
+// Guards against a time-out whose milliseconds overflow, and a connection that is kept for good.
+TEST_F(pool_test, HugeTimeoutOfAServerIsBounded)
+{
+    const auto first = send("a");
+    ASSERT_TRUE(runUntilReceived(0, "a"));
+    respond(0,
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nKeep-Alive: timeout=9223372036854775807\r\n"
+        "Content-Length: 0\r\n\r\n");
+    ASSERT_TRUE(runUntilDone(*first));
+    const millis kept = m_pool.keepTime({http_testing::loopback, m_port});
+    EXPECT_GT(kept, millis{0});
+    EXPECT_LE(kept, millis{24LL * 3'600 * 1'000});
+}
+
 }
