Take a brittle service's new or returning server for brittle until it answers

Callers saw: requests that may run once only end with 502 each time one of four brittle servers is back after a crash: it falls over at once, six times.

Cause: Brittleness was kept by server, so the one that had answered nobody needed no permit and got the load of all daemons. Change: It takes over the least that any server of its service bears, at entries and owner, until its own first response.

--- a/packages/serving/server_notice_task.cpp
+++ b/packages/serving/server_notice_task.cpp
@@ -44,12 +44,51 @@
     , m_log(log)
 {
     m_bus.on<view_changed>([this](const view_changed &change) {
-        for (const std::string &server : change.removedServers) {
-            m_notices.limits.erase(server);
+        onViewChanged(change);
+    });
+}
+
+void server_notice_task::onViewChanged(const view_changed &change)
+{
+    for (const std::string &server : change.removedServers) {
+        m_notices.limits.erase(server);
+        m_knownServers.erase(server);
+    }
+    const auto &servers = m_store.view().servers;
+    if (servers.size() == m_knownServers.size()) {
+        return;
+    }
+    for (const auto &[id, server] : servers) {
+        if (m_knownServers.insert(id).second) {
+            inheritBrittleness(server);
         }
+    }
+    std::erase_if(m_knownServers, [&servers](const std::string &id) {
+        return servers.count(id) == 0;
     });
 }
 
+/// A server that is new, or has started again, has answered nobody yet. If others of its service say that
+/// they are brittle, so is it: all daemons would send to the only one that needs no permit. Its first
+/// response replaces what is assumed here.
+void server_notice_task::inheritBrittleness(const backend_server &server)
+{
+    const auto &servers = m_store.view().servers;
+    std::optional<std::int64_t> least;
+    for (const auto &[id, limit] : m_notices.limits) {
+        const auto known = servers.find(id);
+        if (limit.maxRejections && known != servers.end() && known->second.service == server.service) {
+            least = std::min(least.value_or(*limit.maxRejections), *limit.maxRejections);
+        }
+    }
+    if (!least) {
+        return;
+    }
+    const millis now = bootNow();
+    m_notices.limits.try_emplace(server.id, announced_limit{unlimitedPerSecond, now, now, least});
+    m_log.important("server.assumed_brittle").add("server", server.id).add("bears", *least);
+}
+
 void server_notice_task::setPort(fleet_port &port)
 {
     m_port = &port;
--- a/packages/serving/server_notice_task.h
+++ b/packages/serving/server_notice_task.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -86,6 +87,8 @@
         int sendsLeft = 0;
     };
 
+    void onViewChanged(const view_changed &change);
+    void inheritBrittleness(const backend_server &server);
     void sendNotice(server_notice notice, const std::vector<std::string> &recipients, int sends);
     void resendNotices();
     void broadcastLeaving(const server_notice &notice);
@@ -98,6 +101,7 @@
     decision_log &m_log;
     fleet_port *m_port = nullptr;
     server_notices m_notices;
+    std::set<std::string> m_knownServers; ///< those in the view, as of its latest change
     std::vector<repeated_notice> m_repeatedNotices;
     std::shared_ptr<void> m_timer;
 };
