Begin no stream at a server whose restart a silent store has not named

Callers saw: the first events of a stream are of one software version and the others of another: the server was upgraded under its id while the store was silent.

Cause: The start of a server was confirmed where a stream goes on, not where it begins. Change: While the view has not been confirmed for 2 s, it is confirmed there too. Servers that stay are counted once for each change of the view, not once for each service.

--- a/packages/serving/front_response.cpp
+++ b/packages/serving/front_response.cpp
@@ -56,7 +56,7 @@
     onResponseLimit(*pending);
     pending->attempt.streaming = pending->matchedRoute->kind == route_kind::Stream && isSuccess(head.status)
         && meta.signedByServer && isEventStream(head);
-    if (pending->attempt.streaming && pending->origin && pending->attempt.startedAtMs != 0) {
+    if (pending->attempt.streaming && needsConfirmedStart(*pending)) {
         confirmServer(pending);
     } else if (pending->attempt.streaming) {
         beginReply(pending, caller_content::Events);
--- a/packages/serving/front_task.h
+++ b/packages/serving/front_task.h
@@ -202,6 +202,7 @@
     static repeatability repeatabilityOf(const pending_request &pending);
     static send_objection objectionTo(const pending_request &pending);
     bool canEndInTime(const pending_request &pending) const;
+    bool needsConfirmedStart(const pending_request &pending) const;
     bool maySendNow(const request_ptr &pending, send_objection objection);
     void send(const request_ptr &pending, const backend_server &server);
     send_handlers sendHandlers(const request_ptr &pending);
--- a/packages/serving/front_version.cpp
+++ b/packages/serving/front_version.cpp
@@ -10,6 +10,8 @@
 
 /// A server answers report requests within milliseconds.
 constexpr millis confirmTimeout{500};
+/// While the store answers, each daemon's view is confirmed more often than this.
+constexpr millis maxUnconfirmedTime{2'000};
 
 }
 
@@ -81,6 +83,18 @@
     }
 }
 
+/// Whether the server has to say when it started before the caller gets events of it: a stream goes on there,
+/// or begins there while the store, which would name a restart at another version, is silent.
+bool front_task::needsConfirmedStart(const pending_request &pending) const
+{
+    if (pending.attempt.startedAtMs == 0) {
+        return false;
+    }
+    const auto confirmed = m_store.configConfirmedAt();
+    const bool current = confirmed && bootNow() - *confirmed <= maxUnconfirmedTime;
+    return pending.origin || (pending.matchedRoute->resumable && !current);
+}
+
 /// Asks a server that keeps its id over restarts when it started, and holds its response back meanwhile. A
 /// restart at another version may not have reached this daemon's view of the store.
 void front_task::confirmServer(const request_ptr &pending)
--- a/packages/serving/stream_origin_task.cpp
+++ b/packages/serving/stream_origin_task.cpp
@@ -92,6 +92,10 @@
         }
     }
     recordVersions(m_sightings, view.servers, now);
+    m_staying.clear();
+    for (const auto &[id, server] : view.servers) {
+        m_staying[server.service][server.softwareVersion] += server.draining ? 0 : 1;
+    }
     for (const auto &[service, versions] : m_sightings) {
         const bool several = versions.size() > 1;
         if (std::exchange(m_severalVersions[service], several) != several) {
@@ -142,15 +146,11 @@
     }
 }
 
-staying_servers stream_origin_task::stayingServersOf(const std::string &service) const
+const staying_servers &stream_origin_task::stayingServersOf(const std::string &service) const
 {
-    staying_servers staying;
-    for (const auto &[id, server] : m_store.view().servers) {
-        if (server.service == service) {
-            staying[server.softwareVersion] += server.draining ? 0 : 1;
-        }
-    }
-    return staying;
+    static const staying_servers none;
+    const auto found = m_staying.find(service);
+    return found == m_staying.end() ? none : found->second;
 }
 
 /// A stream that began at a service's only version lasts for the timeout of its route, and a daemon begins
--- a/packages/serving/stream_origin_task.h
+++ b/packages/serving/stream_origin_task.h
@@ -73,7 +73,7 @@
     void maintainRecords();
     void maintainRecord(const std::string &service, const std::vector<std::string> &daemons);
     void findVersionsHeldBack();
-    staying_servers stayingServersOf(const std::string &service) const;
+    const staying_servers &stayingServersOf(const std::string &service) const;
     settle_times settleTimesOf(const std::string &service) const;
     void findLostDaemons();
     bool hasSeveralVersions(const std::string &service) const;
@@ -107,6 +107,7 @@
     std::deque<std::pair<std::string, stream_origin_record>> m_announcements; ///< home and record, to be sent
     std::map<std::string, lookup_ptr> m_lookups; ///< by stream id
     std::map<std::string, millis> m_outdatedSince; ///< records of versions, by service
+    std::map<std::string, staying_servers> m_staying; ///< by service, as of the latest change of the view
     std::map<std::string, std::uint64_t> m_daemons; ///< incarnations by node, when last looked at
     millis m_daemonLostAt; ///< when the end of a daemon was last seen, this one's before its start included
     std::map<std::string, version_record_state> m_records; ///< of the store, by service
--- a/tests/soak/software_version_test.cpp
+++ b/tests/soak/software_version_test.cpp
@@ -223,6 +223,30 @@
     EXPECT_TRUE(resumed->status() != 200 || resumed->servers().empty()) << first << resumed->received;
 }
 
+/// Guards against streams that begin at a server that restarted at another version while the store was
+/// silent, and pass for streams of the version before.
+TEST_F(software_version_test, NoStreamBeginsAtAServerWhoseRestartTheStoreHasNotNamed)
+{
+    for (backend_standin *server : modelServers()) {
+        server->startedAtMs = 1'000;
+        m_store.put("servers/" + server->id, server->entry());
+    }
+    runFor({2'500});
+    m_storeServer.client.fault = store_fault::Unresponsive;
+    runFor({2'500});
+    backend_standin &restarted = *modelServers().front();
+    restarted.softwareVersion = "v2";
+    restarted.startedAtMs = 2'000;
+    for (std::size_t i = 0; i < 18; ++i) {
+        const auto attempt = start(i % m_daemons.size());
+        finish(*attempt);
+        EXPECT_EQ(attempt->status(), 200) << attempt->received;
+        for (const std::string &server : attempt->servers()) {
+            EXPECT_NE(server, restarted.id);
+        }
+    }
+}
+
 /// Guards against a version that is taken from a view of the store that may be old.
 TEST_F(software_version_test, NoStreamGoesOnAtAnotherVersionWhileTheStoreIsAway)
 {
