--- a/tests/soak/software_version_test.cpp
+++ b/tests/soak/software_version_test.cpp
@@ -114,8 +114,10 @@
 /// where they began.
 TEST_F(software_version_test, StreamOfADaemonLostBeforeTheSecondVersionGoesOn)
 {
+    constexpr std::size_t count = 8;
     std::vector<std::unique_ptr<stream_attempt>> streams;
-    for (int i = 0; i < 8; ++i) {
+    streams.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) {
         streams.push_back(begin(0));
     }
     signal(m_daemons[0], SIGSTOP); // it tells nobody, as a machine without power
